--- /dev/null
+++ b/cottonspread/__init__.py
@@ -0,0 +1,1 @@
+"""cottonspread: a balancer for long-lived connections."""
--- /dev/null
+++ b/cottonspread/decide.py
@@ -0,0 +1,562 @@
+"""Every decision of a cottonspread node.
+
+How to invoke: make one `Balancer(now, begin)` for each node, pass every event to `handle(now, event)` and carry out
+the actions it returns, in order; `actions()` gives what the start itself asks for. The types of `begin`, the events
+and the actions are in cottonspread/interface.py. Times are whole microseconds of the front's clock. Nothing here
+reads a clock, a file or the network, and equal events give equal actions.
+
+The ordinary path of a call is `Balancer.path`. Names of the design page: record, rotation, ready, well over the mean.
+"""
+from collections import Counter, OrderedDict
+from dataclasses import dataclass, field
+from zlib import crc32
+
+from cottonspread import interface as io
+from cottonspread.interface import Effect, Ending, News, State
+
+SECOND = 1_000_000
+NEVER_RAN = {Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT}
+
+
+class Chance:
+    """Draws that depend on the node's seed and on how many came before."""
+
+    def __init__(self, seed):
+        self.seed, self.drawn = seed, 0
+
+    def below(self, n):
+        self.drawn += 1
+        return crc32(b"%d:%d" % (self.seed, self.drawn)) * n >> 32
+
+
+class Ring:
+    """A count over the last `buckets` stretches of `width`, in buckets that are used again."""
+
+    def __init__(self, width, buckets):
+        self.width, self.counts, self.stamps = width, [0] * buckets, [-1] * buckets
+
+    def add(self, now, amount=1):
+        stamp = now // self.width
+        at = stamp % len(self.counts)
+        if self.stamps[at] != stamp:
+            self.stamps[at], self.counts[at] = stamp, 0
+        self.counts[at] += amount
+
+    def total(self, now):
+        oldest = now // self.width - len(self.counts) + 1
+        return sum(c for c, s in zip(self.counts, self.stamps) if s >= oldest)
+
+
+@dataclass(eq=False)
+class Host:
+    """One server as this node knows it."""
+    name: object
+    entry: io.Entry
+    legs: dict = field(default_factory=dict)      # legs out or standing, in order of sending
+    setups: int = 0                               # of these, not yet answered
+    groups: Counter = field(default_factory=Counter)
+    answers: int = 0                              # since it last started
+    aside_until: int = 0                          # health: no leg before this
+    trickle: int = 0                              # health: legs allowed in a trickle period; 0: no limit
+    period_from: int = 0
+    period_legs: int = 0
+    rest: int = 0
+    delay: int = 0                                # what messages took, and when that was told
+    delay_at: int = -10 * SECOND
+    sent: Ring = field(default_factory=lambda: Ring(SECOND // 4, 16))
+
+
+@dataclass(eq=False)
+class Leg:
+    call: "Call"
+    number: int
+    host: Host
+    sent: int
+    load: float = 0.0
+    accepted: bool = False
+    ending: Ending = None
+
+
+@dataclass(eq=False)
+class Call:
+    id: object
+    type: io.TrafficType
+    tenant: int
+    key: object
+    group: object
+    arrived: int
+    guard: int                                    # when this try is given up by its client
+    mid_flow: bool
+    legs: list = field(default_factory=list)
+    path: object = None
+    ended: bool = False
+
+
+# Records
+
+@dataclass(eq=False)
+class Record:
+    host: Host
+    touched: int
+
+
+class Records:
+    """Bounded memory of the server chosen for each key, dropped when idle."""
+    IDLE = 600 * SECOND            # the design page's start; its floor is several minutes
+    MOST = 50_000                  # bounds memory to a few MiB
+
+    def __init__(self):
+        self.by_key = OrderedDict()
+
+    def find(self, key, now):
+        while self.by_key:
+            oldest = next(iter(self.by_key.values()))
+            if now - oldest.touched <= self.IDLE and len(self.by_key) <= self.MOST:
+                break
+            self.by_key.popitem(last=False)
+        return self.by_key.get(key)
+
+    def put(self, key, host, now):
+        if key is not None:
+            self.by_key[key] = Record(host, now)
+            self.by_key.move_to_end(key)
+
+    def touch(self, key, host, now):
+        """The key's connection to `host` ends: idleness counts from here."""
+        record = self.by_key.get(key)
+        if record and record.host is host:
+            record.touched = now
+            self.by_key.move_to_end(key)
+
+    def clear(self, key, host):
+        record = self.by_key.get(key)
+        if record and record.host is host:
+            del self.by_key[key]
+
+    def clear_host(self, host):
+        for key in [k for k, r in self.by_key.items() if r.host is host]:
+            del self.by_key[key]
+
+
+# Rotation
+
+class Rotation:
+    """Servers in turn, from a random start."""
+
+    def __init__(self, chance):
+        self.chance, self.order, self.at = chance, [], 0
+
+    def keep(self, hosts):
+        """The servers now listed; new ones go behind the others."""
+        following = self.order[self.at:] + self.order[:self.at]
+        first = not following
+        listed = dict.fromkeys(hosts)
+        self.order = [h for h in following if h in listed]
+        self.order += [h for h in hosts if h not in dict.fromkeys(following)]
+        self.at = self.chance.below(len(self.order)) if first and self.order else 0
+
+    def next(self, fits):
+        for step in range(len(self.order)):
+            host = self.order[(self.at + step) % len(self.order)]
+            if fits(host):
+                self.at = (self.at + step + 1) % len(self.order)
+                return host
+        return None
+
+
+def well_over(count, mean):
+    """The design's skip: never under two connections over the mean, wider where the mean is high."""
+    return count >= mean + max(2, mean / 4)
+
+
+# Membership
+
+class Membership:
+    """The servers that the list names, and the asking where it must be asked."""
+
+    def __init__(self, ask, chance):
+        self.ask, self.chance = ask, chance
+        self.hosts = {}
+        self.failures = 0
+
+    def read(self, listed):
+        """Takes in a word from the list; returns (servers now unfit for records, servers started anew)."""
+        lost, started = [], []
+        named = {e.host for e in listed.entries}
+        for entry in listed.entries:
+            host = self.hosts.get(entry.host)
+            if host is None:
+                host = self.hosts[entry.host] = Host(entry.host, entry)
+            elif entry.started > host.entry.started:
+                started.append(host)
+            host.entry = entry
+            if entry.state is not State.UP:
+                lost.append(host)
+        if listed.news is not News.CHANGES:
+            for host in self.hosts.values():
+                if host.name not in named and host.entry.state is not State.GONE:
+                    host.entry = io.Entry(host.name, state=State.GONE)
+                    lost.append(host)
+        return lost, started
+
+    def up(self):
+        return [h for h in self.hosts.values() if h.entry.state is State.UP]
+
+    def drop_gone(self):
+        for host in [h for h in self.hosts.values() if h.entry.state is State.GONE and not h.legs]:
+            del self.hosts[host.name]
+
+    def wait_to_ask(self):
+        """Spaced and spread by chance: nodes asking in step would all be answered late."""
+        self.failures += 1
+        base = min(SECOND << min(self.failures, 3), 8 * SECOND) // 4
+        return base + self.chance.below(base)
+
+
+# Health
+
+class Health:
+    """Who is set aside, and the trickle by which one comes back."""
+    FIRST_REST = SECOND            # about the longest queue that a live server clears in its set-up target
+    LONGEST_REST = 8 * SECOND
+    PERIOD = SECOND
+    OPEN_AT = 8                    # trickle that counts as no limit any more
+    NOTE_LIFE = 5 * SECOND // 2    # told once a second while it lasts: two words missed, and it is over
+
+    def __init__(self, slow_from):
+        self.slow_from = slow_from
+
+    def good(self, host):
+        if host.trickle:
+            host.trickle *= 2
+            if host.trickle >= self.OPEN_AT:
+                host.trickle = host.rest = 0
+
+    def bad(self, host, now):
+        host.rest = min(host.rest * 2, self.LONGEST_REST) or self.FIRST_REST
+        host.aside_until, host.trickle, host.period_legs = now + host.rest, 1, 0
+
+    def may_send(self, host, now):
+        if now < host.aside_until:
+            return False
+        return not host.trickle or now - host.period_from >= self.PERIOD or host.period_legs < host.trickle
+
+    def count(self, host, now):
+        if host.trickle:
+            if now - host.period_from >= self.PERIOD:
+                host.period_from, host.period_legs = now, 0
+            host.period_legs += 1
+
+    def slow(self, host, now):
+        return host.delay >= self.slow_from and now - host.delay_at < self.NOTE_LIFE
+
+
+# Warm-up
+
+class WarmUp:
+    """A fresh server's cap, within this node's part of the cold budget."""
+
+    def __init__(self, cold):
+        self.cold = cold
+        self.sent = Ring(SECOND, 10)
+
+    def part(self, host, now):
+        """What it can do at least, as a share of its full work."""
+        started, cold = host.entry.started, self.cold
+        if not started or not cold.warm_after or now - started >= cold.warm_after:
+            return 1.0
+        return cold.share + (1 - cold.share) * max(0, now - started) / cold.warm_after
+
+    def may_send(self, host, now, mean, hosts):
+        part = self.part(host, now)
+        if part >= 1:
+            return True
+        if host.setups >= 1 + host.answers or len(host.legs) >= 1 + part * mean:
+            return False
+        usual = self.sent.total(now) / 10 / max(1, hosts) * self.cold.window / SECOND
+        return host.sent.total(now) < max(1, self.cold.multiple * part * usual)
+
+
+# Leg rules
+
+def may_have_run(call):
+    return [leg for leg in call.legs if leg.ending not in NEVER_RAN]
+
+
+def may_go_again(call, now):
+    """Whether any new leg is allowed, as far as the effect of the earlier ones goes."""
+    ran = may_have_run(call)
+    if not ran or call.type.effect is Effect.REPEATABLE:
+        return True
+    if call.type.effect is Effect.ONCE_ONLY:
+        return False
+    return now <= ran[0].sent + call.type.remembered_for
+
+
+def may_go_to(call, host):
+    """A referenced call that may have run stays where its repeats are known."""
+    ran = may_have_run(call)
+    if call.type.effect is not Effect.REFERENCED or not ran:
+        return True
+    first, scope = ran[0].host.entry, call.type.repeats_known_by
+    if scope == "zone":
+        return host.entry.zone == first.zone
+    return scope == "all" or host.entry.cell == first.cell
+
+
+def may_reject(call):
+    """A reject says that trying again is harmless."""
+    ran = may_have_run(call)
+    return not ran or call.type.effect is Effect.REPEATABLE or (
+        call.type.effect is Effect.REFERENCED and call.type.repeats_known_by == "all")
+
+
+# Tenant shares
+
+class Shares:
+    """What each tenant holds open at this node, against this node's part of its quota."""
+
+    def __init__(self, tenants, nodes):
+        self.quota = [t.quota_connections / nodes for t in tenants]
+        self.open = Counter()
+
+    def over(self, tenant):
+        quota = self.quota[tenant] if tenant < len(self.quota) else 0
+        return bool(quota) and self.open[tenant] >= quota
+
+
+class Balancer:
+    """One node."""
+
+    def __init__(self, now, begin):
+        self.now, self.out = now, []
+        self.types, self.limits, self.tick = begin.types, begin.legs, begin.tick
+        self.zone, self.crossing = begin.zone, begin.prices.crossing
+        self.chance = Chance(begin.seed)
+        self.records, self.rotation = Records(), Rotation(self.chance)
+        self.membership = Membership(begin.listing.ask, self.chance)
+        targets = [t.message_target for t in begin.types if t.message_target]
+        self.health = Health(min(targets, default=SECOND))
+        self.warm_up = WarmUp(begin.cold)
+        self.shares = Shares(begin.tenants, begin.nodes)
+        self.calls = {}
+        if begin.listing.ask:
+            self.out.append(io.Follow())
+
+    def actions(self):
+        out, self.out = self.out, []
+        return out
+
+    def handle(self, now, event):
+        self.now = now
+        match event:
+            case io.Arrived():
+                self.arrive(event)
+            case io.Listed():
+                self.listed(event)
+            case io.Accepted() | io.LegEnded():
+                self.answered(event)
+            case io.LoadTold() | io.DelayTold():
+                self.told(event)
+            case io.Expired():
+                self.expire(event)
+            case io.TimerFired(token="ask"):
+                self.out.append(io.Follow())
+        return self.actions()
+
+    # The ordinary path
+
+    def path(self, call):
+        """A call from its arrival to its one final answer. Yields what is to be done, is resumed with its result."""
+        while len(call.legs) < self.limits.most_legs and may_go_again(call, self.now):
+            until = self.leg_until(call)
+            host = self.choose(call) if until else None
+            if host is None:
+                break
+            self.records.put(call.key, host, self.now)
+            result = yield io.Send(call.id, host.name, until)
+            if isinstance(result, io.Accepted):
+                result = yield None          # it stands; its end closes the call
+        if may_reject(call):
+            yield io.Reject(call.id, self.advice())
+        else:
+            yield io.Release(call.id)
+
+    def choose(self, call):
+        """The recorded server, or the next of the rotation; None if no server may have it now."""
+        up = self.membership.up()
+        mean = sum(len(h.legs) for h in up) / max(1, len(up))
+        aside = sum(not self.health.may_send(h, self.now) for h in up)
+        doubt = 2 * aside > len(up)          # most look bad at once: rather this node's view is wrong
+
+        def ready(host):
+            return (host.entry.state is State.UP and may_go_to(call, host)
+                    and all(leg.host is not host for leg in call.legs)
+                    and (doubt or self.health.may_send(host, self.now))
+                    and self.warm_up.may_send(host, self.now, mean, len(up)))
+
+        def light(host):
+            return not well_over(len(host.legs), mean)
+
+        def quick(host):
+            return not self.health.slow(host, self.now)
+
+        record = self.records.find(call.key, self.now) if call.key is not None else None
+        if record and call.mid_flow and record.host.entry.state is not State.GONE:
+            return record.host
+        if record and ready(record.host) and quick(record.host) and light(record.host):
+            return record.host
+        tests = [lambda h: ready(h) and quick(h) and light(h), lambda h: ready(h) and quick(h), ready]
+        if self.crossing:                    # crossing zones is paid for: a near server first, if light
+            tests.insert(0, lambda h: h.entry.zone == self.zone and tests[-3](h))
+        for test in tests:
+            host = self.rotation.next(test)
+            if host:
+                return host
+        return None
+
+    def leg_until(self, call):
+        """The time-out of the next leg; 0 if there is no time for one."""
+        last = call.guard - 2 * self.tick    # answered before the client gives up, also if the tick is late
+        if last <= self.now:
+            return 0
+        if len(call.legs) + 1 >= self.limits.most_legs:
+            return last
+        # A server that takes calls and answers none costs one leg and not the call.
+        return min(last, self.now + call.type.setup_target)
+
+    def advice(self):
+        if not self.limits.may_advise:
+            return 0
+        half = self.limits.longest_advice // 2
+        return half + self.chance.below(half + 1)
+
+    # A call's events
+
+    def arrive(self, e):
+        key = e.group if e.group is not None else e.key
+        call = Call(e.call, self.types[e.type], e.tenant, key, e.group, self.now, self.now + e.time_left, e.mid_flow)
+        self.calls[call.id] = call
+        self.shares.open[call.tenant] += 1
+        call.path = self.path(call)
+        if e.held_by is not None:
+            host = self.membership.hosts.get(e.held_by)
+            if host is None:                 # not listed, so nothing new goes there
+                host = Host(e.held_by, io.Entry(e.held_by, state=State.GONE))
+                self.membership.hosts[e.held_by] = host
+            self.records.put(key, host, self.now)
+            self.open_leg(call, host).accepted = True
+            host.setups -= 1
+        else:
+            self.resume(call, None)
+
+    def resume(self, call, result):
+        action = call.path.send(result)
+        if action is None:
+            return
+        self.out.append(action)
+        if isinstance(action, io.Send):
+            host = self.membership.hosts[action.host]
+            self.health.count(host, self.now)
+            self.warm_up.sent.add(self.now)
+            host.sent.add(self.now)
+            self.open_leg(call, host)
+        else:
+            self.end(call)
+
+    def open_leg(self, call, host):
+        leg = Leg(call, len(call.legs), host, self.now)
+        call.legs.append(leg)
+        host.legs[leg] = None
+        host.setups += 1
+        if call.group is not None:
+            host.groups[call.group] += 1
+        return leg
+
+    def answered(self, e):
+        call = self.calls.get(e.call)
+        if call is None or e.leg >= len(call.legs) or call.legs[e.leg].ending:
+            return                           # an end may cross with ours: nothing is held for it any more
+        leg = call.legs[e.leg]
+        if isinstance(e, io.Accepted):
+            if not leg.accepted:
+                leg.accepted = True
+                leg.host.setups -= 1
+                leg.host.answers += 1
+                self.health.good(leg.host)
+                if not call.ended:
+                    self.resume(call, e)
+            return
+        self.close_leg(leg, e)
+        if call.ended:
+            self.forget(call)
+        elif e.closed:
+            self.end(call)
+        else:
+            self.resume(call, e)
+
+    def close_leg(self, leg, e):
+        host, call = leg.host, leg.call
+        leg.ending = e.ending
+        del host.legs[leg]
+        host.setups -= not leg.accepted
+        if call.group is not None:
+            host.groups[call.group] -= 1
+            if not host.groups[call.group]:
+                del host.groups[call.group]
+        if e.ending in (Ending.OK, Ending.CANCELLED):
+            self.records.touch(call.key, host, self.now)
+            if e.ending is Ending.OK and not leg.accepted:
+                host.answers += 1
+                self.health.good(host)
+        else:
+            self.records.clear(call.key, host)
+            if not leg.accepted and e.ending is not Ending.MOOT:
+                self.health.bad(host, self.now)
+        if host.entry.state is State.GONE:
+            self.membership.drop_gone()
+
+    def expire(self, e):
+        call = self.calls.get(e.call)
+        if call is None or call.ended:
+            return
+        for leg in call.legs:
+            if leg.ending is None and not leg.accepted and self.limits.may_cancel:
+                self.out.append(io.Cancel(call.id, leg.number))
+        self.end(call)
+
+    def end(self, call):
+        """The call has its one final answer: nothing is sent for it after."""
+        call.ended = True
+        call.path.close()
+        self.shares.open[call.tenant] -= 1
+        self.forget(call)
+
+    def forget(self, call):
+        if all(leg.ending for leg in call.legs):
+            del self.calls[call.id]
+
+    # What servers and the list tell
+
+    def told(self, e):
+        call = self.calls.get(e.call)
+        leg = call.legs[-1] if call and call.legs else None
+        if leg is None or leg.ending:
+            return
+        if isinstance(e, io.LoadTold):
+            leg.load = e.load
+        else:
+            leg.host.delay, leg.host.delay_at = e.delay, self.now
+
+    def listed(self, e):
+        if e.news is News.FAILED:
+            self.out.append(io.Timer(self.membership.wait_to_ask(), "ask"))
+            return
+        self.membership.failures = 0
+        lost, started = self.membership.read(e)
+        for host in lost:
+            self.records.clear_host(host)
+        for host in started:
+            host.answers = host.trickle = host.rest = host.aside_until = host.delay = 0
+        self.membership.drop_gone()
+        self.rotation.keep(self.membership.up())
--- /dev/null
+++ b/cottonspread/drill/__main__.py
@@ -0,0 +1,3 @@
+from cottonspread.drill.hosting import main
+
+raise SystemExit(main())
--- /dev/null
+++ b/cottonspread/interface.py
@@ -0,0 +1,254 @@
+"""What a front and the decision module say to each other.
+
+A front makes one `decide.Balancer` from a `Begin`, passes it every event with the time, and carries out the
+actions it gets back, in their order. Times and spans are whole microseconds of the front's own clock. Calls and
+hosts are named by whatever hashable id the front uses; the module gives the ids back as they came.
+"""
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Effect(Enum):
+    REPEATABLE = "may run again"
+    REFERENCED = "carries a mark by which a repeat is known"
+    ONCE_ONLY = "must never run twice"
+
+
+class Ending(Enum):
+    """How a leg ended."""
+    OK = "ok"
+    ERROR = "error"
+    FULL = "turned away unseen"
+    TIMEOUT = "no answer in time"
+    CONNECT_FAILED = "no connection"
+    RESET = "connection broke"
+    CANCELLED = "called off"
+    MOOT = "never sent"
+
+
+class State(Enum):
+    UP = "up"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class News(Enum):
+    """What a word from the server list holds."""
+    CHANGES = "only what changed"
+    FULL = "the whole list"
+    SAVED = "the whole list as last held, perhaps stale"
+    FAILED = "the list could not be reached"
+
+
+@dataclass(frozen=True)
+class TrafficType:
+    name: str
+    effect: Effect
+    repeats_known_by: str        # "all", "zone" or "cell": the group of hosts that drops repeats
+    remembered_for: int          # how long that group remembers
+    setup_target: int
+    guard_time: int
+    revenue: float
+    message_target: int = 0
+
+
+@dataclass(frozen=True)
+class Tenant:
+    name: str
+    share: float = 0.0
+    allowance_per_s: float = 0.0     # calls a second over all nodes; 0: not told
+    quota_connections: float = 0.0   # open connections over all nodes; 0: not told
+
+
+@dataclass(frozen=True)
+class LegLimits:
+    most_legs: int = 1
+    two_at_once: bool = False
+    may_cancel: bool = False
+    may_advise: bool = False         # a reject may say when to come back
+    longest_advice: int = 0
+
+
+@dataclass(frozen=True)
+class ColdStart:
+    share: float = 1.0               # a fresh host does at least this part of its work
+    warm_after: int = 0
+    multiple: float = 1.0            # all nodes together stay under this many times what it can do
+    window: int = 0                  # over any window of this length
+
+
+@dataclass(frozen=True)
+class ListRules:
+    ask: bool = False                # the list answers only when asked
+    ask_every: int = 0               # unasked for this long, a node counts as told
+    drain_grace: int = 0
+
+
+@dataclass(frozen=True)
+class Prices:
+    crossing: float = 0.0
+    moving: float = 0.0
+    probing: float = 0.0
+    telling: float = 0.0
+
+
+@dataclass(frozen=True)
+class Begin:
+    """A node starts. Each part of the module takes from here only what it needs."""
+    seed: int
+    me: int
+    nodes: int
+    zone: int
+    tick: int
+    types: tuple
+    tenants: tuple = ()
+    legs: LegLimits = field(default_factory=LegLimits)
+    cold: ColdStart = field(default_factory=ColdStart)
+    listing: ListRules = field(default_factory=ListRules)
+    prices: Prices = field(default_factory=Prices)
+    may_probe: bool = False
+    may_tell: bool = False
+    groups_share_work: bool = False
+
+
+@dataclass(frozen=True)
+class Entry:
+    host: object
+    zone: int = 0
+    kind: int = 0
+    size: float = 1.0
+    cell: int = 0
+    started: int = 0                 # 0: long ago
+    state: State = State.UP
+
+
+# Events: what a front tells.
+
+@dataclass(frozen=True)
+class Listed:
+    news: News
+    version: int = 0
+    entries: tuple = ()
+
+
+@dataclass(frozen=True)
+class Arrived:
+    call: object
+    type: int
+    time_left: int
+    key: object = None
+    group: object = None
+    tenant: int = 0
+    load: float = 0.0
+    mid_flow: bool = False           # packets of an open connection, now at this node
+    returned: bool = False           # back after a break or a move
+    held_by: object = None           # already open through this node, at this host
+
+
+@dataclass(frozen=True)
+class Accepted:
+    call: object
+    leg: int
+    waited: int
+
+
+@dataclass(frozen=True)
+class LegEnded:
+    call: object
+    leg: int
+    ending: Ending
+    closed: bool                     # nothing more is owed for the call
+    waited: int = 0
+
+
+@dataclass(frozen=True)
+class LoadTold:
+    call: object
+    load: float                      # microseconds of work a second
+
+
+@dataclass(frozen=True)
+class DelayTold:
+    call: object
+    delay: int                       # what a message takes at the call's host now
+
+
+@dataclass(frozen=True)
+class Expired:
+    call: object
+
+
+@dataclass(frozen=True)
+class TimerFired:
+    token: str
+
+
+@dataclass(frozen=True)
+class Probed:
+    host: object
+    ending: Ending
+    waited: int = 0
+
+
+@dataclass(frozen=True)
+class PeerTold:
+    peer: int
+    data: bytes
+
+
+# Actions: what the module wants done.
+
+@dataclass(frozen=True)
+class Send:
+    call: object
+    host: object
+    until: int                       # time of the clock
+
+
+@dataclass(frozen=True)
+class Reject:
+    call: object
+    come_back: int = 0               # 0: no advice
+
+
+@dataclass(frozen=True)
+class Release:
+    call: object
+
+
+@dataclass(frozen=True)
+class Cancel:
+    call: object
+    leg: int
+
+
+@dataclass(frozen=True)
+class Move:
+    call: object
+
+
+@dataclass(frozen=True)
+class Timer:
+    after: int
+    token: str
+
+
+@dataclass(frozen=True)
+class Probe:
+    host: object
+
+
+@dataclass(frozen=True)
+class Follow:
+    """Open the standing subscription to the list."""
+
+
+@dataclass(frozen=True)
+class Tell:
+    data: bytes
+    peer: int = -1                   # -1: every other node
+
+
+@dataclass(frozen=True)
+class Log:
+    text: str
