--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -233,11 +233,14 @@
                 host.trickle = host.rest = 0
 
     def bad(self, host, now):
+        if now < host.aside_until:           # one trouble, told by many legs
+            return
         host.rest = min(host.rest * 2, self.LONGEST_REST) or self.FIRST_REST
-        host.aside_until, host.trickle, host.period_legs = now + host.rest, 1, 0
+        host.aside_until, host.trickle = now + host.rest, 1
 
-    def may_send(self, host, now):
-        if now < host.aside_until:
+    def may_send(self, host, now, doubt=False):
+        # In doubt the rest is cut short, but never the trickle: many calls must not hammer a server that is down.
+        if now < host.aside_until and not doubt:
             return False
         return not host.trickle or now - host.period_from >= self.PERIOD or host.period_legs < host.trickle
 
@@ -258,7 +261,7 @@
 
     def __init__(self, cold):
         self.cold = cold
-        self.sent = Ring(SECOND, 10)
+        self.ended = Ring(SECOND, 10)       # ended well: no storm of repeats swells it
 
     def part(self, host, now):
         """What it can do at least, as a share of its full work."""
@@ -273,7 +276,7 @@
             return True
         if host.setups >= 1 + host.answers or len(host.legs) >= 1 + part * mean:
             return False
-        usual = self.sent.total(now) / 10 / max(1, hosts) * self.cold.window / SECOND
+        usual = self.ended.total(now) / 10 / max(1, hosts) * self.cold.window / SECOND
         return host.sent.total(now) < max(1, self.cold.multiple * part * usual)
 
 
@@ -392,7 +395,7 @@
         def ready(host):
             return (host.entry.state is State.UP and may_go_to(call, host)
                     and all(leg.host is not host for leg in call.legs)
-                    and (doubt or self.health.may_send(host, self.now))
+                    and self.health.may_send(host, self.now, doubt)
                     and self.warm_up.may_send(host, self.now, mean, len(up)))
 
         def light(host):
@@ -406,9 +409,9 @@
             return record.host
         if record and ready(record.host) and quick(record.host) and light(record.host):
             return record.host
-        tests = [lambda h: ready(h) and quick(h) and light(h), lambda h: ready(h) and quick(h), ready]
+        tests = [lambda h: ready(h) and quick(h) and light(h), lambda h: ready(h) and quick(h)]
         if self.crossing:                    # crossing zones is paid for: a near server first, if light
-            tests.insert(0, lambda h: h.entry.zone == self.zone and tests[-3](h))
+            tests.insert(0, lambda h: h.entry.zone == self.zone and tests[-2](h))
         for test in tests:
             host = self.rotation.next(test)
             if host:
@@ -458,7 +461,6 @@
         if isinstance(action, io.Send):
             host = self.membership.hosts[action.host]
             self.health.count(host, self.now)
-            self.warm_up.sent.add(self.now)
             host.sent.add(self.now)
             self.open_leg(call, host)
         else:
@@ -483,7 +485,8 @@
                 leg.accepted = True
                 leg.host.setups -= 1
                 leg.host.answers += 1
-                self.health.good(leg.host)
+                if not self.health.slow(leg.host, self.now):
+                    self.health.good(leg.host)
                 if not call.ended:
                     self.resume(call, e)
             return
@@ -506,12 +509,14 @@
                 del host.groups[call.group]
         if e.ending in (Ending.OK, Ending.CANCELLED):
             self.records.touch(call.key, host, self.now)
+            if e.ending is Ending.OK:
+                self.warm_up.ended.add(self.now)
             if e.ending is Ending.OK and not leg.accepted:
                 host.answers += 1
                 self.health.good(host)
         else:
             self.records.clear(call.key, host)
-            if not leg.accepted and e.ending is not Ending.MOOT:
+            if e.ending is not Ending.MOOT:  # a standing one that breaks: the server is lost, or sheds load
                 self.health.bad(host, self.now)
         if host.entry.state is State.GONE:
             self.membership.drop_gone()
--- a/cottonspread/drill/codec.py
+++ b/cottonspread/drill/codec.py
@@ -117,8 +117,7 @@
     try:
         c = json.loads(fields["Config"], object_pairs_hook=without_nulls)
         limits, rules, costs, kind = (c.get(k, {}) for k in ("Limits", "Rules", "Costs", "FamilyInfo"))
-        targets = kind.get("MessageAim") or []
-        quotas = kind.get("TenantQuotaConnections") or []
+        targets, quotas = ([x or 0 for x in kind.get(k, [])] for k in ("MessageAim", "TenantQuotaConnections"))
         types = tuple(i.TrafficType(
             t.get("Name", str(n)), EFFECTS[t.get("Effect", "unsafe")], t.get("KeyScope", "cell"),
             micros(t.get("KeyTtl", 0)), micros(t["SetupTarget"]), micros(t["GuardTime"]),
