Cut what an overloaded server holds to a ceiling by moves, and grow it after

Change: two words of slow messages in a row, or a huge one, cut this node's connections there by a quarter, at most once a second, heaviest told load first; new legs wait for the ceiling, which grows by one in 3 s.

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -63,6 +63,9 @@
     rest: int = 0
     delay: int = 0                                # what messages took, and when that was told
     delay_at: int = -10 * SECOND
+    slow_from: int = 0                            # health: slow in every word since then; 0: not slow
+    ceiling: int = 0                              # overload: connections it may hold from here; 0: no limit
+    cut_at: int = 0
     sent: Ring = field(default_factory=lambda: Ring(SECOND // 4, 16))
 
 
@@ -74,6 +77,7 @@
     sent: int
     load: float = 0.0
     accepted: bool = False
+    moved: bool = False
     ending: Ending = None
 
 
@@ -254,6 +258,31 @@
         return host.delay >= self.slow_from and now - host.delay_at < self.NOTE_LIFE
 
 
+# Overload
+
+class Ceilings:
+    """How many of this node's connections an overloaded server keeps: cut while messages take long, grown after."""
+    CUT = 0.75                     # kept at a cut: well under full, so that what is piled up drains
+    CUT_EVERY = SECOND             # words on delays come once a second; a cut shows in the next
+    GROW_EVERY = 3 * SECOND
+
+    def cut(self, host, now):
+        """The connections too many, the ones that relieve the server most first."""
+        if now - host.cut_at >= self.CUT_EVERY:
+            host.ceiling, host.cut_at = max(1, int(len(host.legs) * self.CUT)), now
+        standing = [leg for leg in host.legs if leg.accepted and not leg.moved]
+        standing.sort(key=lambda leg: (-leg.load, host.groups[leg.call.group], leg.call.type.revenue))
+        return standing[:max(0, len(host.legs) - host.ceiling)]
+
+    def room(self, host, now):
+        if not host.ceiling:
+            return True
+        limit = host.ceiling + (now - host.cut_at) // self.GROW_EVERY
+        if limit > 2 * host.ceiling + 4:
+            host.ceiling = 0
+        return len(host.legs) < limit
+
+
 # Warm-up
 
 class WarmUp:
@@ -340,7 +369,7 @@
         self.membership = Membership(begin.listing.ask, self.chance)
         targets = [t.message_target for t in begin.types if t.message_target]
         self.health = Health(min(targets, default=SECOND))
-        self.warm_up = WarmUp(begin.cold)
+        self.ceilings, self.warm_up = Ceilings(), WarmUp(begin.cold)
         self.shares = Shares(begin.tenants, begin.nodes)
         self.calls = {}
         if begin.listing.ask:
@@ -395,7 +424,7 @@
         def ready(host):
             return (host.entry.state is State.UP and may_go_to(call, host)
                     and all(leg.host is not host for leg in call.legs)
-                    and self.health.may_send(host, self.now, doubt)
+                    and self.health.may_send(host, self.now, doubt) and self.ceilings.room(host, self.now)
                     and self.warm_up.may_send(host, self.now, mean, len(up)))
 
         def light(host):
@@ -551,7 +580,21 @@
         if isinstance(e, io.LoadTold):
             leg.load = e.load
         else:
-            leg.host.delay, leg.host.delay_at = e.delay, self.now
+            self.told_delay(leg.host, e.delay)
+
+    def told_delay(self, host, delay):
+        """Messages take long at a server: one pause is passed over; what lasts, or is huge, is overload."""
+        lasts = self.health.slow(host, self.now)
+        host.delay, host.delay_at = delay, self.now
+        if delay < self.health.slow_from:
+            host.slow_from = 0
+            return
+        host.slow_from = host.slow_from if lasts and host.slow_from else self.now
+        if self.now - host.slow_from >= SECOND // 2 or delay >= 4 * self.health.slow_from:
+            for leg in self.ceilings.cut(host, self.now):
+                leg.moved = True
+                self.records.clear(leg.call.key, host)
+                self.out.append(io.Move(leg.call.id))
 
     def listed(self, e):
         if e.news is News.FAILED:
@@ -562,6 +605,6 @@
         for host in lost:
             self.records.clear_host(host)
         for host in started:
-            host.answers = host.trickle = host.rest = host.aside_until = host.delay = 0
+            host.answers = host.trickle = host.rest = host.aside_until = host.delay = host.ceiling = 0
         self.membership.drop_gone()
         self.rotation.keep(self.membership.up())
