--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -66,7 +66,7 @@
     slow_from: int = 0                            # health: slow in every word since then; 0: not slow
     ceiling: int = 0                              # overload: connections it may hold from here; 0: no limit
     cut_at: int = 0
-    sent: Ring = field(default_factory=lambda: Ring(SECOND // 4, 16))
+    sent: Ring = None                             # legs over the last stretch of the cold budget
 
 
 @dataclass(eq=False)
@@ -290,7 +290,7 @@
 
     def __init__(self, cold):
         self.cold = cold
-        self.ended = Ring(SECOND, 10)       # ended well: no storm of repeats swells it
+        self.usual = 0.0               # connections that this node has on a warm server
 
     def part(self, host, now):
         """What it can do at least, as a share of its full work."""
@@ -299,14 +299,24 @@
             return 1.0
         return cold.share + (1 - cold.share) * max(0, now - started) / cold.warm_after
 
-    def may_send(self, host, now, mean, hosts):
+    def look(self, hosts, now):
+        warm = [len(h.legs) for h in hosts if self.part(h, now) >= 1]
+        self.usual = sum(warm) / len(warm) if warm else self.usual
+
+    def count(self, host, now):
+        if host.sent is None:
+            host.sent = Ring(self.cold.window // 8 + 1, 9)
+        host.sent.add(now)
+
+    def may_send(self, host, now):
+        """What other servers carry is the guide to what this one could: taking it on, it fills in its warm-up time."""
         part = self.part(host, now)
         if part >= 1:
             return True
-        if host.setups >= 1 + host.answers or len(host.legs) >= 1 + part * mean:
+        if host.setups >= 1 + host.answers or len(host.legs) >= 1 + part * self.usual:
             return False
-        usual = self.ended.total(now) / 10 / max(1, hosts) * self.cold.window / SECOND
-        return host.sent.total(now) < max(1, self.cold.multiple * part * usual)
+        budget = self.cold.multiple * part * self.usual * self.cold.window / self.cold.warm_after
+        return host.sent is None or host.sent.total(now) < max(1, budget)
 
 
 # Leg rules
@@ -418,6 +428,7 @@
         """The recorded server, or the next of the rotation; None if no server may have it now."""
         up = self.membership.up()
         mean = sum(len(h.legs) for h in up) / max(1, len(up))
+        self.warm_up.look(up, self.now)
         aside = sum(not self.health.may_send(h, self.now) for h in up)
         doubt = 2 * aside > len(up)          # most look bad at once: rather this node's view is wrong
 
@@ -425,7 +436,7 @@
             return (host.entry.state is State.UP and may_go_to(call, host)
                     and all(leg.host is not host for leg in call.legs)
                     and self.health.may_send(host, self.now, doubt) and self.ceilings.room(host, self.now)
-                    and self.warm_up.may_send(host, self.now, mean, len(up)))
+                    and self.warm_up.may_send(host, self.now))
 
         def light(host):
             return not well_over(len(host.legs), mean)
@@ -490,7 +501,7 @@
         if isinstance(action, io.Send):
             host = self.membership.hosts[action.host]
             self.health.count(host, self.now)
-            host.sent.add(self.now)
+            self.warm_up.count(host, self.now)
             self.open_leg(call, host)
         else:
             self.end(call)
@@ -538,8 +549,6 @@
                 del host.groups[call.group]
         if e.ending in (Ending.OK, Ending.CANCELLED):
             self.records.touch(call.key, host, self.now)
-            if e.ending is Ending.OK:
-                self.warm_up.ended.add(self.now)
             if e.ending is Ending.OK and not leg.accepted:
                 host.answers += 1
                 self.health.good(host)
