Weigh ceilings by told load and tell a hang from an overload

Change: ceilings and a second skip of the rotation go by told load, the last move is left to chance, a ceiling doubles in 30 s, and a delay that jumps by more than load can pile up is a hang: all leave, no ceiling.

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -64,7 +64,7 @@
     delay: int = 0                                # what messages took, and when that was told
     delay_at: int = -10 * SECOND
     slow_from: int = 0                            # health: slow in every word since then; 0: not slow
-    ceiling: int = 0                              # overload: connections it may hold from here; 0: no limit
+    ceiling: float = 0.0                          # overload: load it may hold from here; 0: no limit
     cut_at: int = 0
     sent: Ring = None                             # legs over the last stretch of the cold budget
 
@@ -225,6 +225,7 @@
     LONGEST_REST = 8 * SECOND
     PERIOD = SECOND
     OPEN_AT = 8                    # trickle that counts as no limit any more
+    WORD_EVERY = SECOND
     NOTE_LIFE = 5 * SECOND // 2    # told once a second while it lasts: two words missed, and it is over
 
     def __init__(self, slow_from):
@@ -260,27 +261,60 @@
 
 # Overload
 
+class Loads:
+    """What connections weigh, in mean connections: as told, else as others of their type were told, else 1."""
+
+    def __init__(self):
+        self.told, self.by_type = [0.0, 0], {}
+
+    def tell(self, leg, load):
+        leg.load = load
+        for mean in (self.told, self.by_type.setdefault(leg.call.type.name, [0.0, 0])):
+            mean[1] = min(mean[1] + 1, 50)
+            mean[0] += (load - mean[0]) / mean[1]
+
+    def of_type(self, kind):
+        return self.by_type.get(kind.name, self.told)[0] / self.told[0] if self.told[0] else 1.0
+
+    def of(self, leg):
+        return leg.load / self.told[0] if leg.load and self.told[0] else self.of_type(leg.call.type)
+
+    def on(self, host):
+        return sum(self.of(leg) for leg in host.legs)
+
+
 class Ceilings:
-    """How many of this node's connections an overloaded server keeps: cut while messages take long, grown after."""
+    """How much of this node's load an overloaded server keeps: cut while messages take long, grown after."""
     CUT = 0.75                     # kept at a cut: well under full, so that what is piled up drains
     CUT_EVERY = SECOND             # words on delays come once a second; a cut shows in the next
-    GROW_EVERY = 3 * SECOND
+    DOUBLES_IN = 30 * SECOND       # and it holds no more once it has doubled
+
+    def __init__(self, loads, chance):
+        self.loads, self.chance = loads, chance
 
     def cut(self, host, now):
         """The connections too many, the ones that relieve the server most first."""
+        held = self.loads.on(host)
         if now - host.cut_at >= self.CUT_EVERY:
-            host.ceiling, host.cut_at = max(1, int(len(host.legs) * self.CUT)), now
+            host.ceiling, host.cut_at = held * self.CUT, now
         standing = [leg for leg in host.legs if leg.accepted and not leg.moved]
         standing.sort(key=lambda leg: (-leg.load, host.groups[leg.call.group], leg.call.type.revenue))
-        return standing[:max(0, len(host.legs) - host.ceiling)]
-
-    def room(self, host, now):
-        if not host.ceiling:
+        over = held - host.ceiling - sum(self.loads.of(leg) for leg in host.legs if leg.moved)
+        for leg in standing:
+            weight = self.loads.of(leg)
+            # The last one goes by chance: nodes that each hold few would else all move one too many.
+            if over <= 0 or over < weight and self.chance.below(1000) >= 1000 * over / weight:
+                return
+            over -= weight
+            yield leg
+
+    def room(self, host, weight, now):
+        if not host.ceiling or host.entry.started > host.cut_at:
             return True
-        limit = host.ceiling + (now - host.cut_at) // self.GROW_EVERY
-        if limit > 2 * host.ceiling + 4:
+        age = now - host.cut_at
+        if age >= self.DOUBLES_IN:
             host.ceiling = 0
-        return len(host.legs) < limit
+        return self.loads.on(host) + weight <= host.ceiling * (1 + age / self.DOUBLES_IN)
 
 
 # Warm-up
@@ -379,7 +413,8 @@
         self.membership = Membership(begin.listing.ask, self.chance)
         targets = [t.message_target for t in begin.types if t.message_target]
         self.health = Health(min(targets, default=SECOND))
-        self.ceilings, self.warm_up = Ceilings(), WarmUp(begin.cold)
+        self.loads, self.warm_up = Loads(), WarmUp(begin.cold)
+        self.ceilings = Ceilings(self.loads, self.chance)
         self.shares = Shares(begin.tenants, begin.nodes)
         self.calls = {}
         if begin.listing.ask:
@@ -429,18 +464,23 @@
         up = self.membership.up()
         mean = sum(len(h.legs) for h in up) / max(1, len(up))
         self.warm_up.look(up, self.now)
+        weight = self.loads.of_type(call.type)
+        mean_load = sum(self.loads.on(h) for h in up) / max(1, len(up))
         aside = sum(not self.health.may_send(h, self.now) for h in up)
         doubt = 2 * aside > len(up)          # most look bad at once: rather this node's view is wrong
 
         def ready(host):
             return (host.entry.state is State.UP and may_go_to(call, host)
                     and all(leg.host is not host for leg in call.legs)
-                    and self.health.may_send(host, self.now, doubt) and self.ceilings.room(host, self.now)
+                    and self.health.may_send(host, self.now, doubt) and self.ceilings.room(host, weight, self.now)
                     and self.warm_up.may_send(host, self.now))
 
         def light(host):
             return not well_over(len(host.legs), mean)
 
+        def unladen(host):                   # heavy connections gather on a server of few: skipped by load as well
+            return light(host) and not well_over(self.loads.on(host), mean_load)
+
         def quick(host):
             return not self.health.slow(host, self.now)
 
@@ -449,7 +489,7 @@
             return record.host
         if record and ready(record.host) and quick(record.host) and light(record.host):
             return record.host
-        tests = [lambda h: ready(h) and quick(h) and light(h), lambda h: ready(h) and quick(h)]
+        tests = [lambda h: ready(h) and quick(h) and unladen(h), lambda h: ready(h) and quick(h)]
         if self.crossing:                    # crossing zones is paid for: a near server first, if light
             tests.insert(0, lambda h: h.entry.zone == self.zone and tests[-2](h))
         for test in tests:
@@ -587,23 +627,31 @@
         if leg is None or leg.ending:
             return
         if isinstance(e, io.LoadTold):
-            leg.load = e.load
+            self.loads.tell(leg, e.load)
         else:
             self.told_delay(leg.host, e.delay)
 
     def told_delay(self, host, delay):
         """Messages take long at a server: one pause is passed over; what lasts, or is huge, is overload."""
-        lasts = self.health.slow(host, self.now)
+        lasts, before, since = self.health.slow(host, self.now), host.delay, self.now - host.delay_at
         host.delay, host.delay_at = delay, self.now
         if delay < self.health.slow_from:
             host.slow_from = 0
             return
         host.slow_from = host.slow_from if lasts and host.slow_from else self.now
-        if self.now - host.slow_from >= SECOND // 2 or delay >= 4 * self.health.slow_from:
-            for leg in self.ceilings.cut(host, self.now):
-                leg.moved = True
-                self.records.clear(leg.call.key, host)
-                self.out.append(io.Move(leg.call.id))
+        if delay - (before if lasts else 0) > 2 * min(since, Health.WORD_EVERY):
+            # More than any load piles up in that time: it answers nothing. It keeps no call and gets no ceiling,
+            # for it was not overloaded and can do all its work once it is back.
+            self.health.bad(host, self.now)
+            leaving = [leg for leg in host.legs if leg.accepted and not leg.moved]
+        elif self.now - host.slow_from >= SECOND // 2 or delay >= 4 * self.health.slow_from:
+            leaving = self.ceilings.cut(host, self.now)
+        else:
+            return
+        for leg in leaving:
+            leg.moved = True
+            self.records.clear(leg.call.key, host)
+            self.out.append(io.Move(leg.call.id))
 
     def listed(self, e):
         if e.news is News.FAILED:
