Return a drained server to the load it bore; no ceiling after a hang; shed calls weigh four

Change: the load under which a delay is seen to fall is what the ceiling returns to; a server seen to hang gets none until it is quick again; a connection dropped by a jammed server weighs four from then on.

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -65,6 +65,8 @@
     delay_at: int = -10 * SECOND
     slow_from: int = 0                            # health: slow in every word since then; 0: not slow
     ceiling: float = 0.0                          # overload: load it may hold from here; 0: no limit
+    hung: bool = False                            # health: seen to hang, and not yet quick again
+    borne: float = 0.0                            # overload: load under which the delay was seen to fall
     cut_at: int = 0
     sent: Ring = None                             # legs over the last stretch of the cold budget
 
@@ -87,6 +89,7 @@
     type: io.TrafficType
     tenant: int
     key: object
+    client: object
     group: object
     arrived: int
     guard: int                                    # when this try is given up by its client
@@ -263,9 +266,10 @@
 
 class Loads:
     """What connections weigh, in mean connections: as told, else as others of their type were told, else 1."""
+    SHED = 4.0
 
     def __init__(self):
-        self.told, self.by_type = [0.0, 0], {}
+        self.told, self.by_type, self.shed = [0.0, 0], {}, OrderedDict()
 
     def tell(self, leg, load):
         leg.load = load
@@ -273,11 +277,18 @@
             mean[1] = min(mean[1] + 1, 50)
             mean[0] += (load - mean[0]) / mean[1]
 
-    def of_type(self, kind):
-        return self.by_type.get(kind.name, self.told)[0] / self.told[0] if self.told[0] else 1.0
+    def was_shed(self, call):
+        """A server with too much piled up dropped it: there it was among the heaviest, and so it will be again."""
+        self.shed[call.client] = None
+        if len(self.shed) > 1000:
+            self.shed.popitem(last=False)
+
+    def of_call(self, call):
+        usual = self.by_type.get(call.type.name, self.told)[0] / self.told[0] if self.told[0] else 1.0
+        return usual * self.SHED if call.client in self.shed else usual
 
     def of(self, leg):
-        return leg.load / self.told[0] if leg.load and self.told[0] else self.of_type(leg.call.type)
+        return leg.load / self.told[0] if leg.load and self.told[0] else self.of_call(leg.call)
 
     def on(self, host):
         return sum(self.of(leg) for leg in host.legs)
@@ -286,6 +297,7 @@
 class Ceilings:
     """How much of this node's load an overloaded server keeps: cut while messages take long, grown after."""
     CUT = 0.75                     # kept at a cut: well under full, so that what is piled up drains
+    BORNE = 0.95
     CUT_EVERY = SECOND             # words on delays come once a second; a cut shows in the next
     DOUBLES_IN = 30 * SECOND       # and it holds no more once it has doubled
 
@@ -298,7 +310,7 @@
         if now - host.cut_at >= self.CUT_EVERY:
             host.ceiling, host.cut_at = held * self.CUT, now
         standing = [leg for leg in host.legs if leg.accepted and not leg.moved]
-        standing.sort(key=lambda leg: (-leg.load, host.groups[leg.call.group], leg.call.type.revenue))
+        standing.sort(key=lambda leg: (-self.loads.of(leg), host.groups[leg.call.group], leg.call.type.revenue))
         over = held - host.ceiling - sum(self.loads.of(leg) for leg in host.legs if leg.moved)
         for leg in standing:
             weight = self.loads.of(leg)
@@ -308,6 +320,17 @@
             over -= weight
             yield leg
 
+    def drains(self, host, delay, before):
+        """What is piled up gets less: the load now held can be borne. Soon gone, it needs no further cut."""
+        host.borne = max(host.borne, self.loads.on(host))
+        return delay <= 2 * (before - delay)
+
+    def clear(self, host, now):
+        """Drained: back to what was seen to be borne, or the deeper cuts made to drain would leave it idle."""
+        if host.ceiling and host.borne:
+            host.ceiling, host.cut_at = max(host.ceiling, host.borne * self.BORNE), now
+        host.borne = 0.0
+
     def room(self, host, weight, now):
         if not host.ceiling or host.entry.started > host.cut_at:
             return True
@@ -464,7 +487,7 @@
         up = self.membership.up()
         mean = sum(len(h.legs) for h in up) / max(1, len(up))
         self.warm_up.look(up, self.now)
-        weight = self.loads.of_type(call.type)
+        weight = self.loads.of_call(call)
         mean_load = sum(self.loads.on(h) for h in up) / max(1, len(up))
         aside = sum(not self.health.may_send(h, self.now) for h in up)
         doubt = 2 * aside > len(up)          # most look bad at once: rather this node's view is wrong
@@ -518,7 +541,7 @@
 
     def arrive(self, e):
         key = e.group if e.group is not None else e.key
-        call = Call(e.call, self.types[e.type], e.tenant, key, e.group, self.now, self.now + e.time_left, e.mid_flow)
+        call = Call(e.call, self.types[e.type], e.tenant, key, e.key, e.group, self.now, self.now + e.time_left, e.mid_flow)
         self.calls[call.id] = call
         self.shares.open[call.tenant] += 1
         call.path = self.path(call)
@@ -594,6 +617,8 @@
                 self.health.good(host)
         else:
             self.records.clear(call.key, host)
+            if e.ending is Ending.RESET and leg.accepted and call.client and self.health.slow(host, self.now):
+                self.loads.was_shed(call)
             if e.ending is not Ending.MOOT:  # a standing one that breaks: the server is lost, or sheds load
                 self.health.bad(host, self.now)
         if host.entry.state is State.GONE:
@@ -636,14 +661,20 @@
         lasts, before, since = self.health.slow(host, self.now), host.delay, self.now - host.delay_at
         host.delay, host.delay_at = delay, self.now
         if delay < self.health.slow_from:
-            host.slow_from = 0
+            host.slow_from, host.hung = 0, False
+            self.ceilings.clear(host, self.now)
             return
         host.slow_from = host.slow_from if lasts and host.slow_from else self.now
         if delay - (before if lasts else 0) > 2 * min(since, Health.WORD_EVERY):
             # More than any load piles up in that time: it answers nothing. It keeps no call and gets no ceiling,
             # for it was not overloaded and can do all its work once it is back.
             self.health.bad(host, self.now)
+            host.hung = True
             leaving = [leg for leg in host.legs if leg.accepted and not leg.moved]
+        elif host.hung:
+            return                           # back, and working off what piled up: not too much of this node's
+        elif lasts and delay < before and self.ceilings.drains(host, delay, before):
+            return
         elif self.now - host.slow_from >= SECOND // 2 or delay >= 4 * self.health.slow_from:
             leaving = self.ceilings.cut(host, self.now)
         else:
@@ -662,6 +693,7 @@
         for host in lost:
             self.records.clear_host(host)
         for host in started:
+            host.hung = False
             host.answers = host.trickle = host.rest = host.aside_until = host.delay = host.ceiling = 0
         self.membership.drop_gone()
         self.rotation.keep(self.membership.up())
