--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -299,7 +299,8 @@
     CUT = 0.75                     # kept at a cut: well under full, so that what is piled up drains
     BORNE = 0.95
     CUT_EVERY = SECOND             # words on delays come once a second; a cut shows in the next
-    DOUBLES_IN = 30 * SECOND       # and it holds no more once it has doubled
+    DOUBLES_IN = 30 * SECOND
+    LEAST = 1.0                    # mean connections; grows at least as one of this size would
 
     def __init__(self, loads, chance):
         self.loads, self.chance = loads, chance
@@ -334,10 +335,10 @@
     def room(self, host, weight, now):
         if not host.ceiling or host.entry.started > host.cut_at:
             return True
-        age = now - host.cut_at
-        if age >= self.DOUBLES_IN:
-            host.ceiling = 0
-        return self.loads.on(host) + weight <= host.ceiling * (1 + age / self.DOUBLES_IN)
+        # Additive where little is left, or it would stay shut; and with no end: ceilings cut together and
+        # dropped together let the whole jam back in.
+        limit = host.ceiling + max(host.ceiling, self.LEAST) * (now - host.cut_at) / self.DOUBLES_IN
+        return self.loads.on(host) + weight <= limit
 
 
 # Warm-up
