--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -299,7 +299,7 @@
     CUT = 0.75                     # kept at a cut: well under full, so that what is piled up drains
     BORNE = 0.95
     CUT_EVERY = SECOND             # words on delays come once a second; a cut shows in the next
-    DOUBLES_IN = 30 * SECOND
+    DOUBLES_IN = 60 * SECOND
     LEAST = 1.0                    # mean connections; grows at least as one of this size would
 
     def __init__(self, loads, chance):
