--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -66,7 +66,6 @@
     slow_from: int = 0                            # health: slow in every word since then; 0: not slow
     ceiling: float = 0.0                          # overload: load it may hold from here; 0: no limit
     hung: bool = False                            # health: seen to hang, and not yet quick again
-    borne: float = 0.0                            # overload: load under which the delay was seen to fall
     cut_at: int = 0
     sent: Ring = None                             # legs over the last stretch of the cold budget
 
@@ -89,7 +88,6 @@
     type: io.TrafficType
     tenant: int
     key: object
-    client: object
     group: object
     arrived: int
     guard: int                                    # when this try is given up by its client
@@ -171,6 +169,10 @@
         return None
 
 
+def held(host):
+    return len(host.legs)
+
+
 def well_over(count, mean):
     """The design's skip: never under two connections over the mean, wider where the mean is high."""
     return count >= mean + max(2, mean / 4)
@@ -266,10 +268,9 @@
 
 class Loads:
     """What connections weigh, in mean connections: as told, else as others of their type were told, else 1."""
-    SHED = 4.0
 
     def __init__(self):
-        self.told, self.by_type, self.shed = [0.0, 0], {}, OrderedDict()
+        self.told, self.by_type = [0.0, 0], {}
 
     def tell(self, leg, load):
         leg.load = load
@@ -277,15 +278,8 @@
             mean[1] = min(mean[1] + 1, 50)
             mean[0] += (load - mean[0]) / mean[1]
 
-    def was_shed(self, call):
-        """A server with too much piled up dropped it: there it was among the heaviest, and so it will be again."""
-        self.shed[call.client] = None
-        if len(self.shed) > 1000:
-            self.shed.popitem(last=False)
-
     def of_call(self, call):
-        usual = self.by_type.get(call.type.name, self.told)[0] / self.told[0] if self.told[0] else 1.0
-        return usual * self.SHED if call.client in self.shed else usual
+        return self.by_type.get(call.type.name, self.told)[0] / self.told[0] if self.told[0] else 1.0
 
     def of(self, leg):
         return leg.load / self.told[0] if leg.load and self.told[0] else self.of_call(leg.call)
@@ -297,7 +291,6 @@
 class Ceilings:
     """How much of this node's load an overloaded server keeps: cut while messages take long, grown after."""
     CUT = 0.75                     # kept at a cut: well under full, so that what is piled up drains
-    BORNE = 0.95
     CUT_EVERY = SECOND             # words on delays come once a second; a cut shows in the next
     DOUBLES_IN = 60 * SECOND
     LEAST = 1.0                    # mean connections; grows at least as one of this size would
@@ -321,17 +314,6 @@
             over -= weight
             yield leg
 
-    def drains(self, host, delay, before):
-        """What is piled up gets less: the load now held can be borne. Soon gone, it needs no further cut."""
-        host.borne = max(host.borne, self.loads.on(host))
-        return delay <= 2 * (before - delay)
-
-    def clear(self, host, now):
-        """Drained: back to what was seen to be borne, or the deeper cuts made to drain would leave it idle."""
-        if host.ceiling and host.borne:
-            host.ceiling, host.cut_at = max(host.ceiling, host.borne * self.BORNE), now
-        host.borne = 0.0
-
     def room(self, host, weight, now):
         if not host.ceiling or host.entry.started > host.cut_at:
             return True
@@ -486,12 +468,14 @@
     def choose(self, call):
         """The recorded server, or the next of the rotation; None if no server may have it now."""
         up = self.membership.up()
-        mean = sum(len(h.legs) for h in up) / max(1, len(up))
-        self.warm_up.look(up, self.now)
+        well = [h for h in up if self.health.may_send(h, self.now)]
+        doubt = 2 * len(well) < len(up)      # most look bad at once: rather this node's view is wrong
+        # Fresh servers, held low by their cap, and those set aside would pull the mean down: the others, though
+        # sound, would all seem well over it.
+        bearing = [h for h in well if self.warm_up.part(h, self.now) >= 1] or up
+        mean, mean_load = (sum(map(f, bearing)) / max(1, len(bearing)) for f in (held, self.loads.on))
+        self.warm_up.look(bearing, self.now)
         weight = self.loads.of_call(call)
-        mean_load = sum(self.loads.on(h) for h in up) / max(1, len(up))
-        aside = sum(not self.health.may_send(h, self.now) for h in up)
-        doubt = 2 * aside > len(up)          # most look bad at once: rather this node's view is wrong
 
         def ready(host):
             return (host.entry.state is State.UP and may_go_to(call, host)
@@ -500,7 +484,7 @@
                     and self.warm_up.may_send(host, self.now))
 
         def light(host):
-            return not well_over(len(host.legs), mean)
+            return not well_over(held(host), mean)
 
         def unladen(host):                   # heavy connections gather on a server of few: skipped by load as well
             return light(host) and not well_over(self.loads.on(host), mean_load)
@@ -513,14 +497,11 @@
             return record.host
         if record and ready(record.host) and quick(record.host) and light(record.host):
             return record.host
-        tests = [lambda h: ready(h) and quick(h) and unladen(h), lambda h: ready(h) and quick(h)]
-        if self.crossing:                    # crossing zones is paid for: a near server first, if light
-            tests.insert(0, lambda h: h.entry.zone == self.zone and tests[-2](h))
-        for test in tests:
-            host = self.rotation.next(test)
-            if host:
-                return host
-        return None
+        def open_to_new(host):
+            return ready(host) and quick(host) and unladen(host)
+
+        near = self.crossing and self.rotation.next(lambda h: h.entry.zone == self.zone and open_to_new(h))
+        return near or self.rotation.next(open_to_new)
 
     def leg_until(self, call):
         """The time-out of the next leg; 0 if there is no time for one."""
@@ -542,7 +523,7 @@
 
     def arrive(self, e):
         key = e.group if e.group is not None else e.key
-        call = Call(e.call, self.types[e.type], e.tenant, key, e.key, e.group, self.now, self.now + e.time_left, e.mid_flow)
+        call = Call(e.call, self.types[e.type], e.tenant, key, e.group, self.now, self.now + e.time_left, e.mid_flow)
         self.calls[call.id] = call
         self.shares.open[call.tenant] += 1
         call.path = self.path(call)
@@ -618,8 +599,6 @@
                 self.health.good(host)
         else:
             self.records.clear(call.key, host)
-            if e.ending is Ending.RESET and leg.accepted and call.client and self.health.slow(host, self.now):
-                self.loads.was_shed(call)
             if e.ending is not Ending.MOOT:  # a standing one that breaks: the server is lost, or sheds load
                 self.health.bad(host, self.now)
         if host.entry.state is State.GONE:
@@ -663,7 +642,6 @@
         host.delay, host.delay_at = delay, self.now
         if delay < self.health.slow_from:
             host.slow_from, host.hung = 0, False
-            self.ceilings.clear(host, self.now)
             return
         host.slow_from = host.slow_from if lasts and host.slow_from else self.now
         if delay - (before if lasts else 0) > 2 * min(since, Health.WORD_EVERY):
@@ -674,8 +652,6 @@
             leaving = [leg for leg in host.legs if leg.accepted and not leg.moved]
         elif host.hung:
             return                           # back, and working off what piled up: not too much of this node's
-        elif lasts and delay < before and self.ceilings.drains(host, delay, before):
-            return
         elif self.now - host.slow_from >= SECOND // 2 or delay >= 4 * self.health.slow_from:
             leaving = self.ceilings.cut(host, self.now)
         else:
