Set-ups in flight grow with the answers on warm servers too

All 286 clients came to an empty node at once, set-ups waited past their time-outs and were sent again: 40 legs a call, 68% timed out. Change: at most four set-ups in flight to a server before its first answer, one more for each; trouble starts over.

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -245,6 +245,7 @@
     def bad(self, host, now):
         if now < host.aside_until:           # one trouble, told by many legs
             return
+        host.answers = 0
         host.rest = min(host.rest * 2, self.LONGEST_REST) or self.FIRST_REST
         host.aside_until, host.trickle = now + host.rest, 1
 
@@ -328,6 +329,8 @@
 class WarmUp:
     """A fresh server's cap, within this node's part of the cold budget."""
 
+    AT_FIRST = 4                   # set-ups in flight to a warm server before it answered any
+
     def __init__(self, cold):
         self.cold = cold
         self.usual = 0.0               # connections that this node has on a warm server
@@ -351,9 +354,13 @@
     def may_send(self, host, now):
         """What other servers carry is the guide to what this one could: taking it on, it fills in its warm-up time."""
         part = self.part(host, now)
+        # After a restart of a node all its clients come at once: set-ups that wait too long are tried again and
+        # double the work, so their number grows with the answers on warm servers too.
+        if host.setups >= (1 if part < 1 else self.AT_FIRST) + host.answers:
+            return False
         if part >= 1:
             return True
-        if host.setups >= 1 + host.answers or len(host.legs) >= 1 + part * self.usual:
+        if len(host.legs) >= 1 + part * self.usual:
             return False
         budget = self.cold.multiple * part * self.usual * self.cold.window / self.cold.warm_after
         return host.sent is None or host.sent.total(now) < max(1, budget)
