Calls beyond a tenant's share give way once most servers are short of room

All within noise; kept because the users share the fleet by quota and what goes beyond a share should give way first.

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -484,6 +484,10 @@
         self.warm_up.look(bearing, self.now)
         weight = self.loads.of_call(call)
 
+        short = sum(self.health.slow(h, self.now) or not self.ceilings.room(h, weight, self.now) for h in bearing)
+        if 2 * short > len(bearing) and self.shares.over(call.tenant):
+            return None                      # what goes beyond a tenant's share gives way first
+
         def ready(host):
             return (host.entry.state is State.UP and may_go_to(call, host)
                     and all(leg.host is not host for leg in call.legs)
