Tidy the module, hold mid-flow calls to their server through a drain, test the front

The module logs whom it sets aside and whom it asks to leave; moves stop where their price is above what jams cost.

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -1,11 +1,10 @@
 """Every decision of a cottonspread node.
 
-How to invoke: make one `Balancer(now, begin)` for each node, pass every event to `handle(now, event)` and carry out
-the actions it returns, in order; `actions()` gives what the start itself asks for. The types of `begin`, the events
-and the actions are in cottonspread/interface.py. Times are whole microseconds of the front's clock. Nothing here
-reads a clock, a file or the network, and equal events give equal actions.
-
-The ordinary path of a call is `Balancer.path`. Names of the design page: record, rotation, ready, well over the mean.
+How to invoke: make one `Balancer(now, begin)` for each node, pass every event to `handle(now, event)` and
+carry out the actions it returns, in order; `actions()` gives what the start itself asks for. The types of
+`begin`, the events and the actions are in cottonspread/interface.py. Times are whole microseconds of the
+front's clock. Nothing here reads a clock, a file or the network, and equal events give equal actions.
+The ordinary path of a call is `Balancer.path`. Each exception to it stands with the failure that it prevents.
 """
 from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
@@ -89,7 +88,6 @@
     tenant: int
     key: object
     group: object
-    arrived: int
     guard: int                                    # when this try is given up by its client
     mid_flow: bool
     legs: list = field(default_factory=list)
@@ -112,6 +110,7 @@
 
     def __init__(self):
         self.by_key = OrderedDict()
+        self.left = OrderedDict()  # cleared by a drain: the server may still hold a key's open connection
 
     def find(self, key, now):
         while self.by_key:
@@ -140,7 +139,9 @@
 
     def clear_host(self, host):
         for key in [k for k, r in self.by_key.items() if r.host is host]:
-            del self.by_key[key]
+            self.left[key] = self.by_key.pop(key).host
+        while len(self.left) > self.MOST:
+            self.left.popitem(last=False)
 
 
 # Rotation
@@ -244,13 +245,14 @@
 
     def bad(self, host, now):
         if now < host.aside_until:           # one trouble, told by many legs
-            return
+            return False
         host.answers = 0
         host.rest = min(host.rest * 2, self.LONGEST_REST) or self.FIRST_REST
         host.aside_until, host.trickle = now + host.rest, 1
+        return True
 
     def may_send(self, host, now, doubt=False):
-        # In doubt the rest is cut short, but never the trickle: many calls must not hammer a server that is down.
+        # In doubt the rest is cut short, but never the trickle: calls must not hammer a server that is down.
         if now < host.aside_until and not doubt:
             return False
         return not host.trickle or now - host.period_from >= self.PERIOD or host.period_legs < host.trickle
@@ -268,19 +270,19 @@
 # Overload
 
 class Loads:
-    """What connections weigh, in mean connections: as told, else as others of their type were told, else 1."""
+    """What connections weigh, in mean connections: as told, else as told of their type, else 1."""
 
     def __init__(self):
         self.told, self.by_type = [0.0, 0], {}
 
     def tell(self, leg, load):
         leg.load = load
-        for mean in (self.told, self.by_type.setdefault(leg.call.type.name, [0.0, 0])):
+        for mean in (self.told, self.by_type.setdefault(leg.call.type, [0.0, 0])):
             mean[1] = min(mean[1] + 1, 50)
             mean[0] += (load - mean[0]) / mean[1]
 
     def of_call(self, call):
-        return self.by_type.get(call.type.name, self.told)[0] / self.told[0] if self.told[0] else 1.0
+        return self.by_type.get(call.type, self.told)[0] / self.told[0] if self.told[0] else 1.0
 
     def of(self, leg):
         return leg.load / self.told[0] if leg.load and self.told[0] else self.of_call(leg.call)
@@ -305,7 +307,7 @@
         if now - host.cut_at >= self.CUT_EVERY:
             host.ceiling, host.cut_at = held * self.CUT, now
         standing = [leg for leg in host.legs if leg.accepted and not leg.moved]
-        standing.sort(key=lambda leg: (-self.loads.of(leg), host.groups[leg.call.group], leg.call.type.revenue))
+        standing.sort(key=lambda g: (-self.loads.of(g), host.groups[g.call.group], g.call.type.revenue))
         over = held - host.ceiling - sum(self.loads.of(leg) for leg in host.legs if leg.moved)
         for leg in standing:
             weight = self.loads.of(leg)
@@ -316,7 +318,7 @@
             yield leg
 
     def room(self, host, weight, now):
-        if not host.ceiling or host.entry.started > host.cut_at:
+        if not host.ceiling:
             return True
         # Additive where little is left, or it would stay shut; and with no end: ceilings cut together and
         # dropped together let the whole jam back in.
@@ -352,10 +354,10 @@
         host.sent.add(now)
 
     def may_send(self, host, now):
-        """What other servers carry is the guide to what this one could: taking it on, it fills in its warm-up time."""
+        """What others carry is the guide to what a fresh one could: it fills up in its warm-up time."""
         part = self.part(host, now)
-        # After a restart of a node all its clients come at once: set-ups that wait too long are tried again and
-        # double the work, so their number grows with the answers on warm servers too.
+        # After a restart of a node all its clients come at once: set-ups that wait too long are tried again
+        # and double the work, so their number grows with the answers on warm servers too.
         if host.setups >= (1 if part < 1 else self.AT_FIRST) + host.answers:
             return False
         if part >= 1:
@@ -411,16 +413,17 @@
 
     def over(self, tenant):
         quota = self.quota[tenant] if tenant < len(self.quota) else 0
-        return bool(quota) and self.open[tenant] >= quota
+        return bool(quota) and self.open[tenant] > quota
 
 
 class Balancer:
     """One node."""
+    DEAREST_MOVE = 0.3             # of the result, for a move a call: jams cost 0.2 without moves
 
     def __init__(self, now, begin):
         self.now, self.out = now, []
         self.types, self.limits, self.tick = begin.types, begin.legs, begin.tick
-        self.zone, self.crossing = begin.zone, begin.prices.crossing
+        self.zone, self.crossing, self.moving = begin.zone, begin.prices.crossing, begin.prices.moving
         self.chance = Chance(begin.seed)
         self.records, self.rotation = Records(), Rotation(self.chance)
         self.membership = Membership(begin.listing.ask, self.chance)
@@ -457,7 +460,9 @@
     # The ordinary path
 
     def path(self, call):
-        """A call from its arrival to its one final answer. Yields what is to be done, is resumed with its result."""
+        """A call from arrival to its final answer: yields what is to be done, is resumed with the result."""
+        if call.legs:                        # open already, when this node started
+            yield None
         while len(call.legs) < self.limits.most_legs and may_go_again(call, self.now):
             until = self.leg_until(call)
             host = self.choose(call) if until else None
@@ -467,6 +472,8 @@
             result = yield io.Send(call.id, host.name, until)
             if isinstance(result, io.Accepted):
                 result = yield None          # it stands; its end closes the call
+            if result.ending is Ending.MOOT:
+                break                        # there is no time or no leg left for it
         if may_reject(call):
             yield io.Reject(call.id, self.advice())
         else:
@@ -477,40 +484,41 @@
         up = self.membership.up()
         well = [h for h in up if self.health.may_send(h, self.now)]
         doubt = 2 * len(well) < len(up)      # most look bad at once: rather this node's view is wrong
-        # Fresh servers, held low by their cap, and those set aside would pull the mean down: the others, though
-        # sound, would all seem well over it.
+        # Fresh servers, held low by their cap, and those set aside would pull the mean down: the others,
+        # though sound, would all seem well over it.
         bearing = [h for h in well if self.warm_up.part(h, self.now) >= 1] or up
         mean, mean_load = (sum(map(f, bearing)) / max(1, len(bearing)) for f in (held, self.loads.on))
         self.warm_up.look(bearing, self.now)
         weight = self.loads.of_call(call)
 
-        short = sum(self.health.slow(h, self.now) or not self.ceilings.room(h, weight, self.now) for h in bearing)
+        def quick(host):
+            return not self.health.slow(host, self.now)
+
+        short = sum(not (quick(h) and self.ceilings.room(h, weight, self.now)) for h in bearing)
         if 2 * short > len(bearing) and self.shares.over(call.tenant):
             return None                      # what goes beyond a tenant's share gives way first
 
         def ready(host):
             return (host.entry.state is State.UP and may_go_to(call, host)
                     and all(leg.host is not host for leg in call.legs)
-                    and self.health.may_send(host, self.now, doubt) and self.ceilings.room(host, weight, self.now)
-                    and self.warm_up.may_send(host, self.now))
+                    and self.health.may_send(host, self.now, doubt) and quick(host)
+                    and self.ceilings.room(host, weight, self.now) and self.warm_up.may_send(host, self.now))
 
         def light(host):
             return not well_over(held(host), mean)
 
-        def unladen(host):                   # heavy connections gather on a server of few: skipped by load as well
-            return light(host) and not well_over(self.loads.on(host), mean_load)
-
-        def quick(host):
-            return not self.health.slow(host, self.now)
+        def open_to_new(host):               # heavy connections gather on a server of few: by load as well
+            return ready(host) and light(host) and not well_over(self.loads.on(host), mean_load)
 
-        record = self.records.find(call.key, self.now) if call.key is not None else None
-        if record and call.mid_flow and record.host.entry.state is not State.GONE:
-            return record.host
-        if record and ready(record.host) and quick(record.host) and light(record.host):
+        record = self.records.find(call.key, self.now)
+        if call.mid_flow and not call.legs:
+            holder = record.host if record else self.records.left.get(call.key)
+            if holder and holder.entry.state is not State.GONE:
+                return holder                # the connection goes on there, also while the server drains
+        if record and ready(record.host) and light(record.host):
             return record.host
-        def open_to_new(host):
-            return ready(host) and quick(host) and unladen(host)
-
+        # Crossing zones is paid for: a near server first. Where all are well over the mean or short of room
+        # the call is rejected at once: filling the last free server is how a jam spreads.
         near = self.crossing and self.rotation.next(lambda h: h.entry.zone == self.zone and open_to_new(h))
         return near or self.rotation.next(open_to_new)
 
@@ -534,7 +542,8 @@
 
     def arrive(self, e):
         key = e.group if e.group is not None else e.key
-        call = Call(e.call, self.types[e.type], e.tenant, key, e.group, self.now, self.now + e.time_left, e.mid_flow)
+        call = Call(e.call, self.types[e.type], e.tenant, key, e.group,
+                    self.now + e.time_left, e.mid_flow)
         self.calls[call.id] = call
         self.shares.open[call.tenant] += 1
         call.path = self.path(call)
@@ -546,8 +555,7 @@
             self.records.put(key, host, self.now)
             self.open_leg(call, host).accepted = True
             host.setups -= 1
-        else:
-            self.resume(call, None)
+        self.resume(call, None)
 
     def resume(self, call, result):
         action = call.path.send(result)
@@ -567,8 +575,7 @@
         call.legs.append(leg)
         host.legs[leg] = None
         host.setups += 1
-        if call.group is not None:
-            host.groups[call.group] += 1
+        host.groups[call.group] += 1
         return leg
 
     def answered(self, e):
@@ -577,14 +584,13 @@
             return                           # an end may cross with ours: nothing is held for it any more
         leg = call.legs[e.leg]
         if isinstance(e, io.Accepted):
-            if not leg.accepted:
-                leg.accepted = True
-                leg.host.setups -= 1
-                leg.host.answers += 1
-                if not self.health.slow(leg.host, self.now):
-                    self.health.good(leg.host)
-                if not call.ended:
-                    self.resume(call, e)
+            if leg.accepted:
+                return
+            leg.accepted = True
+            leg.host.setups -= 1
+            self.good(leg.host)
+            if not call.ended:
+                self.resume(call, e)
             return
         self.close_leg(leg, e)
         if call.ended:
@@ -594,26 +600,27 @@
         else:
             self.resume(call, e)
 
+    def good(self, host):
+        host.answers += 1
+        if not self.health.slow(host, self.now):
+            self.health.good(host)
+
     def close_leg(self, leg, e):
         host, call = leg.host, leg.call
         leg.ending = e.ending
         del host.legs[leg]
         host.setups -= not leg.accepted
-        if call.group is not None:
-            host.groups[call.group] -= 1
-            if not host.groups[call.group]:
-                del host.groups[call.group]
+        host.groups -= Counter([call.group])
         if e.ending in (Ending.OK, Ending.CANCELLED):
             self.records.touch(call.key, host, self.now)
             if e.ending is Ending.OK and not leg.accepted:
-                host.answers += 1
-                self.health.good(host)
+                self.good(host)
         else:
             self.records.clear(call.key, host)
-            if e.ending is not Ending.MOOT:  # a standing one that breaks: the server is lost, or sheds load
-                self.health.bad(host, self.now)
-        if host.entry.state is State.GONE:
-            self.membership.drop_gone()
+            # A standing one that breaks counts too: the server is lost, or sheds load.
+            if e.ending is not Ending.MOOT and self.health.bad(host, self.now):
+                self.log(host, f"{e.ending.value}, set aside for {host.rest // 1000} ms")
+        self.membership.drop_gone()
 
     def expire(self, e):
         call = self.calls.get(e.call)
@@ -633,7 +640,7 @@
 
     def forget(self, call):
         if all(leg.ending for leg in call.legs):
-            del self.calls[call.id]
+            self.calls.pop(call.id, None)
 
     # What servers and the list tell
 
@@ -656,22 +663,29 @@
             return
         host.slow_from = host.slow_from if lasts and host.slow_from else self.now
         if delay - (before if lasts else 0) > 2 * min(since, Health.WORD_EVERY):
-            # More than any load piles up in that time: it answers nothing. It keeps no call and gets no ceiling,
-            # for it was not overloaded and can do all its work once it is back.
+            # More than any load piles up in that time: it answers nothing. It keeps no call, and gets no
+            # ceiling: it was not overloaded and can do all its work once it is back.
             self.health.bad(host, self.now)
             host.hung = True
             leaving = [leg for leg in host.legs if leg.accepted and not leg.moved]
         elif host.hung:
-            return                           # back, and working off what piled up: not too much of this node's
+            return                           # back, and working off what piled up
         elif self.now - host.slow_from >= SECOND // 2 or delay >= 4 * self.health.slow_from:
-            leaving = self.ceilings.cut(host, self.now)
+            leaving = list(self.ceilings.cut(host, self.now))
         else:
             return
+        if not leaving or self.moving > self.DEAREST_MOVE:
+            return
+        self.log(host, f"messages take {delay // 1000} ms, {'hung' if host.hung else 'overloaded'}: "
+                       f"{len(leaving)} of {len(host.legs)} asked to leave")
         for leg in leaving:
             leg.moved = True
             self.records.clear(leg.call.key, host)
             self.out.append(io.Move(leg.call.id))
 
+    def log(self, host, text):
+        self.out.append(io.Log(f"{host.name}: {text}"))
+
     def listed(self, e):
         if e.news is News.FAILED:
             self.out.append(io.Timer(self.membership.wait_to_ask(), "ask"))
--- a/cottonspread/drill/codec.py
+++ b/cottonspread/drill/codec.py
@@ -53,7 +53,8 @@
 
 def entry(f):
     return i.Entry(f["Host"], int(f.get("Site", 0)), int(f.get("Shape", 0)), float(f.get("Heft", 1)),
-                   int(f.get("UnitGroup", 0)), micros(f.get("CameUp", 0)), STATES[f.get("Availability", "up")])
+                   int(f.get("UnitGroup", 0)), micros(f.get("CameUp", 0)),
+                   STATES[f.get("Availability", "up")])
 
 
 def arrived(f):
@@ -117,7 +118,8 @@
     try:
         c = json.loads(fields["Config"], object_pairs_hook=without_nulls)
         limits, rules, costs, kind = (c.get(k, {}) for k in ("Limits", "Rules", "Costs", "FamilyInfo"))
-        targets, quotas = ([x or 0 for x in kind.get(k, [])] for k in ("MessageAim", "TenantQuotaConnections"))
+        targets, quotas = ([x or 0 for x in kind.get(k, [])]
+                           for k in ("MessageAim", "TenantQuotaConnections"))
         types = tuple(i.TrafficType(
             t.get("Name", str(n)), EFFECTS[t.get("Effect", "unsafe")], t.get("KeyScope", "cell"),
             micros(t.get("KeyTtl", 0)), micros(t["SetupTarget"]), micros(t["GuardTime"]),
--- a/cottonspread/drill/hosting.py
+++ b/cottonspread/drill/hosting.py
@@ -4,6 +4,7 @@
 
 from cottonspread.decide import Balancer
 from cottonspread.drill import codec
+from cottonspread.interface import Arrived
 
 
 class BrokenFraming(Exception):
@@ -62,6 +63,8 @@
         event = codec.read_list(fields, entries) if name == "view" else codec.read(name, fields)
         if event is None or node not in self.nodes:
             return []
+        if isinstance(event, Arrived) and not 0 <= event.type < len(self.nodes[node].types):
+            raise codec.Unreadable(f"{name}: no traffic type {event.type}")
         try:
             return [codec.write(a) for a in self.nodes[node].handle(now, event)]
         except Exception as wrong:       # a fault in the decisions ends the day, in plain sight
--- /dev/null
+++ b/tests/test_drill.py
@@ -0,0 +1,57 @@
+"""The bench's front: framing, odd input, and nodes kept apart."""
+import io as stdio
+import json
+
+from cottonspread.drill.hosting import serve
+
+CONFIG = {"Me": 0, "Balancers": 2, "Later": {"key": 1}, "Limits": {"MostLegs": 2, "RetryAfter": None},
+          "TrafficTypes": [{"Effect": "safe", "SetupTarget": 300, "GuardTime": 1200}]}
+BEGIN = ["instance\tNode=3", "begin\tRngSeed=5\tConfig=" + json.dumps(CONFIG),
+         "view\tScope=restored\tIndex=1\tMembers=1", "item\tHost=10.0.0.1:7000\tAvailability=up"]
+CALL = "work_item\tCall=11\tService=0\tExpiresIn=1200.0\tPathKey=0a\tOptions=0\tNovel=x"
+
+
+def batch(serial, *lines):
+    return [f"clock\tNow={1000.5 + serial}\tserial={serial}", *lines, "go"]
+
+
+def play(*lines):
+    said, sink = [], stdio.StringIO()
+    code = serve(stdio.StringIO("\n".join(lines) + "\n"), sink, said.append)
+    return code, sink.getvalue().splitlines(), said
+
+
+def test_a_call_is_routed_and_unknown_words_are_skipped():
+    code, out, said = play(*batch(1, *BEGIN, CALL, "novelty\tX=1"))
+    assert code == 0 and said == []
+    assert out == ["by\tNode=3", "route\tCall=11\tUntil=1301.500\tHost=10.0.0.1:7000", "end\tserial=1"]
+
+
+def test_an_unreadable_line_is_named_and_the_batch_still_answered():
+    code, out, said = play(*batch(1, *BEGIN), *batch(2, "instance\tNode=3", "work_item\tCall=x1\tService=0",
+                                                     "work_item\tCall=4\tService=9\tExpiresIn=1", CALL))
+    assert code == 0 and out[-1] == "end\tserial=2" and any(line.startswith("route\tCall=11") for line in out)
+    assert [line.partition(":")[0] for line in said] == ["batch 2 line 2", "batch 2 line 3"]
+
+
+def test_broken_framing_ends_with_one_line_and_a_code():
+    for lines in (["instance\tNode=1"], ["clock\tNow=1\tserial=1"], ["clock\tNow=soon\tserial=1", "go"],
+                  batch(1)[:1] + batch(2)):
+        code, _, said = play(*lines)
+        assert code != 0 and len(said) == 1
+    assert play(*batch(1))[:2] == (0, ["end\tserial=1"])
+
+
+def test_senseless_settings_are_refused_in_plain_words():
+    for change in ({"TrafficTypes": []}, {"Step": -1}, {"Balancers": 0}, {"TrafficTypes": [{"Effect": "odd"}]}):
+        begin = "begin\tRngSeed=5\tConfig=" + json.dumps(CONFIG | change)
+        _, out, said = play(*batch(1, "instance\tNode=3", begin))
+        assert out[1].startswith("exception\tMessage=settings") and said
+
+
+def test_a_killed_node_starts_clean_and_nodes_share_nothing():
+    lines = BEGIN + ["instance\tNode=4"] + BEGIN[1:] + [CALL, "instance\tNode=3", "killed"] + BEGIN[1:] + [
+        "done\tCall=11\tDisposition=0\tTrial=0\tTerminal=1\tHost=10.0.0.1:7000"]
+    code, out, said = play(*batch(1, *lines))
+    assert (code, said) == (0, []) and out[0] == "by\tNode=4" and len(out) == 3
+
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -3,8 +3,8 @@
 site WORD=VALUE ...           settings that differ from the defaults in `begin` below
 type NAME WORD=VALUE ...      a traffic type; without one there is a single repeatable type
 TIME EVENT ARGS               TIME in ms; events: list changes|full|saved|failed HOST[:WORD=VALUE[,..]] ..,
-                              call ID .., open ID HOST .., accept ID LEG, done ID LEG ENDING [closed], load ID N,
-                              delay ID MS, expire ID, timer TOKEN, tell HEX
+                              call ID .., open ID HOST .., accept ID LEG, done ID LEG ENDING [closed],
+                              load ID N, delay ID MS, expire ID, timer TOKEN
 > ACTION ARGS                 the actions that must follow, all of them, in this order (timers and logs aside)
 >? TEXT                       an action that must be somewhere among them, none of the others minded
 A capital name stands for a host: bound where it first comes, the same after; !A is any host but that one;
@@ -29,8 +29,9 @@
 
 
 def traffic_type(name, o):
-    return io.TrafficType(name, io.Effect(o.get("effect", "may run again").replace("_", " ")), o.get("scope", "all"),
-                          ms(o.get("remembered", 5000)), ms(o.get("setup", 300)), ms(o.get("guard", 1200)),
+    effect = io.Effect(o.get("effect", "may run again").replace("_", " "))
+    return io.TrafficType(name, effect, o.get("scope", "all"), ms(o.get("remembered", 5000)),
+                          ms(o.get("setup", 300)), ms(o.get("guard", 1200)),
                           float(o.get("revenue", 1)), ms(o.get("message", 50)))
 
 
@@ -38,7 +39,7 @@
     return io.Begin(
         int(o.get("seed", 7)), 0, int(o.get("nodes", 1)), int(o.get("zone", 0)), ms(2), tuple(types),
         tuple(io.Tenant(str(n), 1, 0, float(q)) for n, q in enumerate(o.get("quota", "").split(",")) if q),
-        io.LegLimits(int(o.get("legs", 4)), False, True, bool(ms(o.get("advice", 0))), ms(o.get("advice", 0))),
+        io.LegLimits(int(o.get("legs", 4)), False, True, "advice" in o, ms(o.get("advice", 0))),
         io.ColdStart(float(o.get("cold", 0.12)), ms(o.get("warm", 20000)), 2.5, ms(2000)),
         io.ListRules(o.get("list") == "ask", ms(10000), ms(400)),
         io.Prices(float(o.get("crossing", 0)), float(o.get("moving", 0.03))),
@@ -54,8 +55,8 @@
 
 def event(verb, args, types):
     if verb == "list":
-        news = {"changes": io.News.CHANGES, "full": io.News.FULL, "saved": io.News.SAVED, "failed": io.News.FAILED}
-        return io.Listed(news[args[0]], 0, tuple(entry(w) for w in args[1:]))
+        news = io.News.SAVED if args[0] == "saved" else io.News[args[0].upper()]
+        return io.Listed(news, 0, tuple(entry(w) for w in args[1:]))
     if verb in ("call", "open"):
         held = args.pop(1) if verb == "open" else None
         o = pairs(args[1:])
@@ -64,9 +65,11 @@
                           o.get("key"), o.get("group"), int(o.get("tenant", 0)), 0.0, "mid" in o, False, held)
     if verb == "done":
         return io.LegEnded(args[0], int(args[1]), io.Ending[args[2].upper()], "closed" in args)
-    return {"accept": lambda: io.Accepted(args[0], int(args[1]), 0), "load": lambda: io.LoadTold(args[0], float(args[1])),
-            "delay": lambda: io.DelayTold(args[0], ms(args[1])), "expire": lambda: io.Expired(args[0]),
-            "timer": lambda: io.TimerFired(args[0]), "tell": lambda: io.PeerTold(1, bytes.fromhex(args[0]))}[verb]()
+    id = args[0]
+    return {"accept": lambda: io.Accepted(id, int(args[1]), 0),
+            "load": lambda: io.LoadTold(id, float(args[1])),
+            "delay": lambda: io.DelayTold(id, ms(args[1])), "expire": lambda: io.Expired(id),
+            "timer": lambda: io.TimerFired(id)}[verb]()
 
 
 def said(action):
