Turns and skips by listed size; one ring counts legs for trickle and cold budget

Change: a server of half the size takes every second turn; the skip by count widens for larger servers, the one by load goes by size.

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -41,8 +41,8 @@
             self.stamps[at], self.counts[at] = stamp, 0
         self.counts[at] += amount
 
-    def total(self, now):
-        oldest = now // self.width - len(self.counts) + 1
+    def total(self, now, span):
+        oldest = (now - span) // self.width
         return sum(c for c, s in zip(self.counts, self.stamps) if s >= oldest)
 
 
@@ -54,11 +54,10 @@
     legs: dict = field(default_factory=dict)      # legs out or standing, in order of sending
     setups: int = 0                               # of these, not yet answered
     groups: Counter = field(default_factory=Counter)
+    turn: float = 0.0                             # rotation: part of a turn saved up
     answers: int = 0                              # since it last started
     aside_until: int = 0                          # health: no leg before this
     trickle: int = 0                              # health: legs allowed in a trickle period; 0: no limit
-    period_from: int = 0
-    period_legs: int = 0
     rest: int = 0
     delay: int = 0                                # what messages took, and when that was told
     delay_at: int = -10 * SECOND
@@ -66,7 +65,12 @@
     ceiling: float = 0.0                          # overload: load it may hold from here; 0: no limit
     hung: bool = False                            # health: seen to hang, and not yet quick again
     cut_at: int = 0
-    sent: Ring = None                             # legs over the last stretch of the cold budget
+    sent: Ring = field(default_factory=lambda: Ring(SECOND // 4, 64))     # legs, over up to 16 s
+
+
+    @property
+    def size(self):
+        return max(self.entry.size, 0.01)
 
 
 @dataclass(eq=False)
@@ -162,11 +166,15 @@
         self.at = self.chance.below(len(self.order)) if first and self.order else 0
 
     def next(self, fits):
-        for step in range(len(self.order)):
-            host = self.order[(self.at + step) % len(self.order)]
-            if fits(host):
-                self.at = (self.at + step + 1) % len(self.order)
-                return host
+        fitting = [h for h in self.order[self.at:] + self.order[:self.at] if fits(h)]
+        largest = max((h.size for h in fitting), default=1)
+        while fitting:
+            for host in fitting:             # one of half the size takes every second turn
+                host.turn += host.size / largest
+                if host.turn >= 1:
+                    host.turn -= 1
+                    self.at = self.order.index(host) + 1
+                    return host
         return None
 
 
@@ -229,7 +237,7 @@
     """Who is set aside, and the trickle by which one comes back."""
     FIRST_REST = SECOND            # about the longest queue that a live server clears in its set-up target
     LONGEST_REST = 8 * SECOND
-    PERIOD = SECOND
+    PERIOD = 3 * SECOND // 4       # with the bucket it falls in, a second
     OPEN_AT = 8                    # trickle that counts as no limit any more
     WORD_EVERY = SECOND
     NOTE_LIFE = 5 * SECOND // 2    # told once a second while it lasts: two words missed, and it is over
@@ -255,13 +263,7 @@
         # In doubt the rest is cut short, but never the trickle: calls must not hammer a server that is down.
         if now < host.aside_until and not doubt:
             return False
-        return not host.trickle or now - host.period_from >= self.PERIOD or host.period_legs < host.trickle
-
-    def count(self, host, now):
-        if host.trickle:
-            if now - host.period_from >= self.PERIOD:
-                host.period_from, host.period_legs = now, 0
-            host.period_legs += 1
+        return not host.trickle or host.sent.total(now, self.PERIOD) < host.trickle
 
     def slow(self, host, now):
         return host.delay >= self.slow_from and now - host.delay_at < self.NOTE_LIFE
@@ -348,11 +350,6 @@
         warm = [len(h.legs) for h in hosts if self.part(h, now) >= 1]
         self.usual = sum(warm) / len(warm) if warm else self.usual
 
-    def count(self, host, now):
-        if host.sent is None:
-            host.sent = Ring(self.cold.window // 8 + 1, 9)
-        host.sent.add(now)
-
     def may_send(self, host, now):
         """What others carry is the guide to what a fresh one could: it fills up in its warm-up time."""
         part = self.part(host, now)
@@ -365,7 +362,7 @@
         if len(host.legs) >= 1 + part * self.usual:
             return False
         budget = self.cold.multiple * part * self.usual * self.cold.window / self.cold.warm_after
-        return host.sent is None or host.sent.total(now) < max(1, budget)
+        return host.sent.total(now, self.cold.window) < max(1, budget)
 
 
 # Leg rules
@@ -487,7 +484,8 @@
         # Fresh servers, held low by their cap, and those set aside would pull the mean down: the others,
         # though sound, would all seem well over it.
         bearing = [h for h in well if self.warm_up.part(h, self.now) >= 1] or up
-        mean, mean_load = (sum(map(f, bearing)) / max(1, len(bearing)) for f in (held, self.loads.on))
+        mean, mean_load, mean_size = (sum(map(f, bearing)) / max(1, len(bearing))
+                                      for f in (held, self.loads.on, lambda h: h.size))
         self.warm_up.look(bearing, self.now)
         weight = self.loads.of_call(call)
 
@@ -505,10 +503,11 @@
                     and self.ceilings.room(host, weight, self.now) and self.warm_up.may_send(host, self.now))
 
         def light(host):
-            return not well_over(held(host), mean)
+            return not well_over(held(host), mean * max(1, host.size / mean_size))
 
         def open_to_new(host):               # heavy connections gather on a server of few: by load as well
-            return ready(host) and light(host) and not well_over(self.loads.on(host), mean_load)
+            part = host.size / mean_size
+            return ready(host) and light(host) and not well_over(self.loads.on(host), mean_load * part)
 
         record = self.records.find(call.key, self.now)
         if call.mid_flow and not call.legs:
@@ -564,8 +563,7 @@
         self.out.append(action)
         if isinstance(action, io.Send):
             host = self.membership.hosts[action.host]
-            self.health.count(host, self.now)
-            self.warm_up.count(host, self.now)
+            host.sent.add(self.now)
             self.open_leg(call, host)
         else:
             self.end(call)
