--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -668,6 +668,8 @@
             leaving = [leg for leg in host.legs if leg.accepted and not leg.moved]
         elif host.hung:
             return                           # back, and working off what piled up
+        elif lasts and delay <= before / 2:
+            return                           # soon drained: one more cut would leave it idle afterwards
         elif self.now - host.slow_from >= SECOND // 2 or delay >= 4 * self.health.slow_from:
             leaving = list(self.ceilings.cut(host, self.now))
         else:
