A group weighs two mean connections on each server that holds any of it

Change: ceilings, the choice of who leaves and the skip by load count a group as two mean connections.

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -131,14 +131,11 @@
 
     def touch(self, key, host, now):
         """The key's connection to `host` ends: idleness counts from here."""
-        record = self.by_key.get(key)
-        if record and record.host is host:
-            record.touched = now
-            self.by_key.move_to_end(key)
+        if key in self.by_key and self.by_key[key].host is host:
+            self.put(key, host, now)
 
     def clear(self, key, host):
-        record = self.by_key.get(key)
-        if record and record.host is host:
+        if key in self.by_key and self.by_key[key].host is host:
             del self.by_key[key]
 
     def clear_host(self, host):
@@ -239,7 +236,6 @@
     LONGEST_REST = 8 * SECOND
     PERIOD = 3 * SECOND // 4       # with the bucket it falls in, a second
     OPEN_AT = 8                    # trickle that counts as no limit any more
-    WORD_EVERY = SECOND
     NOTE_LIFE = 5 * SECOND // 2    # told once a second while it lasts: two words missed, and it is over
 
     def __init__(self, slow_from):
@@ -274,6 +270,8 @@
 class Loads:
     """What connections weigh, in mean connections: as told, else as told of their type, else 1."""
 
+    GROUP = 2.0                    # mean connections that a group costs a server; told nowhere, so a guess
+
     def __init__(self):
         self.told, self.by_type = [0.0, 0], {}
 
@@ -290,7 +288,11 @@
         return leg.load / self.told[0] if leg.load and self.told[0] else self.of_call(leg.call)
 
     def on(self, host):
-        return sum(self.of(leg) for leg in host.legs)
+        return sum(self.of(leg) for leg in host.legs) + self.GROUP * len(host.groups)
+
+    def added(self, call, host):
+        """What a call would add: less where its group is there already and its work is shared."""
+        return self.of_call(call) + self.GROUP * (call.group not in host.groups)
 
 
 class Ceilings:
@@ -303,29 +305,32 @@
     def __init__(self, loads, chance):
         self.loads, self.chance = loads, chance
 
+    def frees(self, leg):
+        return self.loads.of(leg) + self.loads.GROUP * (leg.host.groups[leg.call.group] == 1)
+
     def cut(self, host, now):
         """The connections too many, the ones that relieve the server most first."""
         held = self.loads.on(host)
         if now - host.cut_at >= self.CUT_EVERY:
             host.ceiling, host.cut_at = held * self.CUT, now
         standing = [leg for leg in host.legs if leg.accepted and not leg.moved]
-        standing.sort(key=lambda g: (-self.loads.of(g), host.groups[g.call.group], g.call.type.revenue))
-        over = held - host.ceiling - sum(self.loads.of(leg) for leg in host.legs if leg.moved)
+        standing.sort(key=lambda leg: (-self.frees(leg), leg.call.type.revenue))
+        over = held - host.ceiling - sum(self.frees(leg) for leg in host.legs if leg.moved)
         for leg in standing:
-            weight = self.loads.of(leg)
+            weight = self.frees(leg)
             # The last one goes by chance: nodes that each hold few would else all move one too many.
             if over <= 0 or over < weight and self.chance.below(1000) >= 1000 * over / weight:
                 return
             over -= weight
             yield leg
 
-    def room(self, host, weight, now):
+    def room(self, host, call, now):
         if not host.ceiling:
             return True
         # Additive where little is left, or it would stay shut; and with no end: ceilings cut together and
         # dropped together let the whole jam back in.
         limit = host.ceiling + max(host.ceiling, self.LEAST) * (now - host.cut_at) / self.DOUBLES_IN
-        return self.loads.on(host) + weight <= limit
+        return self.loads.on(host) + self.loads.added(call, host) <= limit
 
 
 # Warm-up
@@ -487,12 +492,11 @@
         mean, mean_load, mean_size = (sum(map(f, bearing)) / max(1, len(bearing))
                                       for f in (held, self.loads.on, lambda h: h.size))
         self.warm_up.look(bearing, self.now)
-        weight = self.loads.of_call(call)
 
         def quick(host):
             return not self.health.slow(host, self.now)
 
-        short = sum(not (quick(h) and self.ceilings.room(h, weight, self.now)) for h in bearing)
+        short = sum(not (quick(h) and self.ceilings.room(h, call, self.now)) for h in bearing)
         if 2 * short > len(bearing) and self.shares.over(call.tenant):
             return None                      # what goes beyond a tenant's share gives way first
 
@@ -500,7 +504,7 @@
             return (host.entry.state is State.UP and may_go_to(call, host)
                     and all(leg.host is not host for leg in call.legs)
                     and self.health.may_send(host, self.now, doubt) and quick(host)
-                    and self.ceilings.room(host, weight, self.now) and self.warm_up.may_send(host, self.now))
+                    and self.ceilings.room(host, call, self.now) and self.warm_up.may_send(host, self.now))
 
         def light(host):
             return not well_over(held(host), mean * max(1, host.size / mean_size))
@@ -622,12 +626,10 @@
 
     def expire(self, e):
         call = self.calls.get(e.call)
-        if call is None or call.ended:
-            return
-        for leg in call.legs:
-            if leg.ending is None and not leg.accepted and self.limits.may_cancel:
-                self.out.append(io.Cancel(call.id, leg.number))
-        self.end(call)
+        if call and not call.ended:
+            self.out += [io.Cancel(call.id, leg.number) for leg in call.legs
+                         if leg.ending is None and not leg.accepted and self.limits.may_cancel]
+            self.end(call)
 
     def end(self, call):
         """The call has its one final answer: nothing is sent for it after."""
@@ -645,11 +647,9 @@
     def told(self, e):
         call = self.calls.get(e.call)
         leg = call.legs[-1] if call and call.legs else None
-        if leg is None or leg.ending:
-            return
-        if isinstance(e, io.LoadTold):
+        if leg and not leg.ending and isinstance(e, io.LoadTold):
             self.loads.tell(leg, e.load)
-        else:
+        elif leg and not leg.ending:
             self.told_delay(leg.host, e.delay)
 
     def told_delay(self, host, delay):
@@ -660,7 +660,7 @@
             host.slow_from, host.hung = 0, False
             return
         host.slow_from = host.slow_from if lasts and host.slow_from else self.now
-        if delay - (before if lasts else 0) > 2 * min(since, Health.WORD_EVERY):
+        if delay - (before if lasts else 0) > 2 * min(since, SECOND):
             # More than any load piles up in that time: it answers nothing. It keeps no call, and gets no
             # ceiling: it was not overloaded and can do all its work once it is back.
             self.health.bad(host, self.now)
