--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -181,7 +181,7 @@
 
 def well_over(count, mean):
     """The design's skip: never under two connections over the mean, wider where the mean is high."""
-    return count >= mean + max(2, mean / 4)
+    return count >= mean + max(2, mean / 8)
 
 
 # Membership
