Ceilings double every 4 s once no server was slow for 5 s

All were cut together, from 220 connections to 55, and stood idle afterwards under ceilings that double in a minute. Change: in calm ceilings open fast. A test found that a first word within a second of the clock's zero moved all connections, for want of a cut before it; put right.

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -64,7 +64,7 @@
     slow_from: int = 0                            # health: slow in every word since then; 0: not slow
     ceiling: float = 0.0                          # overload: load it may hold from here; 0: no limit
     hung: bool = False                            # health: seen to hang, and not yet quick again
-    cut_at: int = 0
+    cut_at: int = -10 * SECOND
     sent: Ring = field(default_factory=lambda: Ring(SECOND // 4, 64))     # legs, over up to 16 s
 
 
@@ -300,10 +300,11 @@
     CUT = 0.75                     # kept at a cut: well under full, so that what is piled up drains
     CUT_EVERY = SECOND             # words on delays come once a second; a cut shows in the next
     DOUBLES_IN = 60 * SECOND
+    CALM, CALM_DOUBLES_IN = 5 * SECOND, 4 * SECOND
     LEAST = 1.0                    # mean connections; grows at least as one of this size would
 
     def __init__(self, loads, chance):
-        self.loads, self.chance = loads, chance
+        self.loads, self.chance, self.slow_at = loads, chance, 0
 
     def frees(self, leg):
         return self.loads.of(leg) + self.loads.GROUP * (leg.host.groups[leg.call.group] == 1)
@@ -330,7 +331,10 @@
         # Additive where little is left, or it would stay shut; and with no end: ceilings cut together and
         # dropped together let the whole jam back in.
         limit = host.ceiling + max(host.ceiling, self.LEAST) * (now - host.cut_at) / self.DOUBLES_IN
-        return self.loads.on(host) + self.loads.added(call, host) <= limit
+        # Once no server at all is slow any more, the trouble was passing, and not too many calls: all servers
+        # cut together would else stand idle for a minute.
+        calm = max(0, now - self.slow_at - self.CALM) / self.CALM_DOUBLES_IN
+        return self.loads.on(host) + self.loads.added(call, host) <= limit * 2 ** min(calm, 9)
 
 
 # Warm-up
@@ -660,6 +664,7 @@
             host.slow_from, host.hung = 0, False
             return
         host.slow_from = host.slow_from if lasts and host.slow_from else self.now
+        self.ceilings.slow_at = self.now
         if delay - (before if lasts else 0) > 2 * min(since, SECOND):
             # More than any load piles up in that time: it answers nothing. It keeps no call, and gets no
             # ceiling: it was not overloaded and can do all its work once it is back.
