--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -101,46 +101,40 @@
 
 # Records
 
-@dataclass(eq=False)
-class Record:
-    host: Host
-    touched: int
-
-
 class Records:
     """Bounded memory of the server chosen for each key, dropped when idle."""
     IDLE = 600 * SECOND            # the design page's start; its floor is several minutes
     MOST = 50_000                  # bounds memory to a few MiB
 
     def __init__(self):
-        self.by_key = OrderedDict()
+        self.by_key = OrderedDict()              # key: (server, when last in use), the longest idle first
         self.left = OrderedDict()  # cleared by a drain: the server may still hold a key's open connection
 
     def find(self, key, now):
         while self.by_key:
-            oldest = next(iter(self.by_key.values()))
-            if now - oldest.touched <= self.IDLE and len(self.by_key) <= self.MOST:
+            oldest, (_, used) = next(iter(self.by_key.items()))
+            if now - used <= self.IDLE and len(self.by_key) <= self.MOST:
                 break
-            self.by_key.popitem(last=False)
-        return self.by_key.get(key)
+            del self.by_key[oldest]
+        return self.by_key.get(key, (None,))[0]
 
     def put(self, key, host, now):
         if key is not None:
-            self.by_key[key] = Record(host, now)
+            self.by_key[key] = host, now
             self.by_key.move_to_end(key)
 
     def touch(self, key, host, now):
         """The key's connection to `host` ends: idleness counts from here."""
-        if key in self.by_key and self.by_key[key].host is host:
+        if self.by_key.get(key, (None,))[0] is host:
             self.put(key, host, now)
 
     def clear(self, key, host):
-        if key in self.by_key and self.by_key[key].host is host:
+        if self.by_key.get(key, (None,))[0] is host:
             del self.by_key[key]
 
     def clear_host(self, host):
-        for key in [k for k, r in self.by_key.items() if r.host is host]:
-            self.left[key] = self.by_key.pop(key).host
+        for key in [k for k, (h, _) in self.by_key.items() if h is host]:
+            self.left[key] = self.by_key.pop(key)[0]
         while len(self.left) > self.MOST:
             self.left.popitem(last=False)
 
@@ -175,10 +169,6 @@
         return None
 
 
-def held(host):
-    return len(host.legs)
-
-
 def well_over(count, mean):
     """The design's skip: never under two connections over the mean, wider where the mean is high."""
     return count >= mean + max(2, mean / 8)
@@ -494,7 +484,7 @@
         # though sound, would all seem well over it.
         bearing = [h for h in well if self.warm_up.part(h, self.now) >= 1] or up
         mean, mean_load, mean_size = (sum(map(f, bearing)) / max(1, len(bearing))
-                                      for f in (held, self.loads.on, lambda h: h.size))
+                                      for f in (lambda h: len(h.legs), self.loads.on, lambda h: h.size))
         self.warm_up.look(bearing, self.now)
 
         def quick(host):
@@ -511,19 +501,19 @@
                     and self.ceilings.room(host, call, self.now) and self.warm_up.may_send(host, self.now))
 
         def light(host):
-            return not well_over(held(host), mean * max(1, host.size / mean_size))
+            return not well_over(len(host.legs), mean * max(1, host.size / mean_size))
 
         def open_to_new(host):               # heavy connections gather on a server of few: by load as well
             part = host.size / mean_size
             return ready(host) and light(host) and not well_over(self.loads.on(host), mean_load * part)
 
-        record = self.records.find(call.key, self.now)
+        recorded = self.records.find(call.key, self.now)
         if call.mid_flow and not call.legs:
-            holder = record.host if record else self.records.left.get(call.key)
+            holder = recorded or self.records.left.get(call.key)
             if holder and holder.entry.state is not State.GONE:
                 return holder                # the connection goes on there, also while the server drains
-        if record and ready(record.host) and light(record.host):
-            return record.host
+        if recorded and ready(recorded) and light(recorded):
+            return recorded
         # Crossing zones is paid for: a near server first. Where all are well over the mean or short of room
         # the call is rejected at once: filling the last free server is how a jam spreads.
         near = self.crossing and self.rotation.next(lambda h: h.entry.zone == self.zone and open_to_new(h))
