--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -46,6 +46,27 @@
         return sum(c for c, s in zip(self.counts, self.stamps) if s >= oldest)
 
 
+class Held:
+    """What one server, or all that are up, hold of this node's legs: sums that follow every event."""
+
+    def __init__(self):
+        self.legs = self.told = self.groups = 0   # loads as told, together
+        self.untold = Counter()                   # legs of untold load, by traffic type
+
+    def weigh(self, leg, sign):
+        if leg.load:
+            self.told += sign * leg.load
+        else:
+            self.untold[leg.call.type] += sign
+
+    def take(self, other, sign=1):
+        self.legs += sign * other.legs
+        self.told += sign * other.told
+        self.groups += sign * other.groups
+        for type, count in other.untold.items():
+            self.untold[type] += sign * count
+
+
 @dataclass(eq=False)
 class Host:
     """One server as this node knows it."""
@@ -54,6 +75,7 @@
     legs: dict = field(default_factory=dict)      # legs out or standing, in order of sending
     setups: int = 0                               # of these, not yet answered
     groups: Counter = field(default_factory=Counter)
+    held: Held = field(default_factory=Held)
     turn: float = 0.0                             # rotation: part of a turn saved up
     answers: int = 0                              # since it last started
     aside_until: int = 0                          # health: no leg before this
@@ -66,7 +88,8 @@
     hung: bool = False                            # health: seen to hang, and not yet quick again
     cut_at: int = -10 * SECOND
     sent: Ring = field(default_factory=lambda: Ring(SECOND // 4, 64))     # legs, over up to 16 s
-
+    spared: float = 0.0                           # cold: part of a leg saved up since `paced_at`
+    paced_at: int = 0
 
     @property
     def size(self):
@@ -79,7 +102,7 @@
     number: int
     host: Host
     sent: int
-    load: float = 0.0
+    load: int = 0                                 # as told; 0: not told
     accepted: bool = False
     moved: bool = False
     ending: Ending = None
@@ -146,6 +169,7 @@
 
     def __init__(self, chance):
         self.chance, self.order, self.at = chance, [], 0
+        self.place, self.largest, self.size = {}, 1, 0.0
 
     def keep(self, hosts):
         """The servers now listed; new ones go behind the others."""
@@ -155,19 +179,33 @@
         self.order = [h for h in following if h in listed]
         self.order += [h for h in hosts if h not in dict.fromkeys(following)]
         self.at = self.chance.below(len(self.order)) if first and self.order else 0
+        self.place = {h: n for n, h in enumerate(self.order)}
+        self.largest = max((h.size for h in self.order), default=1)
+        self.size = sum(h.size for h in self.order)
 
     def next(self, fits):
-        fitting = [h for h in self.order[self.at:] + self.order[:self.at] if fits(h)]
-        largest = max((h.size for h in fitting), default=1)
-        while fitting:
-            for host in fitting:             # one of half the size takes every second turn
-                host.turn += host.size / largest
-                if host.turn >= 1:
-                    host.turn -= 1
-                    self.at = self.order.index(host) + 1
+        fitting, n = [], len(self.order)
+        for step in range(n):
+            host = self.order[(self.at + step) % n]
+            if fits(host):
+                if self.turn(host):
+                    return host
+                fitting.append(host)
+        while fitting:                       # none had its turn yet
+            for host in fitting:
+                if self.turn(host):
                     return host
         return None
 
+    def turn(self, host):
+        """One of half the size takes every second turn."""
+        host.turn += host.size / self.largest
+        if host.turn < 1:
+            return False
+        host.turn -= 1
+        self.at = self.place[host] + 1
+        return True
+
 
 def well_over(count, mean):
     """The design's skip: never under two connections over the mean, wider where the mean is high."""
@@ -271,18 +309,21 @@
             mean[1] = min(mean[1] + 1, 50)
             mean[0] += (load - mean[0]) / mean[1]
 
-    def of_call(self, call):
-        return self.by_type.get(call.type, self.told)[0] / self.told[0] if self.told[0] else 1.0
+    def of_type(self, type):
+        return self.by_type.get(type, self.told)[0] / self.told[0] if self.told[0] else 1.0
 
     def of(self, leg):
-        return leg.load / self.told[0] if leg.load and self.told[0] else self.of_call(leg.call)
+        return leg.load / self.told[0] if leg.load else self.of_type(leg.call.type)
 
-    def on(self, host):
-        return sum(self.of(leg) for leg in host.legs) + self.GROUP * len(host.groups)
+    def on(self, held):
+        load = held.told / self.told[0] if held.told else 0.0
+        for type, count in held.untold.items():
+            load += count * self.of_type(type)
+        return load + self.GROUP * held.groups
 
     def added(self, call, host):
         """What a call would add: less where its group is there already and its work is shared."""
-        return self.of_call(call) + self.GROUP * (call.group not in host.groups)
+        return self.of_type(call.type) + self.GROUP * (call.group not in host.groups)
 
 
 class Ceilings:
@@ -301,7 +342,7 @@
 
     def cut(self, host, now):
         """The connections too many, the ones that relieve the server most first."""
-        held = self.loads.on(host)
+        held = self.loads.on(host.held)
         if now - host.cut_at >= self.CUT_EVERY:
             host.ceiling, host.cut_at = held * self.CUT, now
         standing = [leg for leg in host.legs if leg.accepted and not leg.moved]
@@ -324,7 +365,7 @@
         # Once no server at all is slow any more, the trouble was passing, and not too many calls: all servers
         # cut together would else stand idle for a minute.
         calm = max(0, now - self.slow_at - self.CALM) / self.CALM_DOUBLES_IN
-        return self.loads.on(host) + self.loads.added(call, host) <= limit * 2 ** min(calm, 9)
+        return self.loads.on(host.held) + self.loads.added(call, host) <= limit * 2 ** min(calm, 9)
 
 
 # Warm-up
@@ -334,8 +375,8 @@
 
     AT_FIRST = 4                   # set-ups in flight to a warm server before it answered any
 
-    def __init__(self, cold):
-        self.cold = cold
+    def __init__(self, cold, nodes, chance):
+        self.cold, self.nodes, self.chance = cold, nodes, chance
         self.usual = 0.0               # connections that this node has on a warm server
 
     def part(self, host, now):
@@ -345,13 +386,9 @@
             return 1.0
         return cold.share + (1 - cold.share) * max(0, now - started) / cold.warm_after
 
-    def look(self, hosts, now):
-        warm = [len(h.legs) for h in hosts if self.part(h, now) >= 1]
-        self.usual = sum(warm) / len(warm) if warm else self.usual
-
     def may_send(self, host, now):
         """What others carry is the guide to what a fresh one could: it fills up in its warm-up time."""
-        part = self.part(host, now)
+        part, window = self.part(host, now), self.cold.window
         # After a restart of a node all its clients come at once: set-ups that wait too long are tried again
         # and double the work, so their number grows with the answers on warm servers too.
         if host.setups >= (1 if part < 1 else self.AT_FIRST) + host.answers:
@@ -360,8 +397,15 @@
             return True
         if len(host.legs) >= 1 + part * self.usual:
             return False
-        budget = self.cold.multiple * part * self.usual * self.cold.window / self.cold.warm_after
-        return host.sent.total(now, self.cold.window) < max(1, budget)
+        # The rule counts all nodes together, and a node cannot send part of a leg: it saves parts up, from a
+        # start drawn by chance. One leg a window from each of sixty nodes pushed cold servers over.
+        budget = max(1 / self.nodes, self.cold.multiple * part * self.usual * window / self.cold.warm_after)
+        if budget >= 1:
+            return host.sent.total(now, window) < budget
+        return host.spared + budget * (now - host.paced_at) / window >= 1
+
+    def start(self, host, now):
+        host.spared, host.paced_at = self.chance.below(1000) / 1000, now
 
 
 # Leg rules
@@ -425,10 +469,12 @@
         self.membership = Membership(begin.listing.ask, self.chance)
         targets = [t.message_target for t in begin.types if t.message_target]
         self.health = Health(min(targets, default=SECOND))
-        self.loads, self.warm_up = Loads(), WarmUp(begin.cold)
+        self.loads, self.warm_up = Loads(), WarmUp(begin.cold, begin.nodes, self.chance)
         self.ceilings = Ceilings(self.loads, self.chance)
         self.shares = Shares(begin.tenants, begin.nodes)
         self.calls = {}
+        self.held = Held()             # by all servers that are up
+        self.marked = {}               # servers that may be fresh, set aside, slow or under a ceiling
         if begin.listing.ask:
             self.out.append(io.Follow())
 
@@ -477,35 +523,43 @@
 
     def choose(self, call):
         """The recorded server, or the next of the rotation; None if no server may have it now."""
-        up = self.membership.up()
-        well = [h for h in up if self.health.may_send(h, self.now)]
-        doubt = 2 * len(well) < len(up)      # most look bad at once: rather this node's view is wrong
-        # Fresh servers, held low by their cap, and those set aside would pull the mean down: the others,
-        # though sound, would all seem well over it.
-        bearing = [h for h in well if self.warm_up.part(h, self.now) >= 1] or up
-        mean, mean_load, mean_size = (sum(map(f, bearing)) / max(1, len(bearing))
-                                      for f in (lambda h: len(h.legs), self.loads.on, lambda h: h.size))
-        self.warm_up.look(bearing, self.now)
-
-        def quick(host):
-            return not self.health.slow(host, self.now)
-
-        short = sum(not (quick(h) and self.ceilings.room(h, call, self.now)) for h in bearing)
-        if 2 * short > len(bearing) and self.shares.over(call.tenant):
+        up, bearing, aside, short, size = len(self.rotation.order), Held(), 0, 0, 0.0
+        bearing.take(self.held)
+        count, size = up, self.rotation.size
+        for host in self.marked_up():
+            well = self.health.may_send(host, self.now)
+            aside += not well
+            # Fresh servers, held low by their cap, and those set aside would pull the mean down: the others,
+            # though sound, would all seem well over it.
+            if not well or self.warm_up.part(host, self.now) < 1:
+                bearing.take(host.held, -1)
+                count -= 1
+                size -= host.size
+            else:
+                short += self.health.slow(host, self.now) or not self.ceilings.room(host, call, self.now)
+        doubt = 2 * aside > up               # most look bad at once: rather this node's view is wrong
+        if not count:
+            bearing, count, size = self.held, max(1, up), self.rotation.size
+        else:
+            self.warm_up.usual = bearing.legs / count
+        mean, mean_load, mean_size = bearing.legs / count, self.loads.on(bearing) / count, size / count
+        if 2 * short > count and self.shares.over(call.tenant):
             return None                      # what goes beyond a tenant's share gives way first
 
         def ready(host):
             return (host.entry.state is State.UP and may_go_to(call, host)
                     and all(leg.host is not host for leg in call.legs)
-                    and self.health.may_send(host, self.now, doubt) and quick(host)
-                    and self.ceilings.room(host, call, self.now) and self.warm_up.may_send(host, self.now))
+                    and (host not in self.marked or self.health.may_send(host, self.now, doubt)
+                         and not self.health.slow(host, self.now)
+                         and self.ceilings.room(host, call, self.now))
+                    and self.warm_up.may_send(host, self.now))
 
         def light(host):
             return not well_over(len(host.legs), mean * max(1, host.size / mean_size))
 
         def open_to_new(host):               # heavy connections gather on a server of few: by load as well
             part = host.size / mean_size
-            return ready(host) and light(host) and not well_over(self.loads.on(host), mean_load * part)
+            return light(host) and ready(host) and not well_over(self.loads.on(host.held), mean_load * part)
 
         recorded = self.records.find(call.key, self.now)
         if call.mid_flow and not call.legs:
@@ -519,6 +573,15 @@
         near = self.crossing and self.rotation.next(lambda h: h.entry.zone == self.zone and open_to_new(h))
         return near or self.rotation.next(open_to_new)
 
+    def marked_up(self):
+        """Those marked that are up; the ones that are plain again are dropped on the way."""
+        for host in list(self.marked):
+            if self.warm_up.part(host, self.now) >= 1 and not (
+                    host.trickle or host.ceiling or self.health.slow(host, self.now)):
+                del self.marked[host]
+            elif host.entry.state is State.UP:
+                yield host
+
     def leg_until(self, call):
         """The time-out of the next leg; 0 if there is no time for one."""
         last = call.guard - 2 * self.tick    # answered before the client gives up, also if the tick is late
@@ -562,6 +625,7 @@
         if isinstance(action, io.Send):
             host = self.membership.hosts[action.host]
             host.sent.add(self.now)
+            host.spared, host.paced_at = 0.0, self.now
             self.open_leg(call, host)
         else:
             self.end(call)
@@ -571,9 +635,21 @@
         call.legs.append(leg)
         host.legs[leg] = None
         host.setups += 1
-        host.groups[call.group] += 1
+        self.count(leg, 1)
         return leg
 
+    def count(self, leg, sign):
+        """Keeps what the server holds, and what all that are up hold."""
+        host, group = leg.host, leg.call.group
+        changed = sign * (host.groups[group] == (sign < 0))
+        host.groups[group] += sign
+        if not host.groups[group]:
+            del host.groups[group]
+        for held in (host.held, self.held) if host.entry.state is State.UP else (host.held,):
+            held.legs += sign
+            held.groups += changed
+            held.weigh(leg, sign)
+
     def answered(self, e):
         call = self.calls.get(e.call)
         if call is None or e.leg >= len(call.legs) or call.legs[e.leg].ending:
@@ -606,7 +682,7 @@
         leg.ending = e.ending
         del host.legs[leg]
         host.setups -= not leg.accepted
-        host.groups -= Counter([call.group])
+        self.count(leg, -1)
         if e.ending in (Ending.OK, Ending.CANCELLED):
             self.records.touch(call.key, host, self.now)
             if e.ending is Ending.OK and not leg.accepted:
@@ -614,6 +690,7 @@
         else:
             self.records.clear(call.key, host)
             # A standing one that breaks counts too: the server is lost, or sheds load.
+            self.marked[host] = None
             if e.ending is not Ending.MOOT and self.health.bad(host, self.now):
                 self.log(host, f"{e.ending.value}, set aside for {host.rest // 1000} ms")
         self.membership.drop_gone()
@@ -642,7 +719,12 @@
         call = self.calls.get(e.call)
         leg = call.legs[-1] if call and call.legs else None
         if leg and not leg.ending and isinstance(e, io.LoadTold):
-            self.loads.tell(leg, e.load)
+            every = (leg.host.held, self.held) if leg.host.entry.state is State.UP else (leg.host.held,)
+            for held in every:
+                held.weigh(leg, -1)
+            self.loads.tell(leg, round(e.load))
+            for held in every:
+                held.weigh(leg, 1)
         elif leg and not leg.ending:
             self.told_delay(leg.host, e.delay)
 
@@ -653,6 +735,7 @@
         if delay < self.health.slow_from:
             host.slow_from, host.hung = 0, False
             return
+        self.marked[host] = None
         host.slow_from = host.slow_from if lasts and host.slow_from else self.now
         self.ceilings.slow_at = self.now
         if delay - (before if lasts else 0) > 2 * min(since, SECOND):
@@ -693,4 +776,11 @@
             host.hung = False
             host.answers = host.trickle = host.rest = host.aside_until = host.delay = host.ceiling = 0
         self.membership.drop_gone()
-        self.rotation.keep(self.membership.up())
+        up = self.membership.up()
+        self.rotation.keep(up)
+        self.held = Held()
+        for host in up:
+            self.held.take(host.held)
+            if self.warm_up.part(host, self.now) < 1 and host.paced_at < host.entry.started:
+                self.warm_up.start(host, self.now)
+                self.marked[host] = None
