--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -6,6 +6,7 @@
 front's clock. Nothing here reads a clock, a file or the network, and equal events give equal actions.
 The ordinary path of a call is `Balancer.path`. Each exception to it stands with the failure that it prevents.
 """
+from bisect import bisect
 from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 from zlib import crc32
@@ -88,8 +89,9 @@
     hung: bool = False                            # health: seen to hang, and not yet quick again
     cut_at: int = -10 * SECOND
     sent: Ring = field(default_factory=lambda: Ring(SECOND // 4, 64))     # legs, over up to 16 s
-    spared: float = 0.0                           # cold: part of a leg saved up since `paced_at`
-    paced_at: int = 0
+    phase: int = 0                                # cold: where its windows begin, for this node
+    turn_drawn: int = -1
+    has_turn: bool = False
 
     @property
     def size(self):
@@ -117,6 +119,7 @@
     group: object
     guard: int                                    # when this try is given up by its client
     mid_flow: bool
+    returned: bool
     legs: list = field(default_factory=list)
     path: object = None
     ended: bool = False
@@ -166,6 +169,7 @@
 
 class Rotation:
     """Servers in turn, from a random start."""
+    POINTS = 8                     # of each server: what one leaves is spread over several
 
     def __init__(self, chance):
         self.chance, self.order, self.at = chance, [], 0
@@ -182,6 +186,7 @@
         self.place = {h: n for n, h in enumerate(self.order)}
         self.largest = max((h.size for h in self.order), default=1)
         self.size = sum(h.size for h in self.order)
+        self.points = None
 
     def next(self, fits):
         fitting, n = [], len(self.order)
@@ -197,6 +202,19 @@
                     return host
         return None
 
+    def next_for(self, key, fits):
+        """The rotation in an order that all nodes share, begun at the key's own point of it."""
+        if self.points is None:
+            self.points = sorted((crc32(f"{h.name}:{n}".encode()), n, h)
+                                 for h in self.order for n in range(self.POINTS))
+        at = bisect(self.points, (crc32(str(key).encode()),))
+        seen = set()
+        for _, _, host in self.points[at:] + self.points[:at]:
+            if host not in seen and fits(host):
+                return host
+            seen.add(host)
+        return None
+
     def turn(self, host):
         """One of half the size takes every second turn."""
         host.turn += host.size / self.largest
@@ -230,6 +248,7 @@
             host = self.hosts.get(entry.host)
             if host is None:
                 host = self.hosts[entry.host] = Host(entry.host, entry)
+                host.phase = self.chance.below(10 * SECOND)
             elif entry.started > host.entry.started:
                 started.append(host)
             host.entry = entry
@@ -335,7 +354,7 @@
     LEAST = 1.0                    # mean connections; grows at least as one of this size would
 
     def __init__(self, loads, chance):
-        self.loads, self.chance, self.slow_at = loads, chance, 0
+        self.loads, self.chance, self.slow_at = loads, chance, -60 * SECOND
 
     def frees(self, leg):
         return self.loads.of(leg) + self.loads.GROUP * (leg.host.groups[leg.call.group] == 1)
@@ -397,15 +416,16 @@
             return True
         if len(host.legs) >= 1 + part * self.usual:
             return False
-        # The rule counts all nodes together, and a node cannot send part of a leg: it saves parts up, from a
-        # start drawn by chance. One leg a window from each of sixty nodes pushed cold servers over.
         budget = max(1 / self.nodes, self.cold.multiple * part * self.usual * window / self.cold.warm_after)
         if budget >= 1:
             return host.sent.total(now, window) < budget
-        return host.spared + budget * (now - host.paced_at) / window >= 1
-
-    def start(self, host, now):
-        host.spared, host.paced_at = self.chance.below(1000) / 1000, now
+        # The rule counts all nodes together, and a node cannot send part of a leg: chance says in which windows
+        # it may send one. One leg a window from each of sixty nodes pushed cold servers over, and so did legs
+        # saved up by all nodes until a jam. Half, for a burst meets those who may now and those who may next.
+        turn = (now + host.phase) // window
+        if turn != host.turn_drawn:
+            host.turn_drawn, host.has_turn = turn, self.chance.below(10000) < 5000 * budget
+        return host.has_turn and not host.sent.total(now, window)
 
 
 # Leg rules
@@ -472,7 +492,7 @@
         self.loads, self.warm_up = Loads(), WarmUp(begin.cold, begin.nodes, self.chance)
         self.ceilings = Ceilings(self.loads, self.chance)
         self.shares = Shares(begin.tenants, begin.nodes)
-        self.calls = {}
+        self.calls, self.shared = {}, begin.groups_share_work and begin.nodes > 1
         self.held = Held()             # by all servers that are up
         self.marked = {}               # servers that may be fresh, set aside, slow or under a ceiling
         if begin.listing.ask:
@@ -570,6 +590,9 @@
             return recorded
         # Crossing zones is paid for: a near server first. Where all are well over the mean or short of room
         # the call is rejected at once: filling the last free server is how a jam spreads.
+        if call.group is not None and self.shared and (
+                call.returned or self.now - self.ceilings.slow_at < Ceilings.CALM):
+            return self.rotation.next_for(call.group, open_to_new)
         near = self.crossing and self.rotation.next(lambda h: h.entry.zone == self.zone and open_to_new(h))
         return near or self.rotation.next(open_to_new)
 
@@ -603,7 +626,7 @@
     def arrive(self, e):
         key = e.group if e.group is not None else e.key
         call = Call(e.call, self.types[e.type], e.tenant, key, e.group,
-                    self.now + e.time_left, e.mid_flow)
+                    self.now + e.time_left, e.mid_flow, e.returned)
         self.calls[call.id] = call
         self.shares.open[call.tenant] += 1
         call.path = self.path(call)
@@ -625,7 +648,6 @@
         if isinstance(action, io.Send):
             host = self.membership.hosts[action.host]
             host.sent.add(self.now)
-            host.spared, host.paced_at = 0.0, self.now
             self.open_leg(call, host)
         else:
             self.end(call)
@@ -781,6 +803,5 @@
         self.held = Held()
         for host in up:
             self.held.take(host.held)
-            if self.warm_up.part(host, self.now) < 1 and host.paced_at < host.entry.started:
-                self.warm_up.start(host, self.now)
+            if self.warm_up.part(host, self.now) < 1:
                 self.marked[host] = None
