--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -89,9 +89,7 @@
     hung: bool = False                            # health: seen to hang, and not yet quick again
     cut_at: int = -10 * SECOND
     sent: Ring = field(default_factory=lambda: Ring(SECOND // 4, 64))     # legs, over up to 16 s
-    phase: int = 0                                # cold: where its windows begin, for this node
-    turn_drawn: int = -1
-    has_turn: bool = False
+    drawn_at: int = -60 * SECOND                  # cold: when chance was last asked for a leg to it
 
     @property
     def size(self):
@@ -248,7 +246,6 @@
             host = self.hosts.get(entry.host)
             if host is None:
                 host = self.hosts[entry.host] = Host(entry.host, entry)
-                host.phase = self.chance.below(10 * SECOND)
             elif entry.started > host.entry.started:
                 started.append(host)
             host.entry = entry
@@ -419,13 +416,13 @@
         budget = max(1 / self.nodes, self.cold.multiple * part * self.usual * window / self.cold.warm_after)
         if budget >= 1:
             return host.sent.total(now, window) < budget
-        # The rule counts all nodes together, and a node cannot send part of a leg: chance says in which windows
-        # it may send one. One leg a window from each of sixty nodes pushed cold servers over, and so did legs
-        # saved up by all nodes until a jam. Half, for a burst meets those who may now and those who may next.
-        turn = (now + host.phase) // window
-        if turn != host.turn_drawn:
-            host.turn_drawn, host.has_turn = turn, self.chance.below(10000) < 5000 * budget
-        return host.has_turn and not host.sent.total(now, window)
+        # The rule counts all nodes together, and a node cannot send part of a leg: it draws once a window
+        # whether it may send one. One leg a window from each of sixty nodes pushed cold servers over, and so
+        # did parts of legs saved up: in a jam all nodes had one to send at once.
+        if now - host.drawn_at < window:
+            return False
+        host.drawn_at = now
+        return self.chance.below(10000) < 10000 * budget
 
 
 # Leg rules
@@ -579,7 +576,7 @@
 
         def open_to_new(host):               # heavy connections gather on a server of few: by load as well
             part = host.size / mean_size
-            return light(host) and ready(host) and not well_over(self.loads.on(host.held), mean_load * part)
+            return light(host) and not well_over(self.loads.on(host.held), mean_load * part) and ready(host)
 
         recorded = self.records.find(call.key, self.now)
         if call.mid_flow and not call.legs:
