--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -279,6 +279,7 @@
     FIRST_REST = SECOND            # about the longest queue that a live server clears in its set-up target
     LONGEST_REST = 8 * SECOND
     PERIOD = 3 * SECOND // 4       # with the bucket it falls in, a second
+    RUN = 3                        # set-ups timed out with no answer between: not one server's trouble
     OPEN_AT = 8                    # trickle that counts as no limit any more
     NOTE_LIFE = 5 * SECOND // 2    # told once a second while it lasts: two words missed, and it is over
 
@@ -299,9 +300,8 @@
         host.aside_until, host.trickle = now + host.rest, 1
         return True
 
-    def may_send(self, host, now, doubt=False):
-        # In doubt the rest is cut short, but never the trickle: calls must not hammer a server that is down.
-        if now < host.aside_until and not doubt:
+    def may_send(self, host, now):
+        if now < host.aside_until:
             return False
         return not host.trickle or host.sent.total(now, self.PERIOD) < host.trickle
 
@@ -489,6 +489,8 @@
         self.loads, self.warm_up = Loads(), WarmUp(begin.cold, begin.nodes, self.chance)
         self.ceilings = Ceilings(self.loads, self.chance)
         self.shares = Shares(begin.tenants, begin.nodes)
+        self.way = Host("way to the servers", io.Entry(None))       # what all set-ups share, a store perhaps
+        self.unanswered = 0            # set-ups timed out since one was answered
         self.calls, self.shared = {}, begin.groups_share_work and begin.nodes > 1
         self.held = Held()             # by all servers that are up
         self.marked = {}               # servers that may be fresh, set aside, slow or under a ceiling
@@ -540,12 +542,13 @@
 
     def choose(self, call):
         """The recorded server, or the next of the rotation; None if no server may have it now."""
-        up, bearing, aside, short, size = len(self.rotation.order), Held(), 0, 0, 0.0
+        if not self.health.may_send(self.way, self.now):
+            return None
+        up, bearing, short = len(self.rotation.order), Held(), 0
         bearing.take(self.held)
         count, size = up, self.rotation.size
         for host in self.marked_up():
             well = self.health.may_send(host, self.now)
-            aside += not well
             # Fresh servers, held low by their cap, and those set aside would pull the mean down: the others,
             # though sound, would all seem well over it.
             if not well or self.warm_up.part(host, self.now) < 1:
@@ -554,7 +557,6 @@
                 size -= host.size
             else:
                 short += self.health.slow(host, self.now) or not self.ceilings.room(host, call, self.now)
-        doubt = 2 * aside > up               # most look bad at once: rather this node's view is wrong
         if not count:
             bearing, count, size = self.held, max(1, up), self.rotation.size
         else:
@@ -566,7 +568,7 @@
         def ready(host):
             return (host.entry.state is State.UP and may_go_to(call, host)
                     and all(leg.host is not host for leg in call.legs)
-                    and (host not in self.marked or self.health.may_send(host, self.now, doubt)
+                    and (host not in self.marked or self.health.may_send(host, self.now)
                          and not self.health.slow(host, self.now)
                          and self.ceilings.room(host, call, self.now))
                     and self.warm_up.may_send(host, self.now))
@@ -607,7 +609,7 @@
         last = call.guard - 2 * self.tick    # answered before the client gives up, also if the tick is late
         if last <= self.now:
             return 0
-        if len(call.legs) + 1 >= self.limits.most_legs:
+        if len(call.legs) + 1 >= self.limits.most_legs or self.way.trickle:
             return last
         # A server that takes calls and answers none costs one leg and not the call.
         return min(last, self.now + call.type.setup_target)
@@ -645,6 +647,7 @@
         if isinstance(action, io.Send):
             host = self.membership.hosts[action.host]
             host.sent.add(self.now)
+            self.way.sent.add(self.now)
             self.open_leg(call, host)
         else:
             self.end(call)
@@ -693,6 +696,8 @@
 
     def good(self, host):
         host.answers += 1
+        self.unanswered = 0
+        self.health.good(self.way)
         if not self.health.slow(host, self.now):
             self.health.good(host)
 
@@ -709,6 +714,12 @@
         else:
             self.records.clear(call.key, host)
             # A standing one that breaks counts too: the server is lost, or sheds load.
+            if e.ending is Ending.TIMEOUT:
+                self.unanswered += 1
+            if self.unanswered >= Health.RUN:
+                # What every set-up needs is overloaded or out of reach: sent again and again by all nodes, legs
+                # keep a session store jammed for good, and no server is to blame.
+                host = self.way
             self.marked[host] = None
             if e.ending is not Ending.MOOT and self.health.bad(host, self.now):
                 self.log(host, f"{e.ending.value}, set aside for {host.rest // 1000} ms")
