--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -544,14 +544,16 @@
         """The recorded server, or the next of the rotation; None if no server may have it now."""
         if not self.health.may_send(self.way, self.now):
             return None
-        up, bearing, short = len(self.rotation.order), Held(), 0
+        up, bearing, short, fresh = len(self.rotation.order), Held(), 0, set()
         bearing.take(self.held)
         count, size = up, self.rotation.size
         for host in self.marked_up():
             well = self.health.may_send(host, self.now)
             # Fresh servers, held low by their cap, and those set aside would pull the mean down: the others,
             # though sound, would all seem well over it.
-            if not well or self.warm_up.part(host, self.now) < 1:
+            if self.warm_up.part(host, self.now) < 1:
+                fresh.add(host)
+            if not well or host in fresh:
                 bearing.take(host.held, -1)
                 count -= 1
                 size -= host.size
@@ -591,7 +593,8 @@
         # the call is rejected at once: filling the last free server is how a jam spreads.
         if call.group is not None and self.shared and (
                 call.returned or self.now - self.ceilings.slow_at < Ceilings.CALM):
-            return self.rotation.next_for(call.group, open_to_new)
+            return (fresh and self.rotation.next_for(call.group, lambda h: h in fresh and open_to_new(h))
+                    or self.rotation.next_for(call.group, open_to_new))
         near = self.crossing and self.rotation.next(lambda h: h.entry.zone == self.zone and open_to_new(h))
         return near or self.rotation.next(open_to_new)
 
