--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -589,14 +589,21 @@
                 return holder                # the connection goes on there, also while the server drains
         if recorded and ready(recorded) and light(recorded):
             return recorded
-        # Crossing zones is paid for: a near server first. Where all are well over the mean or short of room
-        # the call is rejected at once: filling the last free server is how a jam spreads.
+        def near(host):
+            return host.entry.zone == self.zone and open_to_new(host)
+
         if call.group is not None and self.shared and (
                 call.returned or self.now - self.ceilings.slow_at < Ceilings.CALM):
-            return (fresh and self.rotation.next_for(call.group, lambda h: h in fresh and open_to_new(h))
-                    or self.rotation.next_for(call.group, open_to_new))
-        near = self.crossing and self.rotation.next(lambda h: h.entry.zone == self.zone and open_to_new(h))
-        return near or self.rotation.next(open_to_new)
+            def take(fits):
+                return self.rotation.next_for(call.group, fits)
+            host = fresh and take(lambda h: h in fresh and open_to_new(h))
+            if host:
+                return host
+        else:
+            take = self.rotation.next
+        # Crossing zones is paid for: a near server first. Where all are well over the mean or short of room
+        # the call is rejected at once: filling the last free server is how a jam spreads.
+        return self.crossing and take(near) or take(open_to_new)
 
     def marked_up(self):
         """Those marked that are up; the ones that are plain again are dropped on the way."""
