--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -6,7 +6,6 @@
 front's clock. Nothing here reads a clock, a file or the network, and equal events give equal actions.
 The ordinary path of a call is `Balancer.path`. Each exception to it stands with the failure that it prevents.
 """
-from bisect import bisect
 from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 from zlib import crc32
@@ -47,27 +46,6 @@
         return sum(c for c, s in zip(self.counts, self.stamps) if s >= oldest)
 
 
-class Held:
-    """What one server, or all that are up, hold of this node's legs: sums that follow every event."""
-
-    def __init__(self):
-        self.legs = self.told = self.groups = 0   # loads as told, together
-        self.untold = Counter()                   # legs of untold load, by traffic type
-
-    def weigh(self, leg, sign):
-        if leg.load:
-            self.told += sign * leg.load
-        else:
-            self.untold[leg.call.type] += sign
-
-    def take(self, other, sign=1):
-        self.legs += sign * other.legs
-        self.told += sign * other.told
-        self.groups += sign * other.groups
-        for type, count in other.untold.items():
-            self.untold[type] += sign * count
-
-
 @dataclass(eq=False)
 class Host:
     """One server as this node knows it."""
@@ -76,25 +54,29 @@
     legs: dict = field(default_factory=dict)      # legs out or standing, in order of sending
     setups: int = 0                               # of these, not yet answered
     groups: Counter = field(default_factory=Counter)
-    held: Held = field(default_factory=Held)
+    load: int = 0                                 # what its legs and groups weigh here, see `Loads`
     turn: float = 0.0                             # rotation: part of a turn saved up
     answers: int = 0                              # since it last started
+    drawn_at: int = -60 * SECOND                  # cold: when chance was last asked for a leg to it
     aside_until: int = 0                          # health: no leg before this
     trickle: int = 0                              # health: legs allowed in a trickle period; 0: no limit
     rest: int = 0
     delay: int = 0                                # what messages took, and when that was told
     delay_at: int = -10 * SECOND
     slow_from: int = 0                            # health: slow in every word since then; 0: not slow
-    ceiling: float = 0.0                          # overload: load it may hold from here; 0: no limit
     hung: bool = False                            # health: seen to hang, and not yet quick again
+    ceiling: float = 0.0                          # overload: load it may hold from here; 0: no limit
     cut_at: int = -10 * SECOND
     sent: Ring = field(default_factory=lambda: Ring(SECOND // 4, 64))     # legs, over up to 16 s
-    drawn_at: int = -60 * SECOND                  # cold: when chance was last asked for a leg to it
 
     @property
     def size(self):
         return max(self.entry.size, 0.01)
 
+    @property
+    def up(self):
+        return self.entry.state is State.UP
+
 
 @dataclass(eq=False)
 class Leg:
@@ -102,7 +84,8 @@
     number: int
     host: Host
     sent: int
-    load: int = 0                                 # as told; 0: not told
+    told: float = 0.0                             # its load as told; 0: not told
+    load: int = 0                                 # what it weighs, see `Loads`
     accepted: bool = False
     moved: bool = False
     ending: Ending = None
@@ -112,7 +95,6 @@
 class Call:
     id: object
     type: io.TrafficType
-    tenant: int
     key: object
     group: object
     guard: int                                    # when this try is given up by its client
@@ -167,61 +149,64 @@
 
 class Rotation:
     """Servers in turn, from a random start."""
-    POINTS = 8                     # of each server: what one leaves is spread over several
+    ORDERS = 500                   # kept for groups: ranking the fleet for each call would cost too much
 
     def __init__(self, chance):
         self.chance, self.order, self.at = chance, [], 0
-        self.place, self.largest, self.size = {}, 1, 0.0
+        self.keep([])
 
     def keep(self, hosts):
         """The servers now listed; new ones go behind the others."""
         following = self.order[self.at:] + self.order[:self.at]
-        first = not following
-        listed = dict.fromkeys(hosts)
-        self.order = [h for h in following if h in listed]
-        self.order += [h for h in hosts if h not in dict.fromkeys(following)]
-        self.at = self.chance.below(len(self.order)) if first and self.order else 0
-        self.place = {h: n for n, h in enumerate(self.order)}
-        self.largest = max((h.size for h in self.order), default=1)
-        self.size = sum(h.size for h in self.order)
-        self.points = None
-
-    def next(self, fits):
-        fitting, n = [], len(self.order)
-        for step in range(n):
-            host = self.order[(self.at + step) % n]
+        listed, known = dict.fromkeys(hosts), dict.fromkeys(following)
+        self.order = [h for h in following if h in listed] + [h for h in hosts if h not in known]
+        self.at = self.chance.below(len(hosts)) if hosts and not following else 0
+        self.largest = max((h.size for h in hosts), default=1)
+        self.size = sum(h.size for h in hosts)
+        self.orders = {}
+
+    def next(self, fits, near):
+        """The next that fits, a near one first."""
+        waiting, far, n = [], [], len(self.order)
+        for place in [*range(self.at, n), *range(self.at)]:
+            host = self.order[place]
             if fits(host):
-                if self.turn(host):
+                if near(host) and self.turn(host, place):
                     return host
-                fitting.append(host)
-        while fitting:                       # none had its turn yet
-            for host in fitting:
-                if self.turn(host):
-                    return host
-        return None
-
-    def next_for(self, key, fits):
-        """The rotation in an order that all nodes share, begun at the key's own point of it."""
-        if self.points is None:
-            self.points = sorted((crc32(f"{h.name}:{n}".encode()), n, h)
-                                 for h in self.order for n in range(self.POINTS))
-        at = bisect(self.points, (crc32(str(key).encode()),))
-        seen = set()
-        for _, _, host in self.points[at:] + self.points[:at]:
-            if host not in seen and fits(host):
-                return host
-            seen.add(host)
+                (waiting if near(host) else far).append((host, place))
+        for left in (waiting, far):
+            while left:                      # none had its turn yet
+                for host, place in left:
+                    if self.turn(host, place):
+                        return host
         return None
 
-    def turn(self, host):
+    def turn(self, host, place):
         """One of half the size takes every second turn."""
         host.turn += host.size / self.largest
         if host.turn < 1:
             return False
         host.turn -= 1
-        self.at = self.place[host] + 1
+        self.at = place + 1
         return True
 
+    def next_for(self, key, fits, near):
+        """The same in the key's own order, on which all nodes agree."""
+        order = self.orders.get(key)
+        if order is None:
+            if len(self.orders) >= self.ORDERS:
+                self.orders.clear()
+            start = crc32(str(key).encode())     # multiplied, for checksums of like texts keep their order
+            order = self.orders[key] = sorted(self.order, key=lambda h: (
+                crc32(str(h.name).encode(), start) * 2654435761 & 0xFFFFFFFF, h.name))
+        far = None
+        for host in order:
+            if fits(host):
+                if near(host):
+                    return host
+                far = far or host
+        return far
+
 
 def well_over(count, mean):
     """The design's skip: never under two connections over the mean, wider where the mean is high."""
@@ -259,7 +244,7 @@
         return lost, started
 
     def up(self):
-        return [h for h in self.hosts.values() if h.entry.state is State.UP]
+        return [h for h in self.hosts.values() if h.up]
 
     def drop_gone(self):
         for host in [h for h in self.hosts.values() if h.entry.state is State.GONE and not h.legs]:
@@ -312,32 +297,30 @@
 # Overload
 
 class Loads:
-    """What connections weigh, in mean connections: as told, else as told of their type, else 1."""
-
-    GROUP = 2.0                    # mean connections that a group costs a server; told nowhere, so a guess
+    """What connections weigh, in thousandths of a mean one: as told, else as told of their type, else 1000."""
+    MEAN = 1000
+    GROUP = 2 * MEAN               # what a group costs a server besides; told nowhere, so a guess
 
     def __init__(self):
         self.told, self.by_type = [0.0, 0], {}
 
     def tell(self, leg, load):
-        leg.load = load
+        leg.told = load
         for mean in (self.told, self.by_type.setdefault(leg.call.type, [0.0, 0])):
             mean[1] = min(mean[1] + 1, 50)
             mean[0] += (load - mean[0]) / mean[1]
 
-    def of_type(self, type):
-        return self.by_type.get(type, self.told)[0] / self.told[0] if self.told[0] else 1.0
-
     def of(self, leg):
-        return leg.load / self.told[0] if leg.load else self.of_type(leg.call.type)
+        return round(self.MEAN * leg.told / self.told[0]) if leg.told else self.of_type(leg.call.type)
 
-    def on(self, held):
-        load = held.told / self.told[0] if held.told else 0.0
-        for type, count in held.untold.items():
-            load += count * self.of_type(type)
-        return load + self.GROUP * held.groups
+    def of_type(self, type):
+        mean = self.told[0]
+        return round(self.MEAN * self.by_type.get(type, self.told)[0] / mean) if mean else self.MEAN
+
+    def frees(self, leg):
+        return leg.load + self.GROUP * (leg.host.groups[leg.call.group] == 1)
 
-    def added(self, call, host):
+    def adds(self, call, host):
         """What a call would add: less where its group is there already and its work is shared."""
         return self.of_type(call.type) + self.GROUP * (call.group not in host.groups)
 
@@ -348,24 +331,20 @@
     CUT_EVERY = SECOND             # words on delays come once a second; a cut shows in the next
     DOUBLES_IN = 60 * SECOND
     CALM, CALM_DOUBLES_IN = 5 * SECOND, 4 * SECOND
-    LEAST = 1.0                    # mean connections; grows at least as one of this size would
+    LEAST = Loads.MEAN             # grows at least as one of this size would
 
     def __init__(self, loads, chance):
         self.loads, self.chance, self.slow_at = loads, chance, -60 * SECOND
 
-    def frees(self, leg):
-        return self.loads.of(leg) + self.loads.GROUP * (leg.host.groups[leg.call.group] == 1)
-
     def cut(self, host, now):
         """The connections too many, the ones that relieve the server most first."""
-        held = self.loads.on(host.held)
         if now - host.cut_at >= self.CUT_EVERY:
-            host.ceiling, host.cut_at = held * self.CUT, now
+            host.ceiling, host.cut_at = host.load * self.CUT, now
         standing = [leg for leg in host.legs if leg.accepted and not leg.moved]
-        standing.sort(key=lambda leg: (-self.frees(leg), leg.call.type.revenue))
-        over = held - host.ceiling - sum(self.frees(leg) for leg in host.legs if leg.moved)
+        standing.sort(key=lambda leg: (-self.loads.frees(leg), leg.call.type.revenue))
+        over = host.load - host.ceiling - sum(self.loads.frees(leg) for leg in host.legs if leg.moved)
         for leg in standing:
-            weight = self.frees(leg)
+            weight = self.loads.frees(leg)
             # The last one goes by chance: nodes that each hold few would else all move one too many.
             if over <= 0 or over < weight and self.chance.below(1000) >= 1000 * over / weight:
                 return
@@ -381,7 +360,7 @@
         # Once no server at all is slow any more, the trouble was passing, and not too many calls: all servers
         # cut together would else stand idle for a minute.
         calm = max(0, now - self.slow_at - self.CALM) / self.CALM_DOUBLES_IN
-        return self.loads.on(host.held) + self.loads.added(call, host) <= limit * 2 ** min(calm, 9)
+        return host.load + self.loads.adds(call, host) <= limit * 2 ** min(calm, 9)
 
 
 # Warm-up
@@ -459,20 +438,6 @@
         call.type.effect is Effect.REFERENCED and call.type.repeats_known_by == "all")
 
 
-# Tenant shares
-
-class Shares:
-    """What each tenant holds open at this node, against this node's part of its quota."""
-
-    def __init__(self, tenants, nodes):
-        self.quota = [t.quota_connections / nodes for t in tenants]
-        self.open = Counter()
-
-    def over(self, tenant):
-        quota = self.quota[tenant] if tenant < len(self.quota) else 0
-        return bool(quota) and self.open[tenant] > quota
-
-
 class Balancer:
     """One node."""
     DEAREST_MOVE = 0.3             # of the result, for a move a call: jams cost 0.2 without moves
@@ -488,11 +453,11 @@
         self.health = Health(min(targets, default=SECOND))
         self.loads, self.warm_up = Loads(), WarmUp(begin.cold, begin.nodes, self.chance)
         self.ceilings = Ceilings(self.loads, self.chance)
-        self.shares = Shares(begin.tenants, begin.nodes)
         self.way = Host("way to the servers", io.Entry(None))       # what all set-ups share, a store perhaps
         self.unanswered = 0            # set-ups timed out since one was answered
         self.calls, self.shared = {}, begin.groups_share_work and begin.nodes > 1
-        self.held = Held()             # by all servers that are up
+        self.legs = self.load = 0      # on all servers that are up
+        self.looked_at = -SECOND
         self.marked = {}               # servers that may be fresh, set aside, slow or under a ceiling
         if begin.listing.ask:
             self.out.append(io.Follow())
@@ -544,31 +509,18 @@
         """The recorded server, or the next of the rotation; None if no server may have it now."""
         if not self.health.may_send(self.way, self.now):
             return None
-        up, bearing, short, fresh = len(self.rotation.order), Held(), 0, set()
-        bearing.take(self.held)
-        count, size = up, self.rotation.size
-        for host in self.marked_up():
-            well = self.health.may_send(host, self.now)
-            # Fresh servers, held low by their cap, and those set aside would pull the mean down: the others,
-            # though sound, would all seem well over it.
-            if self.warm_up.part(host, self.now) < 1:
-                fresh.add(host)
-            if not well or host in fresh:
-                bearing.take(host.held, -1)
-                count -= 1
-                size -= host.size
-            else:
-                short += self.health.slow(host, self.now) or not self.ceilings.room(host, call, self.now)
-        if not count:
-            bearing, count, size = self.held, max(1, up), self.rotation.size
+        legs, load, size, count = self.legs, self.load, self.rotation.size, len(self.rotation.order)
+        fresh, apart = self.look_at_marked()
+        for host in apart:
+            legs, load, size, count = legs - len(host.legs), load - host.load, size - host.size, count - 1
+        if count:
+            self.warm_up.usual = legs / count
         else:
-            self.warm_up.usual = bearing.legs / count
-        mean, mean_load, mean_size = bearing.legs / count, self.loads.on(bearing) / count, size / count
-        if 2 * short > count and self.shares.over(call.tenant):
-            return None                      # what goes beyond a tenant's share gives way first
+            legs, load, size, count = self.legs, self.load, self.rotation.size, max(1, len(self.rotation.order))
+        mean, mean_load, mean_size = legs / count, load / count / Loads.MEAN, size / count
 
         def ready(host):
-            return (host.entry.state is State.UP and may_go_to(call, host)
+            return (host.up and may_go_to(call, host)
                     and all(leg.host is not host for leg in call.legs)
                     and (host not in self.marked or self.health.may_send(host, self.now)
                          and not self.health.slow(host, self.now)
@@ -580,7 +532,7 @@
 
         def open_to_new(host):               # heavy connections gather on a server of few: by load as well
             part = host.size / mean_size
-            return light(host) and not well_over(self.loads.on(host.held), mean_load * part) and ready(host)
+            return light(host) and not well_over(host.load / Loads.MEAN, mean_load * part) and ready(host)
 
         recorded = self.records.find(call.key, self.now)
         if call.mid_flow and not call.legs:
@@ -589,30 +541,34 @@
                 return holder                # the connection goes on there, also while the server drains
         if recorded and ready(recorded) and light(recorded):
             return recorded
-        def near(host):
-            return host.entry.zone == self.zone and open_to_new(host)
-
-        if call.group is not None and self.shared and (
-                call.returned or self.now - self.ceilings.slow_at < Ceilings.CALM):
-            def take(fits):
-                return self.rotation.next_for(call.group, fits)
-            host = fresh and take(lambda h: h in fresh and open_to_new(h))
-            if host:
-                return host
-        else:
-            take = self.rotation.next
-        # Crossing zones is paid for: a near server first. Where all are well over the mean or short of room
-        # the call is rejected at once: filling the last free server is how a jam spreads.
-        return self.crossing and take(near) or take(open_to_new)
-
-    def marked_up(self):
-        """Those marked that are up; the ones that are plain again are dropped on the way."""
-        for host in list(self.marked):
-            if self.warm_up.part(host, self.now) >= 1 and not (
-                    host.trickle or host.ceiling or self.health.slow(host, self.now)):
-                del self.marked[host]
-            elif host.entry.state is State.UP:
-                yield host
+        def near(host):                      # crossing zones is paid for
+            return not self.crossing or host.entry.zone == self.zone
+
+        # Where all are well over the mean or short of room the call is rejected at once: filling the last free
+        # server is how a jam spreads.
+        jam = self.now - self.ceilings.slow_at < Ceilings.CALM
+        if call.group is None or not self.shared or not (call.returned or jam):
+            return self.rotation.next(open_to_new, near)
+        # With many nodes a client that comes back meets one without its group's record, and each server that
+        # holds any of the group pays for it: in a jam, one group on every server is what keeps it jammed.
+        # Servers replaced in a release stay empty while the others jam, so fresh ones come first.
+        return (fresh and self.rotation.next_for(call.group, lambda h: h in fresh and open_to_new(h), near)
+                or self.rotation.next_for(call.group, open_to_new, near))
+
+    def look_at_marked(self):
+        """Those fresh, and all that do not count in the mean; looked at four times a second."""
+        if self.now - self.looked_at >= SECOND // 4:
+            self.looked_at = self.now
+            for leg in [leg for h in self.rotation.order for leg in h.legs] if self.loads.by_type else ():
+                self.weigh_anew(leg)         # the mean moves with every word
+            self.marked = {h: None for h in self.marked if self.warm_up.part(h, self.now) < 1
+                           or h.trickle or h.ceiling or self.health.slow(h, self.now)}
+            self.fresh = {h for h in self.marked if h.up and self.warm_up.part(h, self.now) < 1}
+            # Fresh servers, held low by their cap, and those set aside would pull the mean down: the others,
+            # though sound, would all seem well over it.
+            self.apart = [h for h in self.marked
+                          if h.up and (h in self.fresh or not self.health.may_send(h, self.now))]
+        return self.fresh, self.apart
 
     def leg_until(self, call):
         """The time-out of the next leg; 0 if there is no time for one."""
@@ -634,10 +590,9 @@
 
     def arrive(self, e):
         key = e.group if e.group is not None else e.key
-        call = Call(e.call, self.types[e.type], e.tenant, key, e.group,
+        call = Call(e.call, self.types[e.type], key, e.group,
                     self.now + e.time_left, e.mid_flow, e.returned)
         self.calls[call.id] = call
-        self.shares.open[call.tenant] += 1
         call.path = self.path(call)
         if e.held_by is not None:
             host = self.membership.hosts.get(e.held_by)
@@ -663,24 +618,25 @@
             self.end(call)
 
     def open_leg(self, call, host):
-        leg = Leg(call, len(call.legs), host, self.now)
+        leg = Leg(call, len(call.legs), host, self.now, load=self.loads.of_type(call.type))
+        self.weigh(host, 1, self.loads.adds(call, host))
         call.legs.append(leg)
         host.legs[leg] = None
         host.setups += 1
-        self.count(leg, 1)
+        host.groups[call.group] += 1
         return leg
 
-    def count(self, leg, sign):
-        """Keeps what the server holds, and what all that are up hold."""
-        host, group = leg.host, leg.call.group
-        changed = sign * (host.groups[group] == (sign < 0))
-        host.groups[group] += sign
-        if not host.groups[group]:
-            del host.groups[group]
-        for held in (host.held, self.held) if host.entry.state is State.UP else (host.held,):
-            held.legs += sign
-            held.groups += changed
-            held.weigh(leg, sign)
+    def weigh(self, host, legs, load):
+        """Sums follow every event: a call that walked the fleet for them would cost more the larger it is."""
+        host.load += load
+        if host.up:
+            self.legs += legs
+            self.load += load
+
+    def weigh_anew(self, leg):
+        load = self.loads.of(leg)
+        self.weigh(leg.host, 0, load - leg.load)
+        leg.load = load
 
     def answered(self, e):
         call = self.calls.get(e.call)
@@ -716,7 +672,8 @@
         leg.ending = e.ending
         del host.legs[leg]
         host.setups -= not leg.accepted
-        self.count(leg, -1)
+        self.weigh(host, -1, -self.loads.frees(leg))
+        host.groups -= Counter([call.group])
         if e.ending in (Ending.OK, Ending.CANCELLED):
             self.records.touch(call.key, host, self.now)
             if e.ending is Ending.OK and not leg.accepted:
@@ -732,6 +689,7 @@
                 host = self.way
             self.marked[host] = None
             if e.ending is not Ending.MOOT and self.health.bad(host, self.now):
+                self.looked_at = -SECOND
                 self.log(host, f"{e.ending.value}, set aside for {host.rest // 1000} ms")
         self.membership.drop_gone()
 
@@ -746,7 +704,6 @@
         """The call has its one final answer: nothing is sent for it after."""
         call.ended = True
         call.path.close()
-        self.shares.open[call.tenant] -= 1
         self.forget(call)
 
     def forget(self, call):
@@ -759,12 +716,8 @@
         call = self.calls.get(e.call)
         leg = call.legs[-1] if call and call.legs else None
         if leg and not leg.ending and isinstance(e, io.LoadTold):
-            every = (leg.host.held, self.held) if leg.host.entry.state is State.UP else (leg.host.held,)
-            for held in every:
-                held.weigh(leg, -1)
-            self.loads.tell(leg, round(e.load))
-            for held in every:
-                held.weigh(leg, 1)
+            self.loads.tell(leg, e.load)
+            self.weigh_anew(leg)
         elif leg and not leg.ending:
             self.told_delay(leg.host, e.delay)
 
@@ -818,8 +771,8 @@
         self.membership.drop_gone()
         up = self.membership.up()
         self.rotation.keep(up)
-        self.held = Held()
+        self.looked_at = -SECOND
+        self.legs, self.load = sum(len(h.legs) for h in up), sum(h.load for h in up)
         for host in up:
-            self.held.take(host.held)
             if self.warm_up.part(host, self.now) < 1:
                 self.marked[host] = None
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -62,7 +62,7 @@
         o = pairs(args[1:])
         names = [t.name for t in types]
         return io.Arrived(args[0], names.index(o["type"]) if "type" in o else 0, ms(o.get("left", 1200)),
-                          o.get("key"), o.get("group"), int(o.get("tenant", 0)), 0.0, "mid" in o, False, held)
+                          o.get("key"), o.get("group"), int(o.get("tenant", 0)), 0.0, "mid" in o, "returned" in o, held)
     if verb == "done":
         return io.LegEnded(args[0], int(args[1]), io.Ending[args[2].upper()], "closed" in args)
     id = args[0]
@@ -93,6 +93,16 @@
     return True
 
 
+def recount(node):
+    """What the node keeps in sums is what a plain count finds, after every event."""
+    for host in node.membership.hosts.values():
+        groups = {leg.call.group for leg in host.legs}
+        assert host.load == sum(leg.load for leg in host.legs) + node.loads.GROUP * len(groups)
+        assert host.setups == sum(not leg.accepted for leg in host.legs)
+    up = node.membership.up()
+    assert (node.legs, node.load) == (sum(len(h.legs) for h in up), sum(h.load for h in up))
+
+
 @pytest.mark.parametrize("file", FILES, ids=lambda f: f.stem)
 def test_scenario(file):
     site, types, node, pending, bound = {}, [], None, [], {}
@@ -122,4 +132,5 @@
                 pending = node.actions()
             pending += node.handle(ms(words[0]), event(words[1], [bound.get(w, w) for w in words[2:]], types))
             pending = [a for a in pending if not isinstance(a, (io.Timer, io.Log))]
+            recount(node)
     assert node and not pending
