--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -168,6 +168,26 @@
     return count >= mean + max(2, mean / 8)
 
 
+class Groups:
+    """How often each group called of late: its part of all calls tells how many servers it needs."""
+    MOST = 2000                    # calls counted; then all counts are halved
+    DOUBT = 10                     # calls; fewer tell little of a group's part
+
+    def __init__(self):
+        self.calls, self.total = Counter(), 0
+
+    def met(self, group):
+        self.calls[group] += 1
+        self.total += 1
+        if self.total >= self.MOST:
+            self.calls = Counter({g: n // 2 for g, n in self.calls.items() if n > 1})
+            self.total = sum(self.calls.values())
+
+    def servers(self, group, listed):
+        """Twice its part of the servers, and one more to go to while one is slow."""
+        return 2 + 2 * listed * self.calls[group] // (self.total + self.DOUBT)
+
+
 # Membership
 
 class Membership:
@@ -391,7 +411,7 @@
         self.types, self.limits, self.tick = begin.types, begin.legs, begin.tick
         self.zone, self.crossing, self.moving = begin.zone, begin.prices.crossing, begin.prices.moving
         self.chance = Chance(begin.seed)
-        self.records = Records()
+        self.records, self.groups = Records(), Groups()
         self.rotation = Rotation(self.chance, self.far)
         self.membership = Membership(self.chance)
         targets = [t.message_target for t in begin.types if t.message_target]
@@ -402,7 +422,7 @@
         self.unanswered = 0            # set-ups timed out since one was answered
         self.calls, self.shared = {}, begin.groups_share_work and begin.nodes > 1
         self.legs = self.load = 0      # on all servers that are up
-        self.looked_at = -SECOND
+        self.looked_at, self.risk = -SECOND, 0
         self.marked = {}               # servers that may be fresh, set aside, slow or under a ceiling
         self.takes = {io.Arrived: self.arrive, io.Listed: self.listed, io.Accepted: self.answered,
                       io.LegEnded: self.answered, io.LoadTold: self.told, io.DelayTold: self.told,
@@ -468,9 +488,13 @@
         def light(host):
             return not well_over(len(host.legs), mean * max(1, host.size / mean_size))
 
+        # Nothing is heard of a server that holds nothing of this node. Where most of the others are slow it goes by
+        # them: nodes with one connection on every third server else keep a whole jammed fleet full.
+        blind = self.chance.below(1000) >= 1000 * self.risk
+
         def open_to_new(host):               # heavy connections gather on a server of few: by load as well
             part = host.size / mean_size
-            if light(host) and not well_over(host.load / Loads.MEAN, mean_load * part) and ready(host):
+            if (host.legs or blind) and light(host) and not well_over(host.load / Loads.MEAN, mean_load * part) and ready(host):
                 return True
             # In a jam all are shut: looked at for each call, two hundred servers cost it a millisecond.
             host.shut_until = self.now + SECOND // 4
@@ -491,7 +515,8 @@
         # With many nodes a client that comes back meets one without its group's record, and each server that
         # holds any of the group pays for it: a group spread over every server keeps them all jammed. Servers
         # replaced in a release stay empty while the others jam, so fresh ones come first.
-        ranked = [h for h in self.rotation.ranked_for(call.group) if h.shut_until <= self.now]
+        most = self.groups.servers(call.group, len(self.rotation.order)) if jam else None
+        ranked = [h for h in self.rotation.ranked_for(call.group)[:most] if h.shut_until <= self.now]
         return next(filter(open_to_new, [h for h in ranked if h in self.fresh] + ranked), None)
 
     def look_at_marked(self):
@@ -506,6 +531,9 @@
                        or h.trickle or h.ceiling or self.health.slow(h, self.now)}
         up = [h for h in self.marked if h.up]
         self.fresh = {h for h in up if self.warm_up.part(h, self.now) < 1}
+        seen = [h for h in self.rotation.order if h.legs]
+        slow = sum(self.health.slow(h, self.now) for h in seen)
+        self.risk = max(0, 4 * slow / len(seen) - 2) if seen else 0
         # Fresh servers, held low by their cap, and those set aside would pull the mean down: the others,
         # though sound, would all seem well over it.
         self.apart = [h for h in up if h in self.fresh or not self.health.may_send(h, self.now)]
@@ -535,6 +563,7 @@
                     self.now + e.time_left, e.mid_flow, e.returned)
         self.calls[call.id] = call
         call.path = self.path(call)
+        self.groups.met(e.group)
         if e.held_by is not None:
             host = self.membership.hosts.get(e.held_by)
             if host is None:                 # not listed, so nothing new goes there
