--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -183,9 +183,10 @@
             self.calls = Counter({g: n // 2 for g, n in self.calls.items() if n > 1})
             self.total = sum(self.calls.values())
 
-    def servers(self, group, listed):
-        """Twice its part of the servers, and one more to go to while one is slow."""
-        return 2 + 2 * listed * self.calls[group] // (self.total + self.DOUBT)
+    def servers(self, group, listed, slow_part):
+        """Its part of the servers, two more, and the more the fewer are slow."""
+        part = self.calls[group] / (self.total + self.DOUBT)
+        return listed if not slow_part else min(listed, 2 + round(listed * part / slow_part))
 
 
 # Membership
@@ -422,7 +423,7 @@
         self.unanswered = 0            # set-ups timed out since one was answered
         self.calls, self.shared = {}, begin.groups_share_work and begin.nodes > 1
         self.legs = self.load = 0      # on all servers that are up
-        self.looked_at, self.risk = -SECOND, 0
+        self.looked_at, self.slow_part = -SECOND, 0
         self.marked = {}               # servers that may be fresh, set aside, slow or under a ceiling
         self.takes = {io.Arrived: self.arrive, io.Listed: self.listed, io.Accepted: self.answered,
                       io.LegEnded: self.answered, io.LoadTold: self.told, io.DelayTold: self.told,
@@ -490,7 +491,7 @@
 
         # Nothing is heard of a server that holds nothing of this node. Where most of the others are slow it goes by
         # them: nodes with one connection on every third server else keep a whole jammed fleet full.
-        blind = self.chance.below(1000) >= 1000 * self.risk
+        blind = self.chance.below(1000) >= 1000 * (4 * self.slow_part - 2)
 
         def open_to_new(host):               # heavy connections gather on a server of few: by load as well
             part = host.size / mean_size
@@ -515,7 +516,7 @@
         # With many nodes a client that comes back meets one without its group's record, and each server that
         # holds any of the group pays for it: a group spread over every server keeps them all jammed. Servers
         # replaced in a release stay empty while the others jam, so fresh ones come first.
-        most = self.groups.servers(call.group, len(self.rotation.order)) if jam else None
+        most = self.groups.servers(call.group, len(self.rotation.order), self.slow_part)
         ranked = [h for h in self.rotation.ranked_for(call.group)[:most] if h.shut_until <= self.now]
         return next(filter(open_to_new, [h for h in ranked if h in self.fresh] + ranked), None)
 
@@ -531,9 +532,9 @@
                        or h.trickle or h.ceiling or self.health.slow(h, self.now)}
         up = [h for h in self.marked if h.up]
         self.fresh = {h for h in up if self.warm_up.part(h, self.now) < 1}
-        seen = [h for h in self.rotation.order if h.legs]
-        slow = sum(self.health.slow(h, self.now) for h in seen)
-        self.risk = max(0, 4 * slow / len(seen) - 2) if seen else 0
+        heard = [h for h in self.rotation.order if h.legs or self.now - h.cut_at < Ceilings.CALM]
+        slow = sum(self.health.slow(h, self.now) or self.now - h.cut_at < Ceilings.CALM for h in heard)
+        self.slow_part = slow / len(heard) if heard else 0
         # Fresh servers, held low by their cap, and those set aside would pull the mean down: the others,
         # though sound, would all seem well over it.
         self.apart = [h for h in up if h in self.fresh or not self.health.may_send(h, self.now)]
