--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -2,82 +2,21 @@
 
 How to invoke: make one `Balancer(now, begin)` for each node, pass every event to `handle(now, event)` and
 carry out the actions it returns, in order; `actions()` gives what the start itself asks for. The types of
-`begin`, the events and the actions are in cottonspread/interface.py. Times are whole microseconds of the
-front's clock. Nothing here reads a clock, a file or the network, and equal events give equal actions.
+`begin`, the events and the actions are in cottonspread/interface.py; the types a node keeps are in
+cottonspread/state.py. Times are whole microseconds of the front's clock. Nothing here reads a clock, a file
+or the network, and equal events give equal actions.
 The ordinary path of a call is `Balancer.path`. Each exception to it stands with the failure that it prevents.
 """
 from collections import Counter, OrderedDict
-from dataclasses import dataclass, field
 from zlib import crc32
 
 from cottonspread import interface as io
 from cottonspread.interface import Effect, Ending, News, State
-from cottonspread.measure import Chance, Ring
+from cottonspread.state import SECOND, Call, Chance, Host, Leg
 
-SECOND = 1_000_000
 NEVER_RAN = {Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT}
 
 
-@dataclass(eq=False)
-class Host:
-    """One server as this node knows it."""
-    name: object
-    entry: io.Entry
-    legs: dict = field(default_factory=dict)      # legs out or standing, in order of sending
-    setups: int = 0                               # of these, not yet answered
-    groups: Counter = field(default_factory=Counter)
-    load: int = 0                                 # what its legs and groups weigh here, see `Loads`
-    turn: float = 0.0                             # rotation: part of a turn saved up
-    answers: int = 0                              # since it last started
-    drawn_at: int = -60 * SECOND                  # cold: when chance was last asked for a leg to it
-    aside_until: int = 0                          # health: no leg before this
-    shut_until: int = 0                           # found not open to new keys: not looked at again before
-    trickle: int = 0                              # health: legs allowed in a trickle period; 0: no limit
-    rest: int = 0
-    delay: int = 0                                # what messages took, and when that was told
-    delay_at: int = -10 * SECOND
-    slow_from: int = 0                            # health: slow in every word since then; 0: not slow
-    hung: bool = False                            # health: seen to hang, and not yet quick again
-    ceiling: float = 0.0                          # overload: load it may hold from here; 0: no limit
-    cut_at: int = -10 * SECOND
-    sent: Ring = field(default_factory=lambda: Ring(SECOND // 4, 64))     # legs, over up to 16 s
-
-    @property
-    def size(self):
-        return max(self.entry.size, 0.01)
-
-    @property
-    def up(self):
-        return self.entry.state is State.UP
-
-
-@dataclass(eq=False)
-class Leg:
-    call: "Call"
-    number: int
-    host: Host
-    sent: int
-    told: float = 0.0                             # its load as told; 0: not told
-    load: int = 0                                 # what it weighs, see `Loads`
-    accepted: bool = False
-    moved: bool = False
-    ending: Ending = None
-
-
-@dataclass(eq=False)
-class Call:
-    id: object
-    type: io.TrafficType
-    key: object
-    group: object
-    guard: int                                    # when this try is given up by its client
-    mid_flow: bool
-    returned: bool
-    legs: list = field(default_factory=list)
-    path: object = None
-    ended: bool = False
-
-
 # Records
 
 class Records:
@@ -489,13 +428,14 @@
         def light(host):
             return not well_over(len(host.legs), mean * max(1, host.size / mean_size))
 
-        # Nothing is heard of a server that holds nothing of this node. Where most of the others are slow it goes by
-        # them: nodes with one connection on every third server else keep a whole jammed fleet full.
+        # Nothing is heard of a server that holds nothing of this node. Where most of the others are slow it goes
+        # by them: nodes with one connection on every third server else keep a whole jammed fleet full.
         blind = self.chance.below(1000) >= 1000 * (4 * self.slow_part - 2)
 
         def open_to_new(host):               # heavy connections gather on a server of few: by load as well
             part = host.size / mean_size
-            if (host.legs or blind) and light(host) and not well_over(host.load / Loads.MEAN, mean_load * part) and ready(host):
+            if ((host.legs or blind) and light(host) and ready(host)
+                    and not well_over(host.load / Loads.MEAN, mean_load * part)):
                 return True
             # In a jam all are shut: looked at for each call, two hundred servers cost it a millisecond.
             host.shut_until = self.now + SECOND // 4
@@ -534,7 +474,7 @@
         self.fresh = {h for h in up if self.warm_up.part(h, self.now) < 1}
         heard = [h for h in self.rotation.order if h.legs or self.now - h.cut_at < Ceilings.CALM]
         slow = sum(self.health.slow(h, self.now) or self.now - h.cut_at < Ceilings.CALM for h in heard)
-        self.slow_part = slow / len(heard) if heard else 0
+        self.slow_part = slow / (len(heard) + 2)      # two in doubt: one server tells little of the others
         # Fresh servers, held low by their cap, and those set aside would pull the mean down: the others,
         # though sound, would all seem well over it.
         self.apart = [h for h in up if h in self.fresh or not self.health.may_send(h, self.now)]
