--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -272,6 +272,7 @@
 class WarmUp:
     """A fresh server's cap, within this node's part of the cold budget."""
 
+    DRAWN = 2                      # times a node's part of the budget
     AT_FIRST = 4                   # set-ups in flight to a warm server before it answered any
 
     def __init__(self, cold, nodes, chance):
@@ -301,11 +302,12 @@
             return host.sent.total(now, window) < budget
         # The rule counts all nodes together, and a node cannot send part of a leg: it draws once a window
         # whether it may send one. One leg a window from each of sixty nodes pushed cold servers over, and so
-        # did parts of legs saved up: in a jam all nodes had one to send at once.
+        # did parts of legs saved up: in a jam all nodes had one to send at once. Not every node has a call in
+        # every window: drawn for at its bare part, a third of the budget was used and release days jammed.
         if now - host.drawn_at < window:
             return False
         host.drawn_at = now
-        return self.chance.below(10000) < 10000 * budget
+        return self.chance.below(10000) < 10000 * self.DRAWN * budget
 
 
 # Leg rules
@@ -449,8 +451,7 @@
         if recorded and ready(recorded) and light(recorded):
             return recorded
         # Where none fits the call is rejected at once: filling the last free server is how a jam spreads.
-        jam = self.now - self.ceilings.slow_at < Ceilings.CALM
-        if not self.shared or call.group is None or not (call.returned or jam):
+        if not self.shared or call.group is None or not (call.returned or self.slow_part):
             near = self.rotation.next(lambda h: not self.far(h) and open_to_new(h), self.now)
             return near or self.rotation.next(open_to_new, self.now)
         # With many nodes a client that comes back meets one without its group's record, and each server that
