--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -272,7 +272,7 @@
 class WarmUp:
     """A fresh server's cap, within this node's part of the cold budget."""
 
-    DRAWN = 2                      # times a node's part of the budget
+    DRAWN = 2                      # times a node's part of the budget: it seldom has a call in a window
     AT_FIRST = 4                   # set-ups in flight to a warm server before it answered any
 
     def __init__(self, cold, nodes, chance):
@@ -302,8 +302,7 @@
             return host.sent.total(now, window) < budget
         # The rule counts all nodes together, and a node cannot send part of a leg: it draws once a window
         # whether it may send one. One leg a window from each of sixty nodes pushed cold servers over, and so
-        # did parts of legs saved up: in a jam all nodes had one to send at once. Not every node has a call in
-        # every window: drawn for at its bare part, a third of the budget was used and release days jammed.
+        # did parts of legs saved up: in a jam all nodes had one to send at once.
         if now - host.drawn_at < window:
             return False
         host.drawn_at = now
@@ -600,7 +599,7 @@
                 # keep a session store jammed for good.
                 host = self.way
             if e.ending is not Ending.MOOT and self.health.bad(host, self.now):
-                self.log(host, f"{e.ending.value}, set aside for {host.rest // 1000} ms")
+                self.out.append(io.Log(f"{host.name}: {e.ending.value}, set aside for {host.rest // 1000} ms"))
         self.membership.drop_gone([leg.host])
 
     def expire(self, e):
@@ -656,16 +655,14 @@
         else:
             return
         if leaving and self.moving <= self.DEAREST_MOVE:
-            self.log(host, f"messages take {delay // 1000} ms, {'hung' if host.hung else 'overloaded'}: "
-                           f"{len(leaving)} of {len(host.legs)} asked to leave")
+            what = "hung" if host.hung else "overloaded"
+            self.out.append(io.Log(f"{host.name}: messages take {delay // 1000} ms, {what}: "
+                                   f"{len(leaving)} of {len(host.legs)} asked to leave"))
             for leg in leaving:
                 leg.moved = True
                 self.records.clear(leg.call.key, host)
                 self.out.append(io.Move(leg.call.id))
 
-    def log(self, host, text):
-        self.out.append(io.Log(f"{host.name}: {text}"))
-
     def ask(self, _=None):
         self.out.append(io.Follow())
 
