--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -429,9 +429,9 @@
         def light(host):
             return not well_over(len(host.legs), mean * max(1, host.size / mean_size))
 
-        # Nothing is heard of a server that holds nothing of this node. Where most of the others are slow it goes
-        # by them: nodes with one connection on every third server else keep a whole jammed fleet full.
-        blind = self.chance.below(1000) >= 1000 * (4 * self.slow_part - 2)
+        # Nothing is heard of a server that holds nothing of this node, so it goes by the others heard of:
+        # nodes with one connection on every third server else keep a whole jammed fleet full.
+        blind = self.chance.below(1000) >= 2500 * self.slow_part ** 2
 
         def open_to_new(host):               # heavy connections gather on a server of few: by load as well
             part = host.size / mean_size
@@ -599,7 +599,7 @@
                 # keep a session store jammed for good.
                 host = self.way
             if e.ending is not Ending.MOOT and self.health.bad(host, self.now):
-                self.out.append(io.Log(f"{host.name}: {e.ending.value}, set aside for {host.rest // 1000} ms"))
+                self.out.append(io.Log(f"{host.name}: {e.ending.value}, aside for {host.rest // 1000} ms"))
         self.membership.drop_gone([leg.host])
 
     def expire(self, e):
