--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -361,7 +361,7 @@
         self.ceilings = Ceilings(self.loads, self.chance)
         self.way = Host("way to the servers", io.Entry(None))       # what all set-ups share, a store perhaps
         self.unanswered = 0            # set-ups timed out since one was answered
-        self.calls, self.shared = {}, begin.groups_share_work and begin.nodes > 1
+        self.calls, self.nodes, self.shared = {}, begin.nodes, begin.groups_share_work and begin.nodes > 1
         self.legs = self.load = 0      # on all servers that are up
         self.looked_at, self.slow_part = -SECOND, 0
         self.marked = {}               # servers that may be fresh, set aside, slow or under a ceiling
@@ -431,7 +431,7 @@
 
         # Nothing is heard of a server that holds nothing of this node, so it goes by the others heard of:
         # nodes with one connection on every third server else keep a whole jammed fleet full.
-        blind = self.chance.below(1000) >= 2500 * self.slow_part ** 2
+        blind = self.nodes == 1 or self.chance.below(1000) >= 2500 * self.slow_part ** 2
 
         def open_to_new(host):               # heavy connections gather on a server of few: by load as well
             part = host.size / mean_size
