--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -5,11 +5,13 @@
 TIME EVENT ARGS               TIME in ms; events: list changes|full|saved|failed HOST[:WORD=VALUE[,..]] ..,
                               call ID .., open ID HOST .., accept ID LEG, done ID LEG ENDING [closed],
                               load ID N, delay ID MS, expire ID, timer TOKEN
-> ACTION ARGS                 the actions that must follow, all of them, in this order (timers and logs aside)
+> ACTION ARGS                 the actions that must follow, all of them, in this order (timers and logs aside);
+                              on a line of their own or behind their event
 >? TEXT                       an action that must be somewhere among them, none of the others minded
 A capital name stands for a host: bound where it first comes, the same after; !A is any host but that one;
 a * stands for anything.
 """
+import re
 from pathlib import Path
 
 import pytest
@@ -107,9 +109,10 @@
 @pytest.mark.parametrize("file", FILES, ids=lambda f: f.stem)
 def test_scenario(file):
     site, types, node, pending, bound = {}, [], None, [], {}
-    for number, line in enumerate(file.read_text().splitlines() + ["end"], 1):
-        words = line.split("#")[0].split()
-        where = f"{file.name}:{number}: {line}"
+    lines = [line.split("#")[0] for line in file.read_text().splitlines()] + ["end"]
+    for number, part in [(n, part) for n, line in enumerate(lines, 1) for part in re.split(r"\s+(?=>)", line)]:
+        words = part.split()
+        where = f"{file.name}:{number}: {part}"
         if not words:
             continue
         if words[0] == ">":
