--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -175,7 +175,7 @@
     FIRST_REST = SECOND            # about the longest queue that a live server clears in its set-up target
     LONGEST_REST = 8 * SECOND
     PERIOD = 3 * SECOND // 4       # with the bucket it falls in, a second
-    RUN = 3                        # set-ups timed out with no answer between: not one server's trouble
+    RUN = 3                        # servers timed out with no answer between: not the trouble of one
     OPEN_AT = 8                    # trickle that counts as no limit any more
     NOTE_LIFE = 5 * SECOND // 2    # told once a second while it lasts: two words missed, and it is over
 
@@ -360,7 +360,7 @@
         self.loads, self.warm_up = Loads(), WarmUp(begin.cold, begin.nodes, self.chance)
         self.ceilings = Ceilings(self.loads, self.chance)
         self.way = Host("way to the servers", io.Entry(None))       # what all set-ups share, a store perhaps
-        self.unanswered = 0            # set-ups timed out since one was answered
+        self.unanswered = set()        # servers whose set-ups timed out since one was answered
         self.calls, self.nodes, self.shared = {}, begin.nodes, begin.groups_share_work and begin.nodes > 1
         self.legs = self.load = 0      # on all servers that are up
         self.looked_at, self.slow_part = -SECOND, 0
@@ -573,7 +573,7 @@
     def good(self, host):
         host.answers += 1
         host.shut_until = 0
-        self.unanswered = 0
+        self.unanswered.clear()
         self.health.good(self.way)
         if not self.health.slow(host, self.now):
             self.health.good(host)
@@ -593,8 +593,8 @@
             self.records.clear(call.key, host)
             # A standing one that breaks counts too: the server is lost, or sheds load.
             self.marked[host] = None
-            self.unanswered += e.ending is Ending.TIMEOUT
-            if e.ending is Ending.TIMEOUT and self.unanswered >= Health.RUN:
+            self.unanswered |= {host} if e.ending is Ending.TIMEOUT else set()
+            if e.ending is Ending.TIMEOUT and len(self.unanswered) >= Health.RUN:
                 # No one server is to blame, but what all set-ups need: legs sent again and again by all nodes
                 # keep a session store jammed for good.
                 host = self.way
