--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -406,8 +406,6 @@
 
     def choose(self, call):
         """The recorded server, or the next of the rotation; None if no server may have it now."""
-        if not self.health.may_send(self.way, self.now):
-            return None
         self.look_at_marked()
         bearing = len(self.rotation.order) - len(self.apart)
         apart = self.apart if bearing else ()
@@ -435,8 +433,8 @@
 
         def open_to_new(host):               # heavy connections gather on a server of few: by load as well
             part = host.size / mean_size
-            if ((host.legs or blind) and light(host) and ready(host)
-                    and not well_over(host.load / Loads.MEAN, mean_load * part)):
+            if ((host.legs or blind) and light(host)
+                    and not well_over(host.load / Loads.MEAN, mean_load * part) and ready(host)):
                 return True
             # In a jam all are shut: looked at for each call, two hundred servers cost it a millisecond.
             host.shut_until = self.now + SECOND // 4
@@ -447,6 +445,8 @@
             holder = recorded or self.records.left.get(call.key)
             if holder and holder.entry.state is not State.GONE:
                 return holder                # the connection goes on there, also while the server drains
+        if not self.health.may_send(self.way, self.now):
+            return None
         if recorded and ready(recorded) and light(recorded):
             return recorded
         # Where none fits the call is rejected at once: filling the last free server is how a jam spreads.
