--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -427,13 +427,13 @@
         def light(host):
             return not well_over(len(host.legs), mean * max(1, host.size / mean_size))
 
-        # Nothing is heard of a server that holds nothing of this node, so it goes by the others heard of:
+        # Nothing is heard of a server that holds nothing of this node. Unless it is fresh it goes by the others:
         # nodes with one connection on every third server else keep a whole jammed fleet full.
         blind = self.nodes == 1 or self.chance.below(1000) >= 2500 * self.slow_part ** 2
 
         def open_to_new(host):               # heavy connections gather on a server of few: by load as well
             part = host.size / mean_size
-            if ((host.legs or blind) and light(host)
+            if ((host.legs or blind or host in self.fresh) and light(host)
                     and not well_over(host.load / Loads.MEAN, mean_load * part) and ready(host)):
                 return True
             # In a jam all are shut: looked at for each call, two hundred servers cost it a millisecond.
@@ -457,8 +457,9 @@
         # holds any of the group pays for it: a group spread over every server keeps them all jammed. Servers
         # replaced in a release stay empty while the others jam, so fresh ones come first.
         most = self.groups.servers(call.group, len(self.rotation.order), self.slow_part)
-        ranked = [h for h in self.rotation.ranked_for(call.group)[:most] if h.shut_until <= self.now]
-        return next(filter(open_to_new, [h for h in ranked if h in self.fresh] + ranked), None)
+        ranked = self.rotation.ranked_for(call.group)
+        ranked = [h for h in ranked if h in self.fresh] + ranked[:most]
+        return next((h for h in ranked if h.shut_until <= self.now and open_to_new(h)), None)
 
     def look_at_marked(self):
         """Which servers are fresh, and which do not count in the mean; looked at four times a second."""
@@ -475,8 +476,7 @@
         heard = [h for h in self.rotation.order if h.legs or self.now - h.cut_at < Ceilings.CALM]
         slow = sum(self.health.slow(h, self.now) or self.now - h.cut_at < Ceilings.CALM for h in heard)
         self.slow_part = slow / (len(heard) + 2)      # two in doubt: one server tells little of the others
-        # Fresh servers, held low by their cap, and those set aside would pull the mean down: the others,
-        # though sound, would all seem well over it.
+        # Fresh ones and those set aside would pull the mean down: sound ones would all seem well over it.
         self.apart = [h for h in up if h in self.fresh or not self.health.may_send(h, self.now)]
 
     def far(self, host):
