--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -272,7 +272,7 @@
 class WarmUp:
     """A fresh server's cap, within this node's part of the cold budget."""
 
-    DRAWN = 2                      # times a node's part of the budget: it seldom has a call in a window
+    DRAWN = 1.5                    # times a node's part of the budget: it seldom has a call in a window
     AT_FIRST = 4                   # set-ups in flight to a warm server before it answered any
 
     def __init__(self, cold, nodes, chance):
@@ -427,8 +427,8 @@
         def light(host):
             return not well_over(len(host.legs), mean * max(1, host.size / mean_size))
 
-        # Nothing is heard of a server that holds nothing of this node. Unless it is fresh it goes by the others:
-        # nodes with one connection on every third server else keep a whole jammed fleet full.
+        # Nothing is heard of a server that holds nothing of this node. Unless fresh it goes by the others, or
+        # nodes with one connection on every third server keep a whole jammed fleet full.
         blind = self.nodes == 1 or self.chance.below(1000) >= 2500 * self.slow_part ** 2
 
         def open_to_new(host):               # heavy connections gather on a server of few: by load as well
