--- /dev/null
+++ b/cottonspread/__main__.py
@@ -0,0 +1,4 @@
+"""The main program."""
+from cottonspread.cli import main
+
+raise SystemExit(main())
--- /dev/null
+++ b/cottonspread/cli.py
@@ -0,0 +1,81 @@
+"""The command line."""
+import argparse
+import errno
+import os
+import signal
+import sys
+
+from cottonspread import config
+from cottonspread.net import discovery, logfmt
+from cottonspread.net.node import Node, most_ends
+
+
+def version():
+    from importlib import metadata
+    try:
+        return metadata.version("cottonspread")
+    except metadata.PackageNotFoundError:
+        return "0.2.0"
+
+
+def read(path):
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, UnicodeDecodeError) as fault:
+        raise config.Senseless(f"configuration: {path}: {fault}") from fault
+    parts = config.read_node(text, os.environ)
+    try:
+        discovery.read_list(parts[-1], parts[2])
+    except discovery.BadList as fault:
+        raise config.Senseless(f"known: {fault}") from fault
+    return parts
+
+
+def serve(path):
+    parts = read(path)
+    logfmt.start(parts[0].name)
+    node = Node(*parts)
+    try:
+        node.start()
+    except OSError as fault:
+        where = "%s:%d" % parts[0].listen
+        what = "address in use" if fault.errno == errno.EADDRINUSE else fault.strerror or fault
+        print(f"cottonspread: listen: {where}: {what}", file=sys.stderr)
+        return 1
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: node.stop())
+    while not node.join(0.5):
+        pass
+    return 0
+
+
+def check(path):
+    place, room, names, _, begin, known = read(path)
+    print(f"{place.name}: listens on {place.listen[0]}:{place.listen[1]}, "
+          f"discovery at {place.discovery[0]}:{place.discovery[1]}")
+    print(f"{len(names.types)} traffic types, node {begin.me} of {begin.nodes}, "
+          f"{len(known['instances'])} servers known, room for {most_ends(room)} connections")
+    return 0
+
+
+def main(arguments=None):
+    parser = argparse.ArgumentParser(prog="cottonspread", description="A balancer for long-lived connections.")
+    commands = parser.add_subparsers(dest="command", required=True)
+    for name, what in (("serve", "run one node in the foreground"), ("check", "read the configuration and say "
+                       "what a node would do with it")):
+        command = commands.add_parser(name, help=what)
+        command.add_argument("--config", default=os.environ.get("PROXY_CONFIG"),
+                             help="the configuration file; without it, $PROXY_CONFIG")
+    commands.add_parser("version", help="print the version")
+    given = parser.parse_args(arguments)
+    if given.command == "version":
+        print(f"cottonspread {version()}")
+        return 0
+    try:
+        if not given.config:
+            raise config.Senseless("configuration: no file named: give --config or set PROXY_CONFIG")
+        return {"serve": serve, "check": check}[given.command](given.config)
+    except config.Senseless as fault:
+        print(f"cottonspread: {fault}", file=sys.stderr)
+        return 2
--- /dev/null
+++ b/cottonspread/config.py
@@ -0,0 +1,199 @@
+"""The one place where configuration is read, checked and given defaults; every fault names its key.
+
+`read_begin` reads the settings of a node, for the drill and for the real node alike. `read_node` reads what a
+real node is told: a JSON file, in which `name`, `listen` and `discovery` may be left to the environment
+(PROXY_NAME, PROXY_LISTEN, PROXY_DISCOVERY). Times in the files are milliseconds, here whole microseconds.
+"""
+import json
+from dataclasses import dataclass
+
+from cottonspread import interface as i
+
+EFFECTS = {"safe": i.Effect.REPEATABLE, "keyed": i.Effect.REFERENCED, "unsafe": i.Effect.ONCE_ONLY}
+SCOPES = ("all", "zone", "cell")
+MODES = ("push", "ask")
+MISSING = object()
+
+
+class Senseless(ValueError):
+    """Configuration under which no node can run; the message begins with the key."""
+
+
+def micros(value):
+    value = float(value)
+    if not abs(value) < 1e15:
+        raise ValueError(f"time out of range: {value}")
+    return round(value * 1000)
+
+
+class Keys:
+    """One JSON object with the path that leads to it. A value that is null counts as absent."""
+
+    def __init__(self, values, path):
+        if not isinstance(values, dict):
+            raise Senseless(f"{path}: not an object")
+        self.values, self.path = {k: v for k, v in values.items() if v is not None}, path
+
+    def at(self, key):
+        return f"{self.path}.{key}" if self.path else key
+
+    def take(self, key, default, what, read):
+        value = self.values.get(key, default)
+        if value is MISSING:
+            raise Senseless(f"{self.at(key)}: missing")
+        try:
+            return read(value)
+        except (TypeError, ValueError, OverflowError, KeyError, AttributeError) as fault:
+            raise Senseless(f"{self.at(key)}: {value!r} is not {what}") from fault
+
+    def whole(self, key, default=MISSING, least=0):
+        def read(value):
+            if isinstance(value, str) or int(value) < least:
+                raise ValueError
+            return int(value)
+        return self.take(key, default, f"a whole number of at least {least}", read)
+
+    def number(self, key, default=MISSING):
+        def read(value):
+            if not 0 <= float(value) < 1e15:
+                raise ValueError
+            return float(value)
+        return self.take(key, default, "a number of at least 0", read)
+
+    def span(self, key, default=MISSING):
+        return round(self.number(key, default) * 1000)
+
+    def flag(self, key, default=False):
+        return self.take(key, default, "true or false", lambda v: {True: True, False: False}[v])
+
+    def text(self, key, default=MISSING):
+        def read(value):
+            if not isinstance(value, str) or not value:
+                raise ValueError
+            return value
+        return self.take(key, default, "a text", read)
+
+    def choice(self, key, default, among):
+        return self.take(key, default, "one of " + ", ".join(among), lambda v: among[list(among).index(v)]
+                         if not isinstance(among, dict) else among[v])
+
+    def address(self, key, default=MISSING):
+        def read(value):
+            host, _, port = value.rpartition(":")
+            if not host or not 0 <= int(port) <= 65535:
+                raise ValueError
+            return host, int(port)
+        return self.take(key, default, "an address as HOST:PORT", read)
+
+    def part(self, key, default=MISSING):
+        return Keys(self.take(key, {} if default is MISSING else default, "an object", dict), self.at(key))
+
+    def parts(self, key):
+        listed = self.take(key, [], "a list", self.listed)
+        return [Keys(v, f"{self.at(key)}[{n}]") for n, v in enumerate(listed)]
+
+    def plain(self, key, read):
+        """A list of bare values."""
+        return self.take(key, [], "a list of " + read.__name__, lambda v: [read(x or 0) for x in self.listed(v)])
+
+    @staticmethod
+    def listed(value):
+        if not isinstance(value, list):
+            raise TypeError
+        return value
+
+
+def parse(text, what):
+    try:
+        return json.loads(text)
+    except ValueError as fault:
+        raise Senseless(f"{what}: no JSON: {fault}") from fault
+
+
+def read_type(t, message_target):
+    return i.TrafficType(
+        t.text("Name", "any"), t.choice("Effect", "unsafe", EFFECTS), t.choice("KeyScope", "cell", SCOPES),
+        t.span("KeyTtl", 0), t.span("SetupTarget"), t.span("GuardTime"), t.number("Revenue", 1), message_target)
+
+
+def read_begin(settings, seed, path="settings"):
+    """The settings of a node, as JSON already parsed; refuses those that make no sense."""
+    c = Keys(settings, path)
+    limits, rules, costs, kind = (c.part(k) for k in ("Limits", "Rules", "Costs", "FamilyInfo"))
+    targets = kind.plain("MessageAim", float)
+    quotas = kind.plain("TenantQuotaConnections", float)
+    types = tuple(read_type(t, micros(targets[n]) if n < len(targets) else 0)
+                  for n, t in enumerate(c.parts("TrafficTypes")))
+    if not types:
+        raise Senseless(f"{c.at('TrafficTypes')}: names no traffic type")
+    tenants = tuple(i.Tenant(t.text("Name", str(n)), t.number("Share", 0), t.number("AllowancePerS", 0),
+                             quotas[n] if n < len(quotas) else 0.0) for n, t in enumerate(c.parts("Orgs")))
+    return i.Begin(
+        seed, c.whole("Me", 0), c.whole("Balancers", 1, least=1), c.whole("Zone", 0), c.span("Step", 1),
+        types, tenants,
+        i.LegLimits(limits.whole("MostLegs", 1), limits.flag("MayDuplicate"), limits.flag("Cancel"),
+                    limits.flag("RetryAfter"), limits.span("MaxRetryAfter", 0)),
+        i.ColdStart(rules.number("ColdFrom", 1), rules.span("RampTime", 0), rules.number("TipMultiple", 1),
+                    rules.span("OverloadFor", 0)),
+        i.ListRules(c.choice("MembershipMode", "push", MODES) == "ask", rules.span("AskEvery", 0),
+                    rules.span("DrainGrace", 0)),
+        i.Prices(*(costs.number(k, 0) for k in ("CrossZone", "Moves", "Probe", "Peer"))),
+        limits.flag("Probes"), limits.flag("PeerMessages"), kind.flag("Groups"))
+
+
+# A real node
+
+@dataclass(frozen=True)
+class Place:
+    """Where the node is."""
+    name: str
+    listen: tuple
+    discovery: tuple
+
+
+@dataclass(frozen=True)
+class Room:
+    """What the node may use."""
+    memory_mb: int
+    sockets: int
+
+
+@dataclass(frozen=True)
+class Names:
+    """What the protocol calls by name and the module by number."""
+    types: dict
+    zones: dict
+    kinds: dict
+    tenants: dict
+
+
+@dataclass(frozen=True)
+class Hearing:
+    """What hosts tell on their connections, and how long one may take to come up."""
+    connect_wait: int
+    loads: bool
+    delays: bool
+
+
+def numbered(names):
+    return {name: n for n, name in enumerate(names)}
+
+
+def read_node(text, environment):
+    """What a node is told, as parts: (Place, Room, Names, Hearing, Begin, known list as JSON)."""
+    whole = Keys(parse(text, "configuration"), "")
+    place = Place(*(read(key, environment.get("PROXY_" + key.upper()) or MISSING)
+                    for key, read in (("name", whole.text), ("listen", whole.address),
+                                      ("discovery", whole.address))))
+    limits = whole.part("limits")
+    room = Room(limits.whole("memory_mb", 192, least=32), limits.whole("sockets", 1024, least=64))
+    seed = whole.take("seed", "0", "a number in hexadecimal", lambda v: int(v, 16))
+    settings = whole.part("settings")
+    begin = read_begin(settings.values, seed)
+    names = Names(numbered(t.name for t in begin.types), numbered(settings.plain("Zones", str)),
+                  numbered(settings.plain("Kinds", str)), numbered(t.name for t in begin.tenants))
+    kind = settings.part("FamilyInfo")
+    hearing = Hearing(settings.part("Limits").span("ConnectTimeout", 250), kind.flag("TellsLoad"),
+                      kind.flag("TellsDelay"))
+    known = whole.part("known", {"generation": 0, "reset": True, "instances": []}).values
+    return place, room, names, hearing, begin, known
--- a/cottonspread/drill/codec.py
+++ b/cottonspread/drill/codec.py
@@ -1,12 +1,12 @@
 """Between the drill's lines of text and the types of `cottonspread.interface`. No decisions here."""
 import base64
-import json
 
+from cottonspread import config
 from cottonspread import interface as i
+from cottonspread.config import micros
 
 ENDINGS = {0: i.Ending.OK, 5: i.Ending.ERROR, 11: i.Ending.FULL, 110: i.Ending.TIMEOUT,
            111: i.Ending.CONNECT_FAILED, 104: i.Ending.RESET, 125: i.Ending.CANCELLED, 114: i.Ending.MOOT}
-EFFECTS = {"safe": i.Effect.REPEATABLE, "keyed": i.Effect.REFERENCED, "unsafe": i.Effect.ONCE_ONLY}
 STATES = {"up": i.State.UP, "draining": i.State.DRAINING, "removed": i.State.GONE}
 NEWS = {"update": i.News.CHANGES, "replace": i.News.FULL, "restored": i.News.SAVED,
         "unavailable": i.News.FAILED}
@@ -19,17 +19,6 @@
     """A line that cannot be understood; the rest of its batch can."""
 
 
-class Senseless(ValueError):
-    """Settings under which no node can run."""
-
-
-def micros(text):
-    value = float(text)
-    if not abs(value) < 1e15:
-        raise ValueError("time out of range: " + text)
-    return round(value * 1000)
-
-
 def millis(value):
     return f"{value / 1000:.3f}"
 
@@ -108,51 +97,8 @@
         raise Unreadable(f"view: {fault!r}") from fault
 
 
-def without_nulls(pairs):
-    """A value that is null counts as absent."""
-    return {k: v for k, v in pairs if v is not None}
-
-
 def read_begin(fields):
-    """The settings of a node; refuses those that make no sense."""
-    try:
-        c = json.loads(fields["Config"], object_pairs_hook=without_nulls)
-        limits, rules, costs, kind = (c.get(k, {}) for k in ("Limits", "Rules", "Costs", "FamilyInfo"))
-        targets, quotas = ([x or 0 for x in kind.get(k, [])]
-                           for k in ("MessageAim", "TenantQuotaConnections"))
-        types = tuple(i.TrafficType(
-            t.get("Name", str(n)), EFFECTS[t.get("Effect", "unsafe")], t.get("KeyScope", "cell"),
-            micros(t.get("KeyTtl", 0)), micros(t["SetupTarget"]), micros(t["GuardTime"]),
-            float(t.get("Revenue", 1)), micros(targets[n]) if n < len(targets) else 0)
-            for n, t in enumerate(c.get("TrafficTypes", [])))
-        tenants = tuple(i.Tenant(
-            t.get("Name", str(n)), float(t.get("Share", 0)), float(t.get("AllowancePerS", 0)),
-            float(quotas[n]) if n < len(quotas) else 0.0) for n, t in enumerate(c.get("Orgs") or []))
-        begin = i.Begin(
-            int(fields.get("RngSeed", 0)), int(c.get("Me", 0)), int(c.get("Balancers", 1)),
-            int(c.get("Zone", 0)), micros(c.get("Step", 1)), types, tenants,
-            i.LegLimits(int(limits.get("MostLegs", 1)), bool(limits.get("MayDuplicate", False)),
-                        bool(limits.get("Cancel", False)), bool(limits.get("RetryAfter", False)),
-                        micros(limits.get("MaxRetryAfter", 0))),
-            i.ColdStart(float(rules.get("ColdFrom", 1)), micros(rules.get("RampTime", 0)),
-                        float(rules.get("TipMultiple", 1)), micros(rules.get("OverloadFor", 0))),
-            i.ListRules(c.get("MembershipMode", "push") == "ask", micros(rules.get("AskEvery", 0)),
-                        micros(rules.get("DrainGrace", 0))),
-            i.Prices(*(float(costs.get(k, 0)) for k in ("CrossZone", "Moves", "Probe", "Peer"))),
-            bool(limits.get("Probes", False)), bool(limits.get("PeerMessages", False)),
-            bool(kind.get("Groups", False)))
-    except (KeyError, ValueError, TypeError, AttributeError) as fault:
-        raise Senseless(f"settings cannot be read: {fault!r}") from fault
-    spans = [begin.tick, begin.legs.longest_advice, begin.cold.warm_after, begin.cold.window,
-             begin.listing.ask_every, begin.listing.drain_grace]
-    spans += [s for t in types for s in (t.setup_target, t.guard_time, t.remembered_for, t.message_target)]
-    if not types:
-        raise Senseless("settings name no traffic types")
-    if min(spans) < 0:
-        raise Senseless("settings hold a negative time")
-    if begin.nodes < 1 or begin.legs.most_legs < 0:
-        raise Senseless("settings hold a count that cannot be")
-    return begin
+    return config.read_begin(config.parse(fields.get("Config", ""), "settings"), int(fields.get("RngSeed", 0)))
 
 
 def write(a):
--- a/cottonspread/drill/hosting.py
+++ b/cottonspread/drill/hosting.py
@@ -2,6 +2,7 @@
 import sys
 import traceback
 
+from cottonspread.config import Senseless, micros
 from cottonspread.decide import Balancer
 from cottonspread.drill import codec
 from cottonspread.interface import Arrived
@@ -23,7 +24,7 @@
     def answer(self, clock, lines):
         """The reply to one batch, as lines."""
         try:
-            now, serial = codec.micros(clock["Now"]), clock["serial"]
+            now, serial = micros(clock["Now"]), clock["serial"]
         except (KeyError, ValueError) as wrong:
             raise BrokenFraming(f"clock line without a readable time or number: {wrong!r}") from wrong
         replies, node, spoke, at = [], None, None, 0
@@ -56,7 +57,7 @@
         if name == "begin":
             try:
                 self.nodes[node] = Balancer(now, codec.read_begin(fields))
-            except codec.Senseless as wrong:
+            except Senseless as wrong:
                 self.complain(str(wrong))
                 return [fault(str(wrong))]
             return [codec.write(a) for a in self.nodes[node].actions()]
--- /dev/null
+++ b/cottonspread/net/discovery.py
@@ -0,0 +1,90 @@
+"""Discovery: the list of servers and the watch on it, in a thread of its own."""
+import json
+import logging
+import threading
+import time
+
+from cottonspread import interface as io
+from cottonspread.net import events
+from cottonspread.net.http import BadAnswer, Http
+
+log = logging.getLogger("cottonspread.discovery")
+
+STATES = {"Ready": io.State.UP, "Terminating": io.State.DRAINING, "Gone": io.State.GONE}
+
+
+class BadList(ValueError):
+    """An answer that is no list of servers."""
+
+
+def read_list(said, names, news=None):
+    """An answer as JSON: (version, Listed, addresses by server)."""
+    try:
+        version, entries, addresses = int(said["generation"]), [], {}
+        news = news or (io.News.FULL if said["reset"] else io.News.CHANGES)
+        for one in said["instances"]:
+            name, (host, _, port) = str(one["instanceId"]), str(one["hostPort"]).rpartition(":")
+            if not host or not 0 < int(port) < 65536:
+                raise ValueError(f"address of {name}")
+            # A server in a zone that the settings don't name is far from every node.
+            entries.append(io.Entry(
+                name, names.zones.get(one.get("zone"), -1), names.kinds.get(one.get("machineType"), -1),
+                float(one.get("weight", 1)), int(one.get("cell", 0)),
+                round(float(one.get("startedAtMs", 0)) * 1000), STATES[one["lifecycle"]]))
+            addresses[name] = host, int(port)
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as fault:
+        raise BadList(f"{type(fault).__name__}: {fault}") from fault
+    return version, io.Listed(news, version, tuple(entries)), addresses
+
+
+class Discovery:
+    """Follows the list and posts what it tells; a call that fails or hangs costs a pause and no entry."""
+    WATCH_MS = 4000                # a watch that hangs is given up this and the spare after it was begun
+    SPARE = 1.5
+    PAUSE, LONGEST_PAUSE = 0.05, 1.0
+    LOWER = 3                      # whole lists in a row with a lower version: discovery itself began anew
+
+    def __init__(self, address, names, post, version):
+        self.http, self.names, self.post = Http(address, 1.0), names, post
+        self.version, self.whole, self.lower, self.failures = version, True, 0, 0
+        self.wanted, self.stopped = threading.Event(), False
+
+    def run(self):
+        while not self.stopped:
+            self.wanted.wait()
+            if self.stopped:
+                break
+            try:
+                self.once()
+                self.failures = 0
+            except (OSError, BadAnswer, BadList, ValueError) as fault:
+                self.failures += 1
+                if self.failures in (1, 10, 100):
+                    log.warning("discovery-fails", extra={"pairs": {"why": fault, "times": self.failures}})
+                self.post(events.ListFailed())
+                time.sleep(min(self.PAUSE * 2 ** min(self.failures, 10), self.LONGEST_PAUSE))
+        self.http.close()
+
+    def once(self):
+        if self.whole:
+            path, wait = "/api/targets", 2.0
+        else:
+            path = f"/api/targets?since={self.version}&timeout_ms={self.WATCH_MS}"
+            wait = self.WATCH_MS / 1000 + self.SPARE
+        version, listed, addresses = read_list(json.loads(self.http.get(path, wait)), self.names)
+        full = listed.news is io.News.FULL
+        if version < self.version:
+            # An old answer must not bring back what is gone; only discovery begun anew says it again and again.
+            self.whole, self.lower = True, self.lower + full
+            if self.lower < self.LOWER:
+                raise BadList(f"version {version} after {self.version}")
+        elif version == self.version and not self.whole:
+            return                           # nothing new
+        elif self.whole and not full:
+            raise BadList("changes where the whole list was asked")
+        self.version, self.whole, self.lower = version, False, 0
+        self.post(events.Heard(listed, addresses))
+
+    def stop(self):
+        self.stopped = True
+        self.wanted.set()
--- /dev/null
+++ b/cottonspread/net/events.py
@@ -0,0 +1,133 @@
+"""What the workers tell the reducer (events) and what it asks of them (effects). Types only."""
+from dataclasses import dataclass
+
+from cottonspread import interface as io
+
+
+@dataclass(eq=False, slots=True)
+class End:
+    """One end of a connection, a client's or a host's, as the reducer knows it."""
+    client: bool
+    conn: object = None            # the connection it belongs to
+    leg: object = None             # of a host's end: its leg
+    worker: object = None          # the workers' own, not the reducer's
+    reading: bool = False          # an order to read is out
+    writing: int = 0               # when the order to write that is out was given; 0: none is
+    closing: int = 0               # when it was closed from here; 0: it is not
+    finish: bool = False           # to be closed once what is being written is out
+    over: bool = False             # nothing more comes from it
+    freed: bool = False
+
+
+# Events
+
+@dataclass(frozen=True, slots=True)
+class Came:
+    """A client has connected."""
+    end: End
+
+
+@dataclass(frozen=True, slots=True)
+class Connected:
+    end: End
+    ok: bool
+    why: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Got:
+    """Whole lines, as they came."""
+    end: End
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    end: End
+    ok: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Over:
+    """Nothing more comes: the other side ended ("end"), broke ("reset") or sent what is no line."""
+    end: End
+    how: str
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """Discovery has spoken."""
+    listed: io.Listed
+    addresses: dict
+
+
+@dataclass(frozen=True, slots=True)
+class ListFailed:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class StopAsked:
+    """SIGTERM."""
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Only time has passed."""
+
+
+# Effects
+
+@dataclass(frozen=True, slots=True)
+class Connect:
+    end: End
+    address: tuple
+    wait: int
+
+
+@dataclass(frozen=True, slots=True)
+class Read:
+    end: End
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    end: End
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """End the sending; the other side is read until it ends too."""
+    end: End
+
+
+@dataclass(frozen=True, slots=True)
+class Cut:
+    """End both directions now; `broken` as a reset."""
+    end: End
+    broken: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Free:
+    """Give the socket back: nothing is out on this end any more."""
+    end: End
+
+
+@dataclass(frozen=True, slots=True)
+class FollowList:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Say:
+    """A log line."""
+    event: str
+    pairs: dict
+    level: str = "info"
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """The node is done."""
--- /dev/null
+++ b/cottonspread/net/http.py
@@ -0,0 +1,125 @@
+"""A small HTTP/1.1 client for one address: GET only, answers bounded in size and time."""
+import socket
+import time
+
+MOST_HEAD, MOST_BODY = 16 * 1024, 8 * 1024 * 1024
+
+
+class BadAnswer(ValueError):
+    """What came back is no HTTP answer that can be used."""
+
+
+class Http:
+    """Keeps its connection from one call to the next where the other side allows it."""
+
+    def __init__(self, address, connect_wait):
+        self.address, self.connect_wait = address, connect_wait
+        self.sock, self.rest, self.until = None, b"", 0.0
+
+    def close(self):
+        if self.sock is not None:
+            self.sock.close()
+        self.sock, self.rest = None, b""
+
+    def get(self, path, wait):
+        """The body of the answer, within `wait` seconds for all of it; OSError or BadAnswer if there is none."""
+        kept = self.sock is not None
+        try:
+            try:
+                return self.call(path, wait)
+            except (ConnectionError, BadAnswer):
+                # Only a kept connection may have been closed in the meantime, which tells nothing.
+                if not kept or self.sock is None or self.rest:
+                    raise
+                self.close()
+                return self.call(path, wait)
+        except (OSError, BadAnswer):
+            self.close()
+            raise
+
+    def call(self, path, wait):
+        self.until = time.monotonic() + wait
+        if self.sock is None:
+            self.sock = socket.create_connection(self.address, timeout=min(wait, self.connect_wait))
+            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        host = "%s:%d" % self.address
+        self.sock.sendall(f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode())
+        status, headers = self.head()
+        while 100 <= status < 200:
+            status, headers = self.head()
+        keep = headers.get("connection", "").lower() != "close"
+        body, keep = self.body(headers, keep)
+        if not keep:
+            self.close()
+        if status != 200:
+            raise BadAnswer(f"status {status}")
+        return body
+
+    def more(self):
+        left = self.until - time.monotonic()
+        if left <= 0:
+            raise TimeoutError("the answer takes too long")
+        self.sock.settimeout(left)
+        got = self.sock.recv(65536)
+        self.rest += got
+        return bool(got)
+
+    def line(self, most):
+        while (end := self.rest.find(b"\n")) < 0:
+            if len(self.rest) > most or not self.more():
+                raise BadAnswer("cut off or too long in its head")
+        line, self.rest = self.rest[:end].rstrip(b"\r"), self.rest[end + 1:]
+        return line
+
+    def head(self):
+        words = self.line(MOST_HEAD).split(None, 2)
+        if len(words) < 2 or not words[0].startswith(b"HTTP/1.") or not words[1].isdigit():
+            raise BadAnswer("no status line")
+        headers, size = {}, 0
+        if words[0] == b"HTTP/1.0":
+            headers["connection"] = "close"
+        while line := self.line(MOST_HEAD):
+            size += len(line)
+            name, colon, value = line.decode("latin-1").partition(":")
+            if not colon or size > MOST_HEAD:
+                raise BadAnswer("headers cannot be read")
+            headers[name.strip().lower()] = value.strip()
+        return int(words[1]), headers
+
+    def exactly(self, count):
+        if count > MOST_BODY:
+            raise BadAnswer("body too large")
+        while len(self.rest) < count:
+            if not self.more():
+                raise BadAnswer("body cut off")
+        taken, self.rest = self.rest[:count], self.rest[count:]
+        return taken
+
+    def body(self, headers, keep):
+        if headers.get("transfer-encoding", "").lower() == "chunked":
+            return self.chunks(), keep
+        if "content-length" in headers:
+            if not headers["content-length"].isdigit():
+                raise BadAnswer("length cannot be read")
+            return self.exactly(int(headers["content-length"])), keep
+        while self.more():                   # up to the end of the connection
+            if len(self.rest) > MOST_BODY:
+                raise BadAnswer("body too large")
+        return self.rest, False
+
+    def chunks(self):
+        parts, size = [], 0
+        while True:
+            try:
+                count = int(self.line(1024).split(b";")[0], 16)
+            except ValueError:
+                raise BadAnswer("chunk size cannot be read") from None
+            size += count
+            if count < 0 or size > MOST_BODY:
+                raise BadAnswer("body too large")
+            if not count:
+                while self.line(MOST_HEAD):
+                    pass
+                return b"".join(parts)
+            parts.append(self.exactly(count))
+            self.line(1024)
--- /dev/null
+++ b/cottonspread/net/lines.py
@@ -0,0 +1,124 @@
+"""The protocol's lines: gathered from a socket, parsed, written. Its own words stay in this file."""
+import re
+import time
+from dataclasses import dataclass
+
+from cottonspread.interface import Ending
+
+PING, PONG, ERR, MOVE, BYE = b"PING", b"PONG\r\n", b"ERR\r\n", b"MOVE\r\n", b"BYE"
+ENDINGS = {b"BYE": Ending.OK, b"MOVE": Ending.CANCELLED, b"BUSY": Ending.FULL}
+WORD = re.compile(r"[!-~]{1,64}")
+
+
+class BadLine(ValueError):
+    """What came is no line of the protocol; its text is the reason code."""
+
+
+class Gatherer:
+    """Whole lines from a socket. Holds a buffer only while there is something in it."""
+
+    def __init__(self, sock, pool, half_line_wait):
+        self.sock, self.pool, self.wait = sock, pool, half_line_wait
+        self.buffer, self.filled, self.since = None, 0, 0.0
+
+    def lines(self):
+        """All whole lines that are there, at least one, as they came; b"" at the end of the connection."""
+        while True:
+            try:
+                if self.buffer is None:
+                    if not self.sock.recv(1, 0x2):              # MSG_PEEK: an idle connection holds no buffer
+                        return b""
+                    self.buffer, self.since = self.pool.take(), time.monotonic()
+                got = self.sock.recv_into(memoryview(self.buffer)[self.filled:])
+            except BlockingIOError:                             # the socket's own time-out has passed
+                if self.buffer is None or time.monotonic() - self.since < self.wait:
+                    continue
+                raise BadLine("half-line") from None
+            if not got:
+                raise BadLine("half-line")
+            self.filled += got
+            end = self.buffer.rfind(b"\n", 0, self.filled) + 1
+            if end:
+                whole = bytes(memoryview(self.buffer)[:end])
+                self.filled -= end
+                if self.filled:
+                    self.buffer[:self.filled] = self.buffer[end:end + self.filled]
+                    self.since = time.monotonic()
+                else:
+                    self.drop()
+                return whole
+            if self.filled == len(self.buffer):
+                raise BadLine("long-line")
+
+    def drop(self):
+        if self.buffer is not None:
+            self.pool.give(self.buffer)
+            self.buffer, self.filled = None, 0
+
+
+@dataclass(frozen=True)
+class Opening:
+    """A client's first line."""
+    line: bytes                    # as it came
+    id: str
+    type: int
+    wait: int                      # how long the client waits for an answer; 0: not told
+    key: str = None
+    group: str = None
+    tenant: int = 0
+    load: float = 0.0
+    returned: bool = False
+    held_by: str = None
+
+
+def read_opening(line, types, tenants, grouped):
+    """`OPEN ID KEY NAME=VALUE,..` with the numbers that the module gives names; BadLine with its reason."""
+    try:
+        words = line.rstrip(b"\r\n").decode("ascii").split(" ")
+    except UnicodeDecodeError:
+        raise BadLine("garbled") from None
+    if len(words) != 4 or words[0] != "OPEN" or not all(WORD.fullmatch(w) for w in words[1:3]):
+        raise BadLine("garbled")
+    pairs = dict(part.partition("=")[::2] for part in words[3].split(","))
+    if "c" not in pairs or not ("d" in pairs or "at" in pairs):
+        raise BadLine("lacks-field")
+    if pairs["c"] not in types:
+        raise BadLine("unknown-type")
+    try:
+        wait = int(pairs.get("d", 0)) * 1000
+        load = float(pairs.get("h", 0))
+        tenant = pairs.get("t", "0")
+        tenant = tenants[tenant] if tenant in tenants else int(tenant)
+    except ValueError:
+        raise BadLine("garbled") from None
+    if wait < 0 or not 0 <= load < 1e15:
+        raise BadLine("garbled")
+    who = pairs.get("g")
+    return Opening(line, words[1], types[pairs["c"]], wait, words[2], who if grouped else None, tenant, load,
+                   pairs.get("again") == "1", pairs.get("at"))
+
+
+def onward(line, wait):
+    """The first line as a host gets it: `d` tells how long this node will wait."""
+    return re.sub(rb"(?<=[ ,])d=\d+", b"d=%d" % max(1, wait // 1000), line, count=1)
+
+
+def busy(come_back):
+    return b"BUSY %d\r\n" % (come_back // 1000) if come_back else b"BUSY\r\n"
+
+
+def read_answer(line):
+    """A host's first line: None if the connection is up, else how the leg ended."""
+    word = line.split(None, 1)[0] if line.strip() else b""
+    return None if word == b"UP" else ENDINGS.get(word, Ending.ERROR)
+
+
+def read_load(line):
+    """The load that a host's line tells; None for any other line."""
+    if not line.startswith(b"LOAD "):
+        return None
+    try:
+        load = float(line[5:])
+    except ValueError:
+        return None
+    return load if 0 <= load < 1e15 else None
--- /dev/null
+++ b/cottonspread/net/node.py
@@ -0,0 +1,125 @@
+"""A node: the reducer, the workers, discovery and the listening socket put together. It can be embedded."""
+import errno
+import logging
+import queue
+import socket
+import threading
+import time
+
+from cottonspread.interface import News
+from cottonspread.net import discovery, lines, workers
+from cottonspread.net import events as ev
+from cottonspread.net.pool import Pool
+from cottonspread.net.reducer import Reducer
+
+log = logging.getLogger("cottonspread.node")
+
+QUEUE = 4096                       # events; workers wait when it is full
+BACKLOG = 1024
+SPARE_ENDS = 32                    # descriptors for the listener, discovery, logs, and to turn clients away with
+BASE_MB, END_KB = 48, 64           # measured: docs/design.md
+
+
+class Clock:
+    """Unix time in microseconds that never goes back."""
+
+    def __init__(self):
+        self.offset = time.time() - time.monotonic()
+
+    def now(self):
+        return int((time.monotonic() + self.offset) * 1_000_000)
+
+
+def most_ends(room):
+    """How many connections, clients' and hosts', fit into descriptors and memory."""
+    return max(2, min(room.sockets - SPARE_ENDS, (room.memory_mb - BASE_MB) * 1024 // END_KB))
+
+
+class Node:
+    """`start` returns once the node listens; `stop` asks it to end its work; `join` waits until it has."""
+
+    def __init__(self, place, room, names, hearing, begin, known):
+        self.place, self.clock = place, Clock()
+        self.events, self.done = queue.Queue(QUEUE), threading.Event()
+        self.most = most_ends(room)
+        self.workers = workers.Workers(Pool(), self.post)
+        version, listed, addresses = discovery.read_list(known, names, News.SAVED)
+        self.discovery = discovery.Discovery(place.discovery, names, self.post, version)
+        self.reducer = Reducer(self.clock.now(), begin, names, hearing, self.most)
+        self.post(ev.Heard(listed, addresses))
+        self.listener, self.clients = None, 0
+
+    def post(self, event):
+        self.events.put(event)
+
+    def start(self):
+        self.listener = socket.create_server(self.place.listen, backlog=BACKLOG)
+        self.workers.start()
+        for target in (self.loop, self.discovery.run, self.accept):
+            threading.Thread(target=target, name=target.__qualname__, daemon=True).start()
+        log.info("listening", extra={"pairs": {"address": "%s:%d" % self.listener.getsockname()[:2],
+                                               "most_ends": self.most}})
+
+    def stop(self):
+        self.post(ev.StopAsked())
+
+    def join(self, wait=None):
+        return self.done.wait(wait)
+
+    def loop(self):
+        """The one thread that runs the reducer."""
+        while not self.done.is_set():
+            left = (self.reducer.due() - self.clock.now()) / 1e6
+            try:
+                event = self.events.get(timeout=left) if left > 0 else self.events.get_nowait()
+            except queue.Empty:
+                event = ev.Tick()
+            try:
+                effects = self.reducer.step(self.clock.now(), event)
+            except Exception:                # our own fault: in plain sight, and it costs one connection
+                log.exception("fault", extra={"pairs": {"while": type(event).__name__}})
+                effects = self.reducer.after_fault(event)
+            for effect in effects:
+                self.carry_out(effect)
+
+    def carry_out(self, effect):
+        if isinstance(effect, ev.Say):
+            log.log(logging.getLevelName(effect.level.upper()), effect.event, extra={"pairs": effect.pairs})
+        elif isinstance(effect, ev.FollowList):
+            self.discovery.wanted.set()
+        elif isinstance(effect, ev.Stop):
+            self.finish()
+        else:
+            self.workers.carry_out(effect)
+
+    def finish(self):
+        self.discovery.stop()
+        self.listener.close()
+        self.done.set()
+
+    def accept(self):
+        while not self.done.is_set():
+            try:
+                sock, _ = self.listener.accept()
+            except OSError as fault:
+                if self.done.is_set():
+                    return
+                log.warning("accept", extra={"pairs": {"why": errno.errorcode.get(fault.errno, str(fault))}})
+                time.sleep(0.05)             # no descriptors: some will be given back
+                continue
+            workers.prepare(sock)
+            end = ev.End(True)
+            if self.reducer.ends >= self.most + SPARE_ENDS // 2 or not self.workers.begin(end, sock):
+                self.turn_away(sock)
+                continue
+            self.post(ev.Came(end))
+
+    def turn_away(self, sock):
+        """No room even for its first line."""
+        try:
+            sock.send(lines.busy(0), socket.MSG_DONTWAIT)
+            sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+        sock.close()
+        log.info("closed", extra={"pairs": {"reason": "no-room-at-all"}})
--- /dev/null
+++ b/cottonspread/net/reducer.py
@@ -0,0 +1,573 @@
+"""The one reducer: (what a node is in, time, event) to effects. It owns all state, the Balancer and the timers.
+
+It touches no socket, clock, file or thread; the workers carry out the effects in their order. It decides
+nothing about servers: it tells the module what happened and does what the module asks for. What stands here
+are the duties of a front: when a leg has ended, when a line may go on, what is told when.
+"""
+import heapq
+from collections import deque
+from dataclasses import dataclass, field
+
+from cottonspread import interface as io
+from cottonspread.decide import Balancer
+from cottonspread.interface import Ending
+from cottonspread.net import events as ev
+from cottonspread.net import lines
+
+SECOND = 1_000_000
+SWEEP = SECOND // 4
+FIRST_WAIT = 5 * SECOND            # for a client's first line
+LINGER = SECOND                    # what the other side gets to end its half of a closed connection
+STUCK = 3 * SECOND                 # a peer that takes nothing for so long is given up
+SILENT = 6 * SECOND                # a host that echoes nothing is left before the 7 s that a client bears
+STANDING_WAIT = 40 * SECOND        # for a connection that was open before the start
+HELD = 64                          # lines under way whose times are kept
+
+
+@dataclass(eq=False)
+class Leg:
+    """One connection to a host."""
+    conn: "Conn"
+    number: int
+    host: "Server"
+    until: int
+    end: ev.End = None
+    written: bool = False          # its first line's last byte is out
+    up: bool = False
+    ended: bool = False
+    farewell: Ending = None        # what the host said on its way out
+    waiting: deque = field(default_factory=deque)      # lines to the host without an echo: when, what
+
+
+@dataclass(eq=False)
+class Conn:
+    """One client's connection, from its first line to its end. It is also the call's id towards the module."""
+    client: ev.End
+    began: int
+    opening: lines.Opening = None
+    guard: int = 0
+    legs: list = field(default_factory=list)
+    answered: bool = False         # the final answer is given, or the client is gone
+    up: bool = False
+    asked: str = ""                # to be moved: the reason code
+    reason: str = ""               # why it ended; "" while it stands
+    setup: int = 0
+    pings: int = 0
+
+
+@dataclass(eq=False)
+class Server:
+    """What a front keeps of a host: its address, and what its messages take."""
+    name: object
+    address: tuple = None
+    legs: dict = field(default_factory=dict)           # standing
+    told_at: int = -SECOND
+    over: bool = False             # the last word told was over the threshold
+
+
+class Reducer:
+    def __init__(self, now, begin, names, hearing, most_ends):
+        self.now, self.out, self.told = now, [], deque()
+        self.begin, self.names, self.hearing, self.most_ends = begin, names, hearing, most_ends
+        self.module = Balancer(now, begin)
+        self.servers, self.conns, self.ends = {}, {}, 0
+        self.timers, self.stamp = [], 0
+        self.listed, self.stopping, self.stop_by = False, 0, 0
+        targets = [t.message_target for t in begin.types if t.message_target]
+        self.slow_from = min(targets, default=SECOND) // 3
+        self.handlers = {ev.Came: self.came, ev.Connected: self.connected, ev.Got: self.got,
+                         ev.Written: self.wrote, ev.Over: self.over, ev.Heard: self.heard,
+                         ev.ListFailed: self.list_failed, ev.StopAsked: self.stop, ev.Tick: lambda e: None}
+        self.after(SWEEP, self.sweep)
+        for action in self.module.actions():
+            self.do(action)
+        if not begin.listing.ask:
+            self.out.append(ev.FollowList())
+
+    def step(self, now, event):
+        """Everything that `event` and the passing of time ask for."""
+        self.now = max(now, self.now)
+        while self.timers and self.timers[0][0] <= self.now:
+            what, args = heapq.heappop(self.timers)[2:]
+            what(*args)
+            self.tell_module()
+        self.handlers[type(event)](event)
+        self.tell_module()
+        out, self.out = self.out, []
+        return out
+
+    def after_fault(self, event):
+        """A step has raised: the connection it was about ends, the others go on."""
+        self.told.clear()
+        conn = getattr(getattr(event, "end", None), "conn", None)
+        if conn is not None and not conn.reason:
+            conn.reason = "fault"
+            self.leave(conn, "fault")
+            self.finish(conn, "fault", lines.ERR)
+            self.told.clear()
+        out, self.out = self.out, []
+        return out
+
+    def due(self):
+        """When `step` is to be called even if nothing happens."""
+        return self.timers[0][0] if self.timers else self.now + SECOND
+
+    def at(self, when, what, *args):
+        self.stamp += 1
+        heapq.heappush(self.timers, (when, self.stamp, what, args))
+
+    def after(self, span, what, *args):
+        self.at(self.now + span, what, *args)
+
+    # The module
+
+    def tell(self, event):
+        self.told.append(event)
+
+    def tell_module(self):
+        """One event after the other, each with its actions: what an action leads to is told after it."""
+        while self.told:
+            for action in self.module.handle(self.now, self.told.popleft()):
+                self.do(action)
+
+    def do(self, action):
+        match action:
+            case io.Send():
+                self.send(action.call, action.host, action.until)
+            case io.Reject():
+                self.answer(action.call, lines.busy(action.come_back), "rejected")
+            case io.Release():
+                self.answer(action.call, lines.ERR, "released")
+            case io.Cancel():
+                self.end_leg(action.call.legs[action.leg], Ending.CANCELLED)
+            case io.Move():
+                self.move(action.call, "moved")
+            case io.Timer():
+                self.after(action.after, self.tell, io.TimerFired(action.token))
+            case io.Follow():
+                self.out.append(ev.FollowList())
+            case io.Log():
+                self.out.append(ev.Say("decision", {"text": action.text}))
+            case _:
+                raise TypeError(f"this front has no way to do {action!r}")
+
+    # Clients
+
+    def came(self, e):
+        self.ends += 1
+        conn = Conn(e.end, self.now)
+        e.end.conn = conn
+        self.conns[conn] = None
+        self.read(e.end)
+
+    def got(self, e):
+        e.end.reading = False
+        if e.end.closing or e.end.finish:
+            self.read(e.end)                 # read to its end, and dropped
+        elif not e.end.client:
+            self.host_lines(e.end.leg, e.data)
+        elif e.end.conn.opening is None:
+            self.first_line(e.end.conn, e.data)
+        else:
+            self.client_lines(e.end.conn, e.data)
+
+    def first_line(self, conn, data):
+        first, _, rest = data.partition(b"\n")
+        if first.rstrip(b"\r") == lines.PING and not rest:
+            conn.pings += 1
+            if self.listed and not self.stopping:
+                self.write(conn.client, lines.PONG)
+            else:
+                self.finish(conn, "not-ready", lines.ERR)
+            return
+        try:
+            opening = lines.read_opening(first + b"\n", self.names.types, self.names.tenants,
+                                         self.begin.groups_share_work)
+            if rest:
+                raise lines.BadLine("line-before-up")
+        except lines.BadLine as fault:
+            self.finish(conn, str(fault), lines.ERR)
+            return
+        conn.opening = opening
+        wait = opening.wait or STANDING_WAIT
+        conn.guard = self.now + wait
+        # Two descriptors for every call, and some left to answer with: at the edge a call is turned away.
+        if self.stopping or self.ends + 1 > self.most_ends:
+            self.finish(conn, "stopping" if self.stopping else "no-room", lines.busy(self.come_back()))
+            return
+        host = self.servers.get(opening.held_by)
+        if opening.held_by is not None and (host is None or host.address is None):
+            self.finish(conn, "held-by-unknown", lines.ERR)
+            return
+        self.read(conn.client)               # to notice when it leaves
+        self.at(conn.guard + self.begin.tick, self.overdue, conn)
+        self.tell(io.Arrived(conn, opening.type, wait, opening.key, opening.group, opening.tenant, opening.load,
+                             False, opening.returned, opening.held_by))
+        if host is not None:
+            self.open_leg(conn, host, conn.guard, STANDING_WAIT // 4)
+
+    def come_back(self):
+        return self.begin.legs.longest_advice // 2 if self.begin.legs.may_advise else 0
+
+    def client_lines(self, conn, data):
+        if not conn.up:
+            self.leave(conn, "line-before-up")
+            self.finish(conn, "line-before-up", lines.ERR)
+            return
+        leg = conn.legs[-1]
+        for _ in range(min(data.count(b"\n"), HELD - len(leg.waiting))):
+            leg.waiting.append(self.now)
+        self.write(leg.end, data)
+
+    def overdue(self, conn):
+        """The module's answer did not come in time: visible, for it breaks a rule."""
+        if not conn.answered and not conn.up:
+            self.out.append(ev.Say("overdue", {"call": conn.opening.id}, "error"))
+            self.leave(conn, "overdue")
+            self.finish(conn, "overdue", lines.ERR)
+
+    def leave(self, conn, reason):
+        """The call is over for its client, whatever the module may still wish for."""
+        if conn.answered:
+            return
+        conn.answered, conn.reason = True, conn.reason or reason
+        if not conn.up:
+            self.tell(io.Expired(conn))
+        for leg in conn.legs:
+            self.end_leg(leg, Ending.CANCELLED)
+
+    def answer(self, conn, line, reason):
+        """The module's final answer."""
+        if not conn.answered:
+            conn.answered = True
+            self.finish(conn, reason, line)
+
+    def finish(self, conn, reason, line=None):
+        """A last line for the client, then the end of its connection."""
+        conn.reason = conn.reason or reason
+        conn.answered = True
+        if line and not conn.client.writing:
+            self.write(conn.client, line)
+        self.close(conn.client)
+
+    # Legs
+
+    def send(self, conn, name, until):
+        leg = Leg(conn, len(conn.legs), self.servers[name], until)
+        out = [other for other in conn.legs if not other.ended]
+        if (conn.answered or conn.up or until <= self.now or leg.number >= self.begin.legs.most_legs
+                or out and not self.begin.legs.two_at_once):
+            conn.legs.append(leg)
+            self.end_leg(leg, Ending.MOOT)
+            return
+        self.open_leg(conn, leg.host, until, min(self.hearing.connect_wait, until - self.now))
+
+    def open_leg(self, conn, host, until, wait):
+        leg = Leg(conn, len(conn.legs), host, until)
+        conn.legs.append(leg)
+        leg.end = ev.End(False, conn, leg)
+        self.ends += 1
+        self.out.append(ev.Connect(leg.end, host.address, wait))
+        self.at(until, self.time_out, leg)
+
+    def time_out(self, leg):
+        if not leg.up:
+            self.end_leg(leg, Ending.TIMEOUT)
+
+    def connected(self, e):
+        leg = e.end.leg
+        if not e.ok:
+            e.end.over = True
+            self.free(e.end)
+            self.end_leg(leg, Ending.CONNECT_FAILED)
+        elif leg.ended:
+            e.end.over = True                # given up while it came up: nothing was sent
+            self.free(e.end)
+        else:
+            opening = leg.conn.opening
+            line = opening.line if not opening.wait else lines.onward(opening.line, leg.until - self.now)
+            self.write(leg.end, line)
+
+    def end_leg(self, leg, ending, broken=False):
+        """What comes late from an ended leg is dropped."""
+        if leg.ended:
+            return
+        leg.ended = True
+        leg.host.legs.pop(leg, None)
+        conn = leg.conn
+        closed = conn.answered or conn.up or conn.opening.held_by is not None
+        self.tell(io.LegEnded(conn, leg.number, ending, closed))
+        if leg.end is not None:
+            self.cut(leg.end, broken)
+        if closed and not conn.answered and not conn.up:         # one open before the start, not found again
+            self.finish(conn, "held-by-lost", lines.ERR)
+
+    def host_lines(self, leg, data):
+        if leg.up:
+            self.pass_on(leg, data)
+            return
+        first, _, rest = data.partition(b"\n")
+        ending = lines.read_answer(first)
+        conn = leg.conn
+        if ending is None:
+            leg.up = conn.up = True
+            leg.host.legs[leg] = None
+            conn.setup = self.now - conn.began
+            if conn.opening.held_by is None:
+                self.tell(io.Accepted(conn, leg.number, 0))
+            if not conn.client.reading and not conn.client.over:
+                self.read(conn.client)
+            self.pass_on(leg, data, len(first) + 1)
+        elif ending is Ending.OK:            # it ran, and to its end
+            conn.answered = True
+            self.end_leg(leg, ending)
+            self.finish(conn, "served-at-once", first + b"\n")
+        else:
+            self.end_leg(leg, ending)
+
+    def pass_on(self, leg, data, skip=0):
+        """Lines of a host that is up, on to the client unchanged; some of them tell something."""
+        for line in data[skip:].splitlines(keepends=True):
+            load = lines.read_load(line)
+            if load is not None:
+                if self.hearing.loads:
+                    self.tell(io.LoadTold(leg.conn, load))
+            elif line.rstrip(b"\r\n") in lines.ENDINGS:
+                leg.farewell = lines.ENDINGS[line.rstrip(b"\r\n")]
+            elif leg.waiting:
+                self.message_took(leg, self.now - leg.waiting.popleft())
+        self.write(leg.conn.client, data)
+
+    # What messages take
+
+    def message_took(self, leg, delay):
+        host = leg.host
+        if not self.hearing.delays:
+            return
+        if delay > self.slow_from and self.now - host.told_at >= SECOND:
+            self.tell_delay(leg, delay, True)
+        elif delay <= self.slow_from and host.over and not self.oldest(host)[0] > self.slow_from:
+            self.tell_delay(leg, delay, False)
+
+    def tell_delay(self, leg, delay, over):
+        leg.host.told_at, leg.host.over = self.now, over
+        self.tell(io.DelayTold(leg.conn, delay))
+
+    def oldest(self, host):
+        """The longest that a line to this host has waited for its echo, and on which leg."""
+        leg = min((leg for leg in host.legs if leg.waiting), key=lambda leg: leg.waiting[0], default=None)
+        return (self.now - leg.waiting[0], leg) if leg else (0, None)
+
+    # Ends and moves
+
+    def move(self, conn, reason):
+        """The client is to come again. Between two lines only: what is being written goes out first."""
+        if not conn.up or conn.reason or conn.asked:
+            return
+        conn.asked = reason
+        if not conn.client.writing:
+            self.move_now(conn)
+
+    def move_now(self, conn):
+        leg = conn.legs[-1]
+        conn.answered = True
+        self.finish(conn, conn.asked, lines.MOVE)
+        self.end_leg(leg, Ending.CANCELLED)
+
+    def over(self, e):
+        end, conn = e.end, e.end.conn
+        end.reading, end.over = False, True
+        if not end.closing and not end.finish:
+            if end.client:
+                self.client_over(conn, e.how)
+            else:
+                self.host_over(end.leg, e.how)
+        if not end.writing:
+            self.free(end)
+
+    def client_over(self, conn, how):
+        broken = how == "reset"
+        if conn.up:
+            conn.reason = conn.reason or ("client-end" if how == "end" else "client-" + how)
+            conn.answered = True
+            self.end_leg(conn.legs[-1], Ending.CANCELLED, broken)
+        elif conn.opening is not None:
+            self.leave(conn, "left-in-setup")
+        conn.reason = conn.reason or ("ping" if conn.pings else "no-first-line" if how in ("end", "reset") else how)
+        self.cut(conn.client)
+
+    def host_over(self, leg, how):
+        conn = leg.conn
+        if not leg.up:
+            self.end_leg(leg, Ending.ERROR if how.endswith("-line") else Ending.RESET)
+            return
+        codes = {Ending.OK: "served", Ending.CANCELLED: "host-moved"}
+        conn.answered = True
+        conn.reason = conn.reason or codes.get(leg.farewell, "host-" + how)
+        self.end_leg(leg, leg.farewell or Ending.RESET)
+        if how == "reset":
+            self.cut(conn.client, broken=True)
+        else:
+            self.close(conn.client)
+
+    # Reading, writing, closing
+
+    def read(self, end):
+        if not end.reading and not end.over:
+            end.reading = True
+            self.out.append(ev.Read(end))
+
+    def write(self, end, data):
+        if not end.freed:
+            end.writing = self.now or 1
+            self.out.append(ev.Write(end, data))
+
+    def wrote(self, e):
+        end, conn = e.end, e.end.conn
+        end.writing = 0
+        if end.over:
+            self.free(end)
+        elif end.closing:
+            return
+        elif end.finish:
+            self.close(end)
+        elif not e.ok:
+            if end.client:
+                self.client_over(conn, "reset")
+            elif not end.leg.written:
+                self.end_leg(end.leg, Ending.CONNECT_FAILED)
+            else:
+                self.host_over(end.leg, "reset")
+        elif not end.client and not end.leg.written:
+            end.leg.written = True
+            self.read(end)
+        elif not end.client:
+            self.read(conn.client)           # the next lines only once these are out: nothing piles up here
+        elif conn.asked and not conn.reason:
+            self.move_now(conn)
+        elif conn.up:
+            self.read(conn.legs[-1].end)
+        else:
+            self.read(end)
+
+    def close(self, end):
+        """End the sending; read on to the other's end, or a reset would eat the last line."""
+        if end.closing or end.freed:
+            return
+        if end.writing:
+            end.finish = True
+            return
+        end.closing = self.now
+        if end.over:
+            self.free(end)
+            return
+        self.out.append(ev.Finish(end))
+        self.read(end)
+
+    def cut(self, end, broken=False):
+        if end.freed:
+            return
+        end.closing = end.closing or self.now
+        if end.worker is not None:
+            self.out.append(ev.Cut(end, broken))
+        if end.over and not end.writing:
+            self.free(end)
+
+    def free(self, end):
+        if end.freed:
+            return
+        end.freed = True
+        self.ends -= 1
+        self.out.append(ev.Free(end))
+        if end.client:
+            self.conns.pop(end.conn, None)
+            self.out.append(ev.Say("closed", self.summary(end.conn)))
+
+    def summary(self, conn):
+        leg = conn.legs[-1] if conn.legs else None
+        pairs = {"reason": conn.reason or "unknown", "s": (self.now - conn.began) / SECOND}
+        if conn.opening:
+            pairs |= {"call": conn.opening.id, "type": conn.opening.type, "legs": len(conn.legs)}
+        if leg:
+            pairs["host"] = leg.host.name
+        if conn.up:
+            pairs["setup_ms"] = conn.setup / 1000
+        return pairs
+
+    def sweep(self):
+        """What waits too long, looked at four times a second."""
+        self.after(SWEEP, self.sweep)
+        for conn in list(self.conns):
+            self.sweep_end(conn.client)
+            if conn.opening is None and not conn.pings and not conn.reason and self.now - conn.began > FIRST_WAIT:
+                self.finish(conn, "no-first-line", lines.ERR)
+            for leg in conn.legs:
+                if leg.end is not None:
+                    self.sweep_end(leg.end)
+        for host in list(self.servers.values()):
+            self.listen(host)
+        if self.stopping:
+            self.stop_when_done()
+
+    def listen(self, host):
+        """A host that echoes nothing tells by that alone what its messages take."""
+        if not host.legs:
+            return
+        waited, leg = self.oldest(host)
+        if self.hearing.delays and waited > self.slow_from and self.now - host.told_at >= SECOND:
+            self.tell_delay(leg, waited, True)
+        for leg in list(host.legs):
+            if leg.waiting and self.now - leg.waiting[0] > SILENT:
+                self.move(leg.conn, "silent-host")
+
+    def sweep_end(self, end):
+        if end.freed:
+            return
+        if end.writing and self.now - end.writing > STUCK and not end.closing:
+            self.out.append(ev.Say("stuck", {"client": end.client}, "warning"))
+            if end.client:
+                self.client_over(end.conn, "stuck")
+            else:
+                self.host_over(end.leg, "stuck")
+        elif end.closing and self.now - end.closing > LINGER:
+            end.closing = self.now
+            self.out.append(ev.Cut(end))
+
+    # The list
+
+    def heard(self, e):
+        for name, address in e.addresses.items():
+            self.servers.setdefault(name, Server(name)).address = address
+        self.listed = self.listed or any(entry.state is io.State.UP for entry in e.listed.entries)
+        self.tell(e.listed)
+        if e.listed.news is not io.News.CHANGES:
+            for name in [n for n, s in self.servers.items() if n not in e.addresses and not s.legs]:
+                self.servers[name].address = None
+        self.out.append(ev.Say("list", {"news": e.listed.news.name.lower(), "version": e.listed.version,
+                                        "entries": len(e.listed.entries)}))
+
+    def list_failed(self, e):
+        if self.begin.listing.ask:           # the others are not told, and keep the last list
+            self.tell(io.Listed(io.News.FAILED))
+
+    # The end
+
+    def stop(self, e):
+        if self.stopping:
+            return
+        longest = min(max(t.guard_time for t in self.begin.types), 3 * SECOND)
+        self.stopping, self.stop_by = self.now, self.now + longest + SECOND // 2
+        # New connections go on coming here for a while: who is moved now would come back to this node.
+        first = self.now + SECOND // 2
+        standing = [conn for conn in self.conns if conn.up and not conn.reason]
+        span = max(0, self.stop_by - SECOND // 2 - first)
+        for n, conn in enumerate(standing):
+            self.at(first + span * n // len(standing), self.move, conn, "moved-stopping")
+        self.out.append(ev.Say("stopping", {"standing": len(standing), "open": len(self.conns)}))
+
+    def stop_when_done(self):
+        for conn in list(self.conns):
+            if conn.up and self.now - self.stopping > SECOND:
+                self.at(self.stop_by - SECOND // 2, self.move, conn, "moved-stopping")
+        if self.now >= self.stop_by or self.now - self.stopping > SECOND and not self.conns:
+            self.out += [ev.Say("stopped", {"left": len(self.conns)}), ev.Stop()]
