LOAD lines that are words on messages are told apart; silence for a second is a hang

Echoes come back within 2 ms however jammed a host is, so they show a silence and nothing else. Excluded: time-outs, lost lines, late events (the node's own delay is 1.4 ms in, 0.4 ms out). At fault: Reducer.pass_on, which told every LOAD as a load, so that a jammed host's connections weighed nothing and no jam was ever seen; and told_delay, which took a delay growing by a second a second, all that a silent host can show, for a jam to be cut bit by bit.

Now net/notes.py tells the two apart by step, size and silence, and a delay that grew by all the time since is a hang.

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -640,9 +640,9 @@
         self.marked[host] = None
         host.slow_from = host.slow_from if lasts and host.slow_from else self.now
         self.ceilings.slow_at = self.now
-        if delay - (before if lasts else 0) > 2 * min(since, SECOND):
-            # More than any load piles up in that time: it answers nothing. It keeps no call, and gets no
-            # ceiling: it was not overloaded and can do all its work once it is back.
+        if delay - (before if lasts else 0) > 2 * min(since, SECOND) or lasts and delay - before >= since:
+            # More than any load piles up in that time, or all the time since (as a front sees it that waits
+            # for an echo): it answers nothing. It keeps no call, and gets no ceiling: it was not overloaded.
             self.health.bad(host, self.now)
             host.hung = True
             leaving = [leg for leg in host.legs if leg.accepted and not leg.moved]
--- /dev/null
+++ b/cottonspread/net/notes.py
@@ -0,0 +1,78 @@
+"""What a host's messages take, as its connections show it.
+
+Two things tell it. A line that has no echo has waited so long at least. And a `LOAD X` line may carry either of
+the simulator's two notes, for the line does not say which: the load of its connection in microseconds a second,
+or the milliseconds that a message takes at the host (seen on the bench: the same figures that the simulator
+gives as its second note came as LOAD lines, once a second, among loads a thousand times as large; taken for loads,
+they made the connections of a jammed host weigh nothing). `Notes.delay` tells the two apart.
+"""
+from collections import deque
+from dataclasses import dataclass, field
+
+SECOND = 1_000_000
+SLOP = SECOND // 20                # how far a word may stray from its second
+DOUBT = 2 * SECOND                 # how long a claim may wait for a silence that confirms it
+HELD = 64                          # lines under way whose times are kept
+
+
+@dataclass(eq=False)
+class Heard:
+    """What one connection has told."""
+    waiting: deque = field(default_factory=lambda: deque(maxlen=HELD))    # when lines without an echo were sent
+    load: float = 0.0              # last told; 0: not yet
+
+    def sent(self, now, count):
+        self.waiting.extend([now] * min(count, HELD))
+
+    def echoed(self, now):
+        """An echo has come; how long it took, None if no line was out."""
+        return now - self.waiting.popleft() if self.waiting else None
+
+
+@dataclass(eq=False)
+class Notes:
+    """What this node has heard of one host's messages."""
+    slow_from: int                 # shorter is no news: a third of the shortest message target
+    told_at: int = -SECOND         # by silence or a late echo: the last word passed on
+    over: bool = False             # and it was over the threshold
+    word_at: int = -1              # the host's own: the last word on its messages; -1: none yet
+    word: int = 0                  # what it said, 0 once it is back under
+    claim: tuple = None            # (when, milliseconds, connection, its load before): perhaps such a word
+
+    def delay(self, now, heard, value, waited):
+        """Whether `LOAD value` is a word on messages: what they take, or None if it is a load. `waited`: the
+        longest that a line has gone without an echo."""
+        took = round(value * 1000)
+        if not heard.load:                             # a connection tells its load first
+            return None
+        in_step = self.word_at < 0 or (now - self.word_at + SLOP) % SECOND <= 2 * SLOP
+        news = self.word > self.slow_from or took > self.slow_from     # the last word of a run is under it
+        # What is piled up grows by the second at most, or the host answers nothing: then its echoes stop too.
+        grown = took <= (self.word or self.slow_from) + SECOND
+        light = self.word_at >= 0 or value < heard.load / 4
+        if in_step and news and light and (grown or waited > self.slow_from):
+            return self.take(now, took)
+        if in_step and took > self.slow_from and not grown:
+            self.claim = now, took, heard, heard.load
+        return None
+
+    def take(self, now, took):
+        self.word_at, self.word, self.claim = now, took if took > self.slow_from else 0, None
+        return took
+
+    def confirmed(self, now, waited):
+        """A claim that a silence bears out: (what messages take, the connection, its load before), else None."""
+        if self.claim is None:
+            return None
+        when, took, heard, load = self.claim
+        if now - when > DOUBT:
+            self.claim = None
+        elif waited > 3 * self.slow_from:
+            self.take(when, took)
+            return took + now - when, heard, load
+        return None
+
+    def lapsed(self, now):
+        """A run of words has its next one a second on; a word with none after it was a load after all."""
+        if self.word and now - self.word_at > SECOND + SECOND // 2:
+            self.word_at, self.word = -1, 0
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -13,15 +13,16 @@
 from cottonspread.interface import Ending
 from cottonspread.net import events as ev
 from cottonspread.net import lines
+from cottonspread.net.notes import Heard, Notes
 
 SECOND = 1_000_000
 SWEEP = SECOND // 4
+LISTEN = SECOND // 10              # how often it is looked whose echoes stay out
 FIRST_WAIT = 5 * SECOND            # for a client's first line
 LINGER = SECOND                    # what the other side gets to end its half of a closed connection
 STUCK = 3 * SECOND                 # a peer that takes nothing for so long is given up
 SILENT = 6 * SECOND                # a host that echoes nothing is left before the 7 s that a client bears
 STANDING_WAIT = 40 * SECOND        # for a connection that was open before the start
-HELD = 64                          # lines under way whose times are kept
 
 
 @dataclass(eq=False)
@@ -36,7 +37,7 @@
     up: bool = False
     ended: bool = False
     farewell: Ending = None        # what the host said on its way out
-    waiting: deque = field(default_factory=deque)      # lines to the host without an echo: when, what
+    heard: Heard = field(default_factory=Heard)
 
 
 @dataclass(eq=False)
@@ -59,10 +60,9 @@
 class Server:
     """What a front keeps of a host: its address, and what its messages take."""
     name: object
+    notes: Notes
     address: tuple = None
     legs: dict = field(default_factory=dict)           # standing
-    told_at: int = -SECOND
-    over: bool = False             # the last word told was over the threshold
 
 
 class Reducer:
@@ -79,6 +79,7 @@
                          ev.Written: self.wrote, ev.Over: self.over, ev.Heard: self.heard,
                          ev.ListFailed: self.list_failed, ev.StopAsked: self.stop, ev.Tick: lambda e: None}
         self.after(SWEEP, self.sweep)
+        self.after(LISTEN, self.listen)
         for action in self.module.actions():
             self.do(action)
         if not begin.listing.ask:
@@ -215,8 +216,7 @@
             self.finish(conn, "line-before-up", lines.ERR)
             return
         leg = conn.legs[-1]
-        for _ in range(min(data.count(b"\n"), HELD - len(leg.waiting))):
-            leg.waiting.append(self.now)
+        leg.heard.sent(self.now, data.count(b"\n"))
         self.write(leg.end, data)
 
     def overdue(self, conn):
@@ -330,33 +330,65 @@
         for line in data[skip:].splitlines(keepends=True):
             load = lines.read_load(line)
             if load is not None:
-                if self.hearing.loads:
-                    self.tell(io.LoadTold(leg.conn, load))
+                self.load_line(leg, load)
             elif line.rstrip(b"\r\n") in lines.ENDINGS:
                 leg.farewell = lines.ENDINGS[line.rstrip(b"\r\n")]
-            elif leg.waiting:
-                self.message_took(leg, self.now - leg.waiting.popleft())
+            else:
+                self.echo(leg, leg.heard.echoed(self.now))
         self.write(leg.conn.client, data)
 
     # What messages take
 
-    def message_took(self, leg, delay):
-        host = leg.host
-        if not self.hearing.delays:
+    def load_line(self, leg, value):
+        if self.hearing.delays:
+            delay = leg.host.notes.delay(self.now, leg.heard, value, self.waited(leg.host)[0])
+            if delay is not None:
+                self.tell(io.DelayTold(leg.conn, delay))
+                return
+        leg.heard.load = value
+        if self.hearing.loads:
+            self.tell(io.LoadTold(leg.conn, value))
+
+    def echo(self, leg, took):
+        """A late echo is told once a second, and the first one that is back in time."""
+        notes = leg.host.notes
+        if took is None or not self.hearing.delays:
             return
-        if delay > self.slow_from and self.now - host.told_at >= SECOND:
-            self.tell_delay(leg, delay, True)
-        elif delay <= self.slow_from and host.over and not self.oldest(host)[0] > self.slow_from:
-            self.tell_delay(leg, delay, False)
+        late = took > self.slow_from
+        if late and self.now - notes.told_at >= SECOND or notes.over and not late and not notes.word and (
+                self.waited(leg.host)[0] <= self.slow_from):
+            self.tell_delay(leg, took, late)
 
     def tell_delay(self, leg, delay, over):
-        leg.host.told_at, leg.host.over = self.now, over
+        leg.host.notes.told_at, leg.host.notes.over = self.now, over
         self.tell(io.DelayTold(leg.conn, delay))
 
-    def oldest(self, host):
-        """The longest that a line to this host has waited for its echo, and on which leg."""
-        leg = min((leg for leg in host.legs if leg.waiting), key=lambda leg: leg.waiting[0], default=None)
-        return (self.now - leg.waiting[0], leg) if leg else (0, None)
+    def waited(self, host):
+        """The longest that a line to this host has gone without an echo, and on which leg."""
+        leg = min((leg for leg in host.legs if leg.heard.waiting), key=lambda leg: leg.heard.waiting[0],
+                  default=None)
+        return (self.now - leg.heard.waiting[0], leg) if leg else (0, None)
+
+    def listen(self):
+        """A host that echoes nothing tells by that alone what its messages take, at least."""
+        self.after(LISTEN, self.listen)
+        for host in [host for host in self.servers.values() if host.legs]:
+            waited, leg = self.waited(host)
+            host.notes.lapsed(self.now)
+            claim = host.notes.confirmed(self.now, waited)
+            if claim and self.hearing.delays:
+                delay, heard, load = claim
+                heard.load = load
+                owner = next((leg for leg in host.legs if leg.heard is heard), None)
+                if owner:                    # what was taken for a load was none
+                    self.tell(io.LoadTold(owner.conn, load))
+                self.tell_delay(leg, delay, True)
+            elif (self.hearing.delays and waited >= 3 * self.slow_from
+                  and self.now - host.notes.told_at >= SECOND):
+                self.tell_delay(leg, waited, True)
+            for leg in list(host.legs) if waited > SILENT else ():
+                if leg.heard.waiting and self.now - leg.heard.waiting[0] > SILENT:
+                    self.move(leg.conn, "silent-host")
 
     # Ends and moves
 
@@ -504,22 +536,9 @@
             for leg in conn.legs:
                 if leg.end is not None:
                     self.sweep_end(leg.end)
-        for host in list(self.servers.values()):
-            self.listen(host)
         if self.stopping:
             self.stop_when_done()
 
-    def listen(self, host):
-        """A host that echoes nothing tells by that alone what its messages take."""
-        if not host.legs:
-            return
-        waited, leg = self.oldest(host)
-        if self.hearing.delays and waited > self.slow_from and self.now - host.told_at >= SECOND:
-            self.tell_delay(leg, waited, True)
-        for leg in list(host.legs):
-            if leg.waiting and self.now - leg.waiting[0] > SILENT:
-                self.move(leg.conn, "silent-host")
-
     def sweep_end(self, end):
         if end.freed:
             return
@@ -537,7 +556,7 @@
 
     def heard(self, e):
         for name, address in e.addresses.items():
-            self.servers.setdefault(name, Server(name)).address = address
+            self.servers.setdefault(name, Server(name, Notes(self.slow_from))).address = address
         self.listed = self.listed or any(entry.state is io.State.UP for entry in e.listed.entries)
         self.tell(e.listed)
         if e.listed.news is not io.News.CHANGES:
