Clients of a draining server are asked to leave where it sends nobody away itself

The operators ask that a client is told to move before its host leaves. Seen: the module left connections on a draining server to be cut off when it stops (Balancer.listed cleared its records and nothing more). Now they are asked to leave one by one, from half a second after the node is told to a second after it, unless the server has begun to do so.

The node: a host counts as silent only if later lines on its other connections have no echo either, so that one dead connection does not condemn its host; a host that takes no bytes costs its client a MOVE and no cut; logs go through a bounded queue; the accepting thread outlives a client that is gone at once; a fault leaves later events in place.

--- a/cottonspread/cli.py
+++ b/cottonspread/cli.py
@@ -34,20 +34,22 @@
 
 def serve(path):
     parts = read(path)
-    logfmt.start(parts[0].name)
-    node = Node(*parts)
+    write_out = logfmt.start(parts[0].name)
     try:
+        node = Node(*parts)
         node.start()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: node.stop())
+        while not node.join(0.5):
+            pass
+        return 0
     except OSError as fault:
         where = "%s:%d" % parts[0].listen
         what = "address in use" if fault.errno == errno.EADDRINUSE else fault.strerror or fault
         print(f"cottonspread: listen: {where}: {what}", file=sys.stderr)
         return 1
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: node.stop())
-    while not node.join(0.5):
-        pass
-    return 0
+    finally:
+        write_out()
 
 
 def check(path):
--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -7,7 +7,7 @@
 or the network, and equal events give equal actions.
 The ordinary path of a call is `Balancer.path`. Each exception to it stands with the failure that it prevents.
 """
-from collections import Counter, OrderedDict
+from collections import Counter, OrderedDict, deque
 from zlib import crc32
 
 from cottonspread import interface as io
@@ -134,9 +134,7 @@
     """The servers that the list names, and the asking where it must be asked."""
 
     def __init__(self, chance):
-        self.chance = chance
-        self.hosts = {}
-        self.failures = 0
+        self.chance, self.hosts, self.failures = chance, {}, 0
 
     def read(self, listed):
         """Takes in a word from the list; returns (servers now unfit for records, servers started anew)."""
@@ -183,23 +181,20 @@
         self.slow_from = slow_from
 
     def good(self, host):
-        if host.trickle:
-            host.trickle *= 2
-            if host.trickle >= self.OPEN_AT:
-                host.trickle = host.rest = 0
+        host.trickle *= 2
+        if host.trickle >= self.OPEN_AT:
+            host.trickle = host.rest = 0
 
     def bad(self, host, now):
         if now < host.aside_until:           # one trouble, told by many legs
             return False
-        host.answers = 0
-        host.rest = min(host.rest * 2, self.LONGEST_REST) or self.FIRST_REST
+        host.answers, host.rest = 0, min(host.rest * 2, self.LONGEST_REST) or self.FIRST_REST
         host.aside_until, host.trickle = now + host.rest, 1
         return True
 
     def may_send(self, host, now):
-        if now < host.aside_until:
-            return False
-        return not host.trickle or host.sent.total(now, self.PERIOD) < host.trickle
+        return now >= host.aside_until and (
+            not host.trickle or host.sent.total(now, self.PERIOD) < host.trickle)
 
     def slow(self, host, now):
         return host.delay >= self.slow_from and now - host.delay_at < self.NOTE_LIFE
@@ -293,10 +288,8 @@
         # and double the work, so their number grows with the answers on warm servers too.
         if host.setups >= (1 if part < 1 else self.AT_FIRST) + host.answers:
             return False
-        if part >= 1:
-            return True
-        if len(host.legs) >= 1 + part * self.usual:
-            return False
+        if part >= 1 or len(host.legs) >= 1 + part * self.usual:
+            return part >= 1
         budget = max(1 / self.nodes, self.cold.multiple * part * self.usual * window / self.cold.warm_after)
         if budget >= 1:
             return host.sent.total(now, window) < budget
@@ -318,10 +311,8 @@
 def may_go_again(call, now):
     """Whether any new leg is allowed, as far as the effect of the earlier ones goes."""
     ran = may_have_run(call)
-    if not ran or call.type.effect is Effect.REPEATABLE:
-        return True
-    if call.type.effect is Effect.ONCE_ONLY:
-        return False
+    if not ran or call.type.effect is not Effect.REFERENCED:
+        return not ran or call.type.effect is Effect.REPEATABLE
     return now <= ran[0].sent + call.type.remembered_for
 
 
@@ -362,12 +353,12 @@
         self.way = Host("way to the servers", io.Entry(None))       # what all set-ups share, a store perhaps
         self.unanswered = set()        # servers whose set-ups timed out since one was answered
         self.calls, self.nodes, self.shared = {}, begin.nodes, begin.groups_share_work and begin.nodes > 1
-        self.legs = self.load = 0      # on all servers that are up
-        self.looked_at, self.slow_part = -SECOND, 0
+        self.legs = self.load = self.slow_part = 0      # legs and load: on all servers that are up
+        self.looked_at, self.seen_off = -SECOND, deque()
         self.marked = {}               # servers that may be fresh, set aside, slow or under a ceiling
         self.takes = {io.Arrived: self.arrive, io.Listed: self.listed, io.Accepted: self.answered,
                       io.LegEnded: self.answered, io.LoadTold: self.told, io.DelayTold: self.told,
-                      io.Expired: self.expire, io.TimerFired: self.ask}
+                      io.Expired: self.expire, io.TimerFired: self.timer}
         if begin.listing.ask:
             self.ask()
 
@@ -466,9 +457,8 @@
         if self.now - self.looked_at < SECOND // 4:
             return
         self.looked_at = self.now
-        if self.loads.heard:
-            for leg in [leg for host in self.rotation.order for leg in host.legs]:
-                self.weigh_anew(leg)         # the mean moves with every word
+        for leg in [leg for host in self.rotation.order for leg in host.legs] if self.loads.heard else ():
+            self.weigh_anew(leg)             # the mean moves with every word
         self.marked = {h: None for h in self.marked if self.warm_up.part(h, self.now) < 1
                        or h.trickle or h.ceiling or self.health.slow(h, self.now)}
         up = [h for h in self.marked if h.up]
@@ -502,8 +492,7 @@
         key = e.group if e.group is not None else e.key
         call = Call(e.call, self.types[e.type], key, e.group,
                     self.now + e.time_left, e.mid_flow, e.returned)
-        self.calls[call.id] = call
-        call.path = self.path(call)
+        self.calls[call.id], call.path = call, self.path(call)
         self.groups.met(e.group)
         if e.held_by is not None:
             host = self.membership.hosts.get(e.held_by)
@@ -551,9 +540,9 @@
 
     def answered(self, e):
         call = self.calls.get(e.call)
-        if call is None or e.leg >= len(call.legs) or call.legs[e.leg].ending:
+        leg = call.legs[e.leg] if call and e.leg < len(call.legs) else None
+        if leg is None or leg.ending:
             return                           # an end may cross with ours: nothing is held for it any more
-        leg = call.legs[e.leg]
         if isinstance(e, io.Accepted):
             if not leg.accepted:
                 leg.accepted = True
@@ -571,22 +560,21 @@
             self.resume(call, e)
 
     def good(self, host):
-        host.answers += 1
-        host.shut_until = 0
+        host.answers, host.shut_until = host.answers + 1, 0
         self.unanswered.clear()
         self.health.good(self.way)
         if not self.health.slow(host, self.now):
             self.health.good(host)
 
     def close_leg(self, leg, e):
-        host, call = leg.host, leg.call
-        leg.ending = e.ending
+        host, call, leg.ending = leg.host, leg.call, e.ending
         del host.legs[leg]
         host.setups -= not leg.accepted
         self.weigh(host, -1, -self.loads.frees(leg))
         host.groups -= Counter([call.group])
         if e.ending in (Ending.OK, Ending.CANCELLED):
             self.records.touch(call.key, host, self.now)
+            host.sends_away |= e.ending is Ending.CANCELLED and not (leg.moved or host.up)
             if e.ending is Ending.OK and not leg.accepted:
                 self.good(host)
         else:
@@ -659,11 +647,23 @@
             self.out.append(io.Log(f"{host.name}: messages take {delay // 1000} ms, {what}: "
                                    f"{len(leaving)} of {len(host.legs)} asked to leave"))
             for leg in leaving:
-                leg.moved = True
-                self.records.clear(leg.call.key, host)
-                self.out.append(io.Move(leg.call.id))
+                self.move(leg)
+
+    def move(self, leg):
+        leg.moved = True
+        self.records.clear(leg.call.key, leg.host)
+        self.out.append(io.Move(leg.call.id))
+
+    def see_off(self):
+        """A server that drains cuts off its clients when it stops, unless it asks them to leave itself."""
+        leg = self.seen_off.popleft()
+        if not (leg.ending or leg.moved or leg.host.up or leg.host.sends_away):
+            self.move(leg)
+
+    def timer(self, e):
+        self.see_off() if e.token == "off" else self.ask()
 
-    def ask(self, _=None):
+    def ask(self):
         self.out.append(io.Follow())
 
     def listed(self, e):
@@ -674,10 +674,14 @@
         lost, started = self.membership.read(e)
         for host in lost:
             self.records.clear_host(host)
+            leaving = [] if host.drains else [leg for leg in host.legs if leg.accepted]
+            host.drains = host.entry.state is State.DRAINING
+            for n, leg in enumerate(leaving if host.drains and self.moving <= self.DEAREST_MOVE else ()):
+                self.seen_off.append(leg)
+                self.out.append(io.Timer((n + len(leaving)) * SECOND // 2 // len(leaving), "off"))
         for host in started:
-            host.hung = False
-            host.shut_until = host.answers = host.trickle = host.rest = 0
-            host.aside_until = host.delay = host.ceiling = 0
+            host.shut_until = host.answers = host.trickle = host.rest = host.aside_until = host.delay = 0
+            host.ceiling, host.hung, host.drains, host.sends_away = 0, False, False, False
         self.membership.drop_gone(list(self.membership.hosts.values()))
         up = self.membership.up()
         self.rotation.keep(up)
--- a/cottonspread/net/discovery.py
+++ b/cottonspread/net/discovery.py
@@ -44,10 +44,10 @@
     PAUSE, LONGEST_PAUSE = 0.05, 1.0
     LOWER = 3                      # whole lists in a row with a lower version: discovery itself began anew
 
-    def __init__(self, address, names, post, version):
+    def __init__(self, address, names, post, version, ask=False):
         self.http, self.names, self.post = Http(address, 1.0), names, post
         self.version, self.whole, self.lower, self.failures = version, True, 0, 0
-        self.wanted, self.stopped = threading.Event(), False
+        self.ask, self.wanted, self.stopped = ask, threading.Event(), False
 
     def run(self):
         while not self.stopped:
@@ -57,10 +57,12 @@
             try:
                 self.once()
                 self.failures = 0
-            except (OSError, BadAnswer, BadList, ValueError) as fault:
+            except (OSError, ValueError) as fault:
                 self.failures += 1
                 if self.failures in (1, 10, 100):
                     log.warning("discovery-fails", extra={"pairs": {"why": fault, "times": self.failures}})
+                if self.ask:                 # the module is told and asks again in its own time
+                    self.wanted.clear()
                 self.post(events.ListFailed())
                 time.sleep(min(self.PAUSE * 2 ** min(self.failures, 10), self.LONGEST_PAUSE))
         self.http.close()
--- a/cottonspread/net/logfmt.py
+++ b/cottonspread/net/logfmt.py
@@ -1,8 +1,12 @@
 """Log lines as key=value pairs."""
 import json
 import logging
+import logging.handlers
+import queue
 import time
 
+QUEUE = 4096                       # lines
+
 
 def pair(key, value):
     text = f"{value:.3f}" if isinstance(value, float) else str(value)
@@ -25,10 +29,27 @@
         return " ".join(pair(k, v) for k, v in pairs.items())
 
 
+class Queued(logging.handlers.QueueHandler):
+    """A bounded queue to the thread that writes: whoever reads the log slowly holds nobody up, and misses lines."""
+
+    def prepare(self, record):
+        return record
+
+    def enqueue(self, record):
+        try:
+            self.queue.put_nowait(record)
+        except queue.Full:
+            pass
+
+
 def start(node, level=logging.INFO):
+    """Logs to standard error; returns what writes out the rest at the end."""
     handler = logging.StreamHandler()
     handler.setFormatter(KeyValue(node))
+    records = queue.Queue(QUEUE)
     root = logging.getLogger("cottonspread")
-    root.handlers, root.propagate = [handler], False
+    root.handlers, root.propagate = [Queued(records)], False
     root.setLevel(level)
-    return root
+    listener = logging.handlers.QueueListener(records, handler)
+    listener.start()
+    return listener.stop
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -44,7 +44,7 @@
         self.most = most_ends(room)
         self.workers = workers.Workers(Pool(), self.post)
         version, listed, addresses = discovery.read_list(known, names, News.SAVED)
-        self.discovery = discovery.Discovery(place.discovery, names, self.post, version)
+        self.discovery = discovery.Discovery(place.discovery, names, self.post, version, begin.listing.ask)
         self.reducer = Reducer(self.clock.now(), begin, names, hearing, self.most)
         self.post(ev.Heard(listed, addresses))
         self.listener, self.clients = None, 0
@@ -74,14 +74,17 @@
                 event = self.events.get(timeout=left) if left > 0 else self.events.get_nowait()
             except queue.Empty:
                 event = ev.Tick()
-            try:
-                effects = self.reducer.step(self.clock.now(), event)
-            except Exception:                # our own fault: in plain sight, and it costs one connection
-                log.exception("fault", extra={"pairs": {"while": type(event).__name__}})
-                effects = self.reducer.after_fault(event)
-            for effect in effects:
+            for effect in self.step(event):
                 self.carry_out(effect)
 
+    def step(self, event):
+        """One step of the reducer. Our own fault stands in the log with its trace, and costs one connection."""
+        try:
+            return self.reducer.step(self.clock.now(), event)
+        except Exception:
+            log.exception("fault", extra={"pairs": {"while": type(event).__name__}})
+        return self.reducer.after_fault(event)
+
     def carry_out(self, effect):
         if isinstance(effect, ev.Say):
             log.log(logging.getLevelName(effect.level.upper()), effect.event, extra={"pairs": effect.pairs})
@@ -94,7 +97,12 @@
 
     def finish(self):
         self.discovery.stop()
+        try:
+            self.listener.shutdown(socket.SHUT_RDWR)      # wakes `accept`
+        except OSError:
+            pass
         self.listener.close()
+        self.workers.writes.put(None)
         self.done.set()
 
     def accept(self):
@@ -107,7 +115,11 @@
                 log.warning("accept", extra={"pairs": {"why": errno.errorcode.get(fault.errno, str(fault))}})
                 time.sleep(0.05)             # no descriptors: some will be given back
                 continue
-            workers.prepare(sock)
+            try:
+                workers.prepare(sock)
+            except OSError:                  # gone already
+                sock.close()
+                continue
             end = ev.End(True)
             if self.reducer.ends >= self.most + SPARE_ENDS // 2 or not self.workers.begin(end, sock):
                 self.turn_away(sock)
--- a/cottonspread/net/notes.py
+++ b/cottonspread/net/notes.py
@@ -24,21 +24,35 @@
     def sent(self, now, count):
         self.waiting.extend([now] * min(count, HELD))
 
-    def echoed(self, now):
-        """An echo has come; how long it took, None if no line was out."""
-        return now - self.waiting.popleft() if self.waiting else None
+    def echoed(self):
+        """An echo has come: when its line was sent, None if no line was out."""
+        return self.waiting.popleft() if self.waiting else None
+
+    def oldest(self, after):
+        """When the oldest line that has no echo was sent, of those sent after `after`; None if there is none."""
+        return next((sent for sent in self.waiting if sent > after), None)
 
 
 @dataclass(eq=False)
 class Notes:
     """What this node has heard of one host's messages."""
     slow_from: int                 # shorter is no news: a third of the shortest message target
+    answered: int = -1             # when the latest line that got its echo was sent, on any connection
     told_at: int = -SECOND         # by silence or a late echo: the last word passed on
     over: bool = False             # and it was over the threshold
     word_at: int = -1              # the host's own: the last word on its messages; -1: none yet
     word: int = 0                  # what it said, 0 once it is back under
     claim: tuple = None            # (when, milliseconds, connection, its load before): perhaps such a word
 
+    def waited(self, now, connections):
+        """How long the host has been silent, and on which of `connections` (they have `heard`): the age of the
+        oldest line without an echo, later ones on other connections without one too. One connection that is
+        dead by itself must not make its host look hung."""
+        out = [(sent, n, one) for n, one in enumerate(connections)
+               if (sent := one.heard.oldest(self.answered)) is not None]
+        sent, _, one = min(out, default=(now, 0, None))
+        return now - sent, one
+
     def delay(self, now, heard, value, waited):
         """Whether `LOAD value` is a word on messages: what they take, or None if it is a load. `waited`: the
         longest that a line has gone without an echo."""
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -89,6 +89,7 @@
     def step(self, now, event):
         """Everything that `event` and the passing of time ask for."""
         self.now = max(now, self.now)
+        self.tell_module()                   # what a fault left over
         while self.timers and self.timers[0][0] <= self.now:
             what, args = heapq.heappop(self.timers)[2:]
             what(*args)
@@ -100,13 +101,10 @@
 
     def after_fault(self, event):
         """A step has raised: the connection it was about ends, the others go on."""
-        self.told.clear()
         conn = getattr(getattr(event, "end", None), "conn", None)
         if conn is not None and not conn.reason:
-            conn.reason = "fault"
             self.leave(conn, "fault")
             self.finish(conn, "fault", lines.ERR)
-            self.told.clear()
         out, self.out = self.out, []
         return out
 
@@ -191,7 +189,7 @@
             self.finish(conn, str(fault), lines.ERR)
             return
         conn.opening = opening
-        wait = opening.wait or STANDING_WAIT
+        wait = opening.wait if opening.held_by is None else STANDING_WAIT
         conn.guard = self.now + wait
         # Two descriptors for every call, and some left to answer with: at the edge a call is turned away.
         if self.stopping or self.ends + 1 > self.most_ends:
@@ -337,14 +335,15 @@
             elif line.rstrip(b"\r\n") in lines.ENDINGS:
                 leg.farewell = lines.ENDINGS[line.rstrip(b"\r\n")]
             else:
-                self.echo(leg, leg.heard.echoed(self.now))
+                self.echo(leg, leg.heard.echoed())
         self.write(leg.conn.client, data)
 
     # What messages take
 
     def load_line(self, leg, value):
         if self.hearing.delays:
-            delay = leg.host.notes.delay(self.now, leg.heard, value, self.waited(leg.host)[0])
+            delay = leg.host.notes.delay(self.now, leg.heard, value,
+                                         leg.host.notes.waited(self.now, leg.host.legs)[0])
             if delay is not None:
                 self.tell(io.DelayTold(leg.conn, delay))
                 return
@@ -352,31 +351,26 @@
         if self.hearing.loads:
             self.tell(io.LoadTold(leg.conn, value))
 
-    def echo(self, leg, took):
+    def echo(self, leg, sent):
         """A late echo is told once a second, and the first one that is back in time."""
         notes = leg.host.notes
-        if took is None or not self.hearing.delays:
+        if sent is None or not self.hearing.delays:
             return
-        late = took > self.slow_from
+        notes.answered = max(notes.answered, sent)
+        late = self.now - sent > self.slow_from
         if late and self.now - notes.told_at >= SECOND or notes.over and not late and not notes.word and (
-                self.waited(leg.host)[0] <= self.slow_from):
-            self.tell_delay(leg, took, late)
+                notes.waited(self.now, leg.host.legs)[0] <= self.slow_from):
+            self.tell_delay(leg, self.now - sent, late)
 
     def tell_delay(self, leg, delay, over):
         leg.host.notes.told_at, leg.host.notes.over = self.now, over
         self.tell(io.DelayTold(leg.conn, delay))
 
-    def waited(self, host):
-        """The longest that a line to this host has gone without an echo, and on which leg."""
-        leg = min((leg for leg in host.legs if leg.heard.waiting), key=lambda leg: leg.heard.waiting[0],
-                  default=None)
-        return (self.now - leg.heard.waiting[0], leg) if leg else (0, None)
-
     def listen(self):
         """A host that echoes nothing tells by that alone what its messages take, at least."""
         self.after(LISTEN, self.listen)
         for host in [host for host in self.servers.values() if host.legs]:
-            waited, leg = self.waited(host)
+            waited, leg = host.notes.waited(self.now, host.legs)
             host.notes.lapsed(self.now)
             claim = host.notes.confirmed(self.now, waited)
             if claim and self.hearing.delays:
@@ -389,7 +383,7 @@
             elif (self.hearing.delays and waited >= 3 * self.slow_from
                   and self.now - host.notes.told_at >= SECOND):
                 self.tell_delay(leg, waited, True)
-            for leg in list(host.legs) if waited > SILENT else ():
+            for leg in list(host.legs):
                 if leg.heard.waiting and self.now - leg.heard.waiting[0] > SILENT:
                     self.move(leg.conn, "silent-host")
 
@@ -549,6 +543,8 @@
             self.out.append(ev.Say("stuck", {"client": end.client}, "warning"))
             if end.client:
                 self.client_over(end.conn, "stuck")
+            elif end.leg.up:
+                self.move(end.conn, "host-stuck")
             else:
                 self.host_over(end.leg, "stuck")
         elif end.closing and self.now - end.closing > LINGER:
--- a/cottonspread/net/workers.py
+++ b/cottonspread/net/workers.py
@@ -17,15 +17,14 @@
 log = logging.getLogger("cottonspread.workers")
 
 STACK = 128 * 1024                 # of each thread
-LOOK_EVERY = 1                     # seconds; how often a read that waits looks whether half a line is too old
-HALF_LINE_WAIT = 5.0
+HALF_LINE_WAIT = 5                 # seconds; a read that waits looks as often whether half a line is too old
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def prepare(sock):
     sock.settimeout(None)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", LOOK_EVERY, 0))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", HALF_LINE_WAIT, 0))
 
 
 class Worker:
@@ -116,7 +115,7 @@
     def write_all(self):
         while True:
             effect = self.writes.get()
-            if effect is None:
+            if effect is None:               # the node is done
                 return
             worker = effect.end.worker
             try:
--- a/cottonspread/state.py
+++ b/cottonspread/state.py
@@ -60,6 +60,8 @@
     hung: bool = False                            # health: seen to hang, and not yet quick again
     ceiling: float = 0.0                          # overload: load it may hold from here; 0: no limit
     cut_at: int = -10 * SECOND
+    drains: bool = False                          # told to, and its clients are to leave
+    sends_away: bool = False                      # and it asks them to itself
     sent: Ring = field(default_factory=lambda: Ring(SECOND // 4, 64))     # legs, over up to 16 s
 
     @property
