--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -360,7 +360,7 @@
                       io.LegEnded: self.answered, io.LoadTold: self.told, io.DelayTold: self.told,
                       io.Expired: self.expire, io.TimerFired: self.timer}
         if begin.listing.ask:
-            self.ask()
+            self.out.append(io.Follow())
 
     def actions(self):
         out, self.out = self.out, []
@@ -661,10 +661,7 @@
             self.move(leg)
 
     def timer(self, e):
-        self.see_off() if e.token == "off" else self.ask()
-
-    def ask(self):
-        self.out.append(io.Follow())
+        self.see_off() if e.token == "off" else self.out.append(io.Follow())
 
     def listed(self, e):
         if e.news is News.FAILED:
