--- a/cottonspread/net/lines.py
+++ b/cottonspread/net/lines.py
@@ -87,15 +87,13 @@
     try:
         wait = int(pairs.get("d", 0)) * 1000
         load = float(pairs.get("h", 0))
-        tenant = pairs.get("t", "0")
-        tenant = tenants[tenant] if tenant in tenants else int(tenant)
     except ValueError:
         raise BadLine("garbled") from None
     if wait < 0 or not 0 <= load < 1e15:
         raise BadLine("garbled")
     who = pairs.get("g")
-    return Opening(line, words[1], types[pairs["c"]], wait, words[2], who if grouped else None, tenant, load,
-                   pairs.get("again") == "1", pairs.get("at"))
+    return Opening(line, words[1], types[pairs["c"]], wait, words[2], who if grouped else None,
+                   tenants.get(pairs.get("t"), 0), load, pairs.get("again") == "1", pairs.get("at"))
 
 
 def onward(line, wait):
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -47,7 +47,7 @@
         self.discovery = discovery.Discovery(place.discovery, names, self.post, version, begin.listing.ask)
         self.reducer = Reducer(self.clock.now(), begin, names, hearing, self.most)
         self.post(ev.Heard(listed, addresses))
-        self.listener, self.clients = None, 0
+        self.listener, self.ending = None, False
 
     def post(self, event):
         self.events.put(event)
@@ -96,6 +96,7 @@
             self.workers.carry_out(effect)
 
     def finish(self):
+        self.ending = True
         self.discovery.stop()
         try:
             self.listener.shutdown(socket.SHUT_RDWR)      # wakes `accept`
@@ -106,11 +107,11 @@
         self.done.set()
 
     def accept(self):
-        while not self.done.is_set():
+        while not self.ending:
             try:
                 sock, _ = self.listener.accept()
             except OSError as fault:
-                if self.done.is_set():
+                if self.ending:
                     return
                 log.warning("accept", extra={"pairs": {"why": errno.errorcode.get(fault.errno, str(fault))}})
                 time.sleep(0.05)             # no descriptors: some will be given back
