A light load is no jam: a first large word on messages waits for the next second

The trace: LOAD 379.956 and 431.185, on one node each, at no common step, were taken for words on messages; a real one comes to all nodes at once. Excluded: a jam (no other node heard one), a silence (echoes within 2 ms). At fault: Notes.delay took any first word under a second for a delay. Now one so large that the module acts on it at once waits for its second, and is told as a load if none comes; and a word of many seconds needs half a second of silence to be believed, so that a load change and one late echo make no hang.

--- a/cottonspread/net/notes.py
+++ b/cottonspread/net/notes.py
@@ -40,9 +40,10 @@
     answered: int = -1             # when the latest line that got its echo was sent, on any connection
     told_at: int = -SECOND         # by silence or a late echo: the last word passed on
     over: bool = False             # and it was over the threshold
-    word_at: int = -1              # the host's own: the last word on its messages; -1: none yet
+    word_at: int = -1              # the host's own words on its messages: the last; -1: none, its step is unknown
     word: int = 0                  # what it said, 0 once it is back under
-    claim: tuple = None            # (when, milliseconds, connection, its load before): perhaps such a word
+    doubt: tuple = None            # (when, value, connection): a word or a load, the next second will tell
+    claim: tuple = None            # (when, took, connection, its load before, silence needed): a hang or a load
 
     def waited(self, now, connections):
         """How long the host has been silent, and on which of `connections` (they have `heard`): the age of the
@@ -54,39 +55,56 @@
         return now - sent, one
 
     def delay(self, now, heard, value, waited):
-        """Whether `LOAD value` is a word on messages: what they take, or None if it is a load. `waited`: the
-        longest that a line has gone without an echo."""
-        took = round(value * 1000)
+        """What messages take if `LOAD value` is a word on them, None if it is a load, 0 if that is not clear yet.
+        `waited`: how long the host has been silent."""
+        took, slow = round(value * 1000), self.slow_from
         if not heard.load:                             # a connection tells its load first
             return None
-        in_step = self.word_at < 0 or (now - self.word_at + SLOP) % SECOND <= 2 * SLOP
-        news = self.word > self.slow_from or took > self.slow_from     # the last word of a run is under it
+        first, low = self.word_at < 0, value < heard.load / 4
+        in_step = not first and one_second(now - self.word_at)
         # What is piled up grows by the second at most, or the host answers nothing: then its echoes stop too.
-        grown = took <= (self.word or self.slow_from) + SECOND
-        light = self.word_at >= 0 or value < heard.load / 4
-        if in_step and news and light and (grown or waited > self.slow_from):
+        grown = took <= (self.word or slow) + SECOND
+        if in_step and (took > slow or self.word) and (grown or waited > slow):
             return self.take(now, took)
-        if in_step and took > self.slow_from and not grown:
-            self.claim = now, took, heard, heard.load
+        if low and self.doubt and one_second(now - self.doubt[0]):
+            return self.take(now, took)
+        if first and low and slow < took and grown:
+            if took < 12 * slow:                       # the module does nothing yet on a first word so small
+                return self.take(now, took)
+            self.doubt = self.doubt or (now, value, heard)
+            return 0 if self.doubt[0] == now else None
+        if not grown and (first or in_step):
+            self.claim = now, took, heard, heard.load, 3 * slow if in_step else SECOND // 2
         return None
 
     def take(self, now, took):
-        self.word_at, self.word, self.claim = now, took if took > self.slow_from else 0, None
+        self.word_at, self.word, self.claim, self.doubt = now, took if took > self.slow_from else 0, None, None
         return took
 
     def confirmed(self, now, waited):
         """A claim that a silence bears out: (what messages take, the connection, its load before), else None."""
         if self.claim is None:
             return None
-        when, took, heard, load = self.claim
+        when, took, heard, load, silence = self.claim
         if now - when > DOUBT:
             self.claim = None
-        elif waited > 3 * self.slow_from:
+        elif waited >= silence:
             self.take(when, took)
             return took + now - when, heard, load
         return None
 
     def lapsed(self, now):
-        """A run of words has its next one a second on; a word with none after it was a load after all."""
+        """Words come each second until messages are quick again: one with none after it was a load after all.
+        Gives (connection, load) where that was not told yet."""
         if self.word and now - self.word_at > SECOND + SECOND // 2:
             self.word_at, self.word = -1, 0
+        if self.doubt and now - self.doubt[0] > SECOND + 2 * SLOP:
+            _, value, heard = self.doubt
+            self.doubt = None
+            return heard, value
+        return None
+
+
+def one_second(span):
+    """Whether that is a whole number of seconds, as near as such words come."""
+    return (span + SLOP) % SECOND <= 2 * SLOP and span > SLOP
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -344,9 +344,13 @@
         if self.hearing.delays:
             delay = leg.host.notes.delay(self.now, leg.heard, value,
                                          leg.host.notes.waited(self.now, leg.host.legs)[0])
-            if delay is not None:
+            if delay:
                 self.tell(io.DelayTold(leg.conn, delay))
+            if delay is not None:
                 return
+        self.tell_load(leg, value)
+
+    def tell_load(self, leg, value):
         leg.heard.load = value
         if self.hearing.loads:
             self.tell(io.LoadTold(leg.conn, value))
@@ -371,15 +375,14 @@
         self.after(LISTEN, self.listen)
         for host in [host for host in self.servers.values() if host.legs]:
             waited, leg = host.notes.waited(self.now, host.legs)
-            host.notes.lapsed(self.now)
-            claim = host.notes.confirmed(self.now, waited)
-            if claim and self.hearing.delays:
-                delay, heard, load = claim
-                heard.load = load
-                owner = next((leg for leg in host.legs if leg.heard is heard), None)
-                if owner:                    # what was taken for a load was none
-                    self.tell(io.LoadTold(owner.conn, load))
-                self.tell_delay(leg, delay, True)
+            load = host.notes.lapsed(self.now)
+            claim = host.notes.confirmed(self.now, waited) if self.hearing.delays else None
+            if claim:                        # what was taken for a load was none
+                load = claim[1:]
+            for owner in [one for one in host.legs if load and one.heard is load[0]]:
+                self.tell_load(owner, load[1])
+            if claim:
+                self.tell_delay(leg, claim[0], True)
             elif (self.hearing.delays and waited >= 3 * self.slow_from
                   and self.now - host.notes.told_at >= SECOND):
                 self.tell_delay(leg, waited, True)
