--- a/cottonspread/cli.py
+++ b/cottonspread/cli.py
@@ -5,19 +5,11 @@
 import signal
 import sys
 
-from cottonspread import config
+from cottonspread import __version__, config
 from cottonspread.net import discovery, logfmt
 from cottonspread.net.node import Node, most_ends
 
 
-def version():
-    from importlib import metadata
-    try:
-        return metadata.version("cottonspread")
-    except metadata.PackageNotFoundError:
-        return "0.2.0"
-
-
 def read(path):
     try:
         with open(path, encoding="utf-8") as file:
@@ -72,7 +64,7 @@
     commands.add_parser("version", help="print the version")
     given = parser.parse_args(arguments)
     if given.command == "version":
-        print(f"cottonspread {version()}")
+        print(f"cottonspread {__version__}")
         return 0
     try:
         if not given.config:
--- a/cottonspread/net/notes.py
+++ b/cottonspread/net/notes.py
@@ -69,7 +69,8 @@
         if low and self.doubt and one_second(now - self.doubt[0]):
             return self.take(now, took)
         if first and low and slow < took and grown:
-            if took < 12 * slow:                       # the module does nothing yet on a first word so small
+            # The module does nothing yet on a first word so small; and loads don't fall so deep at once.
+            if took < 12 * slow or value < heard.load / 32:
                 return self.take(now, took)
             self.doubt = self.doubt or (now, value, heard)
             return 0 if self.doubt[0] == now else None
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -252,13 +252,17 @@
     # Legs
 
     def send(self, conn, name, until):
-        leg = Leg(conn, len(conn.legs), self.servers[name], until)
+        leg = Leg(conn, len(conn.legs), self.server(name), until)
         out = [other for other in conn.legs if not other.ended]
         if (conn.answered or conn.up or until <= self.now or leg.number >= self.begin.legs.most_legs
                 or out and not self.begin.legs.two_at_once):
             conn.legs.append(leg)
             self.end_leg(leg, Ending.MOOT)
             return
+        if leg.host.address is None:         # listed nowhere any more
+            conn.legs.append(leg)
+            self.end_leg(leg, Ending.CONNECT_FAILED)
+            return
         self.open_leg(conn, leg.host, until, min(self.hearing.connect_wait, until - self.now))
 
     def open_leg(self, conn, host, until, wait):
@@ -556,14 +560,23 @@
 
     # The list
 
+    def server(self, name):
+        if name not in self.servers:
+            self.servers[name] = Server(name, Notes(self.slow_from))
+        return self.servers[name]
+
     def heard(self, e):
         for name, address in e.addresses.items():
-            self.servers.setdefault(name, Server(name, Notes(self.slow_from))).address = address
+            self.server(name).address = address
         self.listed = self.listed or any(entry.state is io.State.UP for entry in e.listed.entries)
         self.tell(e.listed)
+        gone = {entry.host for entry in e.listed.entries if entry.state is io.State.GONE}
         if e.listed.news is not io.News.CHANGES:
-            for name in [n for n, s in self.servers.items() if n not in e.addresses and not s.legs]:
-                self.servers[name].address = None
+            gone |= self.servers.keys() - e.addresses.keys()
+        for name in gone:
+            self.servers[name].address = None
+            if not self.servers[name].legs:
+                del self.servers[name]
         self.out.append(ev.Say("list", {"news": e.listed.news.name.lower(), "version": e.listed.version,
                                         "entries": len(e.listed.entries)}))
 
--- a/cottonspread/net/workers.py
+++ b/cottonspread/net/workers.py
@@ -99,11 +99,12 @@
             try:
                 sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             except OSError as fault:
-                self.post(ev.Connected(effect.end, False, errno.errorcode.get(fault.errno, "socket")))
+                # By way of the writer: the reducer's own thread may not wait for room in its queue.
+                self.writes.put(ev.Connected(effect.end, False, errno.errorcode.get(fault.errno, "socket")))
                 return
             if not self.begin(effect.end, sock):
                 sock.close()
-                self.post(ev.Connected(effect.end, False, "no-thread"))
+                self.writes.put(ev.Connected(effect.end, False, "no-thread"))
                 return
             effect.end.worker.orders.put(effect)
         elif isinstance(effect, ev.Read):
@@ -117,7 +118,12 @@
             effect = self.writes.get()
             if effect is None:               # the node is done
                 return
+            if isinstance(effect, ev.Connected):
+                self.post(effect)
+                continue
             worker = effect.end.worker
+            if worker is None:               # freed already
+                continue
             try:
                 if isinstance(effect, ev.Write):
                     self.write(worker.sock, effect)
@@ -130,11 +136,9 @@
                     worker.sock.shutdown(socket.SHUT_RD)      # wakes its reader; the reset goes out at the close
                 else:
                     worker.sock.shutdown(socket.SHUT_RDWR)
-            except (OSError, AttributeError) as fault:        # the other side was first, or it is freed already
+            except (OSError, RuntimeError):           # the other side was first, or no thread is to be had
                 if isinstance(effect, ev.Write):
                     self.post(ev.Written(effect.end, False))
-                elif not isinstance(fault, (OSError, AttributeError)):
-                    log.exception("writer")
 
     def write(self, sock, effect):
         try:
