--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -49,6 +49,7 @@
     opening: lines.Opening = None
     guard: int = 0
     legs: list = field(default_factory=list)
+    early: bytes = b""             # lines that came before its host was up
     answered: bool = False         # the final answer is given, or the client is gone
     up: bool = False
     asked: str = ""                # to be moved: the reason code
@@ -183,12 +184,10 @@
         try:
             opening = lines.read_opening(first + b"\n", self.names.types, self.names.tenants,
                                          self.begin.groups_share_work)
-            if rest:
-                raise lines.BadLine("line-before-up")
         except lines.BadLine as fault:
             self.finish(conn, str(fault), lines.ERR)
             return
-        conn.opening = opening
+        conn.opening, conn.early = opening, rest
         wait = opening.wait if opening.held_by is None else STANDING_WAIT
         conn.guard = self.now + wait
         # Two descriptors for every call, and some left to answer with: at the edge a call is turned away.
@@ -199,7 +198,8 @@
         if opening.held_by is not None and (host is None or host.address is None):
             self.finish(conn, "held-by-unknown", lines.ERR)
             return
-        self.read(conn.client)               # to notice when it leaves
+        if not rest:
+            self.read(conn.client)           # to notice when it leaves
         self.at(conn.guard + self.begin.tick, self.overdue, conn)
         self.tell(io.Arrived(conn, opening.type, wait, opening.key, opening.group, opening.tenant, opening.load,
                              False, opening.returned, opening.held_by))
@@ -210,9 +210,8 @@
         return self.begin.legs.longest_advice // 2 if self.begin.legs.may_advise else 0
 
     def client_lines(self, conn, data):
-        if not conn.up:
-            self.leave(conn, "line-before-up")
-            self.finish(conn, "line-before-up", lines.ERR)
+        if not conn.up:                      # a hasty client: kept, and nothing more read before its host is up
+            conn.early = data
             return
         leg = conn.legs[-1]
         leg.heard.sent(self.now, data.count(b"\n"))
@@ -320,8 +319,8 @@
                 self.at(self.stopping + COMING, self.move, conn, "moved-stopping")
             if conn.opening.held_by is None:
                 self.tell(io.Accepted(conn, leg.number, 0))
-            if not conn.client.reading and not conn.client.over:
-                self.read(conn.client)
+            if conn.early:
+                self.client_lines(conn, conn.early)
             self.pass_on(leg, data, len(first) + 1)
         elif ending is Ending.OK:            # it ran, and to its end
             conn.answered = True
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -93,8 +93,11 @@
         sock.sendall(b"OPEN %s %s c=chat,d=2000,g=%s\r\n" % (
             secrets.token_hex(8).encode(), secrets.token_hex(8).encode(), group.encode()))
 
+        answers = sock.makefile("rb")
+        print("<", answers.readline().decode().rstrip(), flush=True)      # UP: the connection stands
+
         def show():
-            for line in sock.makefile("rb"):
+            for line in answers:
                 print("<", line.decode().rstrip(), flush=True)
             print("the connection has ended", flush=True)
 
