No end is left behind that waits for its other side; a slow client does not blame its host

Seen with a client that floods and reads nothing: after it was given up, its connection was never given back (one left at the stop), and the module was told that its host takes 733 ms. Checked: the host echoed others within a millisecond; the node was not reading it, for want of room at the client. At fault: Reducer.cut, which closed an end that nobody read, so that its end was never noticed, and Reducer.listen, which counted echoes that we had not read. Now a cut end is read to its end, and a leg whose client takes nothing does not count.

--- a/cottonspread/net/events.py
+++ b/cottonspread/net/events.py
@@ -11,6 +11,7 @@
     conn: object = None            # the connection it belongs to
     leg: object = None             # of a host's end: its leg
     worker: object = None          # the workers' own, not the reducer's
+    connected: bool = False        # of a host's end: it came up
     reading: bool = False          # an order to read is out
     writing: int = 0               # when the order to write that is out was given; 0: none is
     closing: int = 0               # when it was closed from here; 0: it is not
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -277,7 +277,7 @@
             self.end_leg(leg, Ending.TIMEOUT)
 
     def connected(self, e):
-        leg = e.end.leg
+        leg, e.end.connected = e.end.leg, e.ok
         if not e.ok:
             e.end.over = True
             self.free(e.end)
@@ -377,7 +377,9 @@
         """A host that echoes nothing tells by that alone what its messages take, at least."""
         self.after(LISTEN, self.listen)
         for host in [host for host in self.servers.values() if host.legs]:
-            waited, leg = host.notes.waited(self.now, host.legs)
+            # A client that takes nothing keeps its host from being read, which is no silence of the host's.
+            heard = [leg for leg in host.legs if not leg.conn.client.writing]
+            waited, leg = host.notes.waited(self.now, heard)
             load = host.notes.lapsed(self.now)
             claim = host.notes.confirmed(self.now, waited) if self.hearing.delays else None
             if claim:                        # what was taken for a load was none
@@ -389,7 +391,7 @@
             elif (self.hearing.delays and waited >= 3 * self.slow_from
                   and self.now - host.notes.told_at >= SECOND):
                 self.tell_delay(leg, waited, True)
-            for leg in list(host.legs):
+            for leg in heard:
                 if leg.heard.waiting and self.now - leg.heard.waiting[0] > SILENT:
                     self.move(leg.conn, "silent-host")
 
@@ -459,6 +461,8 @@
 
     def wrote(self, e):
         end, conn = e.end, e.end.conn
+        if end.client and conn.up and self.now - end.writing > self.slow_from:
+            conn.legs[-1].heard.waiting.clear()        # echoes were late for want of a reader
         end.writing = 0
         if end.over:
             self.free(end)
@@ -505,6 +509,10 @@
         end.closing = end.closing or self.now
         if end.worker is not None:
             self.out.append(ev.Cut(end, broken))
+        # Its end is noticed by reading: one that was waiting for the other side to take its lines was never
+        # given back.
+        if end.client or end.connected:
+            self.read(end)
         if end.over and not end.writing:
             self.free(end)
 
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -35,6 +35,12 @@
             threading.Thread(target=what, args=(sock, *args), daemon=True).start()
 
     def serve(self, sock, n):
+        try:
+            self.echo(sock, n)
+        except ConnectionError:              # the node was first
+            pass
+
+    def echo(self, sock, n):
         with sock, sock.makefile("rwb") as file:
             for number, line in enumerate(file):
                 if n in self.silent:
