No call is lost at the stop; a list that cannot be read is asked for whole

A call whose guard time is longer than a stopping node has left would have been cut off with it: a quarter second before the end its leg is ended and the module gives its answer, a reject where that is harmless, else a release. A change that cannot be read, one without the address of a server that is gone for instance, came again with each watch and kept every later one out; now the whole list is asked for, and what is gone needs no address.

--- a/cottonspread/net/discovery.py
+++ b/cottonspread/net/discovery.py
@@ -23,15 +23,17 @@
         version, entries, addresses = int(said["generation"]), [], {}
         news = news or (io.News.FULL if said["reset"] else io.News.CHANGES)
         for one in said["instances"]:
-            name, (host, _, port) = str(one["instanceId"]), str(one["hostPort"]).rpartition(":")
-            if not host or not 0 < int(port) < 65536:
-                raise ValueError(f"address of {name}")
+            name, state = str(one["instanceId"]), STATES[one["lifecycle"]]
+            host, _, port = str(one.get("hostPort")).rpartition(":")
+            if state is not io.State.GONE:   # what is gone needs no address
+                if not host or not 0 < int(port) < 65536:
+                    raise ValueError(f"address of {name}")
+                addresses[name] = host, int(port)
             # A server in a zone that the settings don't name is far from every node.
             entries.append(io.Entry(
                 name, names.zones.get(one.get("zone"), -1), names.kinds.get(one.get("machineType"), -1),
                 float(one.get("weight", 1)), int(one.get("cell", 0)),
-                round(float(one.get("startedAtMs", 0)) * 1000), STATES[one["lifecycle"]]))
-            addresses[name] = host, int(port)
+                round(float(one.get("startedAtMs", 0)) * 1000), state))
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as fault:
         raise BadList(f"{type(fault).__name__}: {fault}") from fault
     return version, io.Listed(news, version, tuple(entries)), addresses
@@ -59,6 +61,8 @@
                 self.failures = 0
             except (OSError, ValueError) as fault:
                 self.failures += 1
+                # What cannot be read would come again: the whole list mends it.
+                self.whole |= isinstance(fault, BadList)
                 if self.failures in (1, 10, 100):
                     log.warning("discovery-fails", extra={"pairs": {"why": fault, "times": self.failures}})
                 if self.ask:                 # the module is told and asks again in its own time
@@ -73,7 +77,12 @@
         else:
             path = f"/api/targets?since={self.version}&timeout_ms={self.WATCH_MS}"
             wait = self.WATCH_MS / 1000 + self.SPARE
-        version, listed, addresses = read_list(json.loads(self.http.get(path, wait)), self.names)
+        body = self.http.get(path, wait)
+        try:
+            said = json.loads(body)
+        except ValueError as fault:
+            raise BadList(f"no JSON: {fault}") from fault
+        version, listed, addresses = read_list(said, self.names)
         full = listed.news is io.News.FULL
         if version < self.version:
             # An old answer must not bring back what is gone; only discovery begun anew says it again and again.
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -253,7 +253,8 @@
     def send(self, conn, name, until):
         leg = Leg(conn, len(conn.legs), self.server(name), until)
         out = [other for other in conn.legs if not other.ended]
-        if (conn.answered or conn.up or until <= self.now or leg.number >= self.begin.legs.most_legs
+        late = self.stopping and self.now >= self.stop_by - SECOND // 4
+        if (conn.answered or conn.up or late or until <= self.now or leg.number >= self.begin.legs.most_legs
                 or out and not self.begin.legs.two_at_once):
             conn.legs.append(leg)
             self.end_leg(leg, Ending.MOOT)
@@ -604,8 +605,15 @@
         span = max(0, self.stop_by - SECOND // 2 - first)
         for n, conn in enumerate(standing):
             self.at(first + span * n // len(standing), self.move, conn, "moved-stopping")
+        self.at(self.stop_by - SECOND // 4, self.hurry)
         self.out.append(ev.Say("stopping", {"standing": len(standing), "open": len(self.conns)}))
 
+    def hurry(self):
+        """The last moment for an answer: a call whose guard time is longer would be lost with the node."""
+        for conn in list(self.conns):
+            for leg in conn.legs if not conn.up else ():
+                self.end_leg(leg, Ending.TIMEOUT)      # and no other leg is sent, see `send`
+
     def stop_when_done(self):
         if self.now >= self.stop_by or self.now - self.stopping > COMING and not self.conns:
             self.out += [ev.Say("stopped", {"left": len(self.conns)}), ev.Stop()]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,6 +3,7 @@
 import io as stdio
 import json
 import logging
+import queue
 import socket
 import threading
 from pathlib import Path
@@ -144,20 +145,23 @@
          "lifecycle": state, "startedAtMs": 7}]}).encode(), b"Connection: close\r\n")
 
 
-def test_the_last_good_list_outlives_garbage_and_older_versions():
-    names, told = config.Names({}, {"here": 0}, {}, {}), []
+def test_the_last_good_list_outlives_garbage_and_older_versions(monkeypatch):
+    names, heard, failed = config.Names({}, {"here": 0}, {}, {}), queue.Queue(), []
     answers = Answers(listing(41), listing(43, False, "Terminating"), ok(b"{", b"Connection: close\r\n"),
-                      listing(43, False, "Gone"), listing(42, False, "Ready"), listing(42), listing(44))
-    one = discovery.Discovery(answers.address, names, told.append, 0)
-    for _ in range(7):
-        try:
-            one.once()
-        except (OSError, ValueError):
-            pass
-    assert [e.listed.version for e in told] == [41, 43, 44]
-    assert told[1].listed.entries[0].state is io.State.DRAINING
+                      listing(43, False, "Gone"), listing(42), listing(42, False), listing(44),
+                      listing(45, False, "Gone").replace(b"hostPort", b"hostPart"))
+    one = discovery.Discovery(answers.address, names,
+                              lambda e: heard.put(e) if isinstance(e, ev.Heard) else failed.append(e), 0)
+    monkeypatch.setattr(discovery.time, "sleep", lambda _: None)
+    one.wanted.set()
+    threading.Thread(target=one.run, daemon=True).start()
+    told = [heard.get(timeout=WAIT) for _ in range(4)]
+    one.stop()
+    assert [e.listed.version for e in told] == [41, 43, 44, 45] and len(failed) == 4
     assert told[0].listed.entries[0] == io.Entry("s-1", 0, -1, 1.0, 0, 7000) and told[0].addresses == {
         "s-1": ("10.1.0.18", 8080)}
+    assert told[1].listed.entries[0].state is io.State.DRAINING
+    assert told[3].listed.entries[0].state is io.State.GONE and not told[3].addresses
 
 
 # Configuration and command line
