Discovery's thread has a stack that deep JSON cannot overrun; no thread dies of a fault

Seen: json.loads of "[" a hundred thousand times ends the whole process in a thread of 128 KiB, and is a RecursionError in one of 256 KiB; discovery's answers are not ours to trust. Now the few threads besides the ends' have 1 MiB, such an answer is a list that cannot be read, and an unforeseen fault in discovery's or an end's thread is logged with its trace and costs one call or one connection, where it would have ended the thread without a word. The test dies with the smaller stack.

--- a/cottonspread/config.py
+++ b/cottonspread/config.py
@@ -106,7 +106,7 @@
 def parse(text, what):
     try:
         return json.loads(text)
-    except ValueError as fault:
+    except (ValueError, RecursionError) as fault:
         raise Senseless(f"{what}: no JSON: {fault}") from fault
 
 
--- a/cottonspread/net/discovery.py
+++ b/cottonspread/net/discovery.py
@@ -59,8 +59,10 @@
             try:
                 self.once()
                 self.failures = 0
-            except (OSError, ValueError) as fault:
+            except Exception as fault:
                 self.failures += 1
+                if not isinstance(fault, (OSError, ValueError)):       # our own: in plain sight, and the list lives on
+                    log.exception("fault")
                 # What cannot be read would come again: the whole list mends it.
                 self.whole |= isinstance(fault, BadList)
                 if self.failures in (1, 10, 100):
@@ -80,7 +82,7 @@
         body = self.http.get(path, wait)
         try:
             said = json.loads(body)
-        except ValueError as fault:
+        except (ValueError, RecursionError) as fault:
             raise BadList(f"no JSON: {fault}") from fault
         version, listed, addresses = read_list(said, self.names)
         full = listed.news is io.News.FULL
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -56,7 +56,7 @@
         self.listener = socket.create_server(self.place.listen, backlog=BACKLOG)
         self.workers.start()
         for target in (self.loop, self.discovery.run, self.accept):
-            threading.Thread(target=target, name=target.__qualname__, daemon=True).start()
+            workers.start_thread(target, stack=workers.WIDE)
         log.info("listening", extra={"pairs": {"address": "%s:%d" % self.listener.getsockname()[:2],
                                                "most_ends": self.most}})
 
--- a/cottonspread/net/workers.py
+++ b/cottonspread/net/workers.py
@@ -16,7 +16,8 @@
 
 log = logging.getLogger("cottonspread.workers")
 
-STACK = 128 * 1024                 # of each thread
+STACK = 128 * 1024                 # of each end's thread
+WIDE = 1024 * 1024                 # of the few others: JSON nested a thousand deep needs over 128 KiB, or the node dies
 HALF_LINE_WAIT = 5                 # seconds; a read that waits looks as often whether half a line is too old
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -27,6 +28,12 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", HALF_LINE_WAIT, 0))
 
 
+def start_thread(target, *args, stack=STACK):
+    """Raises RuntimeError if there is none to be had."""
+    threading.stack_size(stack)
+    threading.Thread(target=target, args=args, name=target.__qualname__, daemon=True).start()
+
+
 class Worker:
     """One end's thread."""
 
@@ -38,13 +45,15 @@
     def run(self):
         while True:
             order = self.orders.get()
-            if isinstance(order, ev.Read):
-                self.post(self.read())
-            elif isinstance(order, ev.Connect):
-                self.post(self.connect(order))
-            else:
+            if isinstance(order, ev.Free):
                 self.free()
                 return
+            try:
+                said = self.read() if isinstance(order, ev.Read) else self.connect(order)
+            except Exception:                # our own fault: in plain sight, and the connection ends
+                log.exception("fault", extra={"pairs": {"while": type(order).__name__}})
+                said = ev.Over(self.end, "fault") if isinstance(order, ev.Read) else ev.Connected(self.end, False)
+            self.post(said)
 
     def connect(self, order):
         sock = self.sock
@@ -79,16 +88,15 @@
     def __init__(self, pool, post):
         self.pool, self.post = pool, post
         self.writes = queue.SimpleQueue()
-        threading.stack_size(STACK)
 
     def start(self):
-        threading.Thread(target=self.write_all, name="writer", daemon=True).start()
+        start_thread(self.write_all, stack=WIDE)
 
     def begin(self, end, sock):
         """A thread for this end; False if there is none to be had."""
         worker = Worker(end, sock, self.pool, self.post)
         try:
-            threading.Thread(target=worker.run, daemon=True).start()
+            start_thread(worker.run)
         except RuntimeError:
             end.worker = None
             return False
@@ -148,7 +156,7 @@
         if sent == len(effect.data):
             self.post(ev.Written(effect.end, True))
         else:                                # no slow peer holds up the others
-            threading.Thread(target=self.write_slowly, args=(sock, effect, sent), daemon=True).start()
+            start_thread(self.write_slowly, sock, effect, sent)
 
     def write_slowly(self, sock, effect, sent):
         try:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -18,6 +18,7 @@
 from cottonspread.net.node import Node
 from cottonspread.net.notes import Heard, Notes
 from cottonspread.net.pool import SIZE, Pool
+from cottonspread.net.workers import WIDE, start_thread
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 NODE = (EXAMPLES / "node.json").read_text()
@@ -147,14 +148,15 @@
 
 def test_the_last_good_list_outlives_garbage_and_older_versions(monkeypatch):
     names, heard, failed = config.Names({}, {"here": 0}, {}, {}), queue.Queue(), []
-    answers = Answers(listing(41), listing(43, False, "Terminating"), ok(b"{", b"Connection: close\r\n"),
+    answers = Answers(listing(41), listing(43, False, "Terminating"),
+                      ok(b"[" * 100_000, b"Connection: close\r\n"),
                       listing(43, False, "Gone"), listing(42), listing(42, False), listing(44),
                       listing(45, False, "Gone").replace(b"hostPort", b"hostPart"))
     one = discovery.Discovery(answers.address, names,
                               lambda e: heard.put(e) if isinstance(e, ev.Heard) else failed.append(e), 0)
     monkeypatch.setattr(discovery.time, "sleep", lambda _: None)
     one.wanted.set()
-    threading.Thread(target=one.run, daemon=True).start()
+    start_thread(one.run, stack=WIDE)        # with less, JSON nested deep ended the whole process
     told = [heard.get(timeout=WAIT) for _ in range(4)]
     one.stop()
     assert [e.listed.version for e in told] == [41, 43, 44, 45] and len(failed) == 4
