--- a/cottonspread/net/notes.py
+++ b/cottonspread/net/notes.py
@@ -43,7 +43,8 @@
     word_at: int = -1              # the host's own words on its messages: the last; -1: none, its step is unknown
     word: int = 0                  # what it said, 0 once it is back under
     doubt: tuple = None            # (when, value, connection): a word or a load, the next second will tell
-    claim: tuple = None            # (when, took, connection, its load before, silence needed): a hang or a load
+    # Each a hang or a load: (when, took, connection, its load before, silence needed to believe it).
+    claims: deque = field(default_factory=lambda: deque(maxlen=8))
 
     def waited(self, now, connections):
         """How long the host has been silent, and on which of `connections` (they have `heard`): the age of the
@@ -68,6 +69,9 @@
             return self.take(now, took)
         if low and self.doubt and one_second(now - self.doubt[0]):
             return self.take(now, took)
+        if any(one_second(now - when) and abs(took - claimed - now + when) <= SLOP
+               for when, claimed, *_ in self.claims):
+            return self.take(now, took)                # grown by just the time passed: it answers nothing
         if first and low and slow < took and grown:
             # The module does nothing yet on a first word so small; and loads don't fall so deep at once.
             if took < 12 * slow or value < heard.load / 32:
@@ -75,23 +79,22 @@
             self.doubt = self.doubt or (now, value, heard)
             return 0 if self.doubt[0] == now else None
         if not grown and (first or in_step):
-            self.claim = now, took, heard, heard.load, 3 * slow if in_step else SECOND // 2
+            self.claims.append((now, took, heard, heard.load, 3 * slow if in_step else SECOND // 2))
         return None
 
     def take(self, now, took):
-        self.word_at, self.word, self.claim, self.doubt = now, took if took > self.slow_from else 0, None, None
+        self.word_at, self.word, self.doubt = now, took if took > self.slow_from else 0, None
+        self.claims.clear()
         return took
 
     def confirmed(self, now, waited):
         """A claim that a silence bears out: (what messages take, the connection, its load before), else None."""
-        if self.claim is None:
-            return None
-        when, took, heard, load, silence = self.claim
-        if now - when > DOUBT:
-            self.claim = None
-        elif waited >= silence:
-            self.take(when, took)
-            return took + now - when, heard, load
+        while self.claims and now - self.claims[0][0] > DOUBT:
+            self.claims.popleft()
+        for when, took, heard, load, silence in self.claims:
+            if waited >= silence:
+                self.take(when, took)
+                return took + now - when, heard, load
         return None
 
     def lapsed(self, now):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -88,6 +88,15 @@
     assert notes.delay(6_000_000, heard, 14_986.5, 500_000) == 14_986_500
 
 
+def test_a_word_that_grows_by_the_time_passed_is_a_hang():
+    """Lines are two seconds apart, so that a silence can be late to tell."""
+    notes, heard, other = Notes(slow_from=17_000), Heard(load=40_000), Heard(load=8_000)
+    assert notes.delay(5_000_000, heard, 13_986.5, 0) is None
+    assert notes.delay(5_400_000, other, 9_000, 0) is None
+    assert notes.delay(6_000_500, heard, 14_900.2, 0) is None
+    assert notes.delay(6_001_000, heard, 14_986.5, 0) == 14_986_500
+
+
 def test_a_light_load_is_no_jam():
     """A connection that fell to 380 us a second was taken for a host whose messages take 380 ms: all were moved."""
     notes, heard = Notes(slow_from=17_000), Heard(load=2_212)
