--- a/cottonspread/config.py
+++ b/cottonspread/config.py
@@ -10,8 +10,8 @@
 from cottonspread import interface as i
 
 EFFECTS = {"safe": i.Effect.REPEATABLE, "keyed": i.Effect.REFERENCED, "unsafe": i.Effect.ONCE_ONLY}
-SCOPES = ("all", "zone", "cell")
-MODES = ("push", "ask")
+SCOPES = {scope: scope for scope in ("all", "zone", "cell")}
+ASKED = {"push": False, "ask": True}
 MISSING = object()
 
 
@@ -74,8 +74,8 @@
         return self.take(key, default, "a text", read)
 
     def choice(self, key, default, among):
-        return self.take(key, default, "one of " + ", ".join(among), lambda v: among[list(among).index(v)]
-                         if not isinstance(among, dict) else among[v])
+        """One of the keys of `among`, as what stands there for it."""
+        return self.take(key, default, "one of " + ", ".join(among), among.__getitem__)
 
     def address(self, key, default=MISSING):
         def read(value):
@@ -135,7 +135,7 @@
                     limits.flag("RetryAfter"), limits.span("MaxRetryAfter", 0)),
         i.ColdStart(rules.number("ColdFrom", 1), rules.span("RampTime", 0), rules.number("TipMultiple", 1),
                     rules.span("OverloadFor", 0)),
-        i.ListRules(c.choice("MembershipMode", "push", MODES) == "ask", rules.span("AskEvery", 0),
+        i.ListRules(c.choice("MembershipMode", "push", ASKED), rules.span("AskEvery", 0),
                     rules.span("DrainGrace", 0)),
         i.Prices(*(costs.number(k, 0) for k in ("CrossZone", "Moves", "Probe", "Peer"))),
         limits.flag("Probes"), limits.flag("PeerMessages"), kind.flag("Groups"))
