--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -17,7 +17,7 @@
 QUEUE = 4096                       # events; workers wait when it is full
 BACKLOG = 1024
 SPARE_ENDS = 32                    # descriptors for the listener, discovery, logs, and to turn clients away with
-BASE_MB, END_KB = 48, 64           # measured: docs/design.md
+BASE_MB, END_KB = 24, 32           # measured, with a third to spare: docs/design.md
 
 
 class Clock:
