--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -326,7 +326,7 @@
         elif ending is Ending.OK:            # it ran, and to its end
             conn.answered = True
             self.end_leg(leg, ending)
-            self.finish(conn, "served-at-once", first + b"\n")
+            self.finish(conn, "completed-at-once", first + b"\n")
         else:
             self.end_leg(leg, ending)
 
@@ -439,7 +439,7 @@
         if not leg.up:
             self.end_leg(leg, Ending.ERROR if how.endswith("-line") else Ending.RESET)
             return
-        codes = {Ending.OK: "served", Ending.CANCELLED: "host-moved"}
+        codes = {Ending.OK: "completed", Ending.CANCELLED: "host-moved"}
         conn.answered = True
         conn.reason = conn.reason or codes.get(leg.farewell, "host-" + how)
         self.end_leg(leg, leg.farewell or Ending.RESET)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -206,9 +206,9 @@
 
 def test_log_lines_are_pairs():
     record = logging.LogRecord("cottonspread.x", logging.INFO, "", 0, "closed", (), None)
-    record.pairs = {"reason": "served", "why": 'a "b" c', "s": 1.5}
+    record.pairs = {"reason": "completed", "why": 'a "b" c', "s": 1.5}
     assert logfmt.KeyValue("n1").format(record).endswith(
-        'level=info node=n1 event=closed reason=served why="a \\"b\\" c" s=1.500')
+        'level=info node=n1 event=closed reason=completed why="a \\"b\\" c" s=1.500')
 
 
 # A whole node
