--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -188,3 +188,21 @@
         verb, args = one_of(moves)
         world.act(now, verb, " ".join(args).split())
     world.finish()
+
+
+def test_a_late_echo_is_told_once_a_second_and_then_the_first_in_time():
+    world, told = World({}, [traffic_type("any", {})]), []
+    handle = world.reducer.module.handle
+
+    def listen(now, event):
+        if isinstance(event, io.DelayTold):
+            told.append((now // 1000, event.delay // 1000))
+        return handle(now, event)
+
+    world.reducer.module.handle = listen
+    for line in ("0 list full a", "0 came c1", "0 got c1 OPEN x k c=any,d=1200", "1 up h1", "2 got h1 UP r",
+                 "100 got c1 M 1", "130 got h1 M 1", "200 got c1 M 2", "240 got h1 M 2", "1200 got c1 M 3",
+                 "1240 got h1 M 3", "1300 got c1 M 4", "1301 got h1 M 4", "1400 got c1 M 5", "1401 got h1 M 5"):
+        time, verb, *args = line.split()
+        world.act(ms(time), verb, args)
+    assert told == [(130, 30), (1240, 40), (1301, 1)]
