Bad clients turned out at the door; SIGHUP followed; errors blamed once another takes the call

Excluded: CPU (0.20 of a second at most), memory (19 of 80 MB), a jam (one server). SIGHUP had no handler.

Changed: ids that are open, waits over ten times the longest guard time and lines before UP get ERR; clients without a sound first line are a quarter of all ends at most, 2 s at most, the oldest goes; none of these lingers. The acceptor counts sockets as they are, and waits up to 50 ms for one. A server is to blame for an error once another takes the same call; a call that two servers answer with an error is given up. SIGHUP: the file is read anew, a fault is logged and changes nothing, the new discovery is asked at once, the old call given up.

--- a/cottonspread/cli.py
+++ b/cottonspread/cli.py
@@ -1,14 +1,19 @@
 """The command line."""
 import argparse
 import errno
+import logging
 import os
+import queue
 import signal
 import sys
+from dataclasses import replace
 
 from cottonspread import __version__, config
 from cottonspread.net import discovery, logfmt
 from cottonspread.net.node import Node, most_ends
 
+log = logging.getLogger("cottonspread.cli")
+
 
 def read(path):
     try:
@@ -25,15 +30,20 @@
 
 
 def serve(path):
+    asked = queue.SimpleQueue()              # by signals, which may come while one is being dealt with
+    signal.signal(signal.SIGHUP, lambda *_: asked.put(reload))
     parts = read(path)
     write_out = logfmt.start(parts[0].name)
     try:
         node = Node(*parts)
-        node.start()
         for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: node.stop())
-        while not node.join(0.5):
-            pass
+            signal.signal(number, lambda *_: asked.put(lambda node, *_: node.stop()))
+        node.start()
+        while not node.join(0):
+            try:
+                asked.get(timeout=0.1)(node, path, parts)
+            except queue.Empty:
+                pass
         return 0
     except OSError as fault:
         where = "%s:%d" % parts[0].listen
@@ -44,6 +54,27 @@
         write_out()
 
 
+def reload(node, path, started_with):
+    """SIGHUP: a new discovery is followed at once. Whatever stands in the file, the node goes on."""
+    try:
+        parts = read(path)
+    except config.Senseless as fault:
+        log.error("reload", extra={"pairs": {"why": fault, "kept": "the old configuration"}})
+        return
+    except Exception:                        # our own fault
+        log.exception("fault", extra={"pairs": {"while": "reload"}})
+        return
+    node.follow(parts[0].discovery)
+    place, room, names, hearing, begin, _ = parts
+    was, *others, old_begin, _ = started_with
+    kept = [key for key, same in (
+        ("name", place.name == was.name), ("listen", place.listen == was.listen),
+        ("limits", [room] == others[:1]), ("settings", [names, hearing] == others[1:]
+                                           and replace(begin, seed=0) == replace(old_begin, seed=0))) if not same]
+    log.info("reload", extra={"pairs": {"discovery": "%s:%d" % parts[0].discovery} | (
+        {"at_next_start": ",".join(kept)} if kept else {})})
+
+
 def check(path):
     place, room, names, _, begin, known = read(path)
     print(f"{place.name}: listens on {place.listen[0]}:{place.listen[1]}, "
--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -1,10 +1,8 @@
 """Every decision of a cottonspread node.
 
 How to invoke: make one `Balancer(now, begin)` for each node, pass every event to `handle(now, event)` and
-carry out the actions it returns, in order; `actions()` gives what the start itself asks for. The types of
-`begin`, the events and the actions are in cottonspread/interface.py; the types a node keeps are in
-cottonspread/state.py. Times are whole microseconds of the front's clock. Nothing here reads a clock, a file
-or the network, and equal events give equal actions.
+carry out the actions it returns, in order; `actions()` gives what the start asks for. Types: interface.py and
+state.py. Times: microseconds of the front's clock; nothing here reads a clock, a file or the network.
 The ordinary path of a call is `Balancer.path`. Each exception to it stands with the failure that it prevents.
 """
 from collections import Counter, OrderedDict, deque
@@ -17,8 +15,6 @@
 NEVER_RAN = {Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT}
 
 
-# Records
-
 class Records:
     """Bounded memory of the server chosen for each key, dropped when idle."""
     IDLE = 600 * SECOND            # the design page's start; its floor is several minutes
@@ -57,8 +53,6 @@
             self.left.popitem(last=False)
 
 
-# Rotation
-
 class Rotation:
     """Servers in turn, from a random start."""
     RANKED = 500                   # keys whose order is kept: ranking the fleet for each call costs too much
@@ -128,8 +122,6 @@
         return listed if not slow_part else min(listed, 2 + round(listed * part / slow_part))
 
 
-# Membership
-
 class Membership:
     """The servers that the list names, and the asking where it must be asked."""
 
@@ -166,8 +158,6 @@
         return base + self.chance.below(base)
 
 
-# Health
-
 class Health:
     """Who is set aside, and the trickle by which one comes back."""
     FIRST_REST = SECOND            # about the longest queue that a live server clears in its set-up target
@@ -200,8 +190,6 @@
         return host.delay >= self.slow_from and now - host.delay_at < self.NOTE_LIFE
 
 
-# Overload
-
 class Loads:
     """What connections weigh, in thousandths of a mean one: as told, else as a mean one."""
     MEAN = 1000
@@ -262,8 +250,6 @@
         return host.load + self.loads.adds(call, host) <= limit * 2 ** min(calm, 9)
 
 
-# Warm-up
-
 class WarmUp:
     """A fresh server's cap, within this node's part of the cold budget."""
 
@@ -302,8 +288,6 @@
         return self.chance.below(10000) < 10000 * self.DRAWN * budget
 
 
-# Leg rules
-
 def may_have_run(call):
     return [leg for leg in call.legs if leg.ending not in NEVER_RAN]
 
@@ -311,6 +295,8 @@
 def may_go_again(call, now):
     """Whether any new leg is allowed, as far as the effect of the earlier ones goes."""
     ran = may_have_run(call)
+    if sum(leg.ending is Ending.ERROR for leg in ran) > 1:
+        return False                         # no server takes it: the fault is the call's, and may be ill will
     if not ran or call.type.effect is not Effect.REFERENCED:
         return not ran or call.type.effect is Effect.REPEATABLE
     return now <= ran[0].sent + call.type.remembered_for
@@ -548,6 +534,9 @@
                 leg.accepted = True
                 leg.host.setups -= 1
                 self.good(leg.host)
+                for other in call.legs:
+                    if other.ending is Ending.ERROR:
+                        self.bad(other.host, other.ending)
                 if not call.ended:
                     self.resume(call, e)
             return
@@ -586,10 +575,16 @@
                 # No one server is to blame, but what all set-ups need: legs sent again and again by all nodes
                 # keep a session store jammed for good.
                 host = self.way
-            if e.ending is not Ending.MOOT and self.health.bad(host, self.now):
-                self.out.append(io.Log(f"{host.name}: {e.ending.value}, aside for {host.rest // 1000} ms"))
+            # A server is to blame for an error once another takes the same call: calls that no server could
+            # read, one after the other, had all servers set aside.
+            if e.ending not in (Ending.MOOT, Ending.ERROR):
+                self.bad(host, e.ending)
         self.membership.drop_gone([leg.host])
 
+    def bad(self, host, ending):
+        if self.health.bad(host, self.now):
+            self.out.append(io.Log(f"{host.name}: {ending.value}, aside for {host.rest // 1000} ms"))
+
     def expire(self, e):
         call = self.calls.get(e.call)
         if call and not call.ended:
--- a/cottonspread/net/discovery.py
+++ b/cottonspread/net/discovery.py
@@ -50,16 +50,33 @@
         self.http, self.names, self.post = Http(address, 1.0), names, post
         self.version, self.whole, self.lower, self.failures = version, True, 0, 0
         self.ask, self.wanted, self.stopped = ask, threading.Event(), False
+        self.target = self.http              # what is to be followed from now on
+
+    def follow(self, address):
+        """From another thread: what the new address tells counts at once, so no watch at the old one is waited for."""
+        self.target = Http(address, 1.0)
+        self.http.give_up()
+
+    def move(self):
+        """The list is kept until the new address has told the whole of it."""
+        while self.http is not self.target:
+            self.http.close()
+            self.http = self.target
+        self.whole, self.lower, self.failures = True, 0, 0
 
     def run(self):
         while not self.stopped:
             self.wanted.wait()
             if self.stopped:
                 break
+            if self.http is not self.target:
+                self.move()
             try:
                 self.once()
                 self.failures = 0
             except Exception as fault:
+                if self.http is not self.target:
+                    continue
                 self.failures += 1
                 if not isinstance(fault, (OSError, ValueError)):       # our own: in plain sight, and the list lives on
                     log.exception("fault")
--- a/cottonspread/net/events.py
+++ b/cottonspread/net/events.py
@@ -40,6 +40,7 @@
     """Whole lines, as they came."""
     end: End
     data: bytes
+    more: bool = False             # part of a further line is there already
 
 
 @dataclass(frozen=True, slots=True)
--- a/cottonspread/net/http.py
+++ b/cottonspread/net/http.py
@@ -14,7 +14,16 @@
 
     def __init__(self, address, connect_wait):
         self.address, self.connect_wait = address, connect_wait
-        self.sock, self.rest, self.until = None, b"", 0.0
+        self.sock, self.rest, self.until, self.given_up = None, b"", 0.0, False
+
+    def give_up(self):
+        """From another thread: a call that is out ends at once, and none begins."""
+        self.given_up, sock = True, self.sock
+        if sock is not None:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:                  # ended already
+                pass
 
     def close(self):
         if self.sock is not None:
@@ -29,7 +38,7 @@
                 return self.call(path, wait)
             except (ConnectionError, BadAnswer):
                 # Only a kept connection may have been closed in the meantime, which tells nothing.
-                if not kept or self.sock is None or self.rest:
+                if not kept or self.sock is None or self.rest or self.given_up:
                     raise
                 self.close()
                 return self.call(path, wait)
@@ -42,6 +51,8 @@
         if self.sock is None:
             self.sock = socket.create_connection(self.address, timeout=min(wait, self.connect_wait))
             self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self.given_up:                    # just while it was connecting
+            raise ConnectionAbortedError("given up")
         host = "%s:%d" % self.address
         self.sock.sendall(f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode())
         status, headers = self.head()
--- a/cottonspread/net/lines.py
+++ b/cottonspread/net/lines.py
@@ -7,7 +7,7 @@
 
 PING, PONG, ERR, MOVE, BYE = b"PING", b"PONG\r\n", b"ERR\r\n", b"MOVE\r\n", b"BYE"
 ENDINGS = {b"BYE": Ending.OK, b"MOVE": Ending.CANCELLED, b"BUSY": Ending.FULL}
-WORD = re.compile(r"[!-~]{1,64}")
+WORD, NUMBER = re.compile(r"[!-~]{1,64}"), re.compile(r"[0-9]+")
 
 
 class BadLine(ValueError):
@@ -71,7 +71,7 @@
     held_by: str = None
 
 
-def read_opening(line, types, tenants, grouped):
+def read_opening(line, types, tenants, grouped, longest_wait):
     """`OPEN ID KEY NAME=VALUE,..` with the numbers that the module gives names; BadLine with its reason."""
     try:
         words = line.rstrip(b"\r\n").decode("ascii").split(" ")
@@ -85,12 +85,14 @@
     if pairs["c"] not in types:
         raise BadLine("unknown-type")
     try:
-        wait = int(pairs.get("d", 0)) * 1000
+        wait = NUMBER.fullmatch(pairs.get("d", "0"))[0]
         load = float(pairs.get("h", 0))
-    except ValueError:
+    except (TypeError, ValueError):
         raise BadLine("garbled") from None
-    if wait < 0 or not 0 <= load < 1e15:
+    # A host answers a wait of years with ERR, and each host asked looked broken for it.
+    if not 0 <= load < 1e15 or len(wait) > 15 or "at" not in pairs and int(wait) * 1000 > longest_wait:
         raise BadLine("garbled")
+    wait = int(wait) * 1000
     who = pairs.get("g")
     return Opening(line, words[1], types[pairs["c"]], wait, words[2], who if grouped else None,
                    tenants.get(pairs.get("t"), 0), load, pairs.get("again") == "1", pairs.get("at"))
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+from dataclasses import replace
 
 from cottonspread.interface import News
 from cottonspread.net import discovery, lines, workers
@@ -16,6 +17,7 @@
 
 QUEUE = 4096                       # events; workers wait when it is full
 BACKLOG = 1024
+ROOM_WAITS = 25                    # times 2 ms that a client waits for a descriptor to be given back
 SPARE_ENDS = 32                    # descriptors for the listener, discovery, logs, and to turn clients away with
 BASE_MB, END_KB = 24, 32           # measured, with a third to spare: docs/design.md
 
@@ -60,6 +62,12 @@
         log.info("listening", extra={"pairs": {"address": "%s:%d" % self.listener.getsockname()[:2],
                                                "most_ends": self.most}})
 
+    def follow(self, address):
+        """Another discovery from now on; the list, calls and connections stay."""
+        if address != self.place.discovery:
+            self.place = replace(self.place, discovery=address)
+            self.discovery.follow(address)
+
     def stop(self):
         self.post(ev.StopAsked())
 
@@ -122,7 +130,12 @@
                 sock.close()
                 continue
             end = ev.End(True)
-            if self.reducer.ends >= self.most + SPARE_ENDS // 2 or not self.workers.begin(end, sock):
+            # What has come and is not yet in the reducer's count: hundreds at once would pass the limit.
+            waits = ROOM_WAITS
+            while waits and len(self.workers.live) >= self.most + SPARE_ENDS // 2:
+                waits -= 1
+                time.sleep(0.002)            # the reducer turns out who says nothing
+            if not waits or not self.workers.begin(end, sock):
                 self.turn_away(sock)
                 continue
             self.post(ev.Came(end))
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -18,7 +18,9 @@
 SECOND = 1_000_000
 SWEEP = SECOND // 4
 LISTEN = SECOND // 10              # how often it is looked whose echoes stay out
-FIRST_WAIT = 5 * SECOND            # for a client's first line
+FIRST_WAIT = 2 * SECOND            # for a client's first line, checks before it included
+WAITING_PART = 4                   # one part in so many of all ends, at most, is clients without a first line
+LONGEST_WAIT = 10                  # times the longest guard time: a client that says it waits longer is wrong
 LINGER = SECOND                    # what the other side gets to end its half of a closed connection
 STUCK = 3 * SECOND                 # a peer that takes nothing for so long is given up
 SILENT = 6 * SECOND                # a host that echoes nothing is left before the 7 s that a client bears
@@ -49,13 +51,13 @@
     opening: lines.Opening = None
     guard: int = 0
     legs: list = field(default_factory=list)
-    early: bytes = b""             # lines that came before its host was up
     answered: bool = False         # the final answer is given, or the client is gone
     up: bool = False
     asked: str = ""                # to be moved: the reason code
     reason: str = ""               # why it ended; "" while it stands
     setup: int = 0
     pings: int = 0
+    rude: bool = False             # no usual client: it is cut off, and what it still sends is not read
 
 
 @dataclass(eq=False)
@@ -73,6 +75,9 @@
         self.begin, self.names, self.hearing, self.most_ends = begin, names, hearing, most_ends
         self.module = Balancer(now, begin)
         self.servers, self.conns, self.ends = {}, {}, 0
+        self.unopened = {}                   # clients without a sound first line, the oldest first
+        self.by_id = {}                      # calls that are open, by the client's word for them
+        self.longest_wait = LONGEST_WAIT * max(t.guard_time for t in begin.types)
         self.timers, self.stamp = [], 0
         self.listed, self.stopping, self.stop_by = False, 0, 0
         targets = [t.message_target for t in begin.types if t.message_target]
@@ -159,35 +164,58 @@
         conn = Conn(e.end, self.now)
         e.end.conn = conn
         self.conns[conn] = None
+        # Hundreds that connect and say nothing held every descriptor, and usual clients found no room. A usual
+        # client's line comes on the heels of its connection, so the oldest of those without one goes.
+        while len(self.unopened) >= max(2, self.most_ends // WAITING_PART):
+            self.turn_out(next(iter(self.unopened)), "no-first-line")
+        self.unopened[conn] = None
         self.read(e.end)
 
+    def turn_out(self, conn, reason):
+        """The end of one that is no usual client."""
+        self.unopened.pop(conn, None)
+        conn.rude = True
+        self.finish(conn, conn.reason or reason, lines.ERR)
+
     def got(self, e):
         e.end.reading = False
-        if e.end.closing or e.end.finish:
+        if e.end.client and e.end.conn.rude:
+            self.over(ev.Over(e.end, "end"))
+        elif e.end.closing or e.end.finish:
             self.read(e.end)                 # read to its end, and dropped
         elif not e.end.client:
             self.host_lines(e.end.leg, e.data)
         elif e.end.conn.opening is None:
-            self.first_line(e.end.conn, e.data)
+            self.first_line(e.end.conn, e.data, e.more)
         else:
             self.client_lines(e.end.conn, e.data)
 
-    def first_line(self, conn, data):
+    def first_line(self, conn, data, more):
         first, _, rest = data.partition(b"\n")
-        if first.rstrip(b"\r") == lines.PING and not rest:
+        # Who sends on before the answer is no client of ours; its lines would reach a host as a usual client's.
+        if rest or more:
+            self.turn_out(conn, "early-line")
+            return
+        if first.rstrip(b"\r") == lines.PING:
             conn.pings += 1
             if self.listed and not self.stopping:
                 self.write(conn.client, lines.PONG)
             else:
-                self.finish(conn, "not-ready", lines.ERR)
+                self.turn_out(conn, "not-ready")
             return
         try:
             opening = lines.read_opening(first + b"\n", self.names.types, self.names.tenants,
-                                         self.begin.groups_share_work)
+                                         self.begin.groups_share_work, self.longest_wait)
         except lines.BadLine as fault:
-            self.finish(conn, str(fault), lines.ERR)
+            self.turn_out(conn, str(fault))
+            return
+        # Hosts answer an id that is open already with ERR; every host that was asked looked broken for it.
+        if opening.id in self.by_id:
+            self.turn_out(conn, "id-in-use")
             return
-        conn.opening, conn.early = opening, rest
+        conn.opening = opening
+        self.unopened.pop(conn, None)
+        self.by_id[opening.id] = conn
         wait = opening.wait if opening.held_by is None else STANDING_WAIT
         conn.guard = self.now + wait
         # Two descriptors for every call, and some left to answer with: at the edge a call is turned away.
@@ -198,8 +226,7 @@
         if opening.held_by is not None and (host is None or host.address is None):
             self.finish(conn, "held-by-unknown", lines.ERR)
             return
-        if not rest:
-            self.read(conn.client)           # to notice when it leaves
+        self.read(conn.client)               # to notice when it leaves
         self.at(conn.guard + self.begin.tick, self.overdue, conn)
         self.tell(io.Arrived(conn, opening.type, wait, opening.key, opening.group, opening.tenant, opening.load,
                              False, opening.returned, opening.held_by))
@@ -210,8 +237,9 @@
         return self.begin.legs.longest_advice // 2 if self.begin.legs.may_advise else 0
 
     def client_lines(self, conn, data):
-        if not conn.up:                      # a hasty client: kept, and nothing more read before its host is up
-            conn.early = data
+        if not conn.up:                      # see `first_line`
+            self.leave(conn, "early-line")
+            self.turn_out(conn, "early-line")
             return
         leg = conn.legs[-1]
         leg.heard.sent(self.now, data.count(b"\n"))
@@ -244,6 +272,7 @@
         """A last line for the client, then the end of its connection."""
         conn.reason = conn.reason or reason
         conn.answered = True
+        self.closed_id(conn)
         if line and not conn.client.writing:
             self.write(conn.client, line)
         self.close(conn.client)
@@ -320,8 +349,6 @@
                 self.at(self.stopping + COMING, self.move, conn, "moved-stopping")
             if conn.opening.held_by is None:
                 self.tell(io.Accepted(conn, leg.number, 0))
-            if conn.early:
-                self.client_lines(conn, conn.early)
             self.pass_on(leg, data, len(first) + 1)
         elif ending is Ending.OK:            # it ran, and to its end
             conn.answered = True
@@ -504,7 +531,10 @@
         if end.over:
             self.free(end)
             return
-        self.out.append(ev.Finish(end))
+        if end.client and end.conn.rude:     # one that sent on at full speed kept the reader busy until cut off
+            self.out.append(ev.Cut(end))
+        else:
+            self.out.append(ev.Finish(end))
         self.read(end)
 
     def cut(self, end, broken=False):
@@ -528,8 +558,14 @@
         self.out.append(ev.Free(end))
         if end.client:
             self.conns.pop(end.conn, None)
+            self.unopened.pop(end.conn, None)
+            self.closed_id(end.conn)
             self.out.append(ev.Say("closed", self.summary(end.conn)))
 
+    def closed_id(self, conn):
+        if conn.opening and self.by_id.get(conn.opening.id) is conn:
+            del self.by_id[conn.opening.id]
+
     def summary(self, conn):
         leg = conn.legs[-1] if conn.legs else None
         pairs = {"reason": conn.reason or "unknown", "s": (self.now - conn.began) / SECOND}
@@ -546,8 +582,8 @@
         self.after(SWEEP, self.sweep)
         for conn in list(self.conns):
             self.sweep_end(conn.client)
-            if conn.opening is None and not conn.pings and not conn.reason and self.now - conn.began > FIRST_WAIT:
-                self.finish(conn, "no-first-line", lines.ERR)
+            if conn.opening is None and not conn.reason and self.now - conn.began > FIRST_WAIT:
+                self.turn_out(conn, "ping" if conn.pings else "no-first-line")
             for leg in conn.legs:
                 if leg.end is not None:
                     self.sweep_end(leg.end)
--- a/cottonspread/net/workers.py
+++ b/cottonspread/net/workers.py
@@ -37,8 +37,8 @@
 class Worker:
     """One end's thread."""
 
-    def __init__(self, end, sock, pool, post):
-        self.end, self.sock, self.pool, self.post = end, sock, pool, post
+    def __init__(self, end, sock, pool, post, live):
+        self.end, self.sock, self.pool, self.post, self.live = end, sock, pool, post, live
         self.orders, self.gatherer = queue.SimpleQueue(), None
         end.worker = self
 
@@ -70,7 +70,7 @@
             self.gatherer = lines.Gatherer(self.sock, self.pool, HALF_LINE_WAIT)
         try:
             data = self.gatherer.lines()
-            return ev.Got(self.end, data) if data else ev.Over(self.end, "end")
+            return ev.Got(self.end, data, self.gatherer.filled > 0) if data else ev.Over(self.end, "end")
         except lines.BadLine as fault:
             return ev.Over(self.end, str(fault))
         except OSError:
@@ -82,22 +82,26 @@
         if self.sock is not None:
             self.sock.close()
         self.end.worker = None
+        self.live.discard(self)
 
 
 class Workers:
     def __init__(self, pool, post):
         self.pool, self.post = pool, post
         self.writes = queue.SimpleQueue()
+        self.live = set()                    # who holds a socket, with what the reducer has not yet heard of
 
     def start(self):
         start_thread(self.write_all, stack=WIDE)
 
     def begin(self, end, sock):
         """A thread for this end; False if there is none to be had."""
-        worker = Worker(end, sock, self.pool, self.post)
+        worker = Worker(end, sock, self.pool, self.post, self.live)
+        self.live.add(worker)
         try:
             start_thread(worker.run)
         except RuntimeError:
+            self.live.discard(worker)
             end.worker = None
             return False
         return True
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,7 +3,9 @@
 import io as stdio
 import json
 import logging
+import os
 import queue
+import signal
 import socket
 import threading
 from pathlib import Path
@@ -227,11 +229,16 @@
 
 
 @pytest.fixture
-def service(monkeypatch):
-    """A node, with the example's toy servers and discovery."""
+def toy():
     spec = importlib.util.spec_from_file_location("toy", EXAMPLES / "toy.py")
-    toy = importlib.util.module_from_spec(spec)
-    spec.loader.exec_module(toy)
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+@pytest.fixture
+def service(monkeypatch, toy):
+    """A node, with the example's toy servers and discovery."""
     servers = toy.Toy(2)
     listener = socket.create_server(("127.0.0.1", 0))
     threading.Thread(target=servers.accept, args=(listener, servers.discover), daemon=True).start()
@@ -296,3 +303,56 @@
     assert stands.hear() == b"still here"
     logging.getLogger("cottonspread").removeHandler(handler)
     assert "event=fault" in said.getvalue() and "decisions broken" in said.getvalue()
+
+
+def test_sighup_follows_the_new_discovery_and_a_faulty_file_changes_nothing(toy, tmp_path, monkeypatch):
+    """It ended the process; and a watch at the old address kept the node from the new one for seconds."""
+    first, second, said, rest = toy.Toy(1), toy.Toy(2), queue.Queue(), []
+
+    def discovery_of(servers):
+        listener = socket.create_server(("127.0.0.1", 0))
+        threading.Thread(target=servers.accept, args=(listener, servers.discover), daemon=True).start()
+        return "%s:%d" % listener.getsockname()
+
+    class Said(logging.Handler):
+        def emit(self, record):
+            said.put((record.getMessage(), getattr(record, "pairs", {})))
+
+    def wait_for(event):
+        while (got := said.get(timeout=WAIT))[0] != event:
+            pass
+        return got[1]
+
+    def operate():
+        try:
+            address = wait_for("listening")["address"].split(":")
+            while wait_for("list")["news"] != "full":
+                pass
+            stands = Client((address[0], int(address[1])), b"OPEN 01 02 c=chat,d=2000,g=0a")
+            rest.append(stands.hear()[:3])
+            for text in ("{", json.dumps(config_of | {"discovery": discovery_of(second)})):
+                file.write_text(text)
+                os.kill(os.getpid(), signal.SIGHUP)
+                rest.append(sorted(wait_for("reload")))
+            rest.append(wait_for("list")["entries"])
+            stands.say(b"still here")
+            rest.append(stands.hear())
+        finally:
+            os.kill(os.getpid(), signal.SIGTERM)
+
+    config_of = json.loads(NODE) | {"listen": "127.0.0.1:0", "discovery": discovery_of(first)}
+    file = tmp_path / "node.json"
+    file.write_text(json.dumps(config_of))
+    monkeypatch.setattr(logfmt, "start", lambda node: lambda: None)
+    logger, handler = logging.getLogger("cottonspread"), Said()
+    monkeypatch.setattr(logger, "handlers", [handler])
+    monkeypatch.setattr(logger, "level", logging.INFO)
+    logger.manager._clear_cache()
+    kept = {number: signal.getsignal(number) for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)}
+    try:
+        threading.Thread(target=operate, daemon=True).start()
+        assert cli.main(["serve", "--config", str(file)]) == 0
+    finally:
+        for number, what in kept.items():
+            signal.signal(number, what)
+    assert rest == [b"UP ", ["kept", "why"], ["discovery"], 2, b"still here"]
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -2,7 +2,7 @@
 
 Settings as in tests/test_scenarios.py; TIME EVENT ARGS with these events:
   list changes|full|saved HOST[:WORD=VALUE]    discovery has spoken       down     discovery fails
-  came C                  a client connects    got END TEXT [| TEXT]      whole lines come
+  came C                  a client connects    got END TEXT [| TEXT]      whole lines come; half: and part of one more
   up H, fail H            a connect's result   wrote END [broken]         a write held by `hold END` is done
   over END [how]          nothing more comes   stop, tick                 SIGTERM; time passes
 > connect H HOST, write END TEXT, finish END, cut END [broken], closed C REASON, stop    what must follow
@@ -99,11 +99,11 @@
                 self.step(ev.ListFailed())
             case "came":
                 self.step(ev.Came(self.named(ev.End(True), args[0])))
-            case "got":
+            case "got" | "half":
                 assert end in self.reading, f"nobody reads {args[0]}"
                 self.reading.discard(end)
                 data = "".join(text.strip() + "\r\n" for text in " ".join(args[1:]).split("|"))
-                self.step(ev.Got(end, data.encode()))
+                self.step(ev.Got(end, data.encode(), verb == "half"))
             case "up" | "fail":
                 self.step(ev.Connected(end, verb == "up"))
             case "hold":
