Words on messages known by their beat, also the first on a connection and large first ones

A trace of every LOAD line beside what the module was told: a slow server's words (1,354, 1,820, 2,246, 2,592, 2,953, one a second to the millisecond) went to the module as loads for five seconds, so it sent the server more and thought its heaviest connection weighed nothing, until the server dropped them all. The lines at fault, net/notes.py `delay`: a first word over 1,017 ms was never believed, though this node had met the server a moment ago; and the first LOAD line of a connection was always its load, though a load is told only when the connection works (19.988, 18.547, 64.06 taken for loads). Excluded: echoes (immediate on jammed servers too), late reading (words 1 s apart within 1 ms).

Changed: a host's beat outlives an episode; a line small for a load is held a second, and two such on one beat are words, as are three of any size, whose connections get back the loads told before; a host met within the last second may say any first word. A word believed by its size alone lapses as before.

--- a/cottonspread/net/notes.py
+++ b/cottonspread/net/notes.py
@@ -4,14 +4,16 @@
 the simulator's two notes, for the line does not say which: the load of its connection in microseconds a second,
 or the milliseconds that a message takes at the host (seen on the bench: the same figures that the simulator
 gives as its second note came as LOAD lines, once a second, among loads a thousand times as large; taken for loads,
-they made the connections of a jammed host weigh nothing). `Notes.delay` tells the two apart.
+they made the connections of a jammed host weigh nothing). `Notes.delay` tells the two apart: words on messages
+come on the host's own beat, a second apart, and few loads are that small.
 """
 from collections import deque
 from dataclasses import dataclass, field
 
 SECOND = 1_000_000
-SLOP = SECOND // 20                # how far a word may stray from its second
+SLOP = SECOND // 30                # how far a word may stray from its second
 DOUBT = 2 * SECOND                 # how long a claim may wait for a silence that confirms it
+CHAIN = 2 * SECOND + 2 * SLOP      # three words a second apart are known for words, whatever their size
 HELD = 64                          # lines under way whose times are kept
 
 
@@ -33,16 +35,30 @@
         return next((sent for sent in self.waiting if sent > after), None)
 
 
+@dataclass(eq=False)
+class Line:
+    """A LOAD line that may yet turn out to be a word on messages."""
+    when: int
+    took: int                      # what messages take, if it is one
+    heard: Heard
+    before: float                  # the load of its connection before it
+    held: bool                     # not told as a load yet: it is small for one
+
+
 @dataclass(eq=False)
 class Notes:
     """What this node has heard of one host's messages."""
     slow_from: int                 # shorter is no news: a third of the shortest message target
+    met_at: int = -10 * SECOND     # since when connections of this node stand there
     answered: int = -1             # when the latest line that got its echo was sent, on any connection
     told_at: int = -SECOND         # by silence or a late echo: the last word passed on
     over: bool = False             # and it was over the threshold
-    word_at: int = -1              # the host's own words on its messages: the last; -1: none, its step is unknown
+    word_at: int = -1              # the host's own words on its messages: the last
     word: int = 0                  # what it said, 0 once it is back under
-    doubt: tuple = None            # (when, value, connection): a word or a load, the next second will tell
+    beat: int = -1                 # a time at which a word came: others come whole seconds from it; -1: not known
+    alone: Line = None             # a first word believed by its size alone: the next second will tell
+    lines: deque = field(default_factory=lambda: deque(maxlen=32))        # of the last two seconds
+    mistaken: list = field(default_factory=list)       # (connection, its load before): told as loads, and were words
     # Each a hang or a load: (when, took, connection, its load before, silence needed to believe it).
     claims: deque = field(default_factory=lambda: deque(maxlen=8))
 
@@ -55,36 +71,50 @@
         sent, _, one = min(out, default=(now, 0, None))
         return now - sent, one
 
-    def delay(self, now, heard, value, waited):
+    def delay(self, now, heard, value, waited, usual):
         """What messages take if `LOAD value` is a word on them, None if it is a load, 0 if that is not clear yet.
-        `waited`: how long the host has been silent."""
+        `waited`: how long the host has been silent; `usual`: the mean of the loads told."""
         took, slow = round(value * 1000), self.slow_from
-        if not heard.load:                             # a connection tells its load first
-            return None
-        first, low = self.word_at < 0, value < heard.load / 4
-        in_step = not first and one_second(now - self.word_at)
-        # What is piled up grows by the second at most, or the host answers nothing: then its echoes stop too.
+        line = Line(now, took, heard, heard.load, value < (heard.load or usual) / 4)
+        # What is piled up grows by the second at most, or the host answers nothing: then its echoes stop too. A
+        # host met just now may have piled up anything before.
         grown = took <= (self.word or slow) + SECOND
-        if in_step and (took > slow or self.word) and (grown or waited > slow):
+        fits = grown or waited > slow or line.held and now - self.met_at <= SECOND + SLOP
+        due = self.beat >= 0 and one_second(now - self.beat)
+        if due and (took > slow or self.word) and fits:
             return self.take(now, took)
-        if low and self.doubt and one_second(now - self.doubt[0]):
+        if any(line.held and other.held or self.follows(other) for other in self.before(line)):
             return self.take(now, took)
         if any(one_second(now - when) and abs(took - claimed - now + when) <= SLOP
                for when, claimed, *_ in self.claims):
             return self.take(now, took)                # grown by just the time passed: it answers nothing
-        if first and low and slow < took and grown:
+        if self.beat < 0 and line.held and took > slow and fits:
             # The module does nothing yet on a first word so small; and loads don't fall so deep at once.
-            if took < 12 * slow or value < heard.load / 32:
-                return self.take(now, took)
-            self.doubt = self.doubt or (now, value, heard)
-            return 0 if self.doubt[0] == now else None
-        if not grown and (first or in_step):
-            self.claims.append((now, took, heard, heard.load, 3 * slow if in_step else SECOND // 2))
-        return None
+            if took < 12 * slow or value < heard.load / 100:
+                taken = self.take(now, took)
+                self.alone = line
+                return taken
+        if not grown and (self.beat < 0 or due):
+            self.claims.append((now, took, heard, heard.load, 3 * slow if due else SECOND // 2))
+        self.lines.append(line)
+        return 0 if line.held else None
+
+    def before(self, line):
+        """The lines of a second before that `line` may be the next word after."""
+        return [other for other in self.lines if abs(line.when - other.when - SECOND) <= SLOP
+                and other.took > self.slow_from and line.took <= other.took + SECOND]
+
+    def follows(self, line):
+        return any(self.before(line))
 
     def take(self, now, took):
-        self.word_at, self.word, self.doubt = now, took if took > self.slow_from else 0, None
+        self.word_at = self.beat = now
+        self.word, self.alone = took if took > self.slow_from else 0, None
         self.claims.clear()
+        for line in reversed([line for line in self.lines if one_second(now - line.when)]):     # the first load last
+            self.lines.remove(line)
+            if not line.held and line.before:
+                self.mistaken.append((line.heard, line.before))
         return took
 
     def confirmed(self, now, waited):
@@ -98,15 +128,21 @@
         return None
 
     def lapsed(self, now):
-        """Words come each second until messages are quick again: one with none after it was a load after all.
-        Gives (connection, load) where that was not told yet."""
+        """What turned out to be loads: (connection, load) of each that was not told yet."""
+        found = []
+        # Words come each second until messages are quick again: one with none after it was a load after all.
         if self.word and now - self.word_at > SECOND + SECOND // 2:
-            self.word_at, self.word = -1, 0
-        if self.doubt and now - self.doubt[0] > SECOND + 2 * SLOP:
-            _, value, heard = self.doubt
-            self.doubt = None
-            return heard, value
-        return None
+            if self.alone:
+                found.append(self.alone)
+                self.beat = -1
+            self.word, self.alone = 0, None
+        while self.lines and now - self.lines[0].when > CHAIN:
+            self.lines.popleft()
+        for line in self.lines:
+            if line.held and now - line.when > SECOND + 2 * SLOP:
+                line.held = False
+                found.append(line)
+        return [(line.heard, line.took / 1000) for line in found]
 
 
 def one_second(span):
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -80,6 +80,7 @@
         self.longest_wait = LONGEST_WAIT * max(t.guard_time for t in begin.types)
         self.timers, self.stamp = [], 0
         self.listed, self.stopping, self.stop_by = False, 0, 0
+        self.usual = 0.0                     # mean of the loads told
         targets = [t.message_target for t in begin.types if t.message_target]
         self.slow_from = min(targets, default=SECOND) // 3
         self.handlers = {ev.Came: self.came, ev.Connected: self.connected, ev.Got: self.got,
@@ -343,6 +344,8 @@
         conn = leg.conn
         if ending is None:
             leg.up = conn.up = True
+            if not leg.host.legs:
+                leg.host.notes.met_at = self.now
             leg.host.legs[leg] = None
             conn.setup = self.now - conn.began
             if self.stopping:
@@ -376,8 +379,10 @@
         if self.hearing.delays:
             # Where the settings say that loads are not told, such a line can only be the other note: taken for a
             # connection's load, with which each begins elsewhere, no jam was seen at all.
-            delay = notes.delay(self.now, leg.heard, value, notes.waited(self.now, leg.host.legs)[0]) \
-                if self.hearing.loads else notes.take(self.now, round(value * 1000))
+            delay = notes.delay(self.now, leg.heard, value, notes.waited(self.now, leg.host.legs)[0],
+                                self.usual) if self.hearing.loads else notes.take(self.now, round(value * 1000))
+            self.tell_loads(leg.host, notes.mistaken)
+            notes.mistaken.clear()
             if delay:
                 self.tell(io.DelayTold(leg.conn, delay))
             if delay is not None:
@@ -386,9 +391,15 @@
 
     def tell_load(self, leg, value):
         leg.heard.load = value
+        self.usual += (value - self.usual) / 50 if self.usual else value
         if self.hearing.loads:
             self.tell(io.LoadTold(leg.conn, value))
 
+    def tell_loads(self, host, loads):
+        for heard, load in loads:
+            for leg in [leg for leg in host.legs if leg.heard is heard]:
+                self.tell_load(leg, load)
+
     def echo(self, leg, sent):
         """A late echo is told once a second, and the first one that is back in time."""
         notes = leg.host.notes
@@ -411,12 +422,11 @@
             # A client that takes nothing keeps its host from being read, which is no silence of the host's.
             heard = [leg for leg in host.legs if not leg.conn.client.writing]
             waited, leg = host.notes.waited(self.now, heard)
-            load = host.notes.lapsed(self.now)
+            loads = host.notes.lapsed(self.now)
             claim = host.notes.confirmed(self.now, waited) if self.hearing.delays else None
             if claim:                        # what was taken for a load was none
-                load = claim[1:]
-            for owner in [one for one in host.legs if load and one.heard is load[0]]:
-                self.tell_load(owner, load[1])
+                loads.append(claim[1:])
+            self.tell_loads(host, loads)
             if claim:
                 self.tell_delay(leg, claim[0], True)
             elif (self.hearing.delays and waited >= 3 * self.slow_from
