Nothing new to a server near full; a hung server is no sign of a jam

After a hang one node of two rejected calls though four of its five servers held nothing: one slow server of one heard of made a jam of 0.33 (decide.py `look_at_marked`).

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -165,6 +165,7 @@
     PERIOD = 3 * SECOND // 4       # with the bucket it falls in, a second
     RUN = 3                        # servers timed out with no answer between: not the trouble of one
     OPEN_AT = 8                    # trickle that counts as no limit any more
+    NEAR = 0.4                     # of the message target: one more connection makes a server so near full slow
     NOTE_LIFE = 5 * SECOND // 2    # told once a second while it lasts: two words missed, and it is over
 
     def __init__(self, slow_from):
@@ -186,8 +187,8 @@
         return now >= host.aside_until and (
             not host.trickle or host.sent.total(now, self.PERIOD) < host.trickle)
 
-    def slow(self, host, now):
-        return host.delay >= self.slow_from and now - host.delay_at < self.NOTE_LIFE
+    def slow(self, host, now, part=1):
+        return host.delay >= self.slow_from * part and now - host.delay_at < self.NOTE_LIFE
 
 
 class Loads:
@@ -321,7 +322,6 @@
 
 
 class Balancer:
-    """One node."""
     DEAREST_MOVE = 0.3             # of the result, for a move a call: jams cost 0.2 without moves
 
     def __init__(self, now, begin):
@@ -359,8 +359,6 @@
             take(event)
         return self.actions()
 
-    # The ordinary path
-
     def path(self, call):
         """A call from arrival to its final answer: yields what is to be done, is resumed with the result."""
         if call.legs:                        # open already, when this node started
@@ -397,7 +395,7 @@
             return (host.up and may_go_to(call, host)
                     and all(leg.host is not host for leg in call.legs)
                     and (host not in self.marked or self.health.may_send(host, self.now)
-                         and not self.health.slow(host, self.now)
+                         and not self.health.slow(host, self.now, Health.NEAR)
                          and self.ceilings.room(host, call, self.now))
                     and self.warm_up.may_send(host, self.now))
 
@@ -446,11 +444,12 @@
         for leg in [leg for host in self.rotation.order for leg in host.legs] if self.loads.heard else ():
             self.weigh_anew(leg)             # the mean moves with every word
         self.marked = {h: None for h in self.marked if self.warm_up.part(h, self.now) < 1
-                       or h.trickle or h.ceiling or self.health.slow(h, self.now)}
+                       or h.trickle or h.ceiling or self.health.slow(h, self.now, Health.NEAR)}
         up = [h for h in self.marked if h.up]
         self.fresh = {h for h in up if self.warm_up.part(h, self.now) < 1}
         heard = [h for h in self.rotation.order if h.legs or self.now - h.cut_at < Ceilings.CALM]
-        slow = sum(self.health.slow(h, self.now) or self.now - h.cut_at < Ceilings.CALM for h in heard)
+        # A server that hangs tells nothing of the others' load.
+        slow = sum(self.health.slow(h, self.now) and not h.hung or self.now - h.cut_at < Ceilings.CALM for h in heard)
         self.slow_part = slow / (len(heard) + 2)      # two in doubt: one server tells little of the others
         # Fresh ones and those set aside would pull the mean down: sound ones would all seem well over it.
         self.apart = [h for h in up if h in self.fresh or not self.health.may_send(h, self.now)]
@@ -617,10 +616,10 @@
         """Messages take long at a server: one pause is passed over; what lasts, or is huge, is overload."""
         lasts, before, since = self.health.slow(host, self.now), host.delay, self.now - host.delay_at
         host.delay, host.delay_at = delay, self.now
+        self.marked[host] = None
         if delay < self.health.slow_from:
             host.slow_from, host.hung = 0, False
             return
-        self.marked[host] = None
         host.slow_from = host.slow_from if lasts and host.slow_from else self.now
         self.ceilings.slow_at = self.now
         if delay - (before if lasts else 0) > 2 * min(since, SECOND) or lasts and delay - before >= since:
