One connection that breaks by itself does not set its server aside; empty ones under a ceiling are tried

And servers that held nothing of a node for ten seconds were shut to it by a ceiling of 1,989 to 2,994 under which no call with its group fits (`Ceilings.room`), while two others held 20 connections.

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -165,7 +165,7 @@
     PERIOD = 3 * SECOND // 4       # with the bucket it falls in, a second
     RUN = 3                        # servers timed out with no answer between: not the trouble of one
     OPEN_AT = 8                    # trickle that counts as no limit any more
-    NEAR = 0.4                     # of the message target: one more connection makes a server so near full slow
+    NEAR = 0.4                     # of the message target: one more connection makes a server slow
     NOTE_LIFE = 5 * SECOND // 2    # told once a second while it lasts: two words missed, and it is over
 
     def __init__(self, slow_from):
@@ -222,8 +222,8 @@
     CALM, CALM_DOUBLES_IN = 5 * SECOND, 4 * SECOND
     LEAST = Loads.MEAN             # grows at least as one of this size would
 
-    def __init__(self, loads, chance):
-        self.loads, self.chance, self.slow_at = loads, chance, -60 * SECOND
+    def __init__(self, loads, chance, nodes):
+        self.loads, self.chance, self.nodes, self.slow_at = loads, chance, nodes, -60 * SECOND
 
     def cut(self, host, now):
         """The connections too many, the ones that relieve the server most first."""
@@ -242,6 +242,9 @@
     def room(self, host, call, now):
         if not host.ceiling:
             return True
+        # One that holds nothing tells nothing: tried with one call now and then, by one node or so at a time.
+        if not host.legs and now - host.cut_at > 2 * self.CALM:
+            return not self.chance.below(self.nodes)
         # Additive where little is left, or it would stay shut; and with no end: ceilings cut together and
         # dropped together let the whole jam back in.
         limit = host.ceiling + max(host.ceiling, self.LEAST) * (now - host.cut_at) / self.DOUBLES_IN
@@ -280,9 +283,8 @@
         budget = max(1 / self.nodes, self.cold.multiple * part * self.usual * window / self.cold.warm_after)
         if budget >= 1:
             return host.sent.total(now, window) < budget
-        # The rule counts all nodes together, and a node cannot send part of a leg: it draws once a window
-        # whether it may send one. One leg a window from each of sixty nodes pushed cold servers over, and so
-        # did parts of legs saved up: in a jam all nodes had one to send at once.
+        # The rule counts all nodes together, and no part of a leg can be sent: it draws once a window whether
+        # it may send one. One leg a window from each of sixty nodes, or parts saved up, pushed servers over.
         if now - host.drawn_at < window:
             return False
         host.drawn_at = now
@@ -297,7 +299,7 @@
     """Whether any new leg is allowed, as far as the effect of the earlier ones goes."""
     ran = may_have_run(call)
     if sum(leg.ending is Ending.ERROR for leg in ran) > 1:
-        return False                         # no server takes it: the fault is the call's, and may be ill will
+        return False                         # no server takes it: the fault is the call's, perhaps ill will
     if not ran or call.type.effect is not Effect.REFERENCED:
         return not ran or call.type.effect is Effect.REPEATABLE
     return now <= ran[0].sent + call.type.remembered_for
@@ -330,12 +332,10 @@
         self.zone, self.crossing, self.moving = begin.zone, begin.prices.crossing, begin.prices.moving
         self.chance = Chance(begin.seed)
         self.records, self.groups = Records(), Groups()
-        self.rotation = Rotation(self.chance, self.far)
-        self.membership = Membership(self.chance)
-        targets = [t.message_target for t in begin.types if t.message_target]
-        self.health = Health(min(targets, default=SECOND))
+        self.rotation, self.membership = Rotation(self.chance, self.far), Membership(self.chance)
+        self.health = Health(min((t.message_target for t in begin.types if t.message_target), default=SECOND))
         self.loads, self.warm_up = Loads(), WarmUp(begin.cold, begin.nodes, self.chance)
-        self.ceilings = Ceilings(self.loads, self.chance)
+        self.ceilings = Ceilings(self.loads, self.chance, begin.nodes)
         self.way = Host("way to the servers", io.Entry(None))       # what all set-ups share, a store perhaps
         self.unanswered = set()        # servers whose set-ups timed out since one was answered
         self.calls, self.nodes, self.shared = {}, begin.nodes, begin.groups_share_work and begin.nodes > 1
@@ -448,8 +448,8 @@
         up = [h for h in self.marked if h.up]
         self.fresh = {h for h in up if self.warm_up.part(h, self.now) < 1}
         heard = [h for h in self.rotation.order if h.legs or self.now - h.cut_at < Ceilings.CALM]
-        # A server that hangs tells nothing of the others' load.
-        slow = sum(self.health.slow(h, self.now) and not h.hung or self.now - h.cut_at < Ceilings.CALM for h in heard)
+        slow = sum(self.health.slow(h, self.now) and not h.hung or self.now - h.cut_at < Ceilings.CALM
+                   for h in heard)           # one that hangs tells nothing of the others' load
         self.slow_part = slow / (len(heard) + 2)      # two in doubt: one server tells little of the others
         # Fresh ones and those set aside would pull the mean down: sound ones would all seem well over it.
         self.apart = [h for h in up if h in self.fresh or not self.health.may_send(h, self.now)]
@@ -475,15 +475,12 @@
 
     def arrive(self, e):
         key = e.group if e.group is not None else e.key
-        call = Call(e.call, self.types[e.type], key, e.group,
-                    self.now + e.time_left, e.mid_flow, e.returned)
+        call = Call(e.call, self.types[e.type], key, e.group, self.now + e.time_left, e.mid_flow, e.returned)
         self.calls[call.id], call.path = call, self.path(call)
         self.groups.met(e.group)
         if e.held_by is not None:
-            host = self.membership.hosts.get(e.held_by)
-            if host is None:                 # not listed, so nothing new goes there
-                host = Host(e.held_by, io.Entry(e.held_by, state=State.GONE))
-                self.membership.hosts[e.held_by] = host
+            unlisted = Host(e.held_by, io.Entry(e.held_by, state=State.GONE))      # nothing new goes there
+            host = self.membership.hosts.setdefault(e.held_by, unlisted)
             self.records.put(key, host, self.now)
             self.open_leg(call, host).accepted = True
             host.setups -= 1
@@ -571,12 +568,15 @@
             self.marked[host] = None
             self.unanswered |= {host} if e.ending is Ending.TIMEOUT else set()
             if e.ending is Ending.TIMEOUT and len(self.unanswered) >= Health.RUN:
-                # No one server is to blame, but what all set-ups need: legs sent again and again by all nodes
-                # keep a session store jammed for good.
+                # What all set-ups need is to blame: legs sent again by all nodes keep a session store jammed.
                 host = self.way
             # A server is to blame for an error once another takes the same call: calls that no server could
             # read, one after the other, had all servers set aside.
-            if e.ending not in (Ending.MOOT, Ending.ERROR):
+            # One that breaks while others stand was cut by itself: a server lost, or shedding, breaks more.
+            stands = self.now - host.broke_at > SECOND and any(one.accepted for one in host.legs)
+            if e.ending in (Ending.RESET, Ending.CONNECT_FAILED):
+                host.broke_at = self.now
+            if e.ending not in (Ending.MOOT, Ending.ERROR) and not (stands and host.broke_at == self.now):
                 self.bad(host, e.ending)
         self.membership.drop_gone([leg.host])
 
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -312,6 +312,8 @@
         if not e.ok:
             e.end.over = True
             self.free(e.end)
+            if not leg.ended:
+                self.out.append(ev.Say("connect-fails", {"host": leg.host.name, "why": e.why}))
             self.end_leg(leg, Ending.CONNECT_FAILED)
         elif leg.ended:
             e.end.over = True                # given up while it came up: nothing was sent
--- a/cottonspread/net/workers.py
+++ b/cottonspread/net/workers.py
@@ -63,7 +63,7 @@
             prepare(sock)
             return ev.Connected(self.end, True)
         except OSError as fault:
-            return ev.Connected(self.end, False, type(fault).__name__)
+            return ev.Connected(self.end, False, errno.errorcode.get(fault.errno, type(fault).__name__))
 
     def read(self):
         if self.gatherer is None:
--- a/cottonspread/state.py
+++ b/cottonspread/state.py
@@ -58,6 +58,7 @@
     delay_at: int = -10 * SECOND
     slow_from: int = 0                            # health: slow in every word since then; 0: not slow
     hung: bool = False                            # health: seen to hang, and not yet quick again
+    broke_at: int = -10 * SECOND                  # health: when a standing connection last broke
     ceiling: float = 0.0                          # overload: load it may hold from here; 0: no limit
     cut_at: int = -10 * SECOND
     drains: bool = False                          # told to, and its clients are to leave
