A silent host is left 4.5 s after the first line without an echo, for the 7 s count from its last

One that stops just after an echo gets its next line 2 s later, and net/reducer.py `SILENT` waited 6 s more: 8 s, where 7 are borne. Excluded: lines held back (none over 20 ms), a half line that was taken for an echo (only whole lines count). Now 4.5 s, at most 6.6 s with the look every 0.1 s. Jammed hosts echo at once, so nobody else is moved for it.

--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -23,7 +23,9 @@
 LONGEST_WAIT = 10                  # times the longest guard time: a client that says it waits longer is wrong
 LINGER = SECOND                    # what the other side gets to end its half of a closed connection
 STUCK = 3 * SECOND                 # a peer that takes nothing for so long is given up
-SILENT = 6 * SECOND                # a host that echoes nothing is left before the 7 s that a client bears
+# A host that echoes nothing is left before the 7 s that a client bears. They count from when it stopped, and the next
+# line may be two seconds later.
+SILENT = 9 * SECOND // 2
 COMING = SECOND // 2               # new connections go on coming for so long after SIGTERM
 STANDING_WAIT = 40 * SECOND        # for a connection that was open before the start
 
