--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -22,6 +22,7 @@
 WAITING_PART = 4                   # one part in so many of all ends, at most, is clients without a first line
 LONGEST_WAIT = 10                  # times the longest guard time: a client that says it waits longer is wrong
 LINGER = SECOND                    # what the other side gets to end its half of a closed connection
+ENDED_IDS = 2000                   # ids of ended calls that are remembered
 STUCK = 3 * SECOND                 # a peer that takes nothing for so long is given up
 # A host that echoes nothing is left before the 7 s that a client bears. They count from when it stopped, and the next
 # line may be two seconds later.
@@ -78,7 +79,7 @@
         self.module = Balancer(now, begin)
         self.servers, self.conns, self.ends = {}, {}, 0
         self.unopened = {}                   # clients without a sound first line, the oldest first
-        self.by_id = {}                      # calls that are open, by the client's word for them
+        self.by_id, self.ended_ids = {}, {}  # calls that are open, and ended ones, by the client's word for them
         self.longest_wait = LONGEST_WAIT * max(t.guard_time for t in begin.types)
         self.timers, self.stamp = [], 0
         self.listed, self.stopping, self.stop_by, self.leave_from = False, 0, 0, 0
@@ -212,8 +213,9 @@
         except lines.BadLine as fault:
             self.turn_out(conn, str(fault))
             return
-        # Hosts answer an id that is open already with ERR; every host that was asked looked broken for it.
-        if opening.id in self.by_id:
+        # Ids are new with every connection. Hosts answer one that is open already, here or at another node, with
+        # ERR: every host that was asked looked broken for it, and each such leg costs a host work.
+        if opening.id in self.by_id or opening.id in self.ended_ids:
             self.turn_out(conn, "id-in-use")
             return
         conn.opening = opening
@@ -579,6 +581,9 @@
     def closed_id(self, conn):
         if conn.opening and self.by_id.get(conn.opening.id) is conn:
             del self.by_id[conn.opening.id]
+            self.ended_ids[conn.opening.id] = None
+            if len(self.ended_ids) > ENDED_IDS:
+                del self.ended_ids[next(iter(self.ended_ids))]
 
     def summary(self, conn):
         leg = conn.legs[-1] if conn.legs else None
