A silence of half a second is told at once, so that a hang moves its clients up to half a second sooner

Now a second word goes at half a second. And a LOAD of 250,419 told in the silence was believed as a word of 250 s: no word is over a minute. Checked: pauses of the three sites are 140 ms at most; jammed servers echo at once.

--- a/cottonspread/net/notes.py
+++ b/cottonspread/net/notes.py
@@ -13,6 +13,7 @@
 SECOND = 1_000_000
 SLOP = SECOND // 30                # how far a word may stray from its second
 DOUBT = 2 * SECOND                 # how long a claim may wait for a silence that confirms it
+MOST = 60 * SECOND                 # no word on messages is larger
 CHAIN = 2 * SECOND + 2 * SLOP      # three words a second apart are known for words, whatever their size
 HELD = 64                          # lines under way whose times are kept
 
@@ -75,6 +76,8 @@
         """What messages take if `LOAD value` is a word on them, None if it is a load, 0 if that is not clear yet.
         `waited`: how long the host has been silent; `usual`: the mean of the loads told."""
         took, slow = round(value * 1000), self.slow_from
+        if took > MOST:                                # in a silence it would be believed, and the load be lost
+            return None
         line = Line(now, took, heard, heard.load, value < (heard.load or usual) / 4)
         # What is piled up grows by the second at most, or the host answers nothing: then its echoes stop too. A
         # host met just now may have piled up anything before.
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -22,6 +22,7 @@
 WAITING_PART = 4                   # one part in so many of all ends, at most, is clients without a first line
 LONGEST_WAIT = 10                  # times the longest guard time: a client that says it waits longer is wrong
 LINGER = SECOND                    # what the other side gets to end its half of a closed connection
+HANG = SECOND // 2                 # no pause of a sound host is so long
 ENDED_IDS = 2000                   # ids of ended calls that are remembered
 STUCK = 3 * SECOND                 # a peer that takes nothing for so long is given up
 # A host that echoes nothing is left before the 7 s that a client bears. They count from when it stopped, and the next
@@ -435,9 +436,12 @@
             self.tell_loads(host, loads)
             if claim:
                 self.tell_delay(leg, claim[0], True)
-            elif (self.hearing.delays and waited >= 3 * self.slow_from
-                  and self.now - host.notes.told_at >= SECOND):
-                self.tell_delay(leg, waited, True)
+            # The first word on a silence, then one at half a second, by which the module knows a hang (to wait for
+            # the second cost every connection there half a second more), then one a second.
+            elif self.hearing.delays and waited >= 3 * self.slow_from:
+                told = host.notes.told_at - (self.now - waited)          # how long it was silent at the last word
+                if self.now - host.notes.told_at >= SECOND or 0 <= told < HANG <= waited:
+                    self.tell_delay(leg, waited, True)
             for leg in heard:
                 if leg.heard.waiting and self.now - leg.heard.waiting[0] > SILENT:
                     self.move(leg.conn, "silent-host")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -91,6 +91,13 @@
     assert notes.delay(6_000_000, heard, 14_986.5, 500_000, USUAL) == 14_986_500
 
 
+def test_a_load_told_in_a_silence_stays_a_load():
+    """One of 250,419 became a word of 250 s, and its connection lost its load."""
+    notes = Notes(slow_from=17_000)
+    assert notes.delay(5_000_000, Heard(load=200_000), 250_419, 0, USUAL) is None
+    assert notes.confirmed(5_500_000, 500_000) is None
+
+
 def test_a_word_that_grows_by_the_time_passed_is_a_hang():
     """Lines are two seconds apart, so that a silence can be late to tell."""
     notes, heard, other = Notes(slow_from=17_000), Heard(load=40_000), Heard(load=8_000)
