One slow server no longer keeps the ceilings of all others; one slow for good is left

Lines at fault: decide.py `told_delay` set the time of the last jam for any slow word of any server, so that with one slow for good no ceiling doubled (`Ceilings.room`); and a cut by a quarter draws whether a lone light connection goes.

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -219,7 +219,7 @@
     """How much of this node's load an overloaded server keeps: cut while messages take long, grown after."""
     CUT = 0.75                     # kept at a cut: well under full, so that what is piled up drains
     DOUBLES_IN = 60 * SECOND
-    CALM, CALM_DOUBLES_IN = 5 * SECOND, 4 * SECOND
+    CALM, CALM_DOUBLES_IN, JAM = 5 * SECOND, 4 * SECOND, 0.3     # a smaller part of slow servers is no jam
     LEAST = Loads.MEAN             # grows at least as one of this size would
 
     def __init__(self, loads, chance, nodes):
@@ -248,9 +248,9 @@
         # Additive where little is left, or it would stay shut; and with no end: ceilings cut together and
         # dropped together let the whole jam back in.
         limit = host.ceiling + max(host.ceiling, self.LEAST) * (now - host.cut_at) / self.DOUBLES_IN
-        # Once no server at all is slow any more, the trouble was passing, and not too many calls: all servers
-        # cut together would else stand idle for a minute.
-        calm = max(0, now - self.slow_at - self.CALM) / self.CALM_DOUBLES_IN
+        # Once there is no jam any more, the trouble was passing, and not too many calls: servers cut together
+        # would else stand idle for a minute.
+        calm = max(0, now - max(self.slow_at, host.cut_at) - self.CALM) / self.CALM_DOUBLES_IN
         return host.load + self.loads.adds(call, host) <= limit * 2 ** min(calm, 9)
 
 
@@ -471,8 +471,6 @@
         half = self.limits.longest_advice // 2 if self.limits.may_advise else 0
         return half + self.chance.below(half + 1)
 
-    # A call's events
-
     def arrive(self, e):
         key = e.group if e.group is not None else e.key
         call = Call(e.call, self.types[e.type], key, e.group, self.now + e.time_left, e.mid_flow, e.returned)
@@ -621,10 +619,12 @@
             host.slow_from, host.hung = 0, False
             return
         host.slow_from = host.slow_from if lasts and host.slow_from else self.now
-        self.ceilings.slow_at = self.now
-        if delay - (before if lasts else 0) > 2 * min(since, SECOND) or lasts and delay - before >= since:
-            # More than any load piles up in that time, or all the time since (as a front sees it that waits
-            # for an echo): it answers nothing. It keeps no call, and gets no ceiling: it was not overloaded.
+        if self.slow_part >= Ceilings.JAM:
+            self.ceilings.slow_at = self.now
+        if delay - (before if lasts else 0) > 2 * min(since, SECOND) or lasts and (
+                delay - before >= since or delay >= SECOND and self.now - host.slow_from >= 2 * SECOND):
+            # More than any load piles up in that time, or all the time since (as a front sees that waits for
+            # echoes), or no cut helps: it answers nothing. It keeps no call, no ceiling: it's not overloaded.
             self.health.bad(host, self.now)
             host.hung = True
             leaving = [leg for leg in host.legs if leg.accepted and not leg.moved]
@@ -637,9 +637,8 @@
         else:
             return
         if leaving and self.moving <= self.DEAREST_MOVE:
-            what = "hung" if host.hung else "overloaded"
-            self.out.append(io.Log(f"{host.name}: messages take {delay // 1000} ms, {what}: "
-                                   f"{len(leaving)} of {len(host.legs)} asked to leave"))
+            self.out.append(io.Log(f"{host.name}: messages take {delay // 1000} ms, "
+                                   f"{'hung' if host.hung else 'overloaded'}: {len(leaving)} asked to leave"))
             for leg in leaving:
                 self.move(leg)
 
