A new discovery's first list is believed at once, whatever its version

Seen while rereading: after SIGHUP a list with a lower version than ours was asked for three times (net/discovery.py `move` left the count of lower lists at 0), 0.3 s and two failures told to the module for a discovery begun anew. Test in test_net.py.

--- a/cottonspread/net/discovery.py
+++ b/cottonspread/net/discovery.py
@@ -58,11 +58,11 @@
         self.http.give_up()
 
     def move(self):
-        """The list is kept until the new address has told the whole of it."""
+        """The list is kept until the new address has told the whole of it, whatever version that begins with."""
         while self.http is not self.target:
             self.http.close()
             self.http = self.target
-        self.whole, self.lower, self.failures = True, 0, 0
+        self.whole, self.lower, self.failures = True, self.LOWER - 1, 0
 
     def run(self):
         while not self.stopped:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -213,6 +213,21 @@
     assert told[3].listed.entries[0].state is io.State.GONE and not told[3].addresses
 
 
+def test_a_new_address_is_believed_at_once_whatever_its_version(monkeypatch):
+    """A lower one was asked three times, and each word of it came with a failure."""
+    heard, failed = queue.Queue(), []
+    first = Answers(listing(41))             # and then a watch that nobody answers
+    second = Answers(listing(7), listing(8, False, "Terminating"))
+    one = discovery.Discovery(first.address, config.Names({}, {"here": 0}, {}, {}),
+                              lambda e: heard.put(e) if isinstance(e, ev.Heard) else failed.append(e), 0)
+    one.wanted.set()
+    start_thread(one.run, stack=WIDE)
+    assert heard.get(timeout=WAIT).listed.version == 41
+    one.follow(second.address)
+    assert [heard.get(timeout=WAIT).listed.version for _ in range(2)] == [7, 8] and not failed
+    one.stop()
+
+
 # Configuration and command line
 
 @pytest.mark.parametrize("change, key", [
