--- /dev/null
+++ b/cottonspread/cli/__init__.py
@@ -0,0 +1,19 @@
+"""The command line: a file for each group of sub-commands, each imported only when it is asked for."""
+import argparse
+import sys
+
+from cottonspread import config
+from cottonspread.cli import lab, node
+
+
+def main(arguments=None):
+    parser = argparse.ArgumentParser(prog="cottonspread", description="A balancer for long-lived connections.")
+    commands = parser.add_subparsers(dest="command", required=True)
+    for group in (node, lab):
+        group.add(commands)
+    given = parser.parse_args(arguments)
+    try:
+        return given.run(given)
+    except config.Senseless as fault:
+        print(f"cottonspread: {fault}", file=sys.stderr)
+        return 2
--- a/cottonspread/cli.py
+++ b/cottonspread/cli/node.py
@@ -1,5 +1,4 @@
-"""The command line."""
-import argparse
+"""`serve`, `check` and `version`: one node."""
 import errno
 import logging
 import os
@@ -84,23 +83,22 @@
     return 0
 
 
-def main(arguments=None):
-    parser = argparse.ArgumentParser(prog="cottonspread", description="A balancer for long-lived connections.")
-    commands = parser.add_subparsers(dest="command", required=True)
-    for name, what in (("serve", "run one node in the foreground"), ("check", "read the configuration and say "
-                       "what a node would do with it")):
+def add(commands):
+    for name, what, run in (("serve", "run one node in the foreground", serve),
+                            ("check", "read the configuration and say what a node would do with it", check)):
         command = commands.add_parser(name, help=what)
         command.add_argument("--config", default=os.environ.get("PROXY_CONFIG"),
                              help="the configuration file; without it, $PROXY_CONFIG")
-    commands.add_parser("version", help="print the version")
-    given = parser.parse_args(arguments)
-    if given.command == "version":
-        print(f"cottonspread {__version__}")
-        return 0
-    try:
-        if not given.config:
-            raise config.Senseless("configuration: no file named: give --config or set PROXY_CONFIG")
-        return {"serve": serve, "check": check}[given.command](given.config)
-    except config.Senseless as fault:
-        print(f"cottonspread: {fault}", file=sys.stderr)
-        return 2
+        command.set_defaults(run=lambda given, run=run: run(named(given.config)))
+    commands.add_parser("version", help="print the version").set_defaults(run=version)
+
+
+def named(path):
+    if not path:
+        raise config.Senseless("configuration: no file named: give --config or set PROXY_CONFIG")
+    return path
+
+
+def version(given):
+    print(f"cottonspread {__version__}")
+    return 0
--- /dev/null
+++ b/cottonspread/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The lab: stand-in hosts, lists and clients on sockets, load, experiments and their audit. `serve` imports none of it."""
