--- /dev/null
+++ b/cottonspread/lab/experiment.py
@@ -0,0 +1,92 @@
+"""Experiments: plays of an experiment's variants in turn (A B A B), their results side by side."""
+import os
+import sys
+
+import msgspec
+from rich.console import Console
+from rich.live import Live
+from rich.table import Table
+
+from cottonspread.lab import plan as plans
+from cottonspread.lab import report, results
+from cottonspread.lab.run import Play
+
+
+def run(file, out, seconds=None, repeats=None, quiet=False):
+    """Plays all; exit code 0, or 1 if a rule was broken, 3 if a play is not usable."""
+    x = plans.read(file)
+    if seconds:
+        x = plans.check(msgspec.structs.replace(x, seconds=seconds))
+    variants = x.variants or [plans.Variant(name="only")]
+    if os.path.exists(os.path.join(out, "0-" + variants[0].name)):
+        raise plans.Fault(f"--out {out}: holds plays already")
+    played = {v.name: [] for v in variants}
+    console, cut = Console(stderr=True), ""
+    for repeat in range(repeats or x.repeats):
+        for variant in variants:
+            if cut:
+                break
+            play = Play(x, variant, x.seed + repeat, os.path.join(out, f"{repeat}-{variant.name}"))
+            if quiet or not console.is_terminal:
+                play.run()
+            else:
+                with Live(console=console, refresh_per_second=4) as live:
+                    play.show = lambda play, line, live=live: live.update(progress(play, line))
+                    play.run()
+            result = results.judge(play, repeat)
+            played[variant.name].append(result)
+            cut = play.cut
+            print("\n".join(results.lines(result)), flush=True)
+    pairs = list(zip(*(played[v.name] for v in variants[:2]))) if len(variants) > 1 else []
+    if pairs:
+        show_pairs(pairs, variants[0].name, variants[1].name)
+    print(report.write(out))
+    everything = [r for rs in played.values() for r in rs]
+    if any(r.audit["offences"] for r in everything):
+        return 1
+    return 0 if all(r.usable for r in everything) else 3
+
+
+def progress(play, line):
+    table = Table(title=f"{play.plan.experiment.name} {play.plan.variant.name}, {line['s']} of "
+                        f"{play.plan.experiment.seconds + play.plan.experiment.settle_s:.0f} s")
+    for name in ("offered", "up", "busy", "none", "moved", "broken", "standing", "p50_us", "p99_us", "late_max_us"):
+        table.add_column(name, justify="right")
+    table.add_row(*(str(line.get(c.header, "")) for c in table.columns))
+    return table
+
+
+def plays(folder):
+    """The results of a folder: one play's, or of all plays in it by name."""
+    if os.path.exists(os.path.join(folder, "results.json")):
+        return [results.read(folder)]
+    try:
+        inside = sorted(os.listdir(folder))
+    except OSError as fault:
+        raise plans.Fault(f"{folder}: {fault.strerror}") from None
+    found = [results.read(os.path.join(folder, name)) for name in inside
+             if os.path.exists(os.path.join(folder, name, "results.json"))]
+    if not found:
+        raise plans.Fault(f"{folder}: holds no results.json")
+    return found
+
+
+def compare(a, b):
+    pairs = list(zip(plays(a), plays(b)))
+    for one, other in pairs:
+        if one.schedule_sha256 != other.schedule_sha256:
+            print(f"seeds {one.seed} and {other.seed}: schedules differ: no pair", file=sys.stderr)
+        if not (one.usable and other.usable):
+            print(f"seed {one.seed}: not usable: {one.reasons + other.reasons}", file=sys.stderr)
+    show_pairs(pairs, a, b)
+    return 0 if all(one.usable and other.usable for one, other in pairs) else 3
+
+
+def show_pairs(pairs, a, b):
+    table = Table(title=f"{a} beside {b}: pairs in turn, {b} over {a} pair by pair")
+    for name in ("figure", a, b, "ratios", "median"):
+        table.add_column(name)
+    for name, values, median in results.compare(pairs):
+        table.add_row(name, " ".join(f"{v[0]:g}" for v in values), " ".join(f"{v[1]:g}" for v in values),
+                      " ".join("-" if v[2] is None else f"{v[2]:g}" for v in values), "-" if median is None else f"{median:g}")
+    Console(width=140).print(table)
--- /dev/null
+++ b/cottonspread/lab/ledger.py
@@ -0,0 +1,279 @@
+"""An audit of a run, from what clients, hosts, the list and the runner saw, and never from a node's own words.
+
+It shares no code with the node, nor with the model that stands behind the hosts. Each offence names its rule and holds the
+call in full. Rules, with the 50 ms that sockets get:
+
+1. Every call that a node's machine took gets one final answer before its guard time; nothing is sent for it after; a standing
+   connection is never cut off without MOVE, and an end or a silence is passed on in time.
+2. No effect twice; never two legs at once.
+3. Nothing new to a host later than the grace after the list told that node that it drains or is gone.
+4. No cold host tipped: a budget over any window, all nodes together.
+"""
+from bisect import bisect_right
+from collections import Counter, defaultdict, deque
+
+SLACK = 50_000
+PASSED_ON = 1_000_000
+SILENCE = 7_000_000
+SECOND = 1_000_000
+SHOWN = 5                          # offences of each kind that are kept in full
+MEANINGS = {1: "one final answer in time", 2: "no effect twice", 3: "nothing new to a drained server", 4: "no cold server tipped"}
+
+
+class Audit:
+    def __init__(self, plan, start, records):
+        """`records(kind)` gives the lines of load, hosts, list and nodes; `start`: the run's, on the shared clock."""
+        self.plan, self.start = plan, start
+        self.kinds = {k.name: k for k in plan.experiment.load.types}
+        self.machines = {m.name: m for m in plan.machines}
+        self.grace = round(plan.experiment.nodes.grace_ms * 1000)
+        self.offences, self.shown, self.checked = Counter(), defaultdict(list), Counter()
+        self.calls, self.excused, self.twice, self.ends_at = {}, 0, 0, 0
+        self.legs, self.host_ends, self.starts, self.troubled = defaultdict(list), {}, defaultdict(list), defaultdict(list)
+        self.deaths, self.freezes, self.told, self.budget = defaultdict(list), defaultdict(list), defaultdict(list), 0.0
+        self.spans = {}
+        self.read(records)
+
+    def read(self, records):
+        for line in records("nodes"):
+            t = line["t"] - self.start
+            if line["k"] == "killed" or line["k"] == "died":
+                self.deaths[line["node"]].append(t)
+            elif line["k"] == "freeze":
+                self.freezes[line["node"]].append([t, float("inf")])
+            elif line["k"] == "thaw" and self.freezes[line["node"]]:
+                self.freezes[line["node"]][-1][1] = t
+        open_legs = {}
+        for line in sorted((x for x in records("hosts")), key=lambda x: x["t"]):
+            kind, t, host = line["k"], line["t"] - self.start, line.get("host")
+            if kind == "leg":
+                leg = {"t": t, "host": host, "end": None, "how": "", "ran": None, "up": None, "never": None, "cold": line["cold"],
+                       "load": 0}
+                self.legs[line["id"]].append(leg)
+                open_legs[line["id"], host] = leg
+            elif kind in ("ran", "up", "full", "late", "end", "swallowed"):
+                leg = open_legs.get((line["id"], host))
+                if leg is None:
+                    continue
+                if kind == "ran":
+                    leg["ran"], leg["load"] = t, line["v"]
+                elif kind == "up":
+                    leg["up"] = t, line["receipt"]
+                elif kind == "end":
+                    leg["end"], leg["how"] = t, line["how"]
+                elif kind != "swallowed":
+                    leg["never"] = t
+            elif kind == "started":
+                self.starts[host].append(t)
+            elif kind in ("fault", "mend", "down"):
+                self.troubled[host].append((t, kind, line.get("kind")))
+            elif kind == "tipped":
+                self.offence(4, "tipped", {"host": host, "t": t, "sent_us": line["v"]})
+            elif kind == "syntax":
+                self.offence(1, "a host could not read its first line", line)
+        for line in records("list"):
+            if line["k"] == "told":
+                self.told[line["node"]].append((line["t"] - self.start, line["whole"], line["hosts"]))
+        for line in records("load"):
+            if line["k"] == "call":
+                self.calls[line["id"]] = line
+                self.ends_at = max(self.ends_at, line["end"])
+
+    def offence(self, rule, what, full):
+        self.offences[rule, what] += 1
+        if len(self.shown[rule, what]) < SHOWN:
+            self.shown[rule, what].append(full)
+
+    def full(self, call):
+        return {**call, "legs": self.legs.get(call["id"], [])}
+
+    def run(self):
+        for call in self.calls.values():
+            self.answers(call)
+            self.effects(call)
+            self.drains(call)
+        for host, machine in self.machines.items():
+            for start in self.starts.get(host, ()):
+                self.cold(machine, start)
+        return self.result()
+
+    def result(self):
+        return {"calls": len(self.calls), "legs": sum(map(len, self.legs.values())), "excused": self.excused,
+                "ran_twice_harmlessly": self.twice, "cold_budget_used": round(self.budget, 3),
+                "rules": {str(rule): {"meaning": meaning, "checked": self.checked[rule],
+                                      "broken": sum(n for (r, _), n in self.offences.items() if r == rule)}
+                          for rule, meaning in MEANINGS.items()},
+                "offences": [{"rule": rule, "what": what, "count": n, "first": self.shown[rule, what]}
+                             for (rule, what), n in sorted(self.offences.items())]}
+
+    # Rule 1
+
+    def died(self, node, after, before):
+        return any(after <= t <= before for t in self.deaths.get(node, ()))
+
+    def frozen(self, node, after, before):
+        return any(since <= before and until >= after for since, until in self.freezes.get(node, ()))
+
+    def answers(self, call):
+        if not call["sent"]:
+            return                         # its node's machine never took it
+        self.checked[1] += 1
+        answers, sent, guard = call["answers"], call["sent"], call["sent"] + round(call["d"] * 1000)
+        if len(answers) > 1:
+            self.offence(1, "more than one final answer", self.full(call))
+        if not answers:
+            if self.died(call["node"], sent - SLACK, call["end"] + SLACK):
+                self.excused += 1          # its node was killed with it
+            elif call["how"] == "cut":
+                if call["end"] > guard + SLACK:
+                    self.offence(1, "no answer before the guard time", self.full(call))
+            elif call["how"] == "gave-up":
+                self.offence(1, "no answer before the guard time", self.full(call))
+            else:
+                self.offence(1, "ended without an answer", self.full(call))
+            last = call["end"]
+        else:
+            last, what, value = answers[0]
+            if last > guard + SLACK:
+                self.offence(1, "answered after the guard time", self.full(call))
+            if what == "UP" and not any(leg["up"] and leg["up"][1] == value for leg in self.legs.get(call["id"], ())):
+                self.offence(1, "UP that no host gave", self.full(call))
+        for leg in self.legs.get(call["id"], ()):
+            if leg["t"] > min(last, guard) + SLACK:
+                self.offence(1, "a leg after the final answer", self.full(call))
+                break
+        if call["how"] in ("end", "reset") and answers and answers[0][1] == "UP":
+            self.cut_off(call)
+        if answers and answers[0][1] == "UP":
+            self.passed_on(call)
+
+    def cut_off(self, call):
+        """The node ended a standing connection without MOVE: had its host ended it?"""
+        node, end = call["node"], call["end"]
+        if self.died(node, 0, end + SLACK):
+            self.excused += 1
+            return
+        leg = next((leg for leg in self.legs.get(call["id"], ()) if leg["up"]), None)
+        if leg is None or leg["how"] in ("end", "reset") and leg["end"] <= end + SLACK:
+            return
+        if leg["how"] == "" or any(t <= end + SLACK and kind in ("down", "fault") and what in (None, "vanish", "half-dead", "hang")
+                                   for t, kind, what in self.troubled.get(leg["host"], ())):
+            return                         # its host was silent
+        self.offence(1, "cut off without MOVE while its host answered", self.full(call))
+
+    def passed_on(self, call):
+        node, end = call["node"], call["end"]
+        leg = next((leg for leg in self.legs.get(call["id"], ()) if leg["up"]), None)
+        if leg and leg["how"] in ("end", "reset") and end > leg["end"] + PASSED_ON + SLACK and not self.frozen(
+                node, leg["end"], end):
+            self.offence(1, "a host's end passed on late", self.full(call))
+        if call["unanswered"] > SILENCE + SLACK and not self.frozen(node, end - call["unanswered"], end):
+            self.offence(1, "silent for over 7 s", self.full(call))
+
+    # Rule 2
+
+    def effects(self, call):
+        legs = self.legs.get(call["id"], ())
+        self.checked[2] += len(legs)
+        kind = self.kinds[call["type"]]
+        ran = [leg for leg in legs if leg["ran"] is not None]
+        if len(ran) > 1:
+            if kind.effect == "once-only" or kind.effect == "referenced" and not self.one_group(kind, ran):
+                self.offence(2, "ran twice", self.full(call))
+            else:
+                self.twice += 1
+        for n, leg in enumerate(legs):
+            for earlier in legs[:n]:
+                if earlier["end"] is None and earlier["never"] is None and not self.gone(earlier, leg["t"]) or (
+                        earlier["end"] or 0) > leg["t"] + SLACK and earlier["never"] is None:
+                    self.offence(2, "two legs at once", self.full(call))
+                    return
+            open_before = [one for one in legs[:n] if one["never"] is None]
+            if not open_before or kind.effect == "repeatable":
+                continue
+            if kind.effect == "once-only":
+                self.offence(2, "once-only sent again though it may have run", self.full(call))
+                return
+            if not self.one_group(kind, [open_before[0], leg]):
+                self.offence(2, "referenced sent where its repeats are not known", self.full(call))
+                return
+            if kind.remembered_ms and leg["t"] > open_before[0]["t"] + kind.remembered_ms * 1000 + SLACK:
+                self.offence(2, "referenced sent again after its time", self.full(call))
+                return
+        rejected = call["answers"] and call["answers"][0][1] == "BUSY"
+        if rejected and any(leg["never"] is None for leg in legs) and (
+                kind.effect == "once-only" or kind.effect == "referenced" and kind.scope != "all"):
+            self.offence(2, "rejected though it may have run", self.full(call))
+
+    def gone(self, leg, before):
+        """Its host vanished, so that it saw no end."""
+        return any(t <= before and what in ("vanish", "cold") for t, _, what in self.troubled.get(leg["host"], ()))
+
+    def one_group(self, kind, legs):
+        if kind.scope == "all":
+            return True
+        return len({getattr(self.machines[leg["host"]], "zone" if kind.scope == "zone" else "cell") for leg in legs}) == 1
+
+    # Rule 3
+
+    def unfit_since(self, node, host, at):
+        """Since when the list has named the host as draining or gone to this node, as of `at`; None if it has not."""
+        spans = self.spans.get((node, host))
+        if spans is None:
+            spans, since = [], None
+            for t, whole, hosts in self.told.get(node, ()):
+                state = next((s for name, s, _ in hosts if name == host), "Gone" if whole else None)
+                if state in ("Terminating", "Gone"):
+                    since = t if since is None else since
+                    spans.append((t, since))
+                elif state is not None:
+                    since = None
+                    spans.append((t, None))
+            self.spans[node, host] = spans
+        place = bisect_right(spans, (at, float("inf"))) - 1
+        return spans[place][1] if place >= 0 else None
+
+    def drains(self, call):
+        for leg in self.legs.get(call["id"], ()):
+            self.checked[3] += 1
+            since = self.unfit_since(call["node"], leg["host"], leg["t"])
+            if since is not None and leg["t"] > since + self.grace + SLACK:
+                self.offence(3, "a leg to a server that drains or is gone", {
+                    **self.full(call), "told": since, "late_ms": (leg["t"] - since) / 1000})
+
+    # Rule 4
+
+    def cold(self, machine, start):
+        """What a cold host was sent, by the mean work of a set-up and the loads told, over what it may be sent in any window."""
+        t = machine.traits
+        warm, window = round(t.warm_s * SECOND), round(t.tip_s * SECOND)
+        if not t.tip_multiple:
+            return
+        legs = sorted((leg for legs in self.legs.values() for leg in legs
+                       if leg["host"] == machine.name and start <= leg["t"] < start + warm), key=lambda leg: leg["t"])
+        recent = deque()
+        for leg in legs:
+            self.checked[4] += 1
+            at = leg["t"]
+            recent.append(at)
+            while recent[0] < at - window:
+                recent.popleft()
+            standing = sum(one["load"] * (min(at, one["end"] or at) - max(one["ran"], at - window)) / SECOND for one in legs
+                           if one["ran"] is not None and one["ran"] < at and (one["end"] or at) > at - window)
+            share = t.cold_share + (1 - t.cold_share) * (at - start) / warm
+            used = (len(recent) * t.setup_us + standing) / (t.tip_multiple * t.cores * t.speed * share * window)
+            self.budget = max(self.budget, used)
+            if used > 1:
+                self.offence(4, "more than its budget sent to a cold server", {
+                    "host": machine.name, "t": at, "started": start, "used": round(used, 3)})
+
+
+def told(result):
+    """The audit in lines."""
+    out = [f"calls {result['calls']}, legs {result['legs']}, excused with killed nodes {result['excused']}, "
+           f"cold budget used at most {result['cold_budget_used']:.0%}"]
+    for rule, one in result["rules"].items():
+        out.append(f"rule {rule} ({one['meaning']}): {one['broken']} broken of {one['checked']} checked")
+    for one in result["offences"]:
+        out.append(f"  rule {one['rule']}: {one['what']}: {one['count']} times, first: {one['first'][0]}")
+    return out
--- /dev/null
+++ b/cottonspread/lab/limits.py
@@ -0,0 +1,64 @@
+"""Limits that a run would meet, told before it begins: descriptors, local ports, cores."""
+import os
+import resource
+
+PORTS = "/proc/sys/net/ipv4/ip_local_port_range"
+TIME_WAIT = 60                     # seconds that the kernel keeps a closed connection's port
+SPARE = 64
+
+
+class TooLarge(ValueError):
+    """The run would not fit; the message names the limit, what is needed and what there is."""
+
+
+def ports():
+    try:
+        with open(PORTS) as file:
+            low, high = map(int, file.read().split())
+        return high - low + 1
+    except OSError:
+        return 28232
+
+
+def raise_descriptors():
+    """To the hard limit; that limit."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != hard:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    return hard
+
+
+def most_standing(schedule, settle_us=2_000_000):
+    """How many of the first calls stand at once at most, each from its time to its life's end."""
+    import numpy as np
+    starts, ends = schedule.at, np.sort(schedule.at + schedule.life + settle_us)
+    return int((np.arange(1, len(starts) + 1) - np.searchsorted(ends, starts)).max()) if len(starts) else 0
+
+
+def check(plan, schedule, hard=None, local_ports=None, cores=None):
+    """TooLarge if descriptors or ports cannot do; else what is to be said of cores, a list of lines."""
+    x = plan.experiment
+    hard, local_ports = hard or raise_descriptors(), local_ports or ports()
+    standing = most_standing(schedule)
+    reconnects = sum(standing * s.share for s in x.load.shapes if s.kind == "reconnect")
+    need = standing // x.load.processes + SPARE
+    if need > hard:
+        raise TooLarge(f"descriptors: {need} connections stand at once in each of {x.load.processes} load processes, and the "
+                       f"limit of open files (ulimit -Hn) is {hard}: raise load.processes to {standing // (hard - SPARE) + 1}")
+    need = standing // x.hosts.processes + SPARE
+    if need > hard:
+        raise TooLarge(f"descriptors: {need} connections stand at once in each of {x.hosts.processes} host processes, and the "
+                       f"limit of open files (ulimit -Hn) is {hard}: raise hosts.processes to {standing // (hard - SPARE) + 1}")
+    # A port is taken from its connection's begin until a minute after its end, for each pair of local address and node.
+    import numpy as np
+    ends = schedule.at + TIME_WAIT * 1_000_000
+    taken = int((np.arange(1, len(ends) + 1) - np.searchsorted(ends, schedule.at)).max()) if len(ends) else 0
+    taken += round(reconnects)
+    pairs = len(plan.sources) * len(plan.nodes)
+    if taken / pairs > local_ports * 0.9:
+        raise TooLarge(f"local ports: {taken} are taken within a minute from {len(plan.sources)} addresses to {len(plan.nodes)} "
+                       f"nodes, and ip_local_port_range gives {local_ports} for each pair: raise load.sources to "
+                       f"{int(taken / (local_ports * 0.9) / len(plan.nodes) / x.load.processes) + 1}")
+    cores = cores or os.cpu_count()
+    wanted = x.load.processes + x.hosts.processes + x.nodes.count
+    return [f"{wanted} processes share {cores} cores: figures of the nodes may tell of that"] if wanted > cores else []
--- /dev/null
+++ b/cottonspread/lab/plan.py
@@ -0,0 +1,303 @@
+"""What is to be played: an experiment's TOML file, and the plan made of it for one play.
+
+Every fault of a file names its key. All chance comes from numpy's Generator over the seed, so that one seed gives one plan.
+"""
+import hashlib
+import os
+
+import msgspec
+import numpy as np
+
+from cottonspread.lab.model import SECOND, Traits
+
+HOST_FAULTS = ("hang", "slow", "jam", "reset", "refuse", "vanish", "half-dead", "cold", "drain", "join")
+AT_ONCE = ("jam", "reset")             # host faults with no end of their own
+LIST_FAULTS = ("list-cut", "list-garbage", "list-restart")
+NODE_FAULTS = ("freeze", "stop", "kill", "reload")
+FIRST_PORT = 9000                      # under the local ports that the kernel gives out
+
+
+class Fault(ValueError):
+    """An experiment that cannot be played; the message begins with the key."""
+
+
+class Kind(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """A traffic type and its clients."""
+    name: str
+    share: float = 1.0
+    effect: str = "repeatable"         # repeatable, referenced, once-only
+    scope: str = "cell"                # of referenced: the group that drops repeats
+    remembered_ms: float = 0
+    target_ms: float = 800
+    guard_ms: float = 4800
+    revenue: float = 1.0
+    life_s: float = 20.0               # mean; a client leaves after it
+    load_us: float = 3000.0            # mean work a second
+    message_ms: float = 100
+
+
+class Shape(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """Arrivals over a stretch. kind: constant, poisson, ramp (`rate` to `rate_to`), day (`rate` at the valley, `rate_to` at
+    the peak, once over the stretch), burst (`count` within the stretch), reconnect (`share` of those standing at `start`
+    break off and come back within the stretch), trace (`file`)."""
+    kind: str
+    start: float = 0.0
+    seconds: float = 0.0               # 0: to the end
+    rate: float = 0.0
+    rate_to: float = 0.0
+    count: int = 0
+    share: float = 0.0
+    file: str = ""
+
+
+class Load(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    shapes: list[Shape]
+    types: list[Kind]
+    processes: int = 2
+    groups: int = 200
+    zipf: float = 1.1                  # how uneven the groups are; over 1
+    tenants: int = 1
+    line_s: float = 2.0
+    retries: int = 3
+    backoff_ms: float = 200            # doubles with each try of a call
+    honour: float = 0.9                # the share of clients that come back when they are told to
+    rejoin_ms: float = 200             # after MOVE or a break
+    spins: bool = False                # wait for the next arrival on the core instead of asleep: less late, a core each
+    sources: int = 4                   # local addresses of each process
+
+
+class Hosts(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    count: int = 3
+    zones: int = 1
+    speed_sigma: float = 0.0
+    processes: int = 1
+    traits: Traits = msgspec.field(default_factory=Traits)
+
+
+class List(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    lag_ms: float = 300                # from a change to the list's word on it
+    silent_s: float = 6.0              # until a silent machine is listed as gone
+
+
+class Nodes(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    count: int = 1
+    memory_mb: int = 192
+    sockets: int = 1024
+    pin: bool = True                   # each node on one core of its own, as far as there are cores
+    front_notice_s: float = 2.0        # until the front deals no more to a node that is gone
+    grace_ms: float = 500
+    settings: dict = {}                # over those that follow from hosts and load
+    command: list[str] = []            # another program in the place of `serve`
+    checkout: str = ""                 # another checkout of this repository
+
+
+class Happening(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """A fault: `on` names hosts or nodes, or `share` of them is drawn."""
+    at: float
+    kind: str
+    seconds: float = 0.0
+    on: list[str] = []
+    share: float = 0.0
+    factor: float = 3.0                # of slow
+
+
+class Variant(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    name: str
+    settings: dict = {}
+    checkout: str = ""
+    command: list[str] = []
+    memory_mb: int = 0
+    sockets: int = 0
+
+
+class Experiment(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, rename={"listing": "list"}):
+    name: str
+    seconds: float
+    load: Load
+    seed: int = 1
+    repeats: int = 1
+    about: str = ""
+    settle_s: float = 6.0              # after the last arrival, so that every call ends
+    nodes: Nodes = msgspec.field(default_factory=Nodes)
+    hosts: Hosts = msgspec.field(default_factory=Hosts)
+    listing: List = msgspec.field(default_factory=List)
+    faults: list[Happening] = []
+    variants: list[Variant] = []
+
+
+class Machine(msgspec.Struct, kw_only=True):
+    """One host of a plan."""
+    name: str
+    ip: str
+    port: int
+    zone: str
+    cell: int
+    traits: Traits
+    process: int
+    started: int = 0                   # seconds after the start at which it first is up; 0: before
+
+
+class Node(msgspec.Struct, kw_only=True):
+    name: str
+    ip: str
+    port: int
+    list_port: int
+
+
+class Plan(msgspec.Struct, kw_only=True):
+    """One play, as every process of it reads it."""
+    experiment: Experiment
+    variant: Variant
+    seed: int
+    machines: list[Machine]
+    nodes: list[Node]
+    faults: list[Happening]            # `on` filled in, by time
+    sources: list[str]                 # addresses that clients come from
+    unix_offset: int = 0               # Unix time less the monotonic clock, microseconds
+
+
+def read(path):
+    """An experiment; Fault names the key."""
+    try:
+        with open(path, "rb") as file:
+            return check(msgspec.toml.decode(file.read(), type=Experiment), os.path.dirname(os.path.abspath(path)))
+    except OSError as fault:
+        raise Fault(f"{path}: {fault.strerror}") from None
+    except (msgspec.DecodeError, msgspec.ValidationError) as fault:
+        raise Fault(f"{path}: {fault}") from None
+
+
+def check(x, folder="."):
+    def need(true, key, what):
+        if not true:
+            raise Fault(f"{key}: {what}")
+
+    need(x.seconds > 0, "seconds", "over 0 expected")
+    need(1 <= x.nodes.count <= 200, "nodes.count", "1 to 200 expected")
+    need(1 <= x.hosts.count <= 2000, "hosts.count", "1 to 2000 expected")
+    need(x.load.types, "load.types", "at least one traffic type expected")
+    need(x.load.zipf > 1, "load.zipf", "over 1 expected")
+    need(x.load.groups > 0, "load.groups", "at least 1 expected")
+    need(1 <= x.load.processes <= 64, "load.processes", "1 to 64 expected")
+    need(1 <= x.hosts.processes <= 64, "hosts.processes", "1 to 64 expected")
+    need(x.hosts.traits.drain in ("paced", "at-once", "none"), "hosts.traits.drain", "paced, at-once or none expected")
+    for n, kind in enumerate(x.load.types):
+        need(kind.effect in ("repeatable", "referenced", "once-only"), f"load.types[{n}].effect",
+             "repeatable, referenced or once-only expected")
+        need(kind.guard_ms > 0 and kind.share > 0 and kind.life_s > 0, f"load.types[{n}]",
+             "guard_ms, share and life_s over 0 expected")
+    names = {f"h{n}" for n in range(x.hosts.count)}, {f"n{n}" for n in range(x.nodes.count)}
+    for n, shape in enumerate(x.load.shapes):
+        key = f"load.shapes[{n}]"
+        need(shape.kind in ("constant", "poisson", "ramp", "day", "burst", "reconnect", "trace"), key + ".kind",
+             "constant, poisson, ramp, day, burst, reconnect or trace expected")
+        need(shape.kind not in ("constant", "poisson") or shape.rate > 0, key + ".rate", "over 0 expected")
+        need(shape.kind not in ("ramp", "day") or shape.rate + shape.rate_to > 0, key + ".rate_to", "over 0 expected")
+        need(shape.kind != "burst" or shape.count > 0, key + ".count", "over 0 expected")
+        need(shape.kind != "reconnect" or 0 < shape.share <= 1, key + ".share", "over 0 to 1 expected")
+        need(0 <= shape.start < x.seconds, key + ".start", "within the run expected")
+        if shape.kind == "trace":
+            shape.file = os.path.join(folder, shape.file)
+            need(os.path.exists(shape.file), key + ".file", f"{shape.file} not found")
+    for n, fault in enumerate(x.faults):
+        key = f"faults[{n}]"
+        need(fault.kind in HOST_FAULTS + LIST_FAULTS + NODE_FAULTS, key + ".kind",
+             "one of " + ", ".join(HOST_FAULTS + LIST_FAULTS + NODE_FAULTS))
+        need(0 <= fault.at <= x.seconds, key + ".at", "within the run expected")
+        need(fault.kind in AT_ONCE + ("stop", "kill", "reload", "list-restart", "list-garbage", "join")
+             or fault.seconds > 0, key + ".seconds", "over 0 expected")
+        if fault.kind not in LIST_FAULTS:
+            known = names[fault.kind in NODE_FAULTS]
+            need(fault.on or fault.share > 0, key, "on or share expected")
+            for name in fault.on:
+                need(name in known, key + ".on", f"{name} is none of {len(known)}")
+    seen = [v.name for v in x.variants]
+    need(len(set(seen)) == len(seen), "variants", "names that differ expected")
+    return x
+
+
+def make(x, variant, seed, block=None):
+    """The plan of one play. `block`: the two middle numbers of its addresses in 127.0.0.0/8."""
+    rng = np.random.default_rng([seed, 0])
+    a, b = block or (64 + os.getpid() % 128, os.getpid() // 128 % 256)
+    machines = []
+    for n in range(x.hosts.count):
+        traits = msgspec.structs.replace(x.hosts.traits, speed=round(float(
+            x.hosts.traits.speed * rng.lognormal(0, x.hosts.speed_sigma)), 4))
+        machines.append(Machine(name=f"h{n}", ip=f"127.{a}.{b}.{1 + n // 400}", port=FIRST_PORT + n,
+                                zone=f"z{n % x.hosts.zones}", cell=n // 4, traits=traits,
+                                process=n % x.hosts.processes))
+    nodes = [Node(name=f"n{n}", ip=f"127.{a}.{b}.{10 + n // 100}", port=8000 + n, list_port=8400 + n)
+             for n in range(x.nodes.count)]
+    faults = []
+    for one in sorted(x.faults, key=lambda f: f.at):
+        among = [m.name for m in machines] if one.kind in HOST_FAULTS else [n.name for n in nodes]
+        on = one.on
+        if not on and one.share and one.kind not in LIST_FAULTS:
+            on = sorted(rng.choice(among, max(1, round(len(among) * one.share)), replace=False).tolist())
+        faults.append(msgspec.structs.replace(one, on=on))
+    for one in faults:
+        if one.kind == "join":
+            for machine in machines:
+                if machine.name in one.on:
+                    machine.started = max(1, round(one.at * SECOND))
+    sources = [f"127.{a}.{b}.{100 + n}" for n in range(min(100, x.load.sources * x.load.processes))]
+    return Plan(experiment=x, variant=variant, seed=seed, machines=machines, nodes=nodes, faults=faults, sources=sources)
+
+
+class Schedule(msgspec.Struct, kw_only=True):
+    """All first calls of a run, the earliest first: arrays of one length each."""
+    at: np.ndarray                     # intended, microseconds after the start
+    kind: np.ndarray                   # index of the traffic type
+    group: np.ndarray
+    tenant: np.ndarray
+    life: np.ndarray                   # microseconds from UP to when the client leaves
+    draw: np.ndarray                   # uint32: which node, honours advice or not, and the like
+
+    def digest(self):
+        """The same seed gives the same intended schedule, byte for byte."""
+        whole = hashlib.sha256()
+        for name in self.__struct_fields__:
+            whole.update(np.ascontiguousarray(getattr(self, name)).tobytes())
+        return whole.hexdigest()
+
+
+def arrivals(shape, seconds, rng):
+    """Times of a shape's arrivals in seconds."""
+    span = min(shape.seconds or seconds, seconds - shape.start)
+    if shape.kind == "constant":
+        times = (np.arange(int(shape.rate * span)) + 0.5) / shape.rate
+    elif shape.kind == "burst":
+        times = rng.uniform(0, span, shape.count)
+    elif shape.kind == "poisson":
+        times = rng.uniform(0, span, rng.poisson(shape.rate * span))
+    elif shape.kind in ("ramp", "day"):
+        top = max(shape.rate, shape.rate_to)
+        times = rng.uniform(0, span, rng.poisson(top * span))
+        part = times / span if shape.kind == "ramp" else (1 - np.cos(2 * np.pi * times / span)) / 2
+        times = times[rng.uniform(0, top, len(times)) < shape.rate + (shape.rate_to - shape.rate) * part]
+    else:
+        return np.empty(0)
+    return shape.start + np.sort(times)
+
+
+def schedule(plan):
+    """The intended arrivals, drawn from the seed alone."""
+    from cottonspread.lab import trace
+    x, load = plan.experiment, plan.experiment.load
+    rng = np.random.default_rng([plan.seed, 1])
+    times = np.concatenate([arrivals(shape, x.seconds, rng) for shape in load.shapes] or [np.empty(0)])
+    n = len(times)
+    shares = np.array([kind.share for kind in load.types])
+    kinds = rng.choice(len(load.types), n, p=shares / shares.sum()).astype(np.int16)
+    lives = rng.exponential(1.0, n) * np.array([kind.life_s for kind in load.types])[kinds] * SECOND
+    parts = [(np.round(times * SECOND).astype(np.int64), kinds, (rng.zipf(load.zipf, n) % load.groups).astype(np.int32),
+              rng.integers(0, load.tenants, n).astype(np.int16), lives.astype(np.int64))]
+    for shape in load.shapes:
+        if shape.kind == "trace":
+            parts.append(trace.columns(trace.read(shape.file), [k.name for k in load.types], shape.start))
+    columns = [np.concatenate(column) for column in zip(*parts)]
+    order = np.argsort(columns[0], kind="stable")
+    columns = [column[order] for column in columns]
+    return Schedule(at=columns[0], kind=columns[1], group=columns[2], tenant=columns[3], life=columns[4],
+                    draw=rng.integers(0, 1 << 32, len(order), dtype=np.uint32))
--- /dev/null
+++ b/cottonspread/lab/process.py
@@ -0,0 +1,81 @@
+"""What every process of a run has in common: its plan, the start that all share, and its end."""
+import json
+import os
+import signal
+import sys
+
+import msgspec
+
+from cottonspread.lab import plan as plans
+from cottonspread.lab.loop import Loop, quiet_collector, tell_parent
+from cottonspread.lab.record import Record
+from cottonspread.lab.wire import now
+
+
+class Part:
+    """One process. Says `ready`, waits for `begin T` (monotonic microseconds), ends at `end`, SIGTERM or when its parent is gone."""
+    kind = ""
+
+    def __init__(self, path, number):
+        self.loop, self.number = Loop(), number
+        with open(path, "rb") as file:
+            self.plan = msgspec.json.decode(file.read(), type=plans.Plan)
+        self.record = Record(os.path.join(os.path.dirname(path), f"{self.kind}-{number}.jsonl"))
+        self.start = 0
+        signal.signal(signal.SIGTERM, lambda *_: self.loop.stop())
+        signal.signal(signal.SIGINT, signal.SIG_IGN)       # a terminal's reaches the whole group: the runner decides
+
+    def main(self):
+        try:
+            self.prepare()
+        except OSError as fault:
+            tell_parent(f"fault {fault}")
+            return 1
+        self.loop.follow_parent(self.order)
+        quiet_collector()
+        tell_parent("ready")
+        try:
+            self.loop.run()
+        finally:
+            self.finish()
+            self.record.close()
+        return 0
+
+    def order(self, words):
+        if words[0] == "begin":
+            self.start = int(words[1])
+            self.begin()
+            self.loop.at(self.start, self.second)
+        elif words[0] == "end":
+            self.loop.stop()
+        else:
+            self.told(words)
+
+    def second(self):
+        """Once a second: what was seen so far goes to disk, and counts to the runner."""
+        self.record.flush()
+        counts = self.counts()
+        if counts:
+            try:
+                tell_parent("counts " + json.dumps(counts))
+            except BrokenPipeError:
+                self.loop.stop()
+                sys.stdout = open(os.devnull, "w")
+        self.loop.at(now() + 1_000_000, self.second)
+
+    # A part's own
+
+    def prepare(self):
+        """Before `ready`: sockets. OSError ends the process with its text."""
+
+    def begin(self):
+        """`self.start` is known."""
+
+    def told(self, words):
+        pass
+
+    def counts(self):
+        return {}
+
+    def finish(self):
+        pass
--- /dev/null
+++ b/cottonspread/lab/results.py
@@ -0,0 +1,176 @@
+"""The results of a play, from its folder alone: what `results.json` holds, and the means to compare two."""
+import json
+import os
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from cottonspread.lab import ledger
+from cottonspread.lab import plan as plans
+from cottonspread.lab import record
+from cottonspread.lab.load import LATE, histogram
+
+SCHEMA = "cottonspread-lab-results/1"
+POINTS = (50.0, 90.0, 99.0, 99.9)
+
+
+class Spread(msgspec.Struct):
+    """Microseconds."""
+    count: int
+    mean: float
+    p50: int
+    p90: int
+    p99: int
+    p999: int
+    max: int
+
+
+class Results(msgspec.Struct, kw_only=True):
+    """One play. Times are microseconds where a name does not say otherwise."""
+    schema: str
+    name: str
+    variant: str
+    seed: int
+    repeat: int
+    cut: str                           # "" or what cut it off: such a run is valid up to there
+    usable: bool                       # false: no figure of it is to be quoted
+    reasons: list[str]                 # why it is not usable, and what else is to be known
+    schedule_sha256: str
+    offered: int
+    seconds: float
+    served_share: float                # calls that came up, of all first calls
+    revenue: float                     # of those that came up within their setup target, over all that was asked for
+    answers: dict[str, int]            # by how each call's connection ended
+    latency: dict[str, Spread]         # from the intended time to UP, by traffic type; "all"
+    lateness: Spread                   # of the generator itself
+    echo: Spread                       # from a line's intended time to its echo
+    audit: dict
+    nodes: dict[str, dict]             # CPU seconds, most memory, threads and descriptors
+    timeline: list[dict]
+    faults: list[dict]
+
+
+def spread(h):
+    if not h.get_total_count():
+        return Spread(0, 0.0, 0, 0, 0, 0, 0)
+    return Spread(h.get_total_count(), round(h.get_mean_value(), 1), *(int(h.get_value_at_percentile(p)) for p in POINTS),
+                  int(h.get_max_value()))
+
+
+def decoded(text):
+    h = histogram()
+    h.add(HdrHistogram.decode(text))
+    return h
+
+
+def judge(play, repeat=0):
+    """Reads what the play left in its folder; writes `results.json` there, whole or not at all."""
+    plan, folder = play.plan, play.folder
+    sums = [line for line in record.read(folder, "load") if line["k"] == "sum"]
+    audit = ledger.Audit(plan, play.start, lambda kind: record.read(folder, kind))
+    told = audit.run()
+    kinds = {k.name: k for k in plan.experiment.load.types}
+    latency, lateness, echo = {"all": histogram()}, histogram(), histogram()
+    for one in sums:
+        for name, text in one["latency"].items():
+            h = decoded(text)
+            latency.setdefault(name, histogram()).add(h)
+            latency["all"].add(h)
+        lateness.add(decoded(one["lateness"]))
+        echo.add(decoded(one["echo"]))
+    first = [c for c in audit.calls.values() if not c["retry"] and not c["again"]]
+    answers, asked, earned, came_up = {}, 0.0, 0.0, set()
+    for call in audit.calls.values():
+        kind = kinds[call["type"]]
+        up = call["answers"][0][0] if call["answers"] and call["answers"][0][1] == "UP" else None
+        reason = "up" if up is not None else call["answers"][0][1].lower() if call["answers"] else call["how"]
+        answers[reason] = answers.get(reason, 0) + 1
+        if up is not None:
+            came_up.add(call["key"])
+        if not call["retry"]:
+            asked += kind.revenue
+            if up is not None and up - call["intended"] <= kind.target_ms * 1000:
+                earned += kind.revenue
+    reasons, late = list(play.reasons), spread(lateness)
+    faults = {name: n for one in sums for name, n in one["faults"].items()}
+    if late.p999 > LATE:
+        reasons.append(f"the generator was late itself: {late.p999} us at p99.9, over {LATE}: not to be used")
+    lost = {n: c for n, c in faults.items() if n != "ECONNREFUSED"}
+    if lost:
+        reasons.append(f"calls that the generator could not make: {lost}")
+    if len(sums) < plan.experiment.load.processes:
+        reasons.append("a load process left no sum")
+    if play.cut:
+        reasons.append(f"cut off by {play.cut}")
+    result = Results(
+        schema=SCHEMA, name=plan.experiment.name, variant=plan.variant.name, seed=plan.seed, repeat=repeat, cut=play.cut,
+        usable=late.p999 <= LATE and not lost and not play.cut and len(sums) == plan.experiment.load.processes and not any(
+            " died " in r or " ended " in r or "did not stop" in r for r in play.reasons),
+        reasons=reasons + play.warnings, schedule_sha256=sums[0]["digest"] if sums else "",
+        offered=len(audit.calls), seconds=plan.experiment.seconds,
+        served_share=round(len(came_up) / len(first), 5) if first else 0.0,
+        revenue=round(earned / asked, 5) if asked else 0.0, answers=answers,
+        latency={name: spread(h) for name, h in latency.items()}, lateness=late, echo=spread(echo), audit=told,
+        nodes={n.node.name: {"rss_mb": round(n.most_rss / 1e6, 1), "threads": n.most_threads, "fds": n.most_fds}
+               for n in play.nodes}, timeline=play.timeline,
+        faults=[msgspec.to_builtins(f) for f in plan.faults])
+    write(os.path.join(folder, "results.json"), result)
+    return result
+
+
+def write(path, result):
+    with open(path + ".new", "wb") as file:
+        file.write(msgspec.json.format(msgspec.json.encode(result), indent=1))
+    os.replace(path + ".new", path)
+
+
+def read(folder):
+    """Results of a folder; Fault names the key that does not fit."""
+    path = os.path.join(folder, "results.json")
+    try:
+        with open(path, "rb") as file:
+            result = msgspec.json.decode(file.read(), type=Results)
+    except OSError as fault:
+        raise plans.Fault(f"{path}: {fault.strerror}") from None
+    except (msgspec.DecodeError, msgspec.ValidationError) as fault:
+        raise plans.Fault(f"{path}: {fault}") from None
+    if result.schema != SCHEMA:
+        raise plans.Fault(f"{path}: schema: {SCHEMA} expected")
+    return result
+
+
+FIGURES = {
+    "served share": lambda r: r.served_share, "revenue": lambda r: r.revenue,
+    "set-up p50 ms": lambda r: r.latency["all"].p50 / 1000, "set-up p99 ms": lambda r: r.latency["all"].p99 / 1000,
+    "BUSY": lambda r: r.answers.get("busy", 0), "rules broken": lambda r: sum(
+        rule["broken"] for rule in r.audit["rules"].values()),
+    "node CPU s": lambda r: round(sum(n["cpu"] for s in r.timeline for n in s["nodes"].values()), 3),
+    "node memory MB": lambda r: max((n["rss_mb"] for n in r.nodes.values()), default=0)}
+
+
+def compare(pairs):
+    """[(Results, Results)] played in turn: rows of (figure, [(a, b, b over a or None)], median ratio or None)."""
+    rows = []
+    for name, of in FIGURES.items():
+        values = [(of(a), of(b)) for a, b in pairs]
+        ratios = [round(b / a, 4) if a else None for a, b in values]
+        known = sorted(r for r in ratios if r is not None)
+        median = known[len(known) // 2] if len(known) % 2 else (
+            round((known[len(known) // 2 - 1] + known[len(known) // 2]) / 2, 4) if known else None)
+        rows.append((name, [(a, b, r) for (a, b), r in zip(values, ratios)], median))
+    return rows
+
+
+def lines(result):
+    """A play in a few lines."""
+    late, all_ = result.lateness, result.latency["all"]
+    return [
+        f"{result.name} {result.variant} seed {result.seed}: {'usable' if result.usable else 'NOT USABLE'}"
+        + "".join(f"; {r}" for r in result.reasons),
+        f"offered {result.offered}, came up {result.served_share:.2%} of first calls, revenue {result.revenue:.3f}, answers "
+        + json.dumps(result.answers),
+        f"set-up ms p50 {all_.p50 / 1000:.2f} p99 {all_.p99 / 1000:.2f} p99.9 {all_.p999 / 1000:.2f} max {all_.max / 1000:.2f} "
+        f"(generator late us p50 {late.p50} p99 {late.p99} p99.9 {late.p999} max {late.max})",
+        *ledger.told(result.audit)]
+
+
--- /dev/null
+++ b/cottonspread/lab/run.py
@@ -0,0 +1,394 @@
+"""One play: starts hosts, list, nodes and clients as processes, carries the nodes' faults out, and gathers what was seen.
+
+Whatever ends a run (its time, Ctrl-C, a process that dies), what was seen so far is kept and valid, and no process is left:
+the lab's own end when their standard input does, nodes when the kernel tells that their parent is gone.
+"""
+import ctypes
+import json
+import os
+import selectors
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import msgspec
+import psutil
+
+from cottonspread.lab import limits
+from cottonspread.lab import plan as plans
+from cottonspread.lab.plan import NODE_FAULTS
+from cottonspread.lab.record import Record
+from cottonspread.lab.wire import now
+
+SECOND = 1_000_000
+READY_WAIT, STOP_WAIT = 30, 8
+DIES_WITH_PARENT = 1               # PR_SET_PDEATHSIG
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+libc = ctypes.CDLL(None)
+
+
+class Broken(RuntimeError):
+    """The run could not begin; the message names what was in the way."""
+
+
+def settings(plan, number):
+    """A node's settings, in the platform's words, from what the experiment says of hosts and load."""
+    x, t = plan.experiment, plan.experiment.hosts.traits
+    effects = {"repeatable": "safe", "referenced": "keyed", "once-only": "unsafe"}
+    out = {
+        "Balancers": len(plan.nodes), "Me": number, "Zone": number % x.hosts.zones,
+        "Zones": [f"z{n}" for n in range(x.hosts.zones)], "Kinds": ["lab"], "MembershipMode": "push", "Step": 2,
+        "TrafficTypes": [{"Name": k.name, "Effect": effects[k.effect], "KeyScope": k.scope, "KeyTtl": k.remembered_ms,
+                          "SetupTarget": k.target_ms, "GuardTime": k.guard_ms, "Revenue": k.revenue} for k in x.load.types],
+        "FamilyInfo": {"Groups": True, "TellsLoad": t.tells_load, "TellsDelay": True,
+                       "MessageAim": [k.message_ms for k in x.load.types]},
+        "Limits": {"MostLegs": 5, "Cancel": True, "MayDuplicate": False, "RetryAfter": True, "MaxRetryAfter": 2000,
+                   "ConnectTimeout": 250},
+        "Rules": {"ColdFrom": t.cold_share, "RampTime": t.warm_s * 1000, "TipMultiple": t.tip_multiple,
+                  "OverloadFor": t.tip_s * 1000, "DrainGrace": x.nodes.grace_ms}}
+    return merged(merged(out, x.nodes.settings), plan.variant.settings)
+
+
+def merged(under, over):
+    return {**under, **{k: merged(under[k], v) if isinstance(v, dict) and isinstance(under.get(k), dict) else v
+                        for k, v in over.items()}}
+
+
+class Child:
+    """A process of the lab's own."""
+
+    def __init__(self, name, words, cores):
+        self.name = name
+        self.process = subprocess.Popen([sys.executable, "-m", "cottonspread", "lab", *words], cwd=ROOT, stdin=subprocess.PIPE,
+                                        stdout=subprocess.PIPE, bufsize=0, preexec_fn=lambda: prepare_child(cores))
+        os.set_blocking(self.process.stdout.fileno(), False)
+        self.rest, self.ready, self.fault, self.counts, self.ended = b"", False, "", {}, False
+
+    def say(self, line):
+        try:
+            self.process.stdin.write(line.encode() + b"\n")
+        except OSError:
+            pass
+
+    def read(self):
+        """False at its end."""
+        data = self.process.stdout.read(65536)
+        if data is None:
+            return True
+        *lines, self.rest = (self.rest + data).split(b"\n")
+        for line in lines:
+            word, _, rest = line.decode().partition(" ")
+            if word == "ready":
+                self.ready = True
+            elif word == "fault":
+                self.fault = rest
+            elif word == "counts":
+                self.counts = json.loads(rest)
+                self.counts["new"] = True
+        return bool(data)
+
+
+def prepare_child(cores):
+    libc.prctl(DIES_WITH_PARENT, signal.SIGKILL)
+    os.setpgrp()                       # a terminal's Ctrl-C is the runner's alone
+    if cores:
+        os.sched_setaffinity(0, cores)
+
+
+class NodeProcess:
+    """One node, started anew after a stop or a kill."""
+
+    def __init__(self, play, number):
+        self.play, self.number, self.node = play, number, play.plan.nodes[number]
+        self.process, self.probe, self.up, self.wanted, self.cpu, self.back = None, None, False, True, 0.0, None
+        self.most_rss = self.most_threads = self.most_fds = 0
+
+    def start(self):
+        plan, x = self.play.plan, self.play.plan.experiment
+        path = os.path.join(self.play.folder, f"{self.node.name}.json")
+        config = {
+            "name": self.node.name, "listen": f"{self.node.ip}:{self.node.port}",
+            "discovery": f"{self.node.ip}:{self.node.list_port}", "seed": "%x" % (plan.seed * 1000 + self.number),
+            "limits": {"memory_mb": plan.variant.memory_mb or x.nodes.memory_mb,
+                       "sockets": plan.variant.sockets or x.nodes.sockets},
+            "settings": settings(plan, self.number)}
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(config, file, indent=1)
+        command = plan.variant.command or x.nodes.command or [sys.executable, "-m", "cottonspread", "serve"]
+        checkout = plan.variant.checkout or x.nodes.checkout or ROOT
+        with open(os.path.join(self.play.folder, f"{self.node.name}.log"), "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable if word == "python" else word for word in command], cwd=checkout, stdin=subprocess.DEVNULL,
+                stdout=log, stderr=log, env={**os.environ, "PROXY_CONFIG": path, "PYTHONPATH": checkout},
+                preexec_fn=lambda: prepare_child(self.play.node_cores(self.number)))
+        self.probe, self.up = psutil.Process(self.process.pid), False
+        self.play.note("started", self)
+
+    def answers_ping(self):
+        try:
+            with socket.create_connection((self.node.ip, self.node.port), timeout=0.3) as sock:
+                sock.sendall(b"PING\r\n")
+                return sock.recv(16).startswith(b"PONG")
+        except OSError:
+            return False
+
+    def signal(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def sample(self):
+        """CPU seconds since the last sample, resident bytes, threads and descriptors."""
+        try:
+            with self.probe.oneshot():
+                times, memory = self.probe.cpu_times(), self.probe.memory_info().rss
+                threads, fds = self.probe.num_threads(), self.probe.num_fds()
+        except (psutil.Error, OSError):
+            return {"cpu": 0, "rss_mb": 0, "threads": 0, "fds": 0}
+        total = times.user + times.system
+        used, self.cpu = max(0.0, total - self.cpu), total
+        self.most_rss, self.most_threads = max(self.most_rss, memory), max(self.most_threads, threads)
+        self.most_fds = max(self.most_fds, fds)
+        return {"cpu": round(used, 3), "rss_mb": round(memory / 1e6, 1), "threads": threads, "fds": fds}
+
+
+class Play:
+    def __init__(self, experiment, variant, seed, folder, show=None):
+        self.plan = plans.make(experiment, variant, seed)
+        self.folder, self.show, self.cut, self.reasons = folder, show, "", []
+        self.children, self.nodes, self.lines, self.timeline = [], [], [], []
+        self.start, self.record, self.warnings = 0, None, []
+
+    def node_cores(self, number):
+        cores = sorted(os.sched_getaffinity(0))
+        if not self.plan.experiment.nodes.pin or len(cores) < 2:
+            return None
+        most = max(1, min(len(self.plan.nodes), len(cores) // 2))
+        return {cores[len(cores) - 1 - number % most]}
+
+    def other_cores(self):
+        cores = set(os.sched_getaffinity(0))
+        for number in range(len(self.plan.nodes)):
+            cores -= self.node_cores(number) or set()
+        return cores or None
+
+    def note(self, kind, node, **more):
+        self.record.put({"k": kind, "t": now(), "node": node.node.name, **more})
+        self.record.flush()
+
+    def run(self):
+        """Plays it to its end, its cut or its fault."""
+        os.makedirs(self.folder, exist_ok=True)
+        schedule = plans.schedule(self.plan)
+        self.warnings = limits.check(self.plan, schedule)
+        self.plan.unix_offset = (time.time_ns() - time.monotonic_ns()) // 1000
+        path = os.path.join(self.folder, "plan.json")
+        with open(path, "wb") as file:
+            file.write(msgspec.json.encode(self.plan))
+        self.record = Record(os.path.join(self.folder, "nodes-0.jsonl"))
+        kept = signal.signal(signal.SIGINT, self.interrupted), signal.signal(signal.SIGTERM, self.interrupted)
+        try:
+            self.begin(path)
+            self.play()
+            self.end()
+        finally:
+            self.clear_away()
+            self.record.close()
+            signal.signal(signal.SIGINT, kept[0])
+            signal.signal(signal.SIGTERM, kept[1])
+
+    def interrupted(self, number, _):
+        self.cut = self.cut or signal.Signals(number).name
+
+    def begin(self, path):
+        x, cores = self.plan.experiment, self.other_cores()
+        self.children = [Child(f"{kind} {n}", [kind, "--plan", path, "--number", str(n)], cores) for kind, count in (
+            ("hosts", x.hosts.processes), ("list", 1), ("load", x.load.processes)) for n in range(count)]
+        self.selector = selectors.DefaultSelector()
+        for child in self.children:
+            self.selector.register(child.process.stdout, selectors.EVENT_READ, child)
+        until = time.monotonic() + READY_WAIT
+        while not all(c.ready for c in self.children) and not self.cut:
+            self.hear(0.2)
+            for child in self.children:
+                if child.fault:
+                    raise Broken(f"{child.name}: {child.fault}")
+                if child.ended and not child.ready:
+                    raise Broken(f"{child.name}: ended before it was ready")
+            if time.monotonic() > until:
+                raise Broken("not ready after 30 s: " + ", ".join(c.name for c in self.children if not c.ready))
+        self.nodes = [NodeProcess(self, n) for n in range(len(self.plan.nodes))]
+        for node in self.nodes:
+            node.start()
+        while not all(node.up for node in self.nodes) and not self.cut:
+            for node in self.nodes:
+                if node.process.poll() is not None:
+                    raise Broken(f"{node.node.name}: ended with {node.process.returncode} at its start, see {node.node.name}.log")
+                node.up = node.up or node.answers_ping()
+            if time.monotonic() > until + READY_WAIT:
+                raise Broken("no PONG after 30 s from " + ", ".join(n.node.name for n in self.nodes if not n.up))
+            self.hear(0.02)
+        for node in self.nodes:
+            node.sample()
+        self.start = now() + 300_000
+        for child in self.children:
+            child.say(f"begin {self.start}")
+
+    def hear(self, wait):
+        for key, _ in self.selector.select(wait):
+            if not key.data.read():
+                self.selector.unregister(key.fileobj)
+                key.data.ended = True
+
+    def play(self):
+        x = self.plan.experiment
+        ending = self.start + round((x.seconds + x.settle_s) * SECOND)
+        todo = self.node_faults()
+        sampled = self.start
+        with open(os.path.join(self.folder, "live.jsonl"), "w", encoding="utf-8") as live:
+            while now() < ending and not self.cut:
+                while todo and todo[0][0] <= now():
+                    _, _, what, args = todo.pop(0)
+                    later = what(*args)
+                    if later:
+                        todo = sorted([*todo, later], key=lambda one: one[:2])
+                wait = min([ending, sampled + SECOND] + [t[0] for t in todo[:1]]) - now()
+                self.hear(max(0.0, min(wait / 1e6, 0.2)))
+                if now() >= sampled + SECOND:
+                    sampled += SECOND
+                    self.second(live, sampled)
+                for child in self.children:
+                    if child.ended and not self.cut:
+                        self.cut = f"{child.name} died"
+                for node in self.nodes:
+                    if node.wanted and node.process.poll() is not None:
+                        node.wanted = node.up = False
+                        self.note("died", node, code=node.process.returncode)
+                        self.reasons.append(f"{node.node.name} died with {node.process.returncode}")
+                        self.front("down", node, 0)
+
+    def second(self, live, at):
+        counts, hosts = {}, {}
+        for child in self.children:
+            if not child.counts.pop("new", False):
+                continue
+            if child.name.startswith("load"):
+                for key, value in child.counts.items():
+                    counts[key] = max(counts.get(key, 0), value) if key.endswith("_us") else counts.get(key, 0) + value
+            elif child.name.startswith("hosts"):
+                hosts |= child.counts.get("standing", {})
+        line = {"s": round((at - self.start) / SECOND), **counts, "hosts": hosts,
+                "nodes": {n.node.name: n.sample() for n in self.nodes if n.wanted}}
+        self.timeline.append(line)
+        live.write(json.dumps(line) + "\n")
+        live.flush()
+        if self.show:
+            self.show(self, line)
+
+    # Nodes' faults
+
+    def node_faults(self):
+        out = []
+        for n, one in enumerate(self.plan.faults):
+            if one.kind in NODE_FAULTS:
+                for name in one.on:
+                    node = next(p for p in self.nodes if p.node.name == name)
+                    out.append((self.start + round(one.at * SECOND), n, self.fault, (node, one)))
+        return sorted(out, key=lambda one: one[:2])
+
+    def fault(self, node, one):
+        """Carries it out; gives back what is to be done later, if anything."""
+        span = round(one.seconds * SECOND)
+        if one.kind == "freeze":
+            self.note("freeze", node)
+            node.signal(signal.SIGSTOP)
+            return now() + span, 0, self.thaw, (node,)
+        if one.kind == "reload":
+            self.note("reload", node)
+            node.signal(signal.SIGHUP)
+            return None
+        node.wanted = node.up = False
+        self.note("stopping" if one.kind == "stop" else "killed", node)
+        node.signal(signal.SIGTERM if one.kind == "stop" else signal.SIGKILL)
+        self.front("down", node, 300_000 if one.kind == "stop" else round(self.plan.experiment.nodes.front_notice_s * SECOND))
+        return (now() + span, 0, self.start_anew, (node,)) if span else None
+
+    def thaw(self, node):
+        node.signal(signal.SIGCONT)
+        self.note("thaw", node)
+
+    def start_anew(self, node):
+        if node.process.poll() is None:
+            return now() + 50_000, 0, self.start_anew, (node,)
+        self.note("stopped", node, code=node.process.returncode)
+        node.cpu = 0.0
+        node.start()
+        node.wanted = True
+        return now() + 50_000, 0, self.take_in, (node, 0)
+
+    def take_in(self, node, tries):
+        """The front deals to it once it has answered PING."""
+        if node.answers_ping():
+            node.up = True
+            self.note("up", node)
+            self.front("up", node, 0)
+            return None
+        return (now() + 50_000, 0, self.take_in, (node, tries + 1)) if node.wanted and tries < 600 else None
+
+    def front(self, word, node, wait):
+        def tell():
+            for child in self.children:
+                if child.name.startswith("load") and not (word == "down" and node.up):
+                    child.say(f"{word} {node.number}")
+        if wait:
+            import threading
+            threading.Timer(wait / 1e6, tell).start()
+        else:
+            tell()
+
+    # The end
+
+    def end(self):
+        load = [c for c in self.children if c.name.startswith("load")]
+        self.wait_for(load, "end")
+        for node in self.nodes:
+            if node.process.poll() is None:
+                node.sample()
+                node.wanted = False
+                node.signal(signal.SIGCONT)
+                node.signal(signal.SIGTERM)
+        until = time.monotonic() + STOP_WAIT
+        for node in self.nodes:
+            try:
+                code = node.process.wait(max(0.1, until - time.monotonic()))
+                if code not in (0, -signal.SIGKILL) and not self.plan.variant.command and not self.plan.experiment.nodes.command:
+                    self.reasons.append(f"{node.node.name} ended with {code}")
+            except subprocess.TimeoutExpired:
+                self.reasons.append(f"{node.node.name} did not stop in {STOP_WAIT} s")
+        self.wait_for([c for c in self.children if c not in load], "end")
+
+    def wait_for(self, children, word):
+        for child in children:
+            child.say(word)
+        until = time.monotonic() + 10
+        while not all(c.ended for c in children) and time.monotonic() < until:
+            self.hear(0.1)
+
+    def clear_away(self):
+        """Only what this play has started, by its own process objects."""
+        for node in self.nodes:
+            if node.process is not None and node.process.poll() is None:
+                node.process.kill()
+                node.process.wait()
+        for child in self.children:
+            try:
+                child.process.stdin.close()
+            except OSError:
+                pass
+            try:
+                child.process.wait(3)
+            except subprocess.TimeoutExpired:
+                child.process.kill()
+                child.process.wait()
+            child.process.stdout.close()
--- /dev/null
+++ b/cottonspread/lab/selfcheck.py
@@ -0,0 +1,135 @@
+"""The generator against an echoing server with a known delay, timed by that server's own receive times.
+
+The server notes when a call's first line came, waits the known delay, answers, and notes when it did. What the generator
+reports (intended time to UP) and what the server saw (intended time to its answer) must agree: both read one monotonic clock,
+and the two share no line of code on the way.
+"""
+import os
+import select
+import socket
+import sys
+import tempfile
+import threading
+import time
+
+import msgspec
+import numpy as np
+
+from cottonspread.lab import plan as plans
+from cottonspread.lab import record
+from cottonspread.lab.run import Child
+from cottonspread.lab.wire import now
+
+LIMIT = 1000                       # microseconds
+
+
+class Server(threading.Thread):
+    """Answers each first line after `delay` microseconds; `seen` holds (id, came, answered)."""
+
+    def __init__(self, address, delay):
+        super().__init__(daemon=True)
+        self.listener = socket.create_server(address, backlog=4096)
+        self.delay, self.seen, self.stopped = delay, [], False
+
+    def run(self):
+        poll, conns, waiting = select.epoll(), {}, []
+        self.listener.setblocking(False)
+        poll.register(self.listener, select.EPOLLIN)
+        while not self.stopped:
+            wait = min(0.05, max(0.0, (waiting[0][0] - now()) / 1e6)) if waiting else 0.05
+            if wait > 0.0004:
+                select.select([poll.fileno()], [], [], wait - 0.0003)
+            for fd, _ in poll.poll(0):
+                if fd == self.listener.fileno():
+                    try:
+                        sock = self.listener.accept()[0]
+                    except BlockingIOError:
+                        continue
+                    sock.setblocking(False)
+                    conns[sock.fileno()] = sock
+                    poll.register(sock, select.EPOLLIN)
+                    continue
+                came = now()
+                try:
+                    data = conns[fd].recv(4096)
+                except OSError:
+                    data = b""
+                if not data:
+                    poll.unregister(fd)
+                    conns.pop(fd).close()
+                elif data.startswith(b"OPEN "):
+                    waiting.append((came + self.delay, fd, data.split(b" ")[1].decode(), came))
+            while waiting and waiting[0][0] <= now():
+                _, fd, name, came = waiting.pop(0)
+                if fd in conns:
+                    answered = now()
+                    try:
+                        conns[fd].send(b"UP 1\r\n")
+                    except OSError:
+                        continue
+                    self.seen.append((name, came, answered))
+
+
+def measure(rate, seconds, delay_ms):
+    """(by the generator, by the server, the generator's lateness p99.9): from the intended time to the answer, microseconds."""
+    load = plans.Load(shapes=[plans.Shape(kind="poisson", rate=rate)], processes=1, line_s=0, sources=2, retries=0, spins=True,
+                      types=[plans.Kind(name="check", life_s=0.2, guard_ms=4000)])
+    x = plans.Experiment(name="selfcheck", seconds=seconds, load=load, hosts=plans.Hosts(count=1))
+    plan = plans.make(x, plans.Variant(name="only"), int(time.time()))
+    node = plan.nodes[0]
+    server = Server((node.ip, node.port), round(delay_ms * 1000))
+    with tempfile.TemporaryDirectory() as folder:
+        path = os.path.join(folder, "plan.json")
+        with open(path, "wb") as file:
+            file.write(msgspec.json.encode(plan))
+        cores = sorted(os.sched_getaffinity(0))
+        child = Child("load 0", ["load", "--plan", path, "--number", "0"], {cores[-1]} if len(cores) > 1 else None)
+        try:
+            if len(cores) > 1:
+                os.sched_setaffinity(0, set(cores[:-1]))
+            server.start()
+            until = time.monotonic() + 20
+            while not child.ready and time.monotonic() < until:
+                child.read()
+                time.sleep(0.01)
+            start = now() + 200_000
+            child.say(f"begin {start}")
+            ending = start + round((seconds + delay_ms / 1000 + 1) * 1e6)
+            while now() < ending:
+                child.read()
+                time.sleep(0.05)
+            child.say("end")
+            child.process.wait(10)
+        finally:
+            server.stopped = True
+            if child.process.poll() is None:
+                child.process.kill()
+                child.process.wait()
+            os.sched_setaffinity(0, set(cores))
+        server.join()
+        server.listener.close()
+        lines = list(record.read(folder, "load"))
+    calls = {c["id"]: c for c in lines if c["k"] == "call" and c["answers"]}
+    total = next(line for line in lines if line["k"] == "sum")
+    from cottonspread.lab.results import decoded
+    late = decoded(total["lateness"]).get_value_at_percentile(99.9)
+    timed = [(calls[n], answered) for n, _, answered in server.seen if n in calls]
+    told = np.array([call["answers"][0][0] - call["intended"] for call, _ in timed])
+    seen = np.array([answered - start - call["intended"] for call, answered in timed])
+    if len(told) < total["planned"]:
+        raise plans.Fault(f"selfcheck: {total['planned']} calls planned, {len(told)} timed on both sides")
+    return told, seen, int(late)
+
+
+def main(rate, seconds, delay_ms):
+    told, seen, late = measure(rate, seconds, delay_ms)
+    print(f"{len(told)} calls at {rate:g} a second, answered after {delay_ms:g} ms")
+    apart = np.abs(told - seen)            # call by call: no two errors make up for each other
+    for name, p in (("p50", 50), ("p99", 99), ("max", 100)):
+        a, b, c = (float(np.percentile(x, p)) for x in (told, seen, apart))
+        print(f"{name}: generator {a / 1000:.3f} ms, server {b / 1000:.3f} ms; the same call apart by {c:.0f} us at {name}")
+    over = apart.max() > LIMIT
+    print("over 1 ms apart: not to be trusted" if over else "agrees within 1 ms for every call",
+          file=sys.stderr if over else sys.stdout)
+    print(f"generator late, p99.9: {late} us" + (f", over {LIMIT}: a run like this would not be used" if late > LIMIT else ""))
+    return 1 if over else 0
--- /dev/null
+++ b/cottonspread/lab/wire.py
@@ -0,0 +1,74 @@
+"""The line protocol as clients and hosts see it: parsers of the lab's own, so that a fault of the node's is not mirrored.
+
+Every line ends with LF or CRLF and holds at most 4,096 bytes. Times in the lab are whole microseconds of one monotonic
+clock, unless a name says otherwise.
+"""
+import time
+from dataclasses import dataclass
+
+LONGEST = 4096
+
+
+def now():
+    """Microseconds of CLOCK_MONOTONIC, which all processes of a machine share."""
+    return time.monotonic_ns() // 1000
+
+
+class Lines:
+    """Bytes in, whole lines out (without their ends); the same lines wherever the bytes are cut."""
+    __slots__ = ("rest",)
+
+    def __init__(self):
+        self.rest = b""
+
+    def take(self, data):
+        """All lines that `data` completes. ValueError if one is longer than the protocol allows."""
+        *whole, self.rest = (self.rest + data).split(b"\n")
+        if len(self.rest) > LONGEST or any(len(line) > LONGEST for line in whole):
+            raise ValueError("a line of over 4,096 bytes")
+        return [line[:-1] if line.endswith(b"\r") else line for line in whole]
+
+
+@dataclass(frozen=True, slots=True)
+class First:
+    """A connection's first line, as a host reads it."""
+    id: str
+    key: str
+    type: str
+    wait_ms: int
+    group: str
+    again: bool
+    held: str
+
+
+def first_line(line):
+    """`OPEN ID KEY c=..,d=..`; ValueError names what is wrong."""
+    words = line.split(b" ")
+    if len(words) != 4 or words[0] != b"OPEN":
+        raise ValueError("no OPEN line of four words")
+    pairs = {}
+    for part in words[3].split(b","):
+        name, equals, value = part.partition(b"=")
+        if not equals or name in pairs:
+            raise ValueError(f"{part!r} is no name and value, or comes twice")
+        pairs[name] = value.decode("ascii")
+    if b"c" not in pairs or b"d" not in pairs and b"at" not in pairs:
+        raise ValueError("c or d is missing")
+    return First(words[1].decode("ascii"), words[2].decode("ascii"), pairs[b"c"], int(pairs.get(b"d", "0")),
+                 pairs.get(b"g", ""), pairs.get(b"again") == "1", pairs.get(b"at", ""))
+
+
+def opening(call_id, key, traffic_type, wait_ms, group="", again=False, retry=False):
+    """A client's first line."""
+    more = (f",g={group}" if group else "") + (",again=1" if again else "") + (",r=1" if retry else "")
+    return f"OPEN {call_id} {key} c={traffic_type},d={wait_ms}{more}\r\n".encode()
+
+
+def answer(line):
+    """What a line tells a client that waits: ("UP", receipt), ("BUSY", ms or 0) or ("other", text)."""
+    word, _, rest = line.partition(b" ")
+    if word == b"UP" and rest:
+        return "UP", rest.decode("ascii", "replace")
+    if word == b"BUSY" and (not rest or rest.isdigit()):
+        return "BUSY", int(rest or 0)
+    return "other", line.decode("ascii", "replace")
