--- a/cottonspread/config.py
+++ b/cottonspread/config.py
@@ -173,6 +173,7 @@
     connect_wait: int
     loads: bool
     delays: bool
+    words: bool = True             # a LOAD line may be a host's word on its messages; false: it is a load, always
 
 
 def numbered(names):
@@ -194,6 +195,6 @@
                   numbered(settings.plain("Kinds", str)), numbered(t.name for t in begin.tenants))
     kind = settings.part("FamilyInfo")
     hearing = Hearing(settings.part("Limits").span("ConnectTimeout", 250), kind.flag("TellsLoad"),
-                      kind.flag("TellsDelay"))
+                      kind.flag("TellsDelay"), whole.choice("load_lines", "both", {"both": True, "loads": False}))
     known = whole.part("known", {"generation": 0, "reset": True, "instances": []}).values
     return place, room, names, hearing, begin, known
--- a/cottonspread/lab/run.py
+++ b/cottonspread/lab/run.py
@@ -113,7 +113,7 @@
             "discovery": f"{self.node.ip}:{self.node.list_port}", "seed": "%x" % (plan.seed * 1000 + self.number),
             "limits": {"memory_mb": plan.variant.memory_mb or x.nodes.memory_mb,
                        "sockets": plan.variant.sockets or x.nodes.sockets},
-            "settings": settings(plan, self.number)}
+            "settings": settings(plan, self.number), "load_lines": "loads"}      # what the lab's hosts mean by LOAD
         with open(path, "w", encoding="utf-8") as file:
             json.dump(config, file, indent=1)
         command = plan.variant.command or x.nodes.command or [sys.executable, "-m", "cottonspread", "serve"]
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -383,7 +383,7 @@
 
     def load_line(self, leg, value):
         notes = leg.host.notes
-        if self.hearing.delays:
+        if self.hearing.delays and self.hearing.words:
             # Where the settings say that loads are not told, such a line can only be the other note: taken for a
             # connection's load, with which each begins elsewhere, no jam was seen at all.
             delay = notes.delay(self.now, leg.heard, value, notes.waited(self.now, leg.host.legs)[0],
