The node's own lateness is measured, and not told of a server; the door sheds what it cannot do

The lab's ramp (100 to 1,300 new connections a second, one core, idle servers): from 700 a second the node took its own queue for slow servers, set all aside, and 748 calls had no answer in time. Now events carry the kernel's receive time: guard times run from it, set-ups and echoes are judged by it, time-outs wait by the node's own lateness, and new connections are turned away at the door while first lines lie too long.

--- /dev/null
+++ b/cottonspread/front/__init__.py
@@ -0,0 +1,1 @@
+"""What every front owes the module, without I/O."""
--- a/cottonspread/net/events.py
+++ b/cottonspread/net/events.py
@@ -41,12 +41,14 @@
     end: End
     data: bytes
     more: bool = False             # part of a further line is there already
+    at: int = 0                    # when the kernel had it; 0: not known
 
 
 @dataclass(frozen=True, slots=True)
 class Written:
     end: End
     ok: bool
+    at: int = 0                    # when the kernel took it; 0: not known
 
 
 @dataclass(frozen=True, slots=True)
--- a/cottonspread/net/lines.py
+++ b/cottonspread/net/lines.py
@@ -1,5 +1,7 @@
 """The protocol's lines: gathered from a socket, parsed, written. Its own words stay in this file."""
 import re
+import socket
+import struct
 import time
 from dataclasses import dataclass
 
@@ -10,16 +12,30 @@
 WORD, NUMBER = re.compile(r"[!-~]{1,64}"), re.compile(r"[0-9]+")
 
 
+SO_TIMESTAMPNS, STAMP, STAMP_ROOM = 35, struct.Struct("qq"), 64
+OLDEST = 20_000_000                # microseconds; what seems to have lain longer was stamped before the clock was set
+
+
 class BadLine(ValueError):
     """What came is no line of the protocol; its text is the reason code."""
 
 
+def age(stamps):
+    """How many microseconds ago the kernel got what was just read; 0 where it does not tell or the wall clock was set."""
+    for level, kind, value in stamps:
+        if (level, kind) == (socket.SOL_SOCKET, SO_TIMESTAMPNS):
+            seconds, rest = STAMP.unpack(value)
+            passed = (time.time_ns() - seconds * 1_000_000_000 - rest) // 1000
+            return passed if 0 <= passed < OLDEST else 0
+    return 0
+
+
 class Gatherer:
     """Whole lines from a socket. Holds a buffer only while there is something in it."""
 
     def __init__(self, sock, pool, half_line_wait):
         self.sock, self.pool, self.wait = sock, pool, half_line_wait
-        self.buffer, self.filled, self.since = None, 0, 0.0
+        self.buffer, self.filled, self.since, self.age = None, 0, 0.0, 0
 
     def lines(self):
         """All whole lines that are there, at least one, as they came; b"" at the end of the connection."""
@@ -29,7 +45,8 @@
                     if not self.sock.recv(1, 0x2):              # MSG_PEEK: an idle connection holds no buffer
                         return b""
                     self.buffer, self.since = self.pool.take(), time.monotonic()
-                got = self.sock.recv_into(memoryview(self.buffer)[self.filled:])
+                got, stamps, _, _ = self.sock.recvmsg_into([memoryview(self.buffer)[self.filled:]], STAMP_ROOM)
+                self.age = age(stamps)
             except BlockingIOError:                             # the socket's own time-out has passed
                 if self.buffer is None or time.monotonic() - self.since < self.wait:
                     continue
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -7,6 +7,7 @@
 import time
 from dataclasses import replace
 
+from cottonspread.front.lateness import Door
 from cottonspread.interface import News
 from cottonspread.net import discovery, lines, workers
 from cottonspread.net import events as ev
@@ -44,7 +45,8 @@
         self.place, self.clock = place, Clock()
         self.events, self.done = queue.Queue(QUEUE), threading.Event()
         self.most = most_ends(room)
-        self.workers = workers.Workers(Pool(), self.post)
+        self.workers = workers.Workers(Pool(), self.post, self.clock.now)
+        self.lock, self.door = threading.Lock(), Door(min(t.setup_target for t in begin.types) // 4)
         version, listed, addresses = discovery.read_list(known, names, News.SAVED)
         self.discovery = discovery.Discovery(place.discovery, names, self.post, version, begin.listing.ask)
         self.reducer = Reducer(self.clock.now(), begin, names, hearing, self.most)
@@ -52,10 +54,12 @@
         self.listener, self.ending = None, False
 
     def post(self, event):
-        self.events.put(event)
+        self.events.put((self.clock.now(), event))
 
     def start(self):
         self.listener = socket.create_server(self.place.listen, backlog=BACKLOG)
+        # What came before it was accepted is stamped too: a client's time runs from when its line was here.
+        self.listener.setsockopt(socket.SOL_SOCKET, lines.SO_TIMESTAMPNS, 1)
         self.workers.start()
         for target in (self.loop, self.discovery.run, self.accept):
             workers.start_thread(target, stack=workers.WIDE)
@@ -79,16 +83,21 @@
         while not self.done.is_set():
             left = (self.reducer.due() - self.clock.now()) / 1e6
             try:
-                event = self.events.get(timeout=left) if left > 0 else self.events.get_nowait()
+                at, event = self.events.get(timeout=left) if left > 0 else self.events.get_nowait()
             except queue.Empty:
-                event = ev.Tick()
-            for effect in self.step(event):
+                at, event = 0, ev.Tick()
+            now = self.clock.now()
+            at = getattr(event, "at", 0) or at or now
+            if isinstance(event, ev.Got) and event.end.client and event.end.conn.opening is None:
+                with self.lock:
+                    self.door.lain(now, now - at)
+            for effect in self.step(event, at):
                 self.carry_out(effect)
 
-    def step(self, event):
+    def step(self, event, at=0):
         """One step of the reducer. Our own fault stands in the log with its trace, and costs one connection."""
         try:
-            return self.reducer.step(self.clock.now(), event)
+            return self.reducer.step(self.clock.now(), event, at)
         except Exception:
             log.exception("fault", extra={"pairs": {"while": type(event).__name__}})
         return self.reducer.after_fault(event)
@@ -124,6 +133,11 @@
                 log.warning("accept", extra={"pairs": {"why": errno.errorcode.get(fault.errno, str(fault))}})
                 time.sleep(0.05)             # no descriptors: some will be given back
                 continue
+            with self.lock:
+                admitted = self.door.admits(self.clock.now())
+            if not admitted:
+                self.turn_away(sock, "node-late", self.reducer.come_back())
+                continue
             try:
                 workers.prepare(sock)
             except OSError:                  # gone already
@@ -136,16 +150,20 @@
                 waits -= 1
                 time.sleep(0.002)            # the reducer turns out who says nothing
             if not waits or not self.workers.begin(end, sock):
-                self.turn_away(sock)
+                self.turn_away(sock, "no-room-at-all", 0)
                 continue
             self.post(ev.Came(end))
 
-    def turn_away(self, sock):
-        """No room even for its first line."""
+    def turn_away(self, sock, reason, come_back):
+        """No room or no time even for its first line."""
         try:
-            sock.send(lines.busy(0), socket.MSG_DONTWAIT)
+            sock.send(lines.busy(come_back), socket.MSG_DONTWAIT)
             sock.shutdown(socket.SHUT_WR)
         except OSError:
             pass
+        try:
+            sock.recv(4096, socket.MSG_DONTWAIT)          # unread, it would make the end a reset
+        except OSError:
+            pass
         sock.close()
-        log.info("closed", extra={"pairs": {"reason": "no-room-at-all"}})
+        log.info("closed", extra={"pairs": {"reason": reason}})
--- a/cottonspread/net/notes.py
+++ b/cottonspread/net/notes.py
@@ -27,6 +27,12 @@
     def sent(self, now, count):
         self.waiting.extend([now] * min(count, HELD))
 
+    def written(self, ordered, at):
+        """The lines ordered out at `ordered` went out at `at`: what the order lay here is not the host's."""
+        for n, sent in enumerate(self.waiting):
+            if sent == ordered:
+                self.waiting[n] = max(sent, at)
+
     def echoed(self):
         """An echo has come: when its line was sent, None if no line was out."""
         return self.waiting.popleft() if self.waiting else None
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -10,6 +10,7 @@
 
 from cottonspread import interface as io
 from cottonspread.decide import Balancer
+from cottonspread.front.lateness import Lateness
 from cottonspread.interface import Ending
 from cottonspread.net import events as ev
 from cottonspread.net import lines
@@ -75,9 +76,10 @@
 
 class Reducer:
     def __init__(self, now, begin, names, hearing, most_ends):
-        self.now, self.out, self.told = now, [], deque()
+        self.now, self.happened, self.out, self.told = now, now, [], deque()
         self.begin, self.names, self.hearing, self.most_ends = begin, names, hearing, most_ends
         self.module = Balancer(now, begin)
+        self.own = Lateness()
         self.servers, self.conns, self.ends = {}, {}, 0
         self.unopened = {}                   # clients without a sound first line, the oldest first
         self.by_id, self.ended_ids = {}, {}  # calls that are open, and ended ones, by the client's word for them
@@ -97,9 +99,11 @@
         if not begin.listing.ask:
             self.out.append(ev.FollowList())
 
-    def step(self, now, event):
-        """Everything that `event` and the passing of time ask for."""
+    def step(self, now, event, at=0):
+        """Everything that `event` and the passing of time ask for. `at`: when it happened; 0: now."""
         self.now = max(now, self.now)
+        self.happened = min(at or self.now, self.now)
+        self.own.measured(self.now, self.now - min(self.happened, self.due()))
         self.tell_module()                   # what a fault left over
         while self.timers and self.timers[0][0] <= self.now:
             what, args = heapq.heappop(self.timers)[2:]
@@ -223,7 +227,10 @@
         self.unopened.pop(conn, None)
         self.by_id[opening.id] = conn
         wait = opening.wait if opening.held_by is None else STANDING_WAIT
-        conn.guard = self.now + wait
+        # Its time runs from when the line was here, and what this node may be late with the answer is not the call's.
+        lain = self.now - self.happened
+        conn.guard = self.happened + wait
+        left = max(0, wait - lain - min(self.own.most(self.now), (wait - lain) // 4))
         # Two descriptors for every call, and some left to answer with: at the edge a call is turned away.
         if self.stopping or self.ends + 1 > self.most_ends:
             self.finish(conn, "stopping" if self.stopping else "no-room", lines.busy(self.come_back()))
@@ -234,7 +241,7 @@
             return
         self.read(conn.client)               # to notice when it leaves
         self.at(conn.guard + self.begin.tick, self.overdue, conn)
-        self.tell(io.Arrived(conn, opening.type, wait, opening.key, opening.group, opening.tenant, opening.load,
+        self.tell(io.Arrived(conn, opening.type, left, opening.key, opening.group, opening.tenant, opening.load,
                              False, opening.returned, opening.held_by))
         if host is not None:
             self.open_leg(conn, host, conn.guard, STANDING_WAIT // 4)
@@ -308,9 +315,16 @@
         self.out.append(ev.Connect(leg.end, host.address, wait))
         self.at(until, self.time_out, leg)
 
-    def time_out(self, leg):
-        if not leg.up:
-            self.end_leg(leg, Ending.TIMEOUT)
+    def time_out(self, leg, again=False):
+        """What this node may have been late with itself is not the host's: the answer may lie here unread. It is waited
+        for so much longer; where the guard time allows no more, the leg is called off, and the host not blamed."""
+        if leg.up or leg.ended:
+            return
+        late, last = self.own.most(self.now), leg.conn.guard - 2 * self.begin.tick
+        if late and not again and self.now < last:
+            self.at(min(leg.until + late, last), self.time_out, leg, True)
+            return
+        self.end_leg(leg, Ending.CANCELLED if self.now - leg.until < late else Ending.TIMEOUT)
 
     def connected(self, e):
         leg, e.end.connected = e.end.leg, e.ok
@@ -376,7 +390,7 @@
             elif line.rstrip(b"\r\n") in lines.ENDINGS:
                 leg.farewell = lines.ENDINGS[line.rstrip(b"\r\n")]
             else:
-                self.echo(leg, leg.heard.echoed())
+                self.echo(leg, leg.heard.echoed(), self.happened)
         self.write(leg.conn.client, data)
 
     # What messages take
@@ -407,16 +421,17 @@
             for leg in [leg for leg in host.legs if leg.heard is heard]:
                 self.tell_load(leg, load)
 
-    def echo(self, leg, sent):
-        """A late echo is told once a second, and the first one that is back in time."""
+    def echo(self, leg, sent, back):
+        """A late echo is told once a second, and the first one that is back in time. `back`: when it was here."""
         notes = leg.host.notes
         if sent is None or not self.hearing.delays:
             return
         notes.answered = max(notes.answered, sent)
-        late = self.now - sent > self.slow_from
+        delay = max(0, back - sent)
+        late = delay > self.slow_from
         if late and self.now - notes.told_at >= SECOND or notes.over and not late and not notes.word and (
                 notes.waited(self.now, leg.host.legs)[0] <= self.slow_from):
-            self.tell_delay(leg, self.now - sent, late)
+            self.tell_delay(leg, delay, late)
 
     def tell_delay(self, leg, delay, over):
         leg.host.notes.told_at, leg.host.notes.over = self.now, over
@@ -425,10 +440,12 @@
     def listen(self):
         """A host that echoes nothing tells by that alone what its messages take, at least."""
         self.after(LISTEN, self.listen)
+        late = self.own.most(self.now)       # an echo may have lain here so long
         for host in [host for host in self.servers.values() if host.legs]:
             # A client that takes nothing keeps its host from being read, which is no silence of the host's.
             heard = [leg for leg in host.legs if not leg.conn.client.writing]
             waited, leg = host.notes.waited(self.now, heard)
+            waited = max(0, waited - late)
             loads = host.notes.lapsed(self.now)
             claim = host.notes.confirmed(self.now, waited) if self.hearing.delays else None
             if claim:                        # what was taken for a load was none
@@ -443,7 +460,7 @@
                 if self.now - host.notes.told_at >= SECOND or 0 <= told < HANG <= waited:
                     self.tell_delay(leg, waited, True)
             for leg in heard:
-                if leg.heard.waiting and self.now - leg.heard.waiting[0] > SILENT:
+                if leg.heard.waiting and self.now - leg.heard.waiting[0] - min(late, SECOND) > SILENT:
                     self.move(leg.conn, "silent-host")
 
     # Ends and moves
@@ -512,8 +529,10 @@
 
     def wrote(self, e):
         end, conn = e.end, e.end.conn
-        if end.client and conn.up and self.now - end.writing > self.slow_from:
+        if end.client and conn.up and self.now - end.writing - self.own.most(self.now) > self.slow_from:
             conn.legs[-1].heard.waiting.clear()        # echoes were late for want of a reader
+        elif not end.client and end.leg.up and e.at:
+            end.leg.heard.written(end.writing, e.at)
         end.writing = 0
         if end.over:
             self.free(end)
@@ -603,9 +622,10 @@
     def sweep(self):
         """What waits too long, looked at four times a second."""
         self.after(SWEEP, self.sweep)
+        late = self.own.most(self.now)
         for conn in list(self.conns):
             self.sweep_end(conn.client)
-            if conn.opening is None and not conn.reason and self.now - conn.began > FIRST_WAIT:
+            if conn.opening is None and not conn.reason and self.now - conn.began - late > FIRST_WAIT:
                 self.turn_out(conn, "ping" if conn.pings else "no-first-line")
             for leg in conn.legs:
                 if leg.end is not None:
@@ -616,7 +636,7 @@
     def sweep_end(self, end):
         if end.freed:
             return
-        if end.writing and self.now - end.writing > STUCK and not end.closing:
+        if end.writing and self.now - end.writing - self.own.most(self.now) > STUCK and not end.closing:
             self.out.append(ev.Say("stuck", {"client": end.client}, "warning"))
             if end.client:
                 self.client_over(end.conn, "stuck")
--- a/cottonspread/net/workers.py
+++ b/cottonspread/net/workers.py
@@ -26,6 +26,7 @@
     sock.settimeout(None)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", HALF_LINE_WAIT, 0))
+    sock.setsockopt(socket.SOL_SOCKET, lines.SO_TIMESTAMPNS, 1)
 
 
 def start_thread(target, *args, stack=STACK):
@@ -37,8 +38,8 @@
 class Worker:
     """One end's thread."""
 
-    def __init__(self, end, sock, pool, post, live):
-        self.end, self.sock, self.pool, self.post, self.live = end, sock, pool, post, live
+    def __init__(self, end, sock, pool, post, live, clock):
+        self.end, self.sock, self.pool, self.post, self.live, self.clock = end, sock, pool, post, live, clock
         self.orders, self.gatherer = queue.SimpleQueue(), None
         end.worker = self
 
@@ -70,7 +71,8 @@
             self.gatherer = lines.Gatherer(self.sock, self.pool, HALF_LINE_WAIT)
         try:
             data = self.gatherer.lines()
-            return ev.Got(self.end, data, self.gatherer.filled > 0) if data else ev.Over(self.end, "end")
+            return ev.Got(self.end, data, self.gatherer.filled > 0, self.clock() - self.gatherer.age) if data else (
+                ev.Over(self.end, "end"))
         except lines.BadLine as fault:
             return ev.Over(self.end, str(fault))
         except OSError:
@@ -86,8 +88,8 @@
 
 
 class Workers:
-    def __init__(self, pool, post):
-        self.pool, self.post = pool, post
+    def __init__(self, pool, post, clock):
+        self.pool, self.post, self.clock = pool, post, clock
         self.writes = queue.SimpleQueue()
         self.live = set()                    # who holds a socket, with what the reducer has not yet heard of
 
@@ -96,7 +98,7 @@
 
     def begin(self, end, sock):
         """A thread for this end; False if there is none to be had."""
-        worker = Worker(end, sock, self.pool, self.post, self.live)
+        worker = Worker(end, sock, self.pool, self.post, self.live, self.clock)
         self.live.add(worker)
         try:
             start_thread(worker.run)
@@ -158,7 +160,7 @@
         except BlockingIOError:
             sent = 0
         if sent == len(effect.data):
-            self.post(ev.Written(effect.end, True))
+            self.post(ev.Written(effect.end, True, self.clock()))
         else:                                # no slow peer holds up the others
             start_thread(self.write_slowly, sock, effect, sent)
 
@@ -168,4 +170,4 @@
             ok = True
         except OSError:
             ok = False
-        self.post(ev.Written(effect.end, ok))
+        self.post(ev.Written(effect.end, ok, self.clock()))
