--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -407,9 +407,11 @@
         blind = self.nodes == 1 or self.chance.below(1000) >= 2500 * self.slow_part ** 2
 
         def open_to_new(host):               # heavy connections gather on a server of few: by load as well
-            part = host.size / mean_size
-            if ((host.legs or blind or host in self.fresh) and light(host)
-                    and not well_over(host.load / Loads.MEAN, mean_load * part) and ready(host)):
+            # Over the mean it is passed by, and not shut: with few connections each was over it in turn, and calls
+            # were rejected though every server was idle.
+            if not light(host) or well_over(host.load / Loads.MEAN, mean_load * host.size / mean_size):
+                return False
+            if (host.legs or blind or host in self.fresh) and ready(host):
                 return True
             # In a jam all are shut: looked at for each call, two hundred servers cost it a millisecond.
             host.shut_until = self.now + SECOND // 4
