--- a/cottonspread/cli/lab.py
+++ b/cottonspread/cli/lab.py
@@ -25,7 +25,8 @@
             argument("--out", required=True, help="the file to write"), argument("--seed", type=int))
     command("run", "play an experiment", run, file, argument("--out", required=True, help="the folder for its results"),
             argument("--seconds", type=float, help="in the place of the file's"),
-            argument("--repeats", type=int, help="in the place of the file's"), argument("--quiet", action="store_true"))
+            argument("--repeats", type=int, help="in the place of the file's"), argument("--quiet", action="store_true"),
+            argument("--again", type=int, default=2, help="how often a play with a late generator is played anew"))
     command("compare", "two plays or folders of plays, pair by pair", compare, argument("a"), argument("b"))
     command("report", "report.html of a folder's plays", report, argument("folder"))
     command("audit", "the ledger of one play's folder, printed anew", audit, argument("folder"))
@@ -33,6 +34,7 @@
     command("selfcheck", "the generator against a server of known delay, timed by that server", selfcheck,
             argument("--rate", type=float, default=1000.0), argument("--seconds", type=float, default=5.0),
             argument("--delay-ms", type=float, default=20.0))
+    command("acceptor", "a stand-in that takes and answers every call itself, to try the generator alone", acceptor)
     command("standin", "a stand-in node for the lab's own tests", standin,
             argument("--sabotage", default="none", help="which rule it breaks"))
 
@@ -76,7 +78,7 @@
 
 def run(given):
     from cottonspread.lab import experiment
-    return experiment.run(given.file, given.out, given.seconds, given.repeats, given.quiet)
+    return experiment.run(given.file, given.out, given.seconds, given.repeats, given.quiet, given.again)
 
 
 def compare(given):
@@ -111,6 +113,16 @@
     return check.main(given.rate, given.seconds, given.delay_ms)
 
 
+def acceptor(given):
+    import json
+    import os
+
+    from cottonspread.lab import acceptor as one
+    with open(os.environ["PROXY_CONFIG"], encoding="utf-8") as file:
+        host, _, port = json.load(file)["listen"].rpartition(":")
+    return one.run((host, int(port)))
+
+
 def standin(given):
     from cottonspread.lab import standin as one
     if given.sabotage not in one.SABOTAGES:
--- /dev/null
+++ b/cottonspread/lab/acceptor.py
@@ -0,0 +1,49 @@
+"""Answers every first line with UP by itself: what a generator can do is measured against something that does next to nothing."""
+import signal
+import socket
+
+from cottonspread.lab import limits
+from cottonspread.lab.loop import Loop, quiet_collector
+
+
+def run(address):
+    limits.raise_descriptors()
+    loop, conns = Loop(), {}
+    loop.spin = 2_000_000              # always awake: a core that sleeps is a virtual machine's to be taken away
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(address)
+    listener.listen(4096)
+    listener.setblocking(False)
+
+    def accept(_):
+        for _ in range(16):
+            try:
+                sock = listener.accept()[0]
+            except OSError:
+                return
+            sock.setblocking(False)
+            conns[sock] = None
+            read(sock)                 # in most cases its line is here already
+            if sock in conns:
+                loop.watch(sock, lambda _, sock=sock: read(sock))
+
+    def read(sock):
+        try:
+            data = sock.recv(4096)
+            if data:
+                sock.send(b"PONG\r\n" if data.startswith(b"PING") else b"UP 1\r\n" if data.startswith(b"OPEN") else data)
+                return
+        except BlockingIOError:
+            return
+        except OSError:
+            pass
+        loop.drop(sock)
+        sock.close()
+        conns.pop(sock, None)
+
+    signal.signal(signal.SIGTERM, lambda *_: loop.stop())
+    loop.watch(listener, accept)
+    quiet_collector()
+    loop.run()
+    return 0
--- a/cottonspread/lab/plan.py
+++ b/cottonspread/lab/plan.py
@@ -117,6 +117,7 @@
     seed: int = 1
     repeats: int = 1
     about: str = ""
+    audited: bool = True               # false: the nodes are acceptors without servers, for the generator's own sake
     settle_s: float = 6.0              # after the last arrival, so that every call ends
     nodes: Nodes = msgspec.field(default_factory=Nodes)
     hosts: Hosts = msgspec.field(default_factory=Hosts)
--- a/cottonspread/lab/results.py
+++ b/cottonspread/lab/results.py
@@ -36,6 +36,7 @@
     usable: bool                       # false: no figure of it is to be quoted
     reasons: list[str]                 # why it is not usable, and what else is to be known
     schedule_sha256: str
+    stolen_s: float                    # core seconds that the machine's own host gave to others meanwhile
     offered: int
     seconds: float
     served_share: float                # calls that came up, of all first calls
@@ -68,7 +69,7 @@
     plan, folder = play.plan, play.folder
     sums = [line for line in record.read(folder, "load") if line["k"] == "sum"]
     audit = ledger.Audit(plan, play.start, lambda kind: record.read(folder, kind))
-    told = audit.run()
+    told = audit.run() if plan.experiment.audited else audit.result()
     kinds = {k.name: k for k in plan.experiment.load.types}
     latency, lateness, echo = {"all": histogram()}, histogram(), histogram()
     for one in sums:
@@ -107,7 +108,7 @@
         usable=late.p999 <= LATE and not lost and not play.cut and len(sums) == plan.experiment.load.processes and not any(
             " died " in r or " ended " in r or "did not stop" in r for r in play.reasons),
         reasons=reasons + play.warnings, schedule_sha256=sums[0]["digest"] if sums else "",
-        offered=len(audit.calls), seconds=plan.experiment.seconds,
+        stolen_s=round(play.stolen, 2), offered=len(audit.calls), seconds=plan.experiment.seconds,
         served_share=round(len(came_up) / len(first), 5) if first else 0.0,
         revenue=round(earned / asked, 5) if asked else 0.0, answers=answers,
         latency={name: spread(h) for name, h in latency.items()}, lateness=late, echo=spread(echo), audit=told,
@@ -170,7 +171,8 @@
         f"offered {result.offered}, came up {result.served_share:.2%} of first calls, revenue {result.revenue:.3f}, answers "
         + json.dumps(result.answers),
         f"set-up ms p50 {all_.p50 / 1000:.2f} p99 {all_.p99 / 1000:.2f} p99.9 {all_.p999 / 1000:.2f} max {all_.max / 1000:.2f} "
-        f"(generator late us p50 {late.p50} p99 {late.p99} p99.9 {late.p999} max {late.max})",
+        f"(generator late us p50 {late.p50} p99 {late.p99} p99.9 {late.p999} max {late.max}; {result.stolen_s} core seconds "
+        "taken from this machine)",
         *ledger.told(result.audit)]
 
 
