The table of descriptors grows at the start: 10 to 25 ms stalls of node and generator gone

The lab's generator was late by 14 to 24 ms at the same instants in all processes, with no core taken away: each time the kernel's table of descriptors grows in a process with threads, the opener waits for every core. Nodes open theirs on the reducer's thread.

--- a/cottonspread/lab/limits.py
+++ b/cottonspread/lab/limits.py
@@ -1,10 +1,12 @@
 """Limits that a run would meet, told before it begins: descriptors, local ports, cores."""
+import fcntl
 import os
 import resource
 
 PORTS = "/proc/sys/net/ipv4/ip_local_port_range"
 TIME_WAIT = 60                     # seconds that the kernel keeps a closed connection's port
 SPARE = 64
+MOST_GROWN = 65_536
 
 
 class TooLarge(ValueError):
@@ -21,10 +23,12 @@
 
 
 def raise_descriptors():
-    """To the hard limit; that limit."""
+    """To the hard limit; that limit. The kernel's table of them grows here at once: each time that it grows in a process
+    with threads, whoever opens the next one waits for every core (10 to 25 ms, seen as late calls)."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft != hard:
         resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    os.close(fcntl.fcntl(0, fcntl.F_DUPFD, min(hard, MOST_GROWN) - 1))
     return hard
 
 
--- a/cottonspread/lab/record.py
+++ b/cottonspread/lab/record.py
@@ -1,17 +1,25 @@
 """What clients, hosts, the list and the runner saw: JSON Lines, one file a process. A last line cut off by a kill is passed over."""
 import glob
 import os
+import queue
+import threading
 
 import msgspec
 
-KEPT = 16 * 1024                   # little at a time: a large write makes a generator late
+KEPT = 16 * 1024
 
 
 class Record:
-    """Appends lines; written out when much has come together, at `flush` and at `close`."""
+    """Appends lines; handed out to be written when much has come together, at `flush` and at `close`.
+
+    A thread of its own writes: a disk that commits its journal held a generator up for 15 ms.
+    """
 
     def __init__(self, path):
         self.file, self.kept, self.size, self.encode = open(path, "ab", buffering=0), [], 0, msgspec.json.Encoder().encode
+        self.full = queue.SimpleQueue()
+        self.writer = threading.Thread(target=self.write, daemon=True)
+        self.writer.start()
 
     def put(self, line):
         data = self.encode(line)
@@ -22,11 +30,17 @@
 
     def flush(self):
         if self.kept:
-            self.file.write(b"\n".join(self.kept) + b"\n")
+            self.full.put(self.kept)
             self.kept, self.size = [], 0
 
+    def write(self):
+        while (lines := self.full.get()) is not None:
+            self.file.write(b"\n".join(lines) + b"\n")
+
     def close(self):
         self.flush()
+        self.full.put(None)
+        self.writer.join()
         self.file.close()
 
 
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -1,7 +1,10 @@
 """A node: the reducer, the workers, discovery and the listening socket put together. It can be embedded."""
 import errno
+import fcntl
 import logging
+import os
 import queue
+import resource
 import socket
 import threading
 import time
@@ -38,11 +41,20 @@
     return max(2, min(room.sockets - SPARE_ENDS, (room.memory_mb - BASE_MB) * 1024 // END_KB))
 
 
+def grow_table(sockets):
+    """The kernel's table of descriptors at its full size before there are threads: each time that it grows later, whoever
+    opens the next one, the reducer among them, waits 10 to 25 ms for every core to pass by."""
+    try:
+        os.close(fcntl.fcntl(0, fcntl.F_DUPFD, min(sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - 1))
+    except OSError:                          # no descriptor 0, or fewer than that: it grows as it must
+        pass
+
+
 class Node:
     """`start` returns once the node listens; `stop` asks it to end its work; `join` waits until it has."""
 
     def __init__(self, place, room, names, hearing, begin, known):
-        self.place, self.clock = place, Clock()
+        self.place, self.room, self.clock = place, room, Clock()
         self.events, self.done = queue.Queue(QUEUE), threading.Event()
         self.most = most_ends(room)
         self.workers = workers.Workers(Pool(), self.post, self.clock.now)
@@ -60,6 +72,7 @@
         self.listener = socket.create_server(self.place.listen, backlog=BACKLOG)
         # What came before it was accepted is stamped too: a client's time runs from when its line was here.
         self.listener.setsockopt(socket.SOL_SOCKET, lines.SO_TIMESTAMPNS, 1)
+        grow_table(self.room.sockets)
         self.workers.start()
         for target in (self.loop, self.discovery.run, self.accept):
             workers.start_thread(target, stack=workers.WIDE)
