--- a/cottonspread/front/lateness.py
+++ b/cottonspread/front/lateness.py
@@ -43,7 +43,7 @@
     """
     STEP = SECOND // 10
     SPAN = 5                       # steps over which it is counted what the node got done
-    CUT, GROW = 0.85, 1.03
+    CUT, GROW = 0.85, 1.01
     NO_LIMIT = 2                   # times what came: a limit so high is dropped
     LEAST = 10.0                   # a second: some always pass, or nothing would tell that the trouble is over
 
