--- a/cottonspread/lab/run.py
+++ b/cottonspread/lab/run.py
@@ -156,7 +156,7 @@
 class Play:
     def __init__(self, experiment, variant, seed, folder, show=None):
         self.plan = plans.make(experiment, variant, seed)
-        self.folder, self.show, self.cut, self.reasons = folder, show, "", []
+        self.folder, self.show, self.cut, self.reasons = os.path.abspath(folder), show, "", []
         self.children, self.nodes, self.lines, self.timeline = [], [], [], []
         self.start, self.record, self.warnings, self.stolen = 0, None, [], 0.0
 
