--- a/tests/lab/test_lab_parts.py
+++ b/tests/lab/test_lab_parts.py
@@ -253,3 +253,50 @@
     with pytest.raises(limits.TooLarge, match="local ports: 5000 .* gives 500 .* raise load.sources to"):
         limits.check(one, schedule, hard=10_000, local_ports=500, cores=64)
     assert "share 1 cores" in limits.check(one, schedule, hard=10_000, local_ports=28_000, cores=1)[0]
+
+
+# Ledger
+
+def audit(call, legs=(), nodes=(), told=()):
+    """The offences of one call: sent at 1 s with a guard time of 2 s, by one node, to hosts h0 and h1."""
+    from cottonspread.lab import ledger
+    x = experiment(load={"types": [{"name": "farm-view"}], "shapes": [{"kind": "constant", "rate": 1}]})
+    base = {"k": "call", "id": "c", "type": "farm-view", "node": "n0", "d": 2000, "sent": SECOND, "answers": [], "end": 3_060_000,
+            "how": "gave-up", "again": False, "retry": False, "unanswered": 0}
+    records = {"load": [base | call], "hosts": [{"id": "c"} | leg for leg in legs], "list": told,
+               "nodes": [{"node": "n0"} | n for n in nodes]}
+    result = ledger.Audit(plan.make(x, plan.Variant(name="v"), 1, (70, 1)), 0, lambda kind: records[kind]).run()
+    return {o["what"] for o in result["offences"]}, result["excused"]
+
+
+LEG = {"k": "leg", "t": 1_001_000, "host": "h0", "cold": 1.0}
+UP = [{"k": "ran", "t": 1_002_000, "host": "h0", "v": 5}, {"k": "up", "t": 1_002_000, "host": "h0", "receipt": "9"}]
+ANSWERED = {"answers": [[1_003_000, "UP", "9"]], "how": "end"}
+
+
+@pytest.mark.parametrize("call, legs, nodes, offences, excused", [
+    ({}, [], [], {"no answer before the guard time"}, 0),
+    ({}, [], [{"k": "killed", "t": 2_000_000}], set(), 1),
+    ({}, [], [{"k": "freeze", "t": 900_000}, {"k": "thaw", "t": 2_990_000}], set(), 1),
+    ({}, [], [{"k": "freeze", "t": 900_000}, {"k": "thaw", "t": 2_500_000}], {"no answer before the guard time"}, 0),
+    ({"how": "end", "end": 1_100_000}, [], [], {"ended without an answer"}, 0),
+    ({"answers": [[3_055_000, "BUSY", 0]]}, [], [], {"answered after the guard time"}, 0),
+    ({"answers": [[3_045_000, "BUSY", 0]]}, [], [], set(), 0),
+    (ANSWERED, [LEG, *UP, {"k": "end", "t": 1_900_000, "host": "h0", "how": "end"}], [],
+     {"a host's end passed on late"}, 0),
+    (ANSWERED | {"end": 1_950_000}, [LEG, *UP, {"k": "end", "t": 1_900_000, "host": "h0", "how": "end"}], [], set(), 0),
+    (ANSWERED | {"how": "left", "unanswered": 7_060_000}, [LEG, *UP], [], {"silent for over 7 s"}, 0),
+    (ANSWERED | {"how": "left"}, [LEG, *UP, LEG | {"t": 1_300_000, "host": "h1"}], [],
+     {"a leg after the final answer", "two legs at once"}, 0)])
+def test_what_the_ledger_calls_an_offence_and_what_it_excuses(call, legs, nodes, offences, excused):
+    assert audit(call, legs, nodes) == (offences, excused)
+
+
+@pytest.mark.parametrize("told_at, late", [(440_000, True), (460_000, False)])
+def test_the_grace_counts_from_the_word_to_that_node(told_at, late):
+    told = [{"k": "told", "t": 100_000, "node": "n0", "whole": True, "hosts": [["h0", "Ready", 0]]},
+            {"k": "told", "t": told_at, "node": "n0", "whole": False, "hosts": [["h0", "Terminating", 0]]},
+            {"k": "told", "t": 1_200_000, "node": "n0", "whole": False, "hosts": []},
+            {"k": "told", "t": 200_000, "node": "n1", "whole": False, "hosts": [["h0", "Terminating", 0]]}]
+    found, _ = audit(ANSWERED | {"how": "left"}, [LEG, *UP], told=told)
+    assert found == ({"a leg to a server that drains or is gone"} if late else set())
