--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -58,7 +58,7 @@
         self.events, self.done = queue.Queue(QUEUE), threading.Event()
         self.most = most_ends(room)
         self.workers = workers.Workers(Pool(), self.post, self.clock.now)
-        self.lock, self.door = threading.Lock(), Door(min(t.setup_target for t in begin.types) // 8)
+        self.lock, self.door = threading.Lock(), Door(min(t.setup_target for t in begin.types) // 4)
         version, listed, addresses = discovery.read_list(known, names, News.SAVED)
         self.discovery = discovery.Discovery(place.discovery, names, self.post, version, begin.listing.ask)
         self.reducer = Reducer(self.clock.now(), begin, names, hearing, self.most)
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -315,16 +315,22 @@
         self.out.append(ev.Connect(leg.end, host.address, wait))
         self.at(until, self.time_out, leg)
 
-    def time_out(self, leg, again=False):
+    def time_out(self, leg, waited=False):
         """What this node may have been late with itself is not the host's: the answer may lie here unread. It is waited
         for so much longer; where the guard time allows no more, the leg is called off, and the host not blamed."""
         if leg.up or leg.ended:
             return
         late, last = self.own.most(self.now), leg.conn.guard - 2 * self.begin.tick
-        if late and not again and self.now < last:
-            self.at(min(leg.until + late, last), self.time_out, leg, True)
-            return
-        self.end_leg(leg, Ending.CANCELLED if self.now - leg.until < late else Ending.TIMEOUT)
+        if not waited and late and leg.until + late <= last:
+            self.at(leg.until + late, self.time_out, leg, True)
+        elif not waited and late and self.now < last:
+            self.at(last, self.call_off, leg)
+        else:
+            self.end_leg(leg, Ending.TIMEOUT if waited or not late else Ending.CANCELLED)
+
+    def call_off(self, leg):
+        if not leg.up:
+            self.end_leg(leg, Ending.CANCELLED)
 
     def connected(self, e):
         leg, e.end.connected = e.end.leg, e.ok
