--- a/cottonspread/lab/report.py
+++ b/cottonspread/lab/report.py
@@ -36,8 +36,8 @@
 
     def series(axis, keys, scale=1.0):
         for key in keys:
-            axis.plot(s, [line.get(key, 0) / scale for line in lines], label=key)
-        axis.legend(loc="upper left", fontsize=8, ncols=4)
+            axis.plot(s, [line.get(key, 0) / scale for line in lines], label=key.removesuffix("_us"))
+        axis.legend(loc="upper right", fontsize=8, ncols=5, framealpha=0.6)
 
     series(axes[0], ("offered", "up"))
     axes[0].set_ylabel("calls a second")
