--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -17,7 +17,7 @@
 from cottonspread.net import discovery, lines, logfmt
 from cottonspread.net import events as ev
 from cottonspread.net.http import BadAnswer, Http
-from cottonspread.net.node import Node
+from cottonspread.net.node import Node, grow_table
 from cottonspread.net.notes import Heard, Notes
 from cottonspread.net.pool import SIZE, Pool
 from cottonspread.net.workers import WIDE, start_thread
@@ -66,6 +66,13 @@
     assert lines.onward(line, 301_900) == line.replace(b"d=2000", b"d=301")
 
 
+def test_the_table_of_descriptors_has_its_size_before_there_are_threads():
+    """It grew under them, and whoever opened the next one, the reducer too, waited 10 to 25 ms."""
+    grow_table(3000)
+    size = next(line for line in open("/proc/self/status") if line.startswith("FDSize"))
+    assert int(size.split()[1]) >= 3000
+
+
 # Notes
 
 def test_words_on_messages_are_told_from_loads():
