Lab reread: one audit of a folder, one queue for nodes' faults, one listener, dead state out

Found on a second reading: report and experiment imported each other; a play's folder was audited in two places, and the command's forgot `audited = false`; the load records were parsed twice; a timer thread stood beside the runner's queue and could outlive the play; three listeners were opened by hand; fields that nobody read.

--- a/cottonspread/cli/lab.py
+++ b/cottonspread/cli/lab.py
@@ -93,21 +93,8 @@
 
 
 def audit(given):
-    import json
-    import os
-
-    import msgspec
-
-    from cottonspread.lab import ledger, record
-    from cottonspread.lab import plan as plans
-    try:
-        with open(os.path.join(given.folder, "plan.json"), "rb") as file:
-            one = msgspec.json.decode(file.read(), type=plans.Plan)
-        with open(os.path.join(given.folder, "start.json"), "rb") as file:
-            start = json.load(file)["start"]
-    except (OSError, msgspec.DecodeError, msgspec.ValidationError) as fault:
-        raise plans.Fault(f"{given.folder}: {fault}") from None
-    told = ledger.Audit(one, start, lambda kind: record.read(given.folder, kind)).run()
+    from cottonspread.lab import ledger, results
+    told = results.audited(given.folder)[2]
     print("\n".join(ledger.told(told)))
     return 1 if told["offences"] else 0
 
--- a/cottonspread/lab/acceptor.py
+++ b/cottonspread/lab/acceptor.py
@@ -1,25 +1,20 @@
 """Answers every first line with UP by itself: what a generator can do is measured against something that does next to nothing."""
 import signal
-import socket
 
 from cottonspread.lab import limits
-from cottonspread.lab.loop import Loop, quiet_collector
+from cottonspread.lab.loop import Loop, listener, quiet_collector
 
 
 def run(address):
     limits.raise_descriptors()
     loop, conns = Loop(), {}
     loop.spin = 2_000_000              # always awake: a core that sleeps is a virtual machine's to be taken away
-    listener = socket.socket()
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind(address)
-    listener.listen(4096)
-    listener.setblocking(False)
+    door = listener(address, 4096, "acceptor")
 
     def accept(_):
         for _ in range(16):
             try:
-                sock = listener.accept()[0]
+                sock = door.accept()[0]
             except OSError:
                 return
             sock.setblocking(False)
@@ -43,7 +38,7 @@
         conns.pop(sock, None)
 
     signal.signal(signal.SIGTERM, lambda *_: loop.stop())
-    loop.watch(listener, accept)
+    loop.watch(door, accept)
     quiet_collector()
     loop.run()
     return 0
--- a/cottonspread/lab/experiment.py
+++ b/cottonspread/lab/experiment.py
@@ -64,23 +64,8 @@
     return table
 
 
-def plays(folder):
-    """The results of a folder: one play's, or of all plays in it by name."""
-    if os.path.exists(os.path.join(folder, "results.json")):
-        return [results.read(folder)]
-    try:
-        inside = sorted(os.listdir(folder))
-    except OSError as fault:
-        raise plans.Fault(f"{folder}: {fault.strerror}") from None
-    found = [results.read(os.path.join(folder, name)) for name in inside if not name.startswith("late")
-             and os.path.exists(os.path.join(folder, name, "results.json"))]
-    if not found:
-        raise plans.Fault(f"{folder}: holds no results.json")
-    return found
-
-
 def compare(a, b):
-    pairs = list(zip(plays(a), plays(b)))
+    pairs = list(zip(results.plays(a), results.plays(b)))
     for one, other in pairs:
         if one.schedule_sha256 != other.schedule_sha256:
             print(f"seeds {one.seed} and {other.seed}: schedules differ: no pair", file=sys.stderr)
--- a/cottonspread/lab/hosts.py
+++ b/cottonspread/lab/hosts.py
@@ -7,7 +7,7 @@
 import numpy as np
 
 from cottonspread.lab import model, wire
-from cottonspread.lab.loop import IN, OUT
+from cottonspread.lab.loop import IN, OUT, listener
 from cottonspread.lab.plan import AT_ONCE, HOST_FAULTS
 from cottonspread.lab.process import Part
 from cottonspread.lab.wire import now
@@ -19,11 +19,11 @@
 
 
 class Conn:
-    __slots__ = ("sock", "host", "lines", "call", "out", "leg", "when", "over", "door")
+    __slots__ = ("sock", "host", "lines", "call", "out", "over")
 
     def __init__(self, sock, host):
         self.sock, self.host, self.lines, self.call = sock, host, wire.Lines(), None
-        self.out, self.leg, self.when, self.over, self.door = deque(), None, 0, False, None
+        self.out, self.over = deque(), False
 
 
 class Server:
@@ -42,16 +42,8 @@
 
     def open(self):
         self.shut()
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            sock.bind((self.machine.ip, self.machine.port))
-        except OSError as fault:
-            raise OSError(f"host {self.machine.name}: {self.machine.ip}:{self.machine.port}: {fault.strerror}") from None
-        sock.listen(BACKLOG)
-        sock.setblocking(False)
-        self.listener = sock
-        self.part.loop.watch(sock, self.accept)
+        self.listener = listener((self.machine.ip, self.machine.port), BACKLOG, f"host {self.machine.name}")
+        self.part.loop.watch(self.listener, self.accept)
 
     def shut(self):
         if self.listener is not None:
@@ -93,7 +85,7 @@
             self.write(conn)
         if not mask & ~OUT:
             return
-        if self.model.deaf and self.machine_is_silent():
+        if self.fillers:                     # vanished
             self.part.loop.drop(conn.sock)   # nothing is read either
             return
         try:
@@ -119,9 +111,6 @@
             if conn.over:
                 return
 
-    def machine_is_silent(self):
-        return self.listener is not None and bool(self.fillers)
-
     def first(self, conn, line, at):
         if line in (b"PING", b"STATS"):
             self.say(conn, b"PONG" if line == b"PING" else b"NO")
@@ -134,8 +123,6 @@
             self.say(conn, b"SYNTAX")
             self.end(conn, "end")
             return
-        conn.leg, conn.when = f"{opening.id}@{self.machine.name}", at
-        self.part.seen["legs"] += 1
         self.part.record.put({"k": "leg", "t": at, "host": self.machine.name, "id": opening.id, "key": opening.key,
                               "type": opening.type, "group": opening.group, "d": opening.wait_ms,
                               "cold": round(self.model.share(), 4), "up": self.model.state})
@@ -176,7 +163,6 @@
             if effect.value is not None:
                 line["v"] = effect.value
             if effect.kind == "ran":
-                self.part.seen["ran"] += 1
                 line["gone"] = conn.over           # its leg was given up before: it ran for nobody
             self.part.record.put(line)
 
@@ -225,17 +211,14 @@
         if one.kind in ("vanish", "cold"):
             self.part.record.put({"k": "down", "t": now(), "host": self.machine.name})
         self.do(self.model.fault(now(), one.kind, round(one.seconds * SECOND), one.factor))
-        if one.kind in ("cold", "join", "reset"):
+        if one.kind in ("cold", "reset"):
             for conn in list(self.conns):
                 self.end(conn, "reset")
 
     def mend(self, one):
-        if one.kind == "drain":            # the process ends with what is left on it
+        if one.kind in ("drain", "vanish"):            # the process ends with what is left on it, or is back
             for conn in list(self.conns):
-                self.end(conn, "end")
-        if one.kind == "vanish":
-            for conn in list(self.conns):
-                self.end(conn, "reset")
+                self.end(conn, "end" if one.kind == "drain" else "reset")
         self.part.record.put({"k": "mend", "t": now(), "host": self.machine.name, "kind": one.kind})
         self.do(self.model.mend(now(), one.kind))
 
@@ -244,7 +227,6 @@
     kind = "hosts"
 
     def prepare(self):
-        self.seen = {"legs": 0, "ran": 0}
         self.servers = {m.name: Server(self, m) for m in self.plan.machines if m.process == self.number}
 
     def begin(self):
@@ -264,7 +246,4 @@
                     self.loop.at(at + round(one.seconds * SECOND), server.mend, one)
 
     def counts(self):
-        return {"legs": self.seen["legs"], "ran": self.seen["ran"],
-                "standing": {name: len(s.model.conns) for name, s in self.servers.items()},
-                "pile_ms": {name: round(s.model.pile / max(1e-9, s.model.capacity()) / 1000, 1)
-                            for name, s in self.servers.items()}}
+        return {"standing": {name: len(s.model.conns) for name, s in self.servers.items()}}
--- a/cottonspread/lab/limits.py
+++ b/cottonspread/lab/limits.py
@@ -3,6 +3,8 @@
 import os
 import resource
 
+import numpy as np
+
 PORTS = "/proc/sys/net/ipv4/ip_local_port_range"
 TIME_WAIT = 60                     # seconds that the kernel keeps a closed connection's port
 SPARE = 64
@@ -34,7 +36,6 @@
 
 def most_standing(schedule, settle_us=2_000_000):
     """How many of the first calls stand at once at most, each from its time to its life's end."""
-    import numpy as np
     starts, ends = schedule.at, np.sort(schedule.at + schedule.life + settle_us)
     return int((np.arange(1, len(starts) + 1) - np.searchsorted(ends, starts)).max()) if len(starts) else 0
 
@@ -54,7 +55,6 @@
         raise TooLarge(f"descriptors: {need} connections stand at once in each of {x.hosts.processes} host processes, and the "
                        f"limit of open files (ulimit -Hn) is {hard}: raise hosts.processes to {standing // (hard - SPARE) + 1}")
     # A port is taken from its connection's begin until a minute after its end, for each pair of local address and node.
-    import numpy as np
     ends = schedule.at + TIME_WAIT * 1_000_000
     taken = int((np.arange(1, len(ends) + 1) - np.searchsorted(ends, schedule.at)).max()) if len(ends) else 0
     taken += round(reconnects)
--- a/cottonspread/lab/listing.py
+++ b/cottonspread/lab/listing.py
@@ -3,9 +3,9 @@
 `changes` derives from a plan's faults what the list has to tell and when; `Book` answers; `Listing` is the shell.
 """
 import json
-import socket
 import urllib.parse
 
+from cottonspread.lab.loop import listener
 from cottonspread.lab.plan import LIST_FAULTS
 from cottonspread.lab.process import Part
 from cottonspread.lab.wire import now
@@ -86,14 +86,7 @@
         self.book = Book([self.entry(m) for m in self.plan.machines if not m.started])
         self.askers, self.silent, self.garbage, self.listeners = set(), 0, 0, []
         for node in self.plan.nodes:
-            sock = socket.socket()
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                sock.bind((node.ip, node.list_port))
-            except OSError as fault:
-                raise OSError(f"list: {node.ip}:{node.list_port}: {fault.strerror}") from None
-            sock.listen(64)
-            sock.setblocking(False)
+            sock = listener((node.ip, node.list_port), 64, "list")
             self.listeners.append(sock)
             self.loop.watch(sock, lambda _, sock=sock, node=node: self.accept(sock, node))
 
--- a/cottonspread/lab/load.py
+++ b/cottonspread/lab/load.py
@@ -24,7 +24,6 @@
 SO_TIMESTAMPNS, STAMP, STAMP_ROOM = 35, struct.Struct("qq"), 64
 BIND_NO_PORT = 24                  # IP_BIND_ADDRESS_NO_PORT: the port is chosen at connect, one for each destination
 TOLD_LATER = 50_000                # after its guard time a client waits so long before it leaves: sockets are late
-NEVER_RETRIED = ("once-only",)
 SPIN = 400                         # microseconds before an arrival that a spinning generator stays awake for
 
 
@@ -46,15 +45,15 @@
 
 class Call:
     """One connection of a client: a first try, a retry, or one that comes again."""
-    __slots__ = ("number", "first", "id", "kind", "key", "group", "again", "retry", "tries", "node", "intended", "sock",
-                 "sent", "begun", "answers", "up", "lines", "out", "echoes", "asked", "slowest", "how", "line", "waits", "leaves")
+    __slots__ = ("first", "id", "kind", "key", "group", "again", "retry", "tries", "node", "intended", "sock",
+                 "sent", "begun", "answers", "up", "lines", "out", "echoes", "asked", "slowest", "how", "line")
 
-    def __init__(self, number, first, kind, key, group, intended, again, retry, tries):
-        self.number, self.first, self.kind, self.key, self.group = number, first, kind, key, group
+    def __init__(self, first, kind, key, group, intended, again, retry, tries):
+        self.first, self.kind, self.key, self.group = first, kind, key, group
         self.intended, self.again, self.retry, self.tries = intended, again, retry, tries
         self.id, self.node, self.sock, self.sent, self.begun = "", None, None, 0, 0
         self.answers, self.up, self.lines, self.out, self.echoes, self.asked = [], 0, wire.Lines(), b"", 0, []
-        self.slowest, self.how, self.line, self.waits, self.leaves = 0, "", 0, False, 0
+        self.slowest, self.how, self.line = 0, "", 0
 
 
 class Clients(Part):
@@ -105,7 +104,7 @@
         n = self.next
         while n < len(self.at) and self.start + self.at[n] <= now():
             self.next = n + 1
-            self.call(Call(n, n, self.kinds[n], f"k{self.number}-{n}", f"g{self.groups[n]}", self.start + self.at[n],
+            self.call(Call(n, self.kinds[n], f"k{self.number}-{n}", f"g{self.groups[n]}", self.start + self.at[n],
                            False, False, 0))
             n += 1
         if n < len(self.at):
@@ -116,7 +115,7 @@
         when = now() + wait
         if when - self.start > self.end_of_arrivals + SECOND:
             return
-        self.loop.at(when, self.call, Call(call.number, call.first, call.kind, call.key, call.group, when, again or call.again,
+        self.loop.at(when, self.call, Call(call.first, call.kind, call.key, call.group, when, again or call.again,
                                            not again, 0 if again else call.tries + 1))
 
     def pick(self, call):
@@ -158,7 +157,6 @@
         self.loop.watch(sock, lambda mask: self.ready(call, mask), IN)
         self.send(call)
         if call.sock is not None:
-            call.waits = True
             self.loop.at(call.begun + wait * 1000 + TOLD_LATER, self.waited_out, call)
 
     def send(self, call):
@@ -201,7 +199,6 @@
             what, value = wire.answer(line)
             call.answers.append([at, what, value])
             if len(call.answers) == 1:
-                call.waits = False
                 self.window[what.lower()] += 1
                 if what == "UP":
                     self.came_up(call, at)
@@ -222,8 +219,7 @@
         self.recent.append(took)
         self.standing[call] = None
         life = self.lives[call.first]
-        call.leaves = at + life
-        self.loop.at(call.leaves, self.leave, call)
+        self.loop.at(at + life, self.leave, call)
         every = round(self.load.line_s * SECOND)
         if every and life > every:
             self.loop.at(at + every, self.say, call, at + every, every)
@@ -246,7 +242,7 @@
             self.done(call, "left")
 
     def waited_out(self, call):
-        if call.sock is not None and call.waits and not call.answers:
+        if call.sock is not None and not call.answers:
             self.window["none"] += 1
             self.close(call)
             self.done(call, "gave-up")
@@ -297,7 +293,7 @@
             return
         kind = self.types[call.kind]
         refused = call.answers and call.answers[0][1] == "BUSY" or how == "refused"
-        if call.tries >= self.load.retries or kind.effect in NEVER_RETRIED and not refused:
+        if call.tries >= self.load.retries or kind.effect == "once-only" and not refused:
             return
         wait = round(self.load.backoff_ms * 1000 * 2 ** call.tries * (0.5 + self.backs[call.first]))
         advice = call.answers[0][2] if call.answers and call.answers[0][1] == "BUSY" else 0
--- a/cottonspread/lab/loop.py
+++ b/cottonspread/lab/loop.py
@@ -7,6 +7,7 @@
 import heapq
 import os
 import select
+import socket
 import sys
 
 from cottonspread.lab.wire import now
@@ -85,6 +86,20 @@
         self.watch(0, read)
 
 
+def listener(address, backlog, whose):
+    """A listening socket that does not block; OSError names whose address it was."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind(address)
+    except OSError as fault:
+        sock.close()
+        raise OSError("%s: %s:%d: %s" % (whose, *address, fault.strerror)) from None
+    sock.listen(backlog)
+    sock.setblocking(False)
+    return sock
+
+
 def tell_parent(line):
     sys.stdout.write(line + "\n")
     sys.stdout.flush()
--- a/cottonspread/lab/model.py
+++ b/cottonspread/lab/model.py
@@ -250,7 +250,7 @@
         elif kind in ("vanish", "half-dead"):
             self.deaf = True
             return [Door("vanished")] if kind == "vanish" else []
-        elif kind in ("cold", "join"):
+        elif kind == "cold":
             self.state = "down"
             return [Door("refused")] + self.drop_all("reset")
         elif kind == "drain":
--- a/cottonspread/lab/plan.py
+++ b/cottonspread/lab/plan.py
@@ -8,6 +8,7 @@
 import msgspec
 import numpy as np
 
+from cottonspread.lab import trace
 from cottonspread.lab.model import SECOND, Traits
 
 HOST_FAULTS = ("hang", "slow", "jam", "reset", "refuse", "vanish", "half-dead", "cold", "drain", "join")
@@ -284,7 +285,6 @@
 
 def schedule(plan):
     """The intended arrivals, drawn from the seed alone."""
-    from cottonspread.lab import trace
     x, load = plan.experiment, plan.experiment.load
     rng = np.random.default_rng([plan.seed, 1])
     times = np.concatenate([arrivals(shape, x.seconds, rng) for shape in load.shapes] or [np.empty(0)])
--- a/cottonspread/lab/report.py
+++ b/cottonspread/lab/report.py
@@ -1,12 +1,13 @@
 """`report.html` of a folder of plays: one file, plots inside, that opens without a network."""
 import base64
-import html
 import io
 import os
 
 import jinja2
 import matplotlib
 
+from cottonspread.lab import results
+
 matplotlib.use("Agg")
 import matplotlib.pyplot as plt                                          # noqa: E402  the backend is chosen first
 
@@ -74,10 +75,9 @@
 
 def write(folder):
     """Makes `report.html` in the folder; its path. Replaced whole: a reader never meets half a page."""
-    from cottonspread.lab import experiment
-    plays = experiment.plays(folder)
+    plays = results.plays(folder)
     path = os.path.join(folder, "report.html")
     with open(path + ".new", "w", encoding="utf-8") as file:
-        file.write(PAGE.render(title=html.unescape(plays[0].name), plays=[(r, plot(r)) for r in plays]))
+        file.write(PAGE.render(title=plays[0].name, plays=[(r, plot(r)) for r in plays]))
     os.replace(path + ".new", path)
     return path
--- a/cottonspread/lab/results.py
+++ b/cottonspread/lab/results.py
@@ -64,12 +64,25 @@
     return h
 
 
+def audited(folder):
+    """A play's folder: (its plan, its Audit, what the audit tells, the sums of its load processes)."""
+    try:
+        with open(os.path.join(folder, "plan.json"), "rb") as file:
+            plan = msgspec.json.decode(file.read(), type=plans.Plan)
+        with open(os.path.join(folder, "start.json"), "rb") as file:
+            start = json.load(file)["start"]
+    except (OSError, ValueError, msgspec.ValidationError) as fault:
+        raise plans.Fault(f"{folder}: {fault}") from None
+    load = list(record.read(folder, "load"))
+    audit = ledger.Audit(plan, start, lambda kind: load if kind == "load" else record.read(folder, kind))
+    told = audit.run() if plan.experiment.audited else audit.result()
+    return plan, audit, told, [line for line in load if line["k"] == "sum"]
+
+
 def judge(play, repeat=0):
     """Reads what the play left in its folder; writes `results.json` there, whole or not at all."""
-    plan, folder = play.plan, play.folder
-    sums = [line for line in record.read(folder, "load") if line["k"] == "sum"]
-    audit = ledger.Audit(plan, play.start, lambda kind: record.read(folder, kind))
-    told = audit.run() if plan.experiment.audited else audit.result()
+    folder = play.folder
+    plan, audit, told, sums = audited(folder)
     kinds = {k.name: k for k in plan.experiment.load.types}
     latency, lateness, echo = {"all": histogram()}, histogram(), histogram()
     for one in sums:
@@ -140,6 +153,21 @@
     return result
 
 
+def plays(folder):
+    """The results of a folder: one play's, or of all plays in it by name."""
+    if os.path.exists(os.path.join(folder, "results.json")):
+        return [read(folder)]
+    try:
+        inside = sorted(os.listdir(folder))
+    except OSError as fault:
+        raise plans.Fault(f"{folder}: {fault.strerror}") from None
+    found = [read(os.path.join(folder, name)) for name in inside if not name.startswith("late")
+             and os.path.exists(os.path.join(folder, name, "results.json"))]
+    if not found:
+        raise plans.Fault(f"{folder}: holds no results.json")
+    return found
+
+
 FIGURES = {
     "served share": lambda r: r.served_share, "revenue": lambda r: r.revenue,
     "set-up p50 ms": lambda r: r.latency["all"].p50 / 1000, "set-up p99 ms": lambda r: r.latency["all"].p99 / 1000,
--- a/cottonspread/lab/run.py
+++ b/cottonspread/lab/run.py
@@ -4,6 +4,7 @@
 the lab's own end when their standard input does, nodes when the kernel tells that their parent is gone.
 """
 import ctypes
+import heapq
 import json
 import os
 import selectors
@@ -102,7 +103,7 @@
 
     def __init__(self, play, number):
         self.play, self.number, self.node = play, number, play.plan.nodes[number]
-        self.process, self.probe, self.up, self.wanted, self.cpu, self.back = None, None, False, True, 0.0, None
+        self.process, self.probe, self.up, self.wanted, self.cpu = None, None, False, True, 0.0
         self.most_rss = self.most_threads = self.most_fds = 0
 
     def start(self):
@@ -157,7 +158,7 @@
     def __init__(self, experiment, variant, seed, folder, show=None):
         self.plan = plans.make(experiment, variant, seed)
         self.folder, self.show, self.cut, self.reasons = os.path.abspath(folder), show, "", []
-        self.children, self.nodes, self.lines, self.timeline = [], [], [], []
+        self.children, self.nodes, self.timeline, self.todo, self.stamp = [], [], [], [], 0
         self.start, self.record, self.warnings, self.stolen = 0, None, [], 0.0
 
     def node_cores(self, number):
@@ -251,16 +252,14 @@
         x = self.plan.experiment
         ending = self.start + round((x.seconds + x.settle_s) * SECOND)
         stolen = psutil.cpu_times().steal
-        todo = self.node_faults()
+        self.node_faults()
         sampled = self.start
         with open(os.path.join(self.folder, "live.jsonl"), "w", encoding="utf-8") as live:
             while now() < ending and not self.cut:
-                while todo and todo[0][0] <= now():
-                    _, _, what, args = todo.pop(0)
-                    later = what(*args)
-                    if later:
-                        todo = sorted([*todo, later], key=lambda one: one[:2])
-                wait = min([ending, sampled + SECOND] + [t[0] for t in todo[:1]]) - now()
+                while self.todo and self.todo[0][0] <= now():
+                    _, _, what, args = heapq.heappop(self.todo)
+                    what(*args)
+                wait = min([ending, sampled + SECOND] + [one[0] for one in self.todo[:1]]) - now()
                 self.hear(max(0.0, min(wait / 1e6, 0.2)))
                 if now() >= sampled + SECOND:
                     sampled += SECOND
@@ -273,7 +272,7 @@
                         node.wanted = node.up = False
                         self.note("died", node, code=node.process.returncode)
                         self.reasons.append(f"{node.node.name} died with {node.process.returncode}")
-                        self.front("down", node, 0)
+                        self.front("down", node)
         self.stolen = psutil.cpu_times().steal - stolen
 
     def second(self, live, at):
@@ -297,30 +296,34 @@
     # Nodes' faults
 
     def node_faults(self):
-        out = []
-        for n, one in enumerate(self.plan.faults):
+        for one in self.plan.faults:
             if one.kind in NODE_FAULTS:
                 for name in one.on:
                     node = next(p for p in self.nodes if p.node.name == name)
-                    out.append((self.start + round(one.at * SECOND), n, self.fault, (node, one)))
-        return sorted(out, key=lambda one: one[:2])
+                    self.at(self.start + round(one.at * SECOND), self.fault, node, one)
+
+    def at(self, when, what, *args):
+        self.stamp += 1
+        heapq.heappush(self.todo, (when, self.stamp, what, args))
 
     def fault(self, node, one):
-        """Carries it out; gives back what is to be done later, if anything."""
         span = round(one.seconds * SECOND)
         if one.kind == "freeze":
             self.note("freeze", node)
             node.signal(signal.SIGSTOP)
-            return now() + span, 0, self.thaw, (node,)
+            self.at(now() + span, self.thaw, node)
+            return
         if one.kind == "reload":
             self.note("reload", node)
             node.signal(signal.SIGHUP)
-            return None
+            return
         node.wanted = node.up = False
         self.note("stopping" if one.kind == "stop" else "killed", node)
         node.signal(signal.SIGTERM if one.kind == "stop" else signal.SIGKILL)
-        self.front("down", node, 300_000 if one.kind == "stop" else round(self.plan.experiment.nodes.front_notice_s * SECOND))
-        return (now() + span, 0, self.start_anew, (node,)) if span else None
+        notice = 300_000 if one.kind == "stop" else round(self.plan.experiment.nodes.front_notice_s * SECOND)
+        self.at(now() + notice, self.front, "down", node)
+        if span:
+            self.at(now() + span, self.start_anew, node)
 
     def thaw(self, node):
         node.signal(signal.SIGCONT)
@@ -328,32 +331,28 @@
 
     def start_anew(self, node):
         if node.process.poll() is None:
-            return now() + 50_000, 0, self.start_anew, (node,)
+            self.at(now() + 50_000, self.start_anew, node)
+            return
         self.note("stopped", node, code=node.process.returncode)
         node.cpu = 0.0
         node.start()
         node.wanted = True
-        return now() + 50_000, 0, self.take_in, (node, 0)
+        self.at(now() + 50_000, self.take_in, node, 0)
 
     def take_in(self, node, tries):
         """The front deals to it once it has answered PING."""
         if node.answers_ping():
             node.up = True
             self.note("up", node)
-            self.front("up", node, 0)
-            return None
-        return (now() + 50_000, 0, self.take_in, (node, tries + 1)) if node.wanted and tries < 600 else None
+            self.front("up", node)
+        elif node.wanted and tries < 600:
+            self.at(now() + 50_000, self.take_in, node, tries + 1)
 
-    def front(self, word, node, wait):
-        def tell():
-            for child in self.children:
-                if child.name.startswith("load") and not (word == "down" and node.up):
-                    child.say(f"{word} {node.number}")
-        if wait:
-            import threading
-            threading.Timer(wait / 1e6, tell).start()
-        else:
-            tell()
+    def front(self, word, node):
+        """Tells the clients' front; one that is back meanwhile is not taken out."""
+        for child in self.children:
+            if child.name.startswith("load") and not (word == "down" and node.up):
+                child.say(f"{word} {node.number}")
 
     # The end
 
--- a/cottonspread/lab/selfcheck.py
+++ b/cottonspread/lab/selfcheck.py
@@ -17,6 +17,7 @@
 
 from cottonspread.lab import plan as plans
 from cottonspread.lab import record
+from cottonspread.lab.results import decoded
 from cottonspread.lab.run import Child
 from cottonspread.lab.wire import now
 
@@ -111,7 +112,6 @@
         lines = list(record.read(folder, "load"))
     calls = {c["id"]: c for c in lines if c["k"] == "call" and c["answers"]}
     total = next(line for line in lines if line["k"] == "sum")
-    from cottonspread.lab.results import decoded
     late = decoded(total["lateness"]).get_value_at_percentile(99.9)
     timed = [(calls[n], answered) for n, _, answered in server.seen if n in calls]
     told = np.array([call["answers"][0][0] - call["intended"] for call, _ in timed])
