--- a/cottonspread/cli/__init__.py
+++ b/cottonspread/cli/__init__.py
@@ -3,17 +3,18 @@
 import sys
 
 from cottonspread import config
-from cottonspread.cli import lab, node
+from cottonspread.cli import fleet, lab, node
 
 
 def main(arguments=None):
     parser = argparse.ArgumentParser(prog="cottonspread", description="A balancer for long-lived connections.")
     commands = parser.add_subparsers(dest="command", required=True)
-    for group in (node, lab):
+    for group in (node, fleet, lab):
         group.add(commands)
     given = parser.parse_args(arguments)
     try:
         return given.run(given)
     except config.Senseless as fault:
-        print(f"cottonspread: {fault}", file=sys.stderr)
+        for line in str(fault).split("\n"):
+            print(f"cottonspread: {line}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/cottonspread/cli/fleet.py
@@ -0,0 +1,150 @@
+"""`fleet` and `config`: many instances on one machine; what is in force. (`instance` is what the supervisor starts.)"""
+import heapq
+import json
+import os
+import sys
+import time
+
+from cottonspread import config
+
+HERE = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+COLUMNS = ("instance", "address", "pid", "state", "since_s", "connections", "calls", "list", "generation", "restarts", "why")
+
+
+def checked(text, name):
+    from cottonspread.cli import node
+    node.read_text(text, {})
+
+
+def folder(given):
+    """(state folder, log folder) of the fleet that the file describes."""
+    from cottonspread.config import operator as op
+    from cottonspread.fleet import plan
+    fleet = op.read(given.operator)[2]
+    if fleet is None:
+        raise op.Faults([f"{given.operator}: fleet: missing: this command needs the section [fleet]"])
+    state = plan.beside(given.operator, fleet.state)
+    return state, plan.beside(given.operator, fleet.logs) if fleet.logs else os.path.join(state, "log")
+
+
+def run(given):
+    from cottonspread.config import operator as op
+    from cottonspread.fleet.supervisor import Supervisor
+    from cottonspread.net import logfmt
+    log = op.read(given.operator)[0]
+    supervisor = Supervisor(given.operator, (sys.executable, HERE), checked)
+    write_out = logfmt.start("fleet", log.level.upper(), log.format)
+    try:
+        supervisor.prepare()
+        return supervisor.run()
+    finally:
+        write_out()
+
+
+def asked(given, said, wait):
+    """The supervisor's answer. A command that is long under way is answered at its end."""
+    from cottonspread.fleet import control
+    path = os.path.join(folder(given)[0], "fleet.sock")
+    try:
+        sock = control.connect(path)
+        sock.settimeout(wait)
+        sock.sendall(json.dumps(said).encode() + b"\n")
+        answer = sock.makefile("rb").readline()
+    except TimeoutError:
+        raise config.Senseless(f"fleet: no answer after {wait:g} s; `fleet status` tells how far it is") from None
+    except OSError as fault:
+        raise config.Senseless(f"fleet: no supervisor answers at {path}: {fault}") from fault
+    if not answer:
+        raise config.Senseless("fleet: the supervisor ended before it answered")
+    return json.loads(answer)
+
+
+def command(given):
+    said = {"do": given.what, "name": getattr(given, "name", None)}
+    if given.what == "upgrade" and (given.python or given.checkout):
+        python, checkout = given.python or sys.executable, os.path.abspath(given.checkout) if given.checkout else ""
+        if not os.access(python, os.X_OK):
+            raise config.Senseless(f"--python: {python}: not a program that can be run")
+        if checkout and not os.path.isdir(os.path.join(checkout, "cottonspread")):
+            raise config.Senseless(f"--checkout: {checkout}: has no folder cottonspread")
+        said |= {"python": os.path.abspath(python), "checkout": checkout}
+    answer = asked(given, said, given.wait)
+    print(f"{given.what}: {answer['why']}", file=sys.stdout if answer["ok"] else sys.stderr)
+    return 0 if answer["ok"] else 1
+
+
+def status(given):
+    answer = asked(given, {"do": "status"}, 5.0)["status"]
+    if given.json:
+        print(json.dumps(answer, indent=1))
+        return 0
+    rows = [COLUMNS, *(["" if row[c] is None else str(row[c]) for c in COLUMNS] for row in answer["instances"])]
+    widths = [max(len(row[n]) for row in rows) for n in range(len(COLUMNS))]
+    for row in rows:
+        print("  ".join(cell.ljust(width) for cell, width in zip(row, widths)).rstrip())
+    r = answer["rollout"]
+    print(f"{answer['fleet']}: supervisor {answer['pid']}, {'ready' if answer['ready'] else 'not all ready'}" + (
+        f"; {r['of']}: {r['to_do']} to do, {r['under_way']} under way" + (f", going back: {r['going_back']}" if r["going_back"] else "") if r else ""))
+    return 0 if answer["ready"] else 3
+
+
+def logs(given):
+    """The last lines of all instances, or of one, in the order of their times; `--follow` goes on."""
+    where = folder(given)[1]
+    names = [f"{given.name}.log"] if given.name else sorted(f for f in os.listdir(where) if f.endswith(".log"))
+    try:
+        files = [open(os.path.join(where, name), encoding="utf-8", errors="replace") for name in names]
+    except OSError as fault:
+        raise config.Senseless(f"logs: {fault}") from fault
+    for line in list(heapq.merge(*(file.readlines() for file in files)))[-given.lines:] if files else ():
+        sys.stdout.write(line)
+    while given.follow:
+        for file in files:
+            sys.stdout.writelines(file.readlines())
+        sys.stdout.flush()
+        time.sleep(0.2)
+    return 0
+
+
+def show(given):
+    from cottonspread.config import operator as op
+    if given.operator:
+        *parts, whole = op.read(given.operator)
+    else:
+        *parts, whole = op.read_text("")
+    rows = [(key, json.dumps(value), where, kind) for key, value, where, kind in op.in_force(parts, whole, given.operator)]
+    widths = [max(len(row[n]) for row in rows) for n in range(3)]
+    for row in rows:
+        print("  ".join(cell.ljust(width) for cell, width in zip(row, widths)) + "  " + row[3])
+    return 0
+
+
+def add(commands):
+    fleet = commands.add_parser("fleet", help="many instances on one machine")
+    words = fleet.add_subparsers(dest="what", required=True)
+
+    def word(name, what, run, *more):
+        one = words.add_parser(name, help=what)
+        one.add_argument("--operator", metavar="FILE", default="deploy/operator.toml", help="default: %(default)s")
+        for flags, kinds in more:
+            one.add_argument(*flags, **kinds)
+        one.set_defaults(run=run)
+
+    wait = ("--wait",), {"type": float, "default": 600.0, "metavar": "S", "help": "for its end; default: %(default)s"}
+    instance = ("name",), {"metavar": "NAME", "help": "the instance"}
+    word("run", "start all instances and keep them up, in the foreground", run)
+    word("status", "what each instance does; exit code 3 unless all are ready", status, (("--json",), {"action": "store_true"}))
+    word("reload", "read the files anew and change the instances one after the other", command, wait)
+    word("upgrade", "restart the instances onto another program, one after the other; without arguments onto the supervisor's own", command,
+         (("--python",), {"help": "the interpreter, of another virtual environment"}), (("--checkout",), {"help": "a folder with cottonspread in it"}), wait)
+    word("drain", "let one instance finish, and keep it down", command, instance, wait)
+    word("restart", "replace one instance, or bring it back", command, instance, wait)
+    word("stop", "let all finish; a second one hurries", command, wait)
+    word("logs", "the last log lines", logs, (("name",), {"metavar": "NAME", "nargs": "?", "help": "of this instance alone"}),
+         (("-n", "--lines"), {"type": int, "default": 40}), (("-f", "--follow"), {"action": "store_true"}))
+    shown = commands.add_parser("config", help="what is in force").add_subparsers(dest="what", required=True).add_parser(
+        "show", help="each key of the operator's file: its value, where it is from, what a reload does with it")
+    shown.add_argument("--operator", metavar="FILE")
+    shown.set_defaults(run=show)
+    from cottonspread.cli import instance as one
+    one.add(commands)
--- a/cottonspread/cli/node.py
+++ b/cottonspread/cli/node.py
@@ -5,9 +5,11 @@
 import queue
 import signal
 import sys
+import time
 from dataclasses import replace
 
 from cottonspread import __version__, config
+from cottonspread.fleet import notify
 from cottonspread.net import discovery, logfmt
 from cottonspread.net.node import Node, most_ends
 
@@ -20,7 +22,11 @@
             text = file.read()
     except (OSError, UnicodeDecodeError) as fault:
         raise config.Senseless(f"configuration: {path}: {fault}") from fault
-    parts = config.read_node(text, os.environ)
+    return read_text(text, os.environ)
+
+
+def read_text(text, environment):
+    parts = config.read_node(text, environment)
     try:
         discovery.read_list(parts[-1], parts[2])
     except discovery.BadList as fault:
@@ -28,17 +34,40 @@
     return parts
 
 
-def serve(path):
+def known_list(saved, parts):
+    """The newer of the list that was saved and the one in the configuration, as JSON."""
+    known = parts[-1]
+    try:
+        version = discovery.read_list(saved, parts[2])[0] if saved else -1
+    except discovery.BadList as fault:
+        log.warning("saved-list", extra={"pairs": {"why": fault, "kept": "none"}})
+        return known
+    return saved if version >= discovery.read_list(known, parts[2])[0] else known
+
+
+def operator(path):
+    """The operator's sections, or their defaults without a file: (log or None, whole)."""
+    if not path:
+        return None
+    from cottonspread.config import operator as op           # needs msgspec, which a node without such a file need not have
+    return op.read(path)
+
+
+def serve(path, operators=None):
     asked = queue.SimpleQueue()              # by signals, which may come while one is being dealt with
     signal.signal(signal.SIGHUP, lambda *_: asked.put(reload))
     parts = read(path)
-    write_out = logfmt.start(parts[0].name)
+    own = operator(operators)
+    write_out = logfmt.start(parts[0].name, own[0].level.upper(), own[0].format) if own else logfmt.start(parts[0].name)
+    manager, told = notify.Manager(), False
     try:
         node = Node(*parts)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: asked.put(lambda node, *_: node.stop()))
         node.start()
         while not node.join(0):
+            if manager.address:
+                told = report(manager, node, told)
             try:
                 asked.get(timeout=0.1)(node, path, parts)
             except queue.Empty:
@@ -53,6 +82,21 @@
         write_out()
 
 
+def report(manager, node, told):
+    """To the service manager: ready once a list is known and a PING answered; alive as long as the reducer makes steps."""
+    steps, ready, at = told or (-1, False, 0.0)
+    now, status = time.monotonic(), node.status()
+    if not ready and status["listed"] and node.ping():
+        ready = manager.ready("serving")
+    if node.reducer.stopping and ready != "stopping":
+        manager.stopping()
+        ready = "stopping"
+    if manager.every and now - at >= manager.every and status["steps"] != steps:
+        manager.alive()
+        return status["steps"], ready, now
+    return steps, ready, at
+
+
 def reload(node, path, started_with):
     """SIGHUP: a new discovery is followed at once. Whatever stands in the file, the node goes on."""
     try:
@@ -74,8 +118,14 @@
         {"at_next_start": ",".join(kept)} if kept else {})})
 
 
-def check(path):
-    place, room, names, _, begin, known = read(path)
+def check(path, operators=None):
+    own = operator(operators)
+    if own and own[2] and not path:
+        from cottonspread.fleet import plan
+        specs = plan.read(operators, (sys.executable, ""), lambda text, _: read_text(text, {})).specs
+        print(f"{len(specs)} instances: " + ", ".join("%s on %s:%d" % (s.name, *s.address) for s in specs.values()))
+        return 0
+    place, room, names, _, begin, known = read(named(path))
     print(f"{place.name}: listens on {place.listen[0]}:{place.listen[1]}, "
           f"discovery at {place.discovery[0]}:{place.discovery[1]}")
     print(f"{len(names.types)} traffic types, node {begin.me} of {begin.nodes}, "
@@ -89,7 +139,8 @@
         command = commands.add_parser(name, help=what)
         command.add_argument("--config", default=os.environ.get("PROXY_CONFIG"),
                              help="the configuration file; without it, $PROXY_CONFIG")
-        command.set_defaults(run=lambda given, run=run: run(named(given.config)))
+        command.add_argument("--operator", metavar="FILE", help="the operator's TOML file")
+        command.set_defaults(run=lambda given, run=run: run(given.config if run is check else named(given.config), given.operator))
     commands.add_parser("version", help="print the version").set_defaults(run=version)
 
 
--- /dev/null
+++ b/cottonspread/fleet/core.py
@@ -0,0 +1,542 @@
+"""The supervisor's decisions: (state, time, event) to effects. No socket, process, file or clock of its own.
+
+Of each name at most one process takes connections, the holder. A successor is started beside it, prepares itself (it knows a
+list, its PING is answered) without taking any, and takes over only once the holder has said that it left, or is gone; what comes
+in between waits in the listening socket, which the supervisor keeps. So a change needs no moment without a holder that is ready,
+and a successor that never gets ready costs nothing: the old one was not touched.
+
+Every event leads to `consider`, which looks at what is and what is wanted and takes the next step: a lost or doubled event does
+no harm. Times are whole microseconds of a clock that never jumps (monotonic).
+"""
+from collections import deque
+from dataclasses import dataclass, field, replace
+
+SECOND = 1_000_000
+LEAVE_WAIT = SECOND                # for "I have left"; then the holder is ended, or its successor would wait for ever
+LATE = SECOND                      # the supervisor itself stood still for so long: nobody is blamed for silence in it
+
+# What a process says of itself; waiting: for a list with a server on it
+STARTING, WAITING, PREPARED, SERVING, LEAVING = "starting", "waiting", "prepared", "serving", "leaving"
+# What the table shows of a name besides
+DRAINED, BACKOFF, GIVEN_UP, STOPPED = "drained", "back-off", "given-up", "stopped"
+
+
+# Effects
+
+@dataclass(frozen=True)
+class Start:
+    name: str
+    generation: int
+    spec: object
+
+
+@dataclass(frozen=True)
+class Take:
+    """Take connections from now on."""
+    name: str
+    generation: int
+
+
+@dataclass(frozen=True)
+class Leave:
+    """Take no more; then stop: open calls answered, standing ones moved. `handed`: a successor takes the new ones."""
+    name: str
+    generation: int
+    handed: bool
+
+
+@dataclass(frozen=True)
+class Kill:
+    name: str
+    generation: int
+
+
+@dataclass(frozen=True)
+class Apply:
+    """Take over the live part."""
+    name: str
+    generation: int
+    spec: object
+
+
+@dataclass(frozen=True)
+class Door:
+    """Whether the supervisor itself answers BUSY at this address, for there is no holder and none is about to be."""
+    name: str
+    open: bool
+
+
+@dataclass(frozen=True)
+class Forget:
+    """The name is no more: its socket is closed."""
+    name: str
+
+
+@dataclass(frozen=True)
+class Say:
+    event: str
+    pairs: dict
+    level: str = "info"
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """A rollout has ended."""
+    ok: bool
+    why: str
+    plan: object                   # what is in force now
+
+
+@dataclass(frozen=True)
+class Over:
+    """All have stopped."""
+
+
+@dataclass(eq=False)
+class Process:
+    name: str
+    generation: int
+    spec: object
+    began: int
+    adopted: bool = False
+    allowed_from: int = 0          # its time to get ready runs from here
+    state: str = STARTING
+    since: int = 0
+    told_take: int = 0
+    told_leave: int = 0
+    handed: bool = False
+    killed: int = 0
+    steps: int = -1
+    stepped: int = 0               # when the steps were last seen to grow
+    seen: dict = field(default_factory=dict)       # the last status, as told
+    at_ready: tuple = ()           # (ended, badly) when it began to be watched
+    failed: str = ""
+    applied: object = None         # the spec whose live part was last asked for
+
+
+@dataclass(eq=False)
+class Slot:
+    """A name."""
+    name: str
+    spec: object
+    holder: Process = None
+    next: Process = None
+    leaving: list = field(default_factory=list)
+    drained: bool = False
+    gone: bool = False             # not in the plan any more
+    anew: bool = False             # a restart was asked for
+    fails: deque = field(default_factory=deque)    # when, in the window
+    in_row: int = 0
+    not_before: int = 0
+    given_up: bool = False
+    restarts: int = 0
+    why: str = ""                  # the last end that was not asked for
+    door: bool = False
+    tried: object = None           # in a rollout: the process that is to be watched
+
+    def processes(self):
+        return [p for p in (self.holder, self.next) if p] + self.leaving
+
+    def serving(self):
+        return self.holder is not None and self.holder.state == SERVING and not self.holder.told_leave
+
+
+@dataclass(eq=False)
+class Rollout:
+    plan: object
+    before: object                 # the plan to go back to
+    why: str                       # "reload", "upgrade", "restart NAME"
+    todo: deque
+    doing: dict = field(default_factory=dict)      # slot: when its change was ready; 0: it is not yet
+    back: str = ""                 # going back, and why
+
+
+class Core:
+    def __init__(self, now, plan):
+        self.now, self.plan, self.out = now, plan, []
+        self.slots = {name: Slot(name, spec) for name, spec in plan.specs.items()}
+        self.generation, self.rollout, self.pending, self.stopping, self.hurried, self.over = 0, None, None, False, False, False
+
+    # What is told
+
+    def step(self, now, what, *args):
+        """`what` is the name of one of the methods below; the effects, in their order."""
+        gap, self.now = now - self.now, max(now, self.now)
+        if gap > LATE:                       # we stood still ourselves: whatever was said lies unread
+            for p in self.processes():
+                p.stepped, p.allowed_from = p.stepped + gap, max(p.began, p.allowed_from) + gap
+                p.told_leave += gap if p.told_leave else 0
+        getattr(self, what)(*args)
+        if what != "adopted":                # first all of them, then `settle`
+            self.consider_all()
+        out, self.out = self.out, []
+        return out
+
+    def processes(self):
+        return [p for slot in self.slots.values() for p in slot.processes()]
+
+    def find(self, name, generation):
+        slot = self.slots.get(name)
+        return slot, next((p for p in slot.processes() if p.generation == generation), None) if slot else None
+
+    def tick(self):
+        pass
+
+    def adopted(self, name, generation, spec, status):
+        """A process that an earlier supervisor began, found before anything is started."""
+        self.generation = max(self.generation, generation)
+        slot = self.slots.get(name)
+        p = Process(name, generation, spec, self.now, adopted=True, state=status["state"], since=self.now, stepped=self.now, seen=status)
+        if slot is None:                     # not in the plan any more
+            slot = self.slots[name] = Slot(name, spec, gone=True)
+        if p.state == SERVING and slot.holder is None:
+            slot.holder = p
+            self.say("adopted", p)
+        elif p.state == LEAVING:
+            slot.leaving.append(p)
+            p.told_leave = self.now
+        else:                                # half prepared, or a second one: not worth finding out
+            slot.leaving.append(p)
+            self.kill(p, "adopted half-way")
+
+    def settle(self):
+        """All are adopted. What differs from the plan is changed as by a reload, and goes back if that fails."""
+        holders = {s.name: s.holder.spec for s in self.slots.values() if s.holder}
+        before = replace(self.plan, specs={n: holders.get(n, s) for n, s in self.plan.specs.items()})
+        if before.specs != self.plan.specs:
+            plan, self.plan = self.plan, before
+            for slot in self.slots.values():
+                slot.spec = before.specs.get(slot.name, slot.spec)
+            self.begin(plan, "adopted")
+
+    def told(self, name, generation, status):
+        """A process tells of itself: {"state", "steps", "ended", "bad", ...}."""
+        slot, p = self.find(name, generation)
+        if p is None:
+            return
+        if status["steps"] != p.steps:
+            p.steps, p.stepped = status["steps"], self.now
+        p.seen = status
+        if status["state"] != p.state:
+            p.state, p.since = status["state"], self.now
+            if p.state == SERVING and p is slot.next:
+                slot.holder, slot.next = p, None
+                self.say("ready", p, ms=(self.now - p.began) // 1000)
+                p.at_ready = status.get("ended", 0), status.get("bad", 0)
+            elif p.state == LEAVING and p is slot.holder:
+                slot.leaving.append(p)
+                slot.holder = None
+                p.told_leave = p.told_leave or self.now
+
+    def exited(self, name, generation, how):
+        """A process is gone. `how` says by what: "exit 0", "signal 9"."""
+        slot, p = self.find(name, generation)
+        if p is None:
+            return
+        if p in slot.leaving:
+            slot.leaving.remove(p)
+            self.say("left", p, how=how)
+            return
+        slot.holder, slot.next = (None if x is p else x for x in (slot.holder, slot.next))
+        if p.told_leave and not p.failed:    # it said "leave" and was gone before it could say so
+            self.say("left", p, how=how)
+            return
+        self.failed(slot, p, p.failed or how)
+
+    def not_started(self, name, generation, why):
+        """There is no process at all."""
+        self.exited(name, generation, f"not started: {why}")
+
+    def refused(self, name, generation, why):
+        """A running one could not take the live part over."""
+        slot, p = self.find(name, generation)
+        if p is not None and self.rollout and not self.rollout.back:
+            self.go_back(f"{name}: {why}")
+
+    def replan(self, plan, why="reload"):
+        """A new plan, whole and checked. One at a time: the newest of those that come meanwhile is next."""
+        if self.stopping:
+            return
+        if self.rollout:
+            self.pending = plan, why
+            self.out.append(Say("pending", {"why": why, "behind": self.rollout.why}))
+            return
+        self.begin(plan, why)
+
+    def stop(self):
+        """Once: all stop in the node's own way. Twice: at once."""
+        self.hurried, self.stopping = self.stopping, True
+        self.pending = None
+        if self.rollout:
+            self.end_rollout(False, "stopped")
+        if self.hurried:
+            for p in self.processes():
+                self.kill(p, "hurried")
+
+    def drain(self, name):
+        self.slots[name].drained = True
+
+    def restart(self, name):
+        """Back from a drain or after being given up, else a successor."""
+        slot = self.slots[name]
+        slot.anew = slot.holder is not None and not slot.drained
+        slot.drained = slot.given_up = False
+        slot.not_before = slot.in_row = 0
+        slot.fails.clear()
+
+    # Rollouts
+
+    def begin(self, plan, why):
+        before, self.plan = self.plan, plan
+        self.rollout = Rollout(plan, before, why, deque())
+        self.target(plan)
+
+    def target(self, plan):
+        """Every name that is to be different goes on the list; new ones start, old ones stop, outside of it."""
+        todo = self.rollout.todo
+        todo.clear()
+        for name, spec in plan.specs.items():
+            slot = self.slots.get(name)
+            if slot is None:
+                slot = self.slots[name] = Slot(name, spec)
+            elif slot.spec != spec or slot.gone:
+                if slot not in self.rollout.doing:
+                    todo.append(slot)
+            else:
+                continue
+            if slot in self.rollout.doing or slot.holder is None:
+                slot.spec, slot.gone = spec, False
+                if slot not in self.rollout.doing:
+                    self.rollout.doing[slot] = 0
+                    slot.given_up, slot.in_row, slot.not_before = False, 0, 0
+                    if slot in todo:
+                        todo.remove(slot)
+        for name, slot in self.slots.items():
+            if name not in plan.specs:
+                slot.gone = True
+
+    def go_back(self, why):
+        r = self.rollout
+        r.back, self.plan = why, r.before
+        self.out.append(Say("going-back", {"from": r.why, "why": why}, "error"))
+        for slot in r.doing:
+            r.doing[slot] = 0
+            slot.tried = None
+            if slot.next:
+                self.kill(slot.next, "going back")
+        r.todo.clear()
+        done = list(r.doing)
+        r.doing.clear()
+        for slot in done:                    # those that were under way are turned round at once
+            if slot.name in r.before.specs:
+                slot.spec = r.before.specs[slot.name]
+                r.doing[slot] = 0
+        self.target(r.before)
+
+    def end_rollout(self, ok, why):
+        r, self.rollout = self.rollout, None
+        for slot in self.slots.values():
+            slot.tried = None
+        self.out += [Say("rollout", {"of": r.why, "ok": ok, "why": why or "done"}, "info" if ok else "error"), Outcome(ok, why, self.plan)]
+        if self.pending:
+            plan, why = self.pending
+            self.pending = None
+            self.begin(plan, why)
+
+    def roll(self):
+        """The next steps of a rollout: at most `at_once` under way, and none while as many others are not there."""
+        r, fleet = self.rollout, self.plan.fleet
+        for slot, ready in list(r.doing.items()):
+            if slot.gone or slot.drained:
+                del r.doing[slot]
+            elif self.changed(slot):
+                p = slot.holder
+                if not ready:
+                    r.doing[slot] = self.now
+                    p.at_ready = p.at_ready or (p.seen.get("ended", 0), p.seen.get("bad", 0))
+                worse = "" if r.back else self.worse(p)
+                if worse:
+                    self.go_back(f"{slot.name}: {worse}")
+                    return
+                if self.now - (ready or self.now) >= (0 if r.back else fleet.watch_s * SECOND) and not slot.leaving:
+                    del r.doing[slot]
+        # Those given up come back by nobody's waiting; to wait for them would stop the very reload that mends them.
+        away = [s for s in self.slots.values() if not (s.serving() or s.drained or s.gone or s.given_up or s in r.doing)]
+        while r.todo and len(r.doing) + len(away) < max(fleet.at_once, 1):
+            slot = r.todo.popleft()
+            slot.spec, slot.gone = self.plan.specs[slot.name], False
+            slot.given_up, slot.in_row, slot.not_before = False, 0, 0
+            r.doing[slot] = 0
+        if not r.todo and not r.doing:
+            self.end_rollout(not r.back, r.back)
+
+    def changed(self, slot):
+        p = slot.holder
+        return slot.serving() and p.spec.start == slot.spec.start and (
+            p.spec.live == slot.spec.live or p.seen.get("live") == slot.spec.live)
+
+    def worse(self, p):
+        """Whether calls end badly more often than in those not yet changed."""
+        fleet = self.plan.fleet
+        ended, bad = (p.seen.get(k, 0) - was for k, was in zip(("ended", "bad"), p.at_ready or (0, 0)))
+        if ended < fleet.worse_of:
+            return ""
+        old = [s.holder.seen for s in self.slots.values() if s.holder and s.spec.start != p.spec.start]
+        old_ended, old_bad = (sum(seen.get(k, 0) for seen in old) for k in ("ended", "bad"))
+        share, was = bad / ended, old_bad / old_ended if old_ended else 0.0
+        return f"{bad} of {ended} calls ended badly, before {was:.3f} of them" if share > was + fleet.worse_by else ""
+
+    # What is and what is wanted
+
+    def consider_all(self):
+        if self.rollout:
+            self.roll()
+        for slot in list(self.slots.values()):
+            self.consider(slot)
+        if self.stopping and not self.processes() and not self.over:
+            self.over = True
+            self.out.append(Over())
+
+    def consider(self, slot):
+        fleet = self.plan.fleet
+        for p in slot.processes():
+            self.look_at(slot, p, fleet)
+        if slot.gone or slot.drained or self.stopping:
+            self.wind_down(slot, fleet)
+        else:
+            self.keep_up(slot)
+        # The supervisor answers where nobody does and nobody is about to.
+        door = not slot.holder and not (slot.next and slot.next.told_take) and (
+            self.stopping or slot.drained or slot.given_up or slot.gone or slot.next is None and slot.not_before > self.now
+            or slot.next is not None and slot.next.state == WAITING)
+        if door != slot.door and slot.name in self.slots:
+            slot.door = door
+            self.out.append(Door(slot.name, door))
+
+    def look_at(self, slot, p, fleet):
+        """Whether it is in time with what it is to do."""
+        if p.killed:
+            return
+        if p in slot.leaving:
+            if self.now - p.told_leave > fleet.stop_s * SECOND:
+                self.kill(p, "did not stop")
+        elif p.told_leave:
+            if self.now - p.told_leave > LEAVE_WAIT:
+                self.kill(p, "did not leave")
+        elif p is slot.next:
+            # Without a list nobody can begin, and to start it anew brings none; in a rollout the holder goes on meanwhile.
+            if p.state == WAITING and slot.holder is None and self.rollout is None:
+                p.allowed_from = self.now
+            if self.now - max(p.began, p.allowed_from) > fleet.start_s * SECOND:
+                self.kill(p, f"not ready after {fleet.start_s:g} s")
+        elif self.now - p.stepped > fleet.stuck_s * SECOND:
+            self.kill(p, f"stuck: no step for {fleet.stuck_s:g} s")
+
+    def keep_up(self, slot):
+        old, new, spec = slot.holder, slot.next, slot.spec
+        if new is not None and not new.killed:
+            if new.spec != spec:
+                self.kill(new, "another plan")
+            elif new.state == PREPARED and not new.told_take:
+                if old is not None and not old.told_leave:
+                    old.told_leave, old.handed = self.now, True
+                    self.out.append(Leave(slot.name, old.generation, True))
+                elif old is None and all(p.handed or p.killed for p in slot.leaving):
+                    new.told_take = self.now
+                    self.out.append(Door(slot.name, False))
+                    slot.door = False
+                    self.out.append(Take(slot.name, new.generation))
+            return
+        if new is not None or old is not None and old.killed and not old.told_leave:
+            return                           # one goes, then the next comes
+        if old is None:
+            if not slot.given_up and self.now >= slot.not_before:
+                self.start(slot)
+        elif not old.told_leave and (old.spec.start != spec.start or slot.anew):
+            if self.now >= slot.not_before and not slot.given_up:
+                slot.anew = False
+                self.start(slot)
+        elif old.spec.live != spec.live and old.applied != spec and not old.told_leave:
+            old.applied = spec
+            self.out.append(Apply(slot.name, old.generation, spec))
+        if old is not None and old.applied is not None and old.seen.get("live") == old.applied.live and old.spec.start == old.applied.start:
+            old.spec, old.applied = old.applied, None
+
+    def start(self, slot):
+        self.generation += 1
+        slot.next = Process(slot.name, self.generation, slot.spec, self.now, since=self.now, stepped=self.now)
+        if slot.holder is None:
+            self.restarts_counted(slot)
+        self.out.append(Start(slot.name, self.generation, slot.spec))
+
+    def restarts_counted(self, slot):
+        if slot.why:
+            slot.restarts += 1
+
+    def wind_down(self, slot, fleet):
+        if slot.next is not None and not slot.next.killed:
+            self.kill(slot.next, "not wanted any more")
+        old = slot.holder
+        busy = sum(1 for s in self.slots.values() if s.leaving or s.holder and s.holder.told_leave)
+        if old is not None and not old.told_leave and not old.killed and (
+                slot.drained or busy < ((fleet.stop_at_once or len(self.slots)) if self.stopping else fleet.at_once)):
+            old.told_leave = self.now
+            self.out.append(Leave(slot.name, old.generation, False))
+        if slot.gone and not slot.processes():
+            del self.slots[slot.name]
+            self.out.append(Forget(slot.name))
+
+    def kill(self, p, why):
+        if not p.killed:
+            p.killed, p.failed = self.now, why
+            self.say("kill", p, why=why, level="warning")
+            self.out.append(Kill(p.name, p.generation))
+
+    def failed(self, slot, p, how):
+        """One has ended that was not to end: again, but ever later, and not for ever."""
+        if self.stopping or slot.gone or slot.drained or how in ("another plan", "going back", "not wanted any more"):
+            return
+        fleet, r = self.plan.fleet, self.rollout
+        slot.why = how
+        self.say("ended", p, how=how, level="error")
+        if r and not r.back and slot in r.doing and p.spec.start == slot.spec.start:
+            self.go_back(f"{slot.name}: {how}")
+            return
+        slot.fails.append(self.now)
+        while slot.fails and self.now - slot.fails[0] > fleet.restarts_in_s * SECOND:
+            slot.fails.popleft()
+        if p.state == SERVING and self.now - p.since > fleet.restarts_in_s * SECOND:
+            slot.in_row = 0
+        if len(slot.fails) > fleet.restarts:
+            slot.given_up = True
+            self.out.append(Say("given-up", {"instance": slot.name, "restarts": len(slot.fails) - 1, "why": how}, "error"))
+            if r and slot in r.doing:        # going back already, or it was the old one: the rollout does not wait for it
+                del r.doing[slot]
+            return
+        # The first comes at once: most ends are single ones.
+        wait = fleet.backoff_s * 2 ** min(slot.in_row - 1, 20) if slot.in_row else 0
+        slot.in_row += 1
+        slot.not_before = self.now + round(min(wait, fleet.backoff_most_s) * SECOND)
+
+    def say(self, event, p, level="info", **pairs):
+        self.out.append(Say(event, {"instance": p.name, "generation": p.generation, **pairs}, level))
+
+    # What is shown
+
+    def state_of(self, slot):
+        p = slot.holder or slot.next
+        if p:
+            return p.state if not p.told_leave else LEAVING
+        if slot.leaving:
+            return LEAVING
+        return (DRAINED if slot.drained else STOPPED if self.stopping or slot.gone else GIVEN_UP if slot.given_up
+                else BACKOFF)
+
+    def ready(self):
+        return all(s.serving() for s in self.slots.values() if not s.drained and not s.gone)
+
+    def table(self):
+        """Each name with what it waits for; for our own eyes."""
+        r = self.rollout
+        return [(s.name, self.state_of(s), s.spec.start, [(p.generation, p.state, p.spec.start, p.told_leave, p.killed) for p in s.processes()],
+                 "gone" * s.gone, "doing" * bool(r and s in r.doing), "todo" * bool(r and s in r.todo)) for s in self.slots.values()]
--- /dev/null
+++ b/cottonspread/fleet/plan.py
@@ -0,0 +1,117 @@
+"""What each instance of a fleet is, derived from the operator's file and the platform's JSON. Reads two files, starts nothing.
+
+A fleet's plan is read whole, checked whole, and then handed on as text: a file that changes or vanishes between check and use
+changes nothing. What a plan says of an instance is in two parts: what needs a new process, and what a running one takes over.
+"""
+import errno
+import json
+import os
+import socket
+from dataclasses import dataclass
+
+import msgspec
+
+from cottonspread import config
+from cottonspread.config import operator as op
+
+LIVE = ("discovery",)              # keys of the platform's JSON that a running instance takes over
+
+
+@dataclass(frozen=True)
+class Spec:
+    """One instance: `start` and `live` are JSON with sorted keys, so equal texts are equal meaning."""
+    name: str
+    address: tuple
+    start: str
+    live: str
+
+
+@dataclass(frozen=True)
+class Plan:
+    fleet: op.Fleet
+    specs: dict                    # by name, in the order of their numbers
+    program: tuple                 # (python, folder put first on its path)
+
+
+def canonical(value):
+    return json.dumps(value, sort_keys=True)
+
+
+def stepped(address, port=0, octet=0):
+    """HOST:PORT some steps on."""
+    host, _, number = address.rpartition(":")
+    if octet:
+        head, _, last = host.rpartition(".")
+        host = f"{head}.{int(last) + octet}"
+    return f"{host}:{int(number) + port}"
+
+
+def beside(path, other):
+    return os.path.join(os.path.dirname(os.path.abspath(path)), other)
+
+
+def read(path, program, check=lambda text, name: None):
+    """The plan that the files give now. Raises config.Senseless, naming file and key. `check(text, name)` may raise it too."""
+    log, instance, fleet, _ = op.read(path)
+    if fleet is None:
+        raise op.Faults([f"{path}: fleet: missing: this command needs the section [fleet]"])
+    template = beside(path, fleet.config)
+    try:
+        with open(template, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, UnicodeDecodeError) as fault:
+        raise op.Faults([f"{path}: fleet.config: {template}: {fault}"]) from fault
+    whole = config.parse(text, template)
+    if not isinstance(whole, dict) or not isinstance(whole.get("settings"), dict):
+        raise op.Faults([f"{template}: settings: expected an object"])
+    if not isinstance(whole.get("discovery"), str):
+        raise op.Faults([f"{template}: discovery: expected HOST:PORT"])
+    specs = {}
+    for n in range(fleet.instances):
+        name = f"{fleet.name}-{n}"
+        own = {**whole, "name": name, "listen": stepped(fleet.listen, fleet.port_step * n, fleet.host_step * n),
+               "settings": {**whole["settings"], "Me": fleet.first + n, "Balancers": fleet.nodes or fleet.first + fleet.instances}}
+        try:
+            own["discovery"] = stepped(whole["discovery"], fleet.discovery_step * n) if fleet.discovery_step else whole["discovery"]
+            if "seed" in whole:
+                own["seed"] = "%x" % (int(whole["seed"], 16) + n)
+            place = config.read_node(canonical(own), {})[0]
+            check(canonical(own), name)
+        except (config.Senseless, ValueError, TypeError) as fault:
+            raise op.Faults([f"{template}: {fault} (instance {name})"]) from fault
+        live = {key: own.pop(key) for key in LIVE} | {"level": log.level}
+        start = {"config": own, "format": log.format, "instance": msgspec.to_builtins(instance), "program": list(program)}
+        specs[name] = Spec(name, place.listen, canonical(start), canonical(live))
+    return Plan(fleet, specs, tuple(program))
+
+
+def bound(address):
+    """A listening socket, or OSError. Without SO_REUSEPORT: a second one on this address is told at once."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen(1024)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def bind_all(specs, held=()):
+    """Listening sockets for all that are not in `held`, by name; every address that is taken is named at once."""
+    taken, faults = {}, []
+    for spec in specs.values():
+        if spec.name in held:
+            continue
+        try:
+            taken[spec.name] = bound(spec.address)
+        except OSError as fault:
+            why = "address in use" if fault.errno == errno.EADDRINUSE else fault.strerror or str(fault)
+            faults.append(f"fleet.listen: {spec.address[0]}:{spec.address[1]} for {spec.name}: {why}")
+    if faults:
+        for sock in taken.values():
+            sock.close()
+        raise op.Faults(faults)
+    return taken
--- /dev/null
+++ b/cottonspread/fleet/supervisor.py
@@ -0,0 +1,534 @@
+"""Carries out what the core decides: processes, sockets, files, signals. One thread, one loop; it decides nothing about instances.
+
+Why one loop and no threads: nothing here is on a client's path except the door, which sends one line, and a supervisor with one
+thread has no order of events that its tests do not have.
+"""
+import heapq
+import json
+import logging
+import os
+import selectors
+import signal
+import socket
+import subprocess
+import time
+
+from cottonspread import config
+from cottonspread.config import operator as op
+from cottonspread.fleet import control, notify
+from cottonspread.fleet import plan as plans
+from cottonspread.fleet.core import Apply, Core, Door, Forget, Kill, Leave, Outcome, Over, Say, Start, Take
+from cottonspread.lists.saved import write_whole
+
+log = logging.getLogger("cottonspread.fleet")
+
+TICK = 0.05
+DOOR_WAIT = 1.0                    # what a client gets to send its first line, and then to close, at the door
+MOST_AT_DOOR = 64
+STATUS_EVERY = 5.0
+
+
+def now():
+    return time.monotonic_ns() // 1000
+
+
+class Guest:
+    """A client at the door: its first line is read, for closing on unread bytes would eat the BUSY."""
+
+    def __init__(self, sock):
+        self.sock, self.until, self.data, self.answered = sock, time.monotonic() + DOOR_WAIT, b"", False
+
+
+class Supervisor:
+    def __init__(self, path, program, check):
+        self.path, self.own_program, self.check = os.path.abspath(path), tuple(program), check
+        fleet = op.read(self.path)[2]
+        if fleet is None:
+            raise op.Faults([f"{path}: fleet: missing: this command needs the section [fleet]"])
+        self.folder = plans.beside(self.path, fleet.state)
+        self.logs = plans.beside(self.path, fleet.logs) if fleet.logs else os.path.join(self.folder, "log")
+        self.fixed = fleet.name, fleet.state, fleet.logs
+        self.manager, self.selector, self.timers = notify.Manager(), selectors.DefaultSelector(), []
+        self.sockets, self.doors, self.guests = {}, {}, {}      # by address; by name; by socket
+        self.children, self.pidfds, self.channels = {}, {}, {}  # by (name, generation)
+        self.waiting, self.clients = {}, {}                     # control sockets not yet there; connections of commands
+        self.asked_reload, self.answers, self.was_ready, self.done = [], [], False, False
+
+    # The start
+
+    def prepare(self):
+        """Everything that can be in the way is found before anything is started."""
+        try:
+            os.makedirs(self.folder, exist_ok=True)
+            os.makedirs(self.logs, exist_ok=True)
+        except OSError as fault:
+            raise op.Faults([f"{self.path}: fleet.state: {fault}"]) from fault
+        longest = os.path.join(self.folder, f"{self.fixed[0]}-255.{10 ** 6}.sock")
+        if len(longest) > control.LONGEST_PATH:
+            raise op.Faults([f"{self.path}: fleet.state: {self.folder}: too long a path for sockets: {len(longest)} bytes "
+                             f"with their names, {control.LONGEST_PATH} are possible"])
+        self.lock = control.Lock(os.path.join(self.folder, "fleet.pid"))
+        if not self.lock.take():
+            raise op.Faults([f"{self.path}: fleet.state: {self.folder}: a supervisor runs there already, pid {self.lock.holder()}"])
+        kept = self.kept()
+        self.program = tuple(kept.get("program") or self.own_program)
+        self.plan = plans.read(self.path, self.program, self.check)
+        found = self.find_instances()
+        missing = {n: s for n, s in self.plan.specs.items() if s.address not in self.sockets}
+        taken = plans.bind_all(missing)
+        self.sockets.update({missing[name].address: sock for name, sock in taken.items()})
+        self.core = Core(now(), self.plan)
+        self.core.generation = kept.get("generation", 0)
+        self.control = control.listening(os.path.join(self.folder, "fleet.sock"))
+        self.control.setblocking(False)
+        self.selector.register(self.control, selectors.EVENT_READ, self.welcome)
+        for name, generation, spec, status, sock in found:
+            self.core.adopted(name, generation, spec, status)
+            self.follow(name, generation, sock)
+        self.tell("settle")
+
+    def kept(self):
+        try:
+            with open(os.path.join(self.folder, "fleet.json"), encoding="utf-8") as file:
+                return json.load(file)
+        except FileNotFoundError:
+            return {}
+        except (OSError, ValueError) as fault:
+            log.warning("state", extra={"pairs": {"why": fault, "kept": "nothing"}})
+            return {}
+
+    def keep(self):
+        try:
+            write_whole(os.path.join(self.folder, "fleet.json"),
+                        json.dumps({"program": list(self.core.plan.program), "generation": self.core.generation}))
+        except OSError as fault:
+            log.error("state", extra={"pairs": {"why": fault}})
+
+    def find_instances(self):
+        """Those that an earlier supervisor left: asked who they are. One that does not answer is ended; what is stale goes."""
+        found = []
+        for file in sorted(os.listdir(self.folder)):
+            path = os.path.join(self.folder, file)
+            if not file.endswith(".sock") or file == "fleet.sock":
+                continue
+            pid = running_with(path)
+            if pid is None:
+                os.unlink(path)
+                continue
+            try:
+                sock = control.connect(path)
+                line, said, until = control.Line(sock), [], time.monotonic() + 1
+                while len(said) < 2 and time.monotonic() < until:
+                    said += line.read()[0]
+                    time.sleep(0.005)
+                hello, status = said[0], said[1]["status"]
+                line.say({"do": "socket"})
+                sock.settimeout(1.0)
+                _, fds, _, _ = socket.recv_fds(sock, 1, 1)
+                listener = socket.socket(fileno=fds[0])
+                spec = plans.Spec(hello["hello"], listener.getsockname()[:2], hello["start"], hello["live"])
+                if spec.address in self.sockets:
+                    listener.close()
+                else:
+                    self.sockets[spec.address] = listener
+                found.append((spec.name, hello["generation"], spec, status, sock))
+                self.pidfds[spec.name, hello["generation"]] = os.pidfd_open(pid)
+            except (OSError, ValueError, LookupError) as fault:
+                log.error("not-adopted", extra={"pairs": {"pid": pid, "socket": file, "why": fault or type(fault).__name__}})
+                end_process(pid)
+                try:
+                    os.unlink(path)
+                except FileNotFoundError:
+                    pass
+        return found
+
+    def follow(self, name, generation, sock):
+        """A control connection that stands, and the process behind it."""
+        line = control.Line(sock)
+        self.channels[name, generation] = line
+        self.selector.register(sock, selectors.EVENT_READ, lambda: self.hear(name, generation, line))
+        if (name, generation) in self.pidfds and (name, generation) not in self.children:
+            self.watch_process(name, generation)
+
+    # The loop
+
+    def run(self):
+        wake, ring = socket.socketpair()
+        for sock in (wake, ring):
+            sock.setblocking(False)
+        signal.set_wakeup_fd(ring.fileno(), warn_on_full_buffer=False)
+        signals = []
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, lambda n, _: signals.append(n))
+        self.selector.register(wake, selectors.EVENT_READ, lambda: wake.recv(4096))
+        self.tell("tick")
+        self.at(0, self.regularly)
+        if self.manager.every:
+            self.at(0, self.alive)
+        while not self.done:
+            left = max(0.0, self.timers[0][0] - time.monotonic()) if self.timers else TICK
+            for key, mask in self.selector.select(min(TICK, left)):
+                if key.fileobj in self.selector.get_map():
+                    key.data()
+            while signals:
+                number = signals.pop(0)
+                if number == signal.SIGHUP:
+                    self.reload(None)
+                else:
+                    self.manager.stopping()
+                    self.tell("stop")
+            while self.timers and self.timers[0][0] <= time.monotonic():
+                heapq.heappop(self.timers)[2]()
+            self.connect_waiting()
+            self.tell("tick")
+        for sock in self.sockets.values():
+            sock.close()
+        os.unlink(os.path.join(self.folder, "fleet.sock"))
+        return 0
+
+    def at(self, after, what):
+        heapq.heappush(self.timers, (time.monotonic() + after, id(what), what))
+
+    def alive(self):
+        self.manager.alive()
+        self.at(self.manager.every, self.alive)
+
+    def regularly(self):
+        self.at(STATUS_EVERY, self.regularly)
+        self.manager.say(f"STATUS={self.summary()}")
+
+    def summary(self):
+        slots = self.core.slots.values()
+        return f"{sum(s.serving() for s in slots)} of {len(slots)} instances serve"
+
+    def tell(self, what, *args):
+        for effect in self.core.step(now(), what, *args):
+            self.carry_out(effect)
+        if not self.was_ready and self.core.ready():
+            self.was_ready = True
+            log.info("ready", extra={"pairs": {"instances": len(self.core.slots)}})
+            self.manager.ready(self.summary())
+
+    def carry_out(self, effect):
+        match effect:
+            case Start():
+                self.start(effect)
+            case Take():
+                self.order(effect, {"do": "take"})
+            case Leave():
+                self.order(effect, {"do": "leave", "handed": effect.handed})
+            case Apply():
+                self.order(effect, {"do": "apply", "live": effect.spec.live})
+            case Kill():
+                self.end(effect.name, effect.generation)
+            case Door():
+                self.close_door(effect.name)
+                if effect.open:
+                    self.open_door(effect.name)
+            case Forget():
+                self.close_door(effect.name)
+                self.drop_sockets()
+            case Say():
+                log.log(logging.getLevelName(effect.level.upper()), effect.event, extra={"pairs": effect.pairs})
+            case Outcome():
+                self.outcome(effect)
+            case Over():
+                log.info("stopped")
+                self.answer({"ok": True, "why": "stopped"}, "stop")
+                self.done = True
+
+    # Processes
+
+    def start(self, effect):
+        name, generation, spec = effect.name, effect.generation, effect.spec
+        path = os.path.join(self.folder, f"{name}.{generation}.sock")
+        python, checkout = json.loads(spec.start)["program"]
+        listener = self.sockets[spec.address]
+        told = {"name": name, "generation": generation, "start": spec.start, "live": spec.live, "folder": self.folder,
+                "socket": path, "listener": listener.fileno()}
+        self.keep()
+        try:
+            with open_log(os.path.join(self.logs, f"{name}.log")) as out:
+                child = subprocess.Popen(
+                    [python, "-m", "cottonspread", "instance", "--socket", path], stdin=subprocess.PIPE, stdout=out, stderr=out,
+                    pass_fds=[listener.fileno()], start_new_session=True,
+                    env={**os.environ, "PYTHONPATH": checkout} if checkout else None)
+            self.children[name, generation] = child
+            self.pidfds[name, generation] = os.pidfd_open(child.pid)
+            self.watch_process(name, generation)
+            with child.stdin:
+                child.stdin.write(json.dumps(told).encode() + b"\n")
+        except OSError as fault:
+            child = self.children.get((name, generation))
+            if child is None:
+                self.later(lambda: self.tell("not_started", name, generation, str(fault)))
+                return
+            child.kill()                     # its end will be noticed, here or by its pidfd
+            if (name, generation) not in self.pidfds:
+                child.wait()
+                del self.children[name, generation]
+                self.later(lambda: self.tell("not_started", name, generation, str(fault)))
+            return
+        self.waiting[name, generation] = path
+
+    def later(self, what):
+        """Not inside of a step of the core."""
+        self.at(0, what)
+
+    def connect_waiting(self):
+        for (name, generation), path in list(self.waiting.items()):
+            try:
+                sock = control.connect(path)
+            except OSError:
+                continue
+            del self.waiting[name, generation]
+            self.follow(name, generation, sock)
+
+    def watch_process(self, name, generation):
+        fd = self.pidfds[name, generation]
+        self.selector.register(fd, selectors.EVENT_READ, lambda: self.process_over(name, generation))
+
+    def process_over(self, name, generation):
+        fd = self.pidfds.pop((name, generation))
+        self.selector.unregister(fd)
+        os.close(fd)
+        child, how = self.children.pop((name, generation), None), "gone"
+        if child:
+            code = child.wait()
+            how = f"signal {-code}" if code < 0 else f"exit {code}"
+        self.waiting.pop((name, generation), None)
+        self.drop_channel(name, generation)
+        self.tell("exited", name, generation, how)
+        if not self.core.rollout:
+            self.drop_sockets()
+
+    def end(self, name, generation):
+        fd = self.pidfds.get((name, generation))
+        if fd is not None:
+            try:
+                signal.pidfd_send_signal(fd, signal.SIGKILL)
+            except ProcessLookupError:
+                pass
+
+    def hear(self, name, generation, line):
+        said, stands = line.read()
+        if not stands:
+            self.drop_channel(name, generation)
+        for one in said:
+            if isinstance(one.get("status"), dict):
+                self.tell("told", name, generation, one["status"])
+
+    def drop_channel(self, name, generation):
+        line = self.channels.pop((name, generation), None)
+        if line:
+            self.selector.unregister(line.sock)
+            line.sock.close()
+
+    def order(self, effect, said):
+        line = self.channels.get((effect.name, effect.generation))
+        if line:
+            line.say(said)
+
+    def drop_sockets(self):
+        """Addresses that nobody wants any more."""
+        wanted = {s.spec.address for s in self.core.slots.values()} | {p.spec.address for p in self.core.processes()}
+        wanted |= {s.address for s in self.core.plan.specs.values()}
+        for address in self.sockets.keys() - wanted:
+            self.sockets.pop(address).close()
+
+    # The door
+
+    def open_door(self, name):
+        sock = self.sockets.get(self.core.slots[name].spec.address)
+        if sock and sock not in self.doors.values():
+            self.doors[name] = sock
+            self.selector.register(sock, selectors.EVENT_READ, lambda: self.at_door(sock))
+
+    def close_door(self, name):
+        sock = self.doors.pop(name, None)
+        if sock:
+            self.selector.unregister(sock)
+
+    def at_door(self, listener):
+        try:
+            sock = listener.accept()[0]
+        except OSError:
+            return
+        sock.setblocking(False)
+        guest = Guest(sock)
+        self.guests[sock] = guest
+        self.selector.register(sock, selectors.EVENT_READ, lambda: self.guest(guest))
+        self.at(DOOR_WAIT, lambda: self.guest_late(guest))
+        if len(self.guests) > MOST_AT_DOOR:
+            self.see_out(next(iter(self.guests.values())))
+
+    def guest(self, guest):
+        try:
+            data = guest.sock.recv(4096)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        guest.data = (guest.data + data)[:4096]
+        if not data:
+            self.see_out(guest)
+        elif b"\n" in guest.data or len(guest.data) == 4096:
+            self.turn_away(guest)
+
+    def turn_away(self, guest):
+        if guest.answered:
+            return
+        guest.answered = True
+        try:
+            guest.sock.send(b"ERR\r\n" if guest.data.strip() == b"PING" else b"BUSY\r\n")
+            guest.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.see_out(guest)
+
+    def guest_late(self, guest):
+        if guest.sock in self.guests:
+            late = guest.answered
+            self.turn_away(guest)
+            self.see_out(guest) if late else self.at(DOOR_WAIT, lambda: self.see_out(guest))
+
+    def see_out(self, guest):
+        if self.guests.pop(guest.sock, None):
+            self.selector.unregister(guest.sock)
+            guest.sock.close()
+
+    # Commands
+
+    def welcome(self):
+        try:
+            line = control.Line(self.control.accept()[0])
+        except OSError:
+            return
+        self.clients[line.sock] = line
+        self.selector.register(line.sock, selectors.EVENT_READ, lambda: self.command(line))
+
+    def command(self, line):
+        said, stands = line.read()
+        for one in said:
+            try:
+                self.obey(line, one)
+            except config.Senseless as fault:
+                line.say({"ok": False, "why": str(fault)})
+            except Exception as fault:       # our own: told, and the fleet goes on
+                log.exception("fault", extra={"pairs": {"while": one.get("do")}})
+                line.say({"ok": False, "why": f"our own fault: {type(fault).__name__}: {fault}"})
+        if not stands or not line.flush():
+            self.clients.pop(line.sock, None)
+            self.answers = [(k, other) for k, other in self.answers if other is not line]
+            self.selector.unregister(line.sock)
+            line.sock.close()
+
+    def obey(self, line, one):
+        do, name = one.get("do"), one.get("name")
+        if name is not None and name not in self.core.slots:
+            raise config.Senseless(f"{name}: no such instance" + op.near(str(name), self.core.slots))
+        if do == "status":
+            line.say({"ok": True, "status": self.status()})
+        elif do == "reload":
+            self.reload(line)
+        elif do == "upgrade":
+            self.change((one["python"], one["checkout"]) if one.get("python") else self.own_program, "upgrade", line)
+        elif do in ("drain", "restart"):
+            self.tell(do, name)
+            line.say({"ok": True, "why": "begun"})
+        elif do == "stop":
+            self.answers.append(("stop", line))
+            self.manager.stopping()
+            self.tell("stop")
+        else:
+            raise config.Senseless(f"{do}: no such command")
+
+    def reload(self, line):
+        self.manager.reloading()
+        try:
+            self.change(self.core.plan.program, "reload", line)
+        except config.Senseless as fault:
+            log.error("reload", extra={"pairs": {"why": fault, "kept": "the old configuration"}})
+            self.manager.ready(self.summary())
+            if line:
+                raise
+
+    def change(self, program, why, line):
+        if self.core.stopping:
+            raise config.Senseless("the fleet is stopping")
+        plan = plans.read(self.path, program, self.check)
+        fleet = plan.fleet
+        if (fleet.name, fleet.state, fleet.logs) != self.fixed:
+            raise op.Faults([f"{self.path}: fleet.{key}: only a new supervisor takes this over" for key, was in zip(
+                ("name", "state", "logs"), self.fixed) if getattr(fleet, key) != was])
+        taken = plans.bind_all({n: s for n, s in plan.specs.items() if s.address not in self.sockets})
+        self.sockets.update({plan.specs[name].address: sock for name, sock in taken.items()})
+        if line:
+            self.answers.append(("rollout", line))
+        self.tell("replan", plan, why)
+
+    def outcome(self, effect):
+        self.keep()
+        self.manager.ready(self.summary())
+        if not self.core.pending:
+            self.answer({"ok": effect.ok, "why": effect.why or "done"}, "rollout")
+
+    def answer(self, said, kind):
+        for k, line in self.answers:
+            if k == kind:
+                line.say(said)
+        self.answers = [(k, line) for k, line in self.answers if k != kind]
+
+    def status(self):
+        rows = []
+        for slot in self.core.slots.values():
+            p = slot.holder or slot.next
+            seen = p.seen if p else {}
+            rows.append({
+                "instance": slot.name, "address": "%s:%d" % slot.spec.address, "pid": seen.get("pid"), "state": self.core.state_of(slot),
+                "generation": p.generation if p else None, "since_s": round((self.core.now - p.since) / 1e6, 1) if p else None,
+                "connections": seen.get("connections"), "calls": seen.get("calls"), "list": seen.get("list"),
+                "version": seen.get("version"), "ended": seen.get("ended"), "bad": seen.get("bad"),
+                "restarts": slot.restarts, "why": slot.why, "leaving": len(slot.leaving)})
+        r = self.core.rollout
+        return {"fleet": self.fixed[0], "pid": os.getpid(), "ready": self.core.ready(), "program": list(self.core.plan.program),
+                "rollout": {"of": r.why, "to_do": len(r.todo), "under_way": len(r.doing), "going_back": r.back} if r else None,
+                "instances": rows}
+
+
+def open_log(path):
+    """The instance's log; where it cannot be opened the instance runs all the same."""
+    try:
+        return open(path, "ab")
+    except OSError as fault:
+        log.error("log", extra={"pairs": {"file": path, "why": fault}})
+        return open(os.devnull, "ab")
+
+
+def running_with(path):
+    """The pid of the instance with this control socket, by its command line: a pid in a file may be anybody's by now."""
+    for pid in filter(str.isdigit, os.listdir("/proc")):
+        try:
+            with open(f"/proc/{pid}/cmdline", "rb") as file:
+                words = file.read().split(b"\0")
+        except OSError:
+            continue
+        if b"instance" in words and path.encode() in words:
+            return int(pid)
+    return None
+
+
+def end_process(pid, wait=5.0):
+    """SIGKILL, and wait until it is gone."""
+    try:
+        fd = os.pidfd_open(pid)
+    except OSError:
+        return
+    try:
+        signal.pidfd_send_signal(fd, signal.SIGKILL)
+        with selectors.DefaultSelector() as selector:
+            selector.register(fd, selectors.EVENT_READ)
+            selector.select(wait)
+    except ProcessLookupError:
+        pass
+    finally:
+        os.close(fd)
--- /dev/null
+++ b/cottonspread/lists/__init__.py
@@ -0,0 +1,1 @@
+"""Sources of the server list besides discovery."""
--- /dev/null
+++ b/cottonspread/lists/saved.py
@@ -0,0 +1,58 @@
+"""The last list that a node was told, in a file: what its successor begins with, draining servers marked as such."""
+import json
+import logging
+import os
+
+log = logging.getLogger("cottonspread.lists")
+
+
+def write_whole(path, text):
+    """The file is the old one or the new one, never half of it. Raises OSError; nothing is left behind then."""
+    beside = f"{path}.{os.getpid()}.new"
+    try:
+        with open(beside, "w", encoding="utf-8") as file:
+            file.write(text)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(beside, path)
+    except OSError:
+        try:
+            os.unlink(beside)
+        except OSError:
+            pass
+        raise
+
+
+class Saved:
+    """Keeps what discovery tells, as its JSON. A disk that takes nothing costs a log line, and the node goes on."""
+
+    def __init__(self, path):
+        self.path, self.known, self.failing = path, {}, False
+
+    def told(self, version, instances, whole):
+        if whole:
+            self.known = {}
+        for one in instances:
+            self.known[str(one["instanceId"])] = one
+            if one["lifecycle"] == "Gone":
+                del self.known[str(one["instanceId"])]
+        try:
+            write_whole(self.path, json.dumps({"generation": version, "reset": True, "instances": list(self.known.values())}))
+            self.failing = False
+        except OSError as fault:
+            if not self.failing:             # once, not at each list
+                log.error("list-not-saved", extra={"pairs": {"file": self.path, "why": fault}})
+            self.failing = True
+
+
+def read(path):
+    """The saved list as JSON, or None: none there, or not readable, which is no reason not to start."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            said = json.load(file)
+        return said if isinstance(said, dict) and isinstance(said.get("instances"), list) else None
+    except FileNotFoundError:
+        return None
+    except (OSError, ValueError, RecursionError) as fault:
+        log.warning("saved-list", extra={"pairs": {"file": path, "why": fault, "kept": "none"}})
+        return None
--- a/cottonspread/net/discovery.py
+++ b/cottonspread/net/discovery.py
@@ -46,10 +46,11 @@
     PAUSE, LONGEST_PAUSE = 0.05, 1.0
     LOWER = 3                      # whole lists in a row with a lower version: discovery itself began anew
 
-    def __init__(self, address, names, post, version, ask=False):
+    def __init__(self, address, names, post, version, ask=False, keep=None):
         self.http, self.names, self.post = Http(address, 1.0), names, post
         self.version, self.whole, self.lower, self.failures = version, True, 0, 0
         self.ask, self.wanted, self.stopped = ask, threading.Event(), False
+        self.keep = keep                     # is given each list as JSON, once it has been posted
         self.target = self.http              # what is to be followed from now on
 
     def follow(self, address):
@@ -114,6 +115,8 @@
             raise BadList("changes where the whole list was asked")
         self.version, self.whole, self.lower = version, False, 0
         self.post(events.Heard(listed, addresses))
+        if self.keep:
+            self.keep(version, said["instances"], full)
 
     def stop(self):
         self.stopped = True
--- a/cottonspread/net/events.py
+++ b/cottonspread/net/events.py
@@ -72,7 +72,8 @@
 
 @dataclass(frozen=True, slots=True)
 class StopAsked:
-    """SIGTERM."""
+    """SIGTERM. `handed`: a successor takes what comes from now on; what was taken before is answered as ever."""
+    handed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/cottonspread/net/logfmt.py
+++ b/cottonspread/net/logfmt.py
@@ -1,4 +1,4 @@
-"""Log lines as key=value pairs."""
+"""Log lines as key=value pairs, or as JSON lines with the same keys."""
 import json
 import logging
 import logging.handlers
@@ -14,19 +14,27 @@
 
 
 class KeyValue(logging.Formatter):
-    """`log.info("event", extra={"pairs": {...}})` becomes `time=... level=info node=... event=event ...`."""
+    """`log.info("event", extra={"pairs": {...}})` becomes `time=... level=info node=... event=event ...`. `own`: pairs of every line."""
 
-    def __init__(self, node):
+    def __init__(self, node, **own):
         super().__init__()
-        self.node = node
+        self.own = {"node": node, **own}
 
-    def format(self, record):
+    def pairs(self, record):
         at = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created)) + f".{int(record.msecs):03d}Z"
-        pairs = {"time": at, "level": record.levelname.lower(), "node": self.node,
+        pairs = {"time": at, "level": record.levelname.lower(), **self.own,
                  "event": record.getMessage(), **getattr(record, "pairs", {})}
         if record.exc_info:
             pairs["trace"] = self.formatException(record.exc_info)
-        return " ".join(pair(k, v) for k, v in pairs.items())
+        return pairs
+
+    def format(self, record):
+        return " ".join(pair(k, v) for k, v in self.pairs(record).items())
+
+
+class JsonLines(KeyValue):
+    def format(self, record):
+        return json.dumps(self.pairs(record), default=str)
 
 
 class Queued(logging.handlers.QueueHandler):
@@ -42,10 +50,14 @@
             pass
 
 
-def start(node, level=logging.INFO):
-    """Logs to standard error; returns what writes out the rest at the end."""
+FORMATS = {"pairs": KeyValue, "json": JsonLines}
+
+
+def start(node, level=logging.INFO, format="pairs", **own):
+    """Logs to standard error; returns what writes out the rest at the end. `own`: pairs of every line."""
     handler = logging.StreamHandler()
-    handler.setFormatter(KeyValue(node))
+    handler.setFormatter(FORMATS[format](node, **own))
+    logging.raiseExceptions = False          # a full disk costs lines, and no tracebacks where there is no room either
     records = queue.Queue(QUEUE)
     root = logging.getLogger("cottonspread")
     root.handlers, root.propagate = [Queued(records)], False
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -5,9 +5,11 @@
 import os
 import queue
 import resource
+import select
 import socket
 import threading
 import time
+from collections import Counter
 from dataclasses import replace
 
 from cottonspread.front.lateness import Door
@@ -22,6 +24,9 @@
 QUEUE = 4096                       # events; workers wait when it is full
 BACKLOG = 1024
 ROOM_WAITS = 25                    # times 2 ms that a client waits for a descriptor to be given back
+# How a call ends that was lost or turned away: what an upgrade may not bring more of (docs/on-call.md)
+BADLY = {"fault", "overdue", "released", "rejected", "no-room", "no-room-at-all", "node-late", "held-by-lost", "stuck", "unknown"}
+NO_CALL = {"ping", "no-first-line", "not-ready"}
 SPARE_ENDS = 32                    # descriptors for the listener, discovery, logs, and to turn clients away with
 BASE_MB, END_KB = 24, 32           # measured, with a third to spare: docs/design.md
 
@@ -53,28 +58,32 @@
 class Node:
     """`start` returns once the node listens; `stop` asks it to end its work; `join` waits until it has."""
 
-    def __init__(self, place, room, names, hearing, begin, known):
+    def __init__(self, place, room, names, hearing, begin, known, keep=None):
+        """`keep(version, instances, whole)`, if given, is told each list as JSON, in the discovery's thread."""
         self.place, self.room, self.clock = place, room, Clock()
         self.events, self.done = queue.Queue(QUEUE), threading.Event()
         self.most = most_ends(room)
         self.workers = workers.Workers(Pool(), self.post, self.clock.now)
         self.lock, self.door = threading.Lock(), Door(min(t.setup_target for t in begin.types) // 4)
         version, listed, addresses = discovery.read_list(known, names, News.SAVED)
-        self.discovery = discovery.Discovery(place.discovery, names, self.post, version, begin.listing.ask)
+        self.discovery = discovery.Discovery(place.discovery, names, self.post, version, begin.listing.ask, keep)
         self.reducer = Reducer(self.clock.now(), begin, names, hearing, self.most)
         self.post(ev.Heard(listed, addresses))
-        self.listener, self.ending = None, False
+        self.listener, self.ending, self.shared, self.steps, self.ended = None, False, False, 0, Counter()
+        self.wake, self.accepting = None, None
 
     def post(self, event):
         self.events.put((self.clock.now(), event))
 
-    def start(self):
-        self.listener = socket.create_server(self.place.listen, backlog=BACKLOG)
+    def start(self, listener=None):
+        """`listener`: a socket that another process keeps too and that listens already; nothing is taken from it before `take`."""
+        self.shared = listener is not None
+        self.listener = listener or socket.create_server(self.place.listen, backlog=BACKLOG)
         # What came before it was accepted is stamped too: a client's time runs from when its line was here.
         self.listener.setsockopt(socket.SOL_SOCKET, lines.SO_TIMESTAMPNS, 1)
         grow_table(self.room.sockets)
         self.workers.start()
-        for target in (self.loop, self.discovery.run, self.accept):
+        for target in (self.loop, self.discovery.run) if self.shared else (self.loop, self.discovery.run, self.accept):
             workers.start_thread(target, stack=workers.WIDE)
         log.info("listening", extra={"pairs": {"address": "%s:%d" % self.listener.getsockname()[:2],
                                                "most_ends": self.most}})
@@ -85,6 +94,45 @@
             self.place = replace(self.place, discovery=address)
             self.discovery.follow(address)
 
+    def take(self):
+        """Take connections from the shared listener from now on."""
+        self.listener.setblocking(False)     # two may wait for it: who is too late must not wait on
+        self.wake, self.accepting = socket.socketpair(), threading.Event()
+        workers.start_thread(self.accept_shared, stack=workers.WIDE)
+
+    def leave(self):
+        """Take no more, for a successor does, and stop. What is in the queue of the listener is the successor's."""
+        if self.accepting:
+            self.ending = True
+            self.wake[1].send(b"x")
+            self.accepting.wait()
+        self.post(ev.StopAsked(True))
+
+    def ping(self, wait=1.0):
+        """Whether a PING is answered: by the reducer and the workers as a client's is, on a pair of sockets of its own."""
+        ours, theirs = socket.socketpair()
+        with ours:
+            ours.settimeout(wait)
+            theirs.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, workers.RCVTIMEO)
+            end = ev.End(True)
+            if not self.workers.begin(end, theirs):
+                theirs.close()
+                return False
+            self.post(ev.Came(end))
+            try:
+                ours.sendall(lines.PING + b"\r\n")
+                return ours.recv(16) == lines.PONG
+            except OSError:
+                return False
+
+    def status(self):
+        """What is told of a node that runs: whole numbers, and `listed`, whether it knows a server that is ready."""
+        reducer, ended = self.reducer, dict(self.ended)
+        return {"steps": self.steps, "listed": reducer.listed, "list": self.discovery.version,
+                "connections": len(reducer.conns), "calls": len(reducer.by_id),
+                "ended": sum(n for reason, n in ended.items() if reason not in NO_CALL),
+                "bad": sum(n for reason, n in ended.items() if reason in BADLY)}
+
     def stop(self):
         self.post(ev.StopAsked())
 
@@ -109,6 +157,7 @@
 
     def step(self, event, at=0):
         """One step of the reducer. Our own fault stands in the log with its trace, and costs one connection."""
+        self.steps += 1
         try:
             return self.reducer.step(self.clock.now(), event, at)
         except Exception:
@@ -117,6 +166,8 @@
 
     def carry_out(self, effect):
         if isinstance(effect, ev.Say):
+            if effect.event == "closed":
+                self.ended[effect.pairs["reason"]] += 1
             log.log(logging.getLevelName(effect.level.upper()), effect.event, extra={"pairs": effect.pairs})
         elif isinstance(effect, ev.FollowList):
             self.discovery.wanted.set()
@@ -128,11 +179,15 @@
     def finish(self):
         self.ending = True
         self.discovery.stop()
-        try:
-            self.listener.shutdown(socket.SHUT_RDWR)      # wakes `accept`
-        except OSError:
-            pass
-        self.listener.close()
+        if self.shared:                      # others listen there too
+            if self.wake:
+                self.wake[1].send(b"x")
+        else:
+            try:
+                self.listener.shutdown(socket.SHUT_RDWR)      # wakes `accept`
+            except OSError:
+                pass
+            self.listener.close()
         self.workers.writes.put(None)
         self.done.set()
 
@@ -146,26 +201,49 @@
                 log.warning("accept", extra={"pairs": {"why": errno.errorcode.get(fault.errno, str(fault))}})
                 time.sleep(0.05)             # no descriptors: some will be given back
                 continue
-            with self.lock:
-                admitted = self.door.admits(self.clock.now())
-            if not admitted:
-                self.turn_away(sock, "node-late", self.reducer.come_back())
-                continue
-            try:
-                workers.prepare(sock)
-            except OSError:                  # gone already
-                sock.close()
-                continue
-            end = ev.End(True)
-            # What has come and is not yet in the reducer's count: hundreds at once would pass the limit.
-            waits = ROOM_WAITS
-            while waits and len(self.workers.live) >= self.most + SPARE_ENDS // 2:
-                waits -= 1
-                time.sleep(0.002)            # the reducer turns out who says nothing
-            if not waits or not self.workers.begin(end, sock):
-                self.turn_away(sock, "no-room-at-all", 0)
-                continue
-            self.post(ev.Came(end))
+            self.accepted(sock)
+
+    def accept_shared(self):
+        poll = select.poll()
+        for sock in (self.listener, self.wake[0]):
+            poll.register(sock, select.POLLIN)
+        try:
+            while not self.ending:
+                poll.poll()
+                try:
+                    while not self.ending:
+                        sock, _ = self.listener.accept()
+                        sock.setblocking(True)
+                        self.accepted(sock)
+                except BlockingIOError:
+                    pass
+                except OSError as fault:
+                    log.warning("accept", extra={"pairs": {"why": errno.errorcode.get(fault.errno, str(fault))}})
+                    time.sleep(0.05)
+        finally:
+            self.accepting.set()
+
+    def accepted(self, sock):
+        with self.lock:
+            admitted = self.door.admits(self.clock.now())
+        if not admitted:
+            self.turn_away(sock, "node-late", self.reducer.come_back())
+            return
+        try:
+            workers.prepare(sock)
+        except OSError:                      # gone already
+            sock.close()
+            return
+        end = ev.End(True)
+        # What has come and is not yet in the reducer's count: hundreds at once would pass the limit.
+        waits = ROOM_WAITS
+        while waits and len(self.workers.live) >= self.most + SPARE_ENDS // 2:
+            waits -= 1
+            time.sleep(0.002)                # the reducer turns out who says nothing
+        if not waits or not self.workers.begin(end, sock):
+            self.turn_away(sock, "no-room-at-all", 0)
+            return
+        self.post(ev.Came(end))
 
     def turn_away(self, sock, reason, come_back):
         """No room or no time even for its first line."""
@@ -179,4 +257,5 @@
         except OSError:
             pass
         sock.close()
+        self.ended[reason] += 1
         log.info("closed", extra={"pairs": {"reason": reason}})
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -85,7 +85,7 @@
         self.by_id, self.ended_ids = {}, {}  # calls that are open, and ended ones, by the client's word for them
         self.longest_wait = LONGEST_WAIT * max(t.guard_time for t in begin.types)
         self.timers, self.stamp = [], 0
-        self.listed, self.stopping, self.stop_by, self.leave_from = False, 0, 0, 0
+        self.listed, self.stopping, self.stop_by, self.leave_from, self.handed = False, 0, 0, 0, False
         self.usual = 0.0                     # mean of the loads told
         targets = [t.message_target for t in begin.types if t.message_target]
         self.slow_from = min(targets, default=SECOND) // 3
@@ -207,7 +207,7 @@
             return
         if first.rstrip(b"\r") == lines.PING:
             conn.pings += 1
-            if self.listed and not self.stopping:
+            if self.listed and not self.turns_away(conn):
                 self.write(conn.client, lines.PONG)
             else:
                 self.turn_out(conn, "not-ready")
@@ -232,8 +232,8 @@
         conn.guard = self.happened + wait
         left = max(0, wait - lain - min(self.own.most(self.now), (wait - lain) // 4))
         # Two descriptors for every call, and some left to answer with: at the edge a call is turned away.
-        if self.stopping or self.ends + 1 > self.most_ends:
-            self.finish(conn, "stopping" if self.stopping else "no-room", lines.busy(self.come_back()))
+        if self.turns_away(conn) or self.ends + 1 > self.most_ends:
+            self.finish(conn, "stopping" if self.turns_away(conn) else "no-room", lines.busy(self.come_back()))
             return
         host = self.servers.get(opening.held_by)
         if opening.held_by is not None and (host is None or host.address is None):
@@ -246,6 +246,10 @@
         if host is not None:
             self.open_leg(conn, host, conn.guard, STANDING_WAIT // 4)
 
+    def turns_away(self, conn):
+        """Stopping, and the client could as well have come to the successor, if there is one."""
+        return self.stopping and not (self.handed and conn.began <= self.stopping)
+
     def come_back(self):
         return self.begin.legs.longest_advice // 2 if self.begin.legs.may_advise else 0
 
@@ -686,7 +690,7 @@
         if self.stopping:
             return
         longest = min(max(t.guard_time for t in self.begin.types), 3 * SECOND)
-        self.stopping, self.stop_by = self.now, self.now + longest + SECOND // 2
+        self.stopping, self.stop_by, self.handed = self.now, self.now + longest + SECOND // 2, e.handed
         # New connections go on coming here for a while: who is moved now would come back to this node. And in a
         # rolling restart the node before this one is just coming back: who was moved at once found none to take it.
         last = self.stop_by - SECOND // 2
--- a/cottonspread/net/workers.py
+++ b/cottonspread/net/workers.py
@@ -19,13 +19,14 @@
 STACK = 128 * 1024                 # of each end's thread
 WIDE = 1024 * 1024                 # of the few others: JSON nested a thousand deep needs over 128 KiB, or the node dies
 HALF_LINE_WAIT = 5                 # seconds; a read that waits looks as often whether half a line is too old
+RCVTIMEO = struct.pack("ll", HALF_LINE_WAIT, 0)
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def prepare(sock):
     sock.settimeout(None)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, struct.pack("ll", HALF_LINE_WAIT, 0))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, RCVTIMEO)
     sock.setsockopt(socket.SOL_SOCKET, lines.SO_TIMESTAMPNS, 1)
 
 
