--- a/cottonspread/cli/instance.py
+++ b/cottonspread/cli/instance.py
@@ -68,7 +68,10 @@
                     self.leave(False)
                 self.look()
         finally:
-            os.unlink(self.told["socket"])
+            try:
+                os.unlink(self.told["socket"])
+            except FileNotFoundError:        # a supervisor that took us for gone
+                pass
         return 0
 
     def look(self):
--- a/cottonspread/fleet/core.py
+++ b/cottonspread/fleet/core.py
@@ -81,9 +81,10 @@
 
 @dataclass(frozen=True)
 class Outcome:
-    """A rollout has ended."""
+    """A rollout has ended, or never begun."""
     ok: bool
     why: str
+    target: object                 # the plan that was asked for
     plan: object                   # what is in force now
 
 
@@ -130,9 +131,9 @@
     not_before: int = 0
     given_up: bool = False
     restarts: int = 0
+    away_since: int = 0            # when its holder ended unasked
     why: str = ""                  # the last end that was not asked for
     door: bool = False
-    tried: object = None           # in a rollout: the process that is to be watched
 
     def processes(self):
         return [p for p in (self.holder, self.next) if p] + self.leaving
@@ -222,6 +223,9 @@
             if p.state == SERVING and p is slot.next:
                 slot.holder, slot.next = p, None
                 self.say("ready", p, ms=(self.now - p.began) // 1000)
+                if slot.away_since:
+                    self.say("returned", p, ms=(self.now - slot.away_since) // 1000)
+                    slot.away_since = 0
                 p.at_ready = status.get("ended", 0), status.get("bad", 0)
             elif p.state == LEAVING and p is slot.holder:
                 slot.leaving.append(p)
@@ -247,17 +251,12 @@
         """There is no process at all."""
         self.exited(name, generation, f"not started: {why}")
 
-    def refused(self, name, generation, why):
-        """A running one could not take the live part over."""
-        slot, p = self.find(name, generation)
-        if p is not None and self.rollout and not self.rollout.back:
-            self.go_back(f"{name}: {why}")
-
     def replan(self, plan, why="reload"):
         """A new plan, whole and checked. One at a time: the newest of those that come meanwhile is next."""
         if self.stopping:
             return
         if self.rollout:
+            self.drop_pending("a later one came")
             self.pending = plan, why
             self.out.append(Say("pending", {"why": why, "behind": self.rollout.why}))
             return
@@ -266,13 +265,18 @@
     def stop(self):
         """Once: all stop in the node's own way. Twice: at once."""
         self.hurried, self.stopping = self.stopping, True
-        self.pending = None
+        self.drop_pending("stopped")
         if self.rollout:
             self.end_rollout(False, "stopped")
         if self.hurried:
             for p in self.processes():
                 self.kill(p, "hurried")
 
+    def drop_pending(self, why):
+        if self.pending:
+            self.out.append(Outcome(False, why, self.pending[0], self.plan))
+            self.pending = None
+
     def drain(self, name):
         self.slots[name].drained = True
 
@@ -321,7 +325,6 @@
         self.out.append(Say("going-back", {"from": r.why, "why": why}, "error"))
         for slot in r.doing:
             r.doing[slot] = 0
-            slot.tried = None
             if slot.next:
                 self.kill(slot.next, "going back")
         r.todo.clear()
@@ -335,9 +338,7 @@
 
     def end_rollout(self, ok, why):
         r, self.rollout = self.rollout, None
-        for slot in self.slots.values():
-            slot.tried = None
-        self.out += [Say("rollout", {"of": r.why, "ok": ok, "why": why or "done"}, "info" if ok else "error"), Outcome(ok, why, self.plan)]
+        self.out += [Say("rollout", {"of": r.why, "ok": ok, "why": why or "done"}, "info" if ok else "error"), Outcome(ok, why, r.plan, self.plan)]
         if self.pending:
             plan, why = self.pending
             self.pending = None
@@ -465,14 +466,9 @@
     def start(self, slot):
         self.generation += 1
         slot.next = Process(slot.name, self.generation, slot.spec, self.now, since=self.now, stepped=self.now)
-        if slot.holder is None:
-            self.restarts_counted(slot)
+        slot.restarts += bool(slot.away_since)
         self.out.append(Start(slot.name, self.generation, slot.spec))
 
-    def restarts_counted(self, slot):
-        if slot.why:
-            slot.restarts += 1
-
     def wind_down(self, slot, fleet):
         if slot.next is not None and not slot.next.killed:
             self.kill(slot.next, "not wanted any more")
@@ -497,7 +493,7 @@
         if self.stopping or slot.gone or slot.drained or how in ("another plan", "going back", "not wanted any more"):
             return
         fleet, r = self.plan.fleet, self.rollout
-        slot.why = how
+        slot.why, slot.away_since = how, slot.away_since or (self.now if slot.holder is None else 0)
         self.say("ended", p, how=how, level="error")
         if r and not r.back and slot in r.doing and p.spec.start == slot.spec.start:
             self.go_back(f"{slot.name}: {how}")
--- a/cottonspread/fleet/supervisor.py
+++ b/cottonspread/fleet/supervisor.py
@@ -7,6 +7,7 @@
 import json
 import logging
 import os
+import resource
 import selectors
 import signal
 import socket
@@ -52,7 +53,7 @@
         self.sockets, self.doors, self.guests = {}, {}, {}      # by address; by name; by socket
         self.children, self.pidfds, self.channels = {}, {}, {}  # by (name, generation)
         self.waiting, self.clients = {}, {}                     # control sockets not yet there; connections of commands
-        self.asked_reload, self.answers, self.was_ready, self.done = [], [], False, False
+        self.answers, self.was_ready, self.done, self.began = [], False, False, time.monotonic()
 
     # The start
 
@@ -70,6 +71,7 @@
         self.lock = control.Lock(os.path.join(self.folder, "fleet.pid"))
         if not self.lock.take():
             raise op.Faults([f"{self.path}: fleet.state: {self.folder}: a supervisor runs there already, pid {self.lock.holder()}"])
+        self.room(op.read(self.path)[2].instances)
         kept = self.kept()
         self.program = tuple(kept.get("program") or self.own_program)
         self.plan = plans.read(self.path, self.program, self.check)
@@ -87,6 +89,14 @@
             self.follow(name, generation, sock)
         self.tell("settle")
 
+    def room(self, instances):
+        """Each instance costs a listener, a control socket and a pidfd, twice while it is changed; its process has its own limit."""
+        need = 5 * instances + MOST_AT_DOOR + 32
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if hard < need:
+            raise op.Faults([f"{self.path}: fleet.instances: {instances} need {need} descriptors; the limit is {hard} (ulimit -n)"])
+        resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, need), hard))
+
     def kept(self):
         try:
             with open(os.path.join(self.folder, "fleet.json"), encoding="utf-8") as file:
@@ -100,7 +110,7 @@
     def keep(self):
         try:
             write_whole(os.path.join(self.folder, "fleet.json"),
-                        json.dumps({"program": list(self.core.plan.program), "generation": self.core.generation}))
+                        json.dumps({"program": list(self.program), "generation": self.core.generation}))
         except OSError as fault:
             log.error("state", extra={"pairs": {"why": fault}})
 
@@ -113,7 +123,7 @@
                 continue
             pid = running_with(path)
             if pid is None:
-                os.unlink(path)
+                unlink(path)
                 continue
             try:
                 sock = control.connect(path)
@@ -136,10 +146,7 @@
             except (OSError, ValueError, LookupError) as fault:
                 log.error("not-adopted", extra={"pairs": {"pid": pid, "socket": file, "why": fault or type(fault).__name__}})
                 end_process(pid)
-                try:
-                    os.unlink(path)
-                except FileNotFoundError:
-                    pass
+                unlink(path)
         return found
 
     def follow(self, name, generation, sock):
@@ -167,9 +174,7 @@
             self.at(0, self.alive)
         while not self.done:
             left = max(0.0, self.timers[0][0] - time.monotonic()) if self.timers else TICK
-            for key, mask in self.selector.select(min(TICK, left)):
-                if key.fileobj in self.selector.get_map():
-                    key.data()
+            self.hear_all(min(TICK, left))
             while signals:
                 number = signals.pop(0)
                 if number == signal.SIGHUP:
@@ -181,11 +186,19 @@
                 heapq.heappop(self.timers)[2]()
             self.connect_waiting()
             self.tell("tick")
-        for sock in self.sockets.values():
-            sock.close()
-        os.unlink(os.path.join(self.folder, "fleet.sock"))
+        self.close_up()
+        unlink(os.path.join(self.folder, "fleet.sock"))
         return 0
 
+    def hear_all(self, wait):
+        for key, _ in self.selector.select(wait):
+            if self.selector.get_map().get(key.fd) is not key:       # closed by what came before it in this round
+                continue
+            try:
+                key.data()
+            except Exception:                # our own: in plain sight, and the fleet goes on
+                log.exception("fault", extra={"pairs": {"while": "events"}})
+
     def at(self, after, what):
         heapq.heappush(self.timers, (time.monotonic() + after, id(what), what))
 
@@ -206,7 +219,7 @@
             self.carry_out(effect)
         if not self.was_ready and self.core.ready():
             self.was_ready = True
-            log.info("ready", extra={"pairs": {"instances": len(self.core.slots)}})
+            log.info("ready", extra={"pairs": {"instances": len(self.core.slots), "s": time.monotonic() - self.began}})
             self.manager.ready(self.summary())
 
     def carry_out(self, effect):
@@ -240,6 +253,7 @@
     # Processes
 
     def start(self, effect):
+        """-P: the folder that we happen to run in is not searched, or it would shadow the program asked for."""
         name, generation, spec = effect.name, effect.generation, effect.spec
         path = os.path.join(self.folder, f"{name}.{generation}.sock")
         python, checkout = json.loads(spec.start)["program"]
@@ -250,7 +264,7 @@
         try:
             with open_log(os.path.join(self.logs, f"{name}.log")) as out:
                 child = subprocess.Popen(
-                    [python, "-m", "cottonspread", "instance", "--socket", path], stdin=subprocess.PIPE, stdout=out, stderr=out,
+                    [python, "-P", "-m", "cottonspread", "instance", "--socket", path], stdin=subprocess.PIPE, stdout=out, stderr=out,
                     pass_fds=[listener.fileno()], start_new_session=True,
                     env={**os.environ, "PYTHONPATH": checkout} if checkout else None)
             self.children[name, generation] = child
@@ -259,15 +273,14 @@
             with child.stdin:
                 child.stdin.write(json.dumps(told).encode() + b"\n")
         except OSError as fault:
-            child = self.children.get((name, generation))
-            if child is None:
-                self.later(lambda: self.tell("not_started", name, generation, str(fault)))
-                return
-            child.kill()                     # its end will be noticed, here or by its pidfd
-            if (name, generation) not in self.pidfds:
+            child, why = self.children.get((name, generation)), str(fault)
+            if child is not None:
+                child.kill()
+                if (name, generation) in self.pidfds:
+                    return                   # its end will be noticed
                 child.wait()
                 del self.children[name, generation]
-                self.later(lambda: self.tell("not_started", name, generation, str(fault)))
+            self.later(lambda: self.tell("not_started", name, generation, why))
             return
         self.waiting[name, generation] = path
 
@@ -349,18 +362,45 @@
         if sock:
             self.selector.unregister(sock)
 
-    def at_door(self, listener):
+    def at_door(self, listener, at_once=False):
+        """Whether there was one."""
         try:
             sock = listener.accept()[0]
         except OSError:
-            return
+            return False
         sock.setblocking(False)
         guest = Guest(sock)
+        if at_once:                          # its line is here, or it comes too late
+            try:
+                guest.data = sock.recv(4096)
+            except OSError:
+                pass
+            self.turn_away(guest)
+            sock.close()
+            return True
         self.guests[sock] = guest
         self.selector.register(sock, selectors.EVENT_READ, lambda: self.guest(guest))
         self.at(DOOR_WAIT, lambda: self.guest_late(guest))
         if len(self.guests) > MOST_AT_DOOR:
-            self.see_out(next(iter(self.guests.values())))
+            oldest = next(iter(self.guests.values()))
+            self.guest(oldest)               # its line, if it is here
+            self.turn_away(oldest)
+            self.see_out(oldest)
+        return True
+
+    def close_up(self):
+        """The end of all addresses. Who is in the queue of one when it closes gets a reset, so nobody is left in it."""
+        for name in list(self.doors):
+            self.close_door(name)
+        for sock in list(self.sockets.values()):
+            self.at_door(sock)
+        until = time.monotonic() + DOOR_WAIT
+        while self.guests and time.monotonic() < until:
+            self.hear_all(TICK)
+        for sock in self.sockets.values():
+            while self.at_door(sock, at_once=True):
+                pass
+            sock.close()
 
     def guest(self, guest):
         try:
@@ -445,7 +485,8 @@
     def reload(self, line):
         self.manager.reloading()
         try:
-            self.change(self.core.plan.program, "reload", line)
+            pending = self.core.pending
+            self.change((pending[0] if pending else self.core.plan).program, "reload", line)
         except config.Senseless as fault:
             log.error("reload", extra={"pairs": {"why": fault, "kept": "the old configuration"}})
             self.manager.ready(self.summary())
@@ -463,20 +504,20 @@
         taken = plans.bind_all({n: s for n, s in plan.specs.items() if s.address not in self.sockets})
         self.sockets.update({plan.specs[name].address: sock for name, sock in taken.items()})
         if line:
-            self.answers.append(("rollout", line))
+            self.answers.append((plan, line))
         self.tell("replan", plan, why)
 
     def outcome(self, effect):
+        self.program = effect.plan.program   # only now: a supervisor that dies in an upgrade has a successor that goes back
         self.keep()
         self.manager.ready(self.summary())
-        if not self.core.pending:
-            self.answer({"ok": effect.ok, "why": effect.why or "done"}, "rollout")
+        self.answer({"ok": effect.ok, "why": effect.why or "done"}, effect.target)
 
     def answer(self, said, kind):
         for k, line in self.answers:
-            if k == kind:
+            if k is kind:
                 line.say(said)
-        self.answers = [(k, line) for k, line in self.answers if k != kind]
+        self.answers = [(k, line) for k, line in self.answers if k is not kind]
 
     def status(self):
         rows = []
@@ -504,6 +545,14 @@
         return open(os.devnull, "ab")
 
 
+def unlink(path):
+    """Whoever ends removes its own socket too, perhaps just now."""
+    try:
+        os.unlink(path)
+    except FileNotFoundError:
+        pass
+
+
 def running_with(path):
     """The pid of the instance with this control socket, by its command line: a pid in a file may be anybody's by now."""
     for pid in filter(str.isdigit, os.listdir("/proc")):
--- a/cottonspread/lab/plan.py
+++ b/cottonspread/lab/plan.py
@@ -15,6 +15,7 @@
 AT_ONCE = ("jam", "reset")             # host faults with no end of their own
 LIST_FAULTS = ("list-cut", "list-garbage", "list-restart")
 NODE_FAULTS = ("freeze", "stop", "kill", "reload")
+FLEET_FAULTS = ("fleet-reload", "fleet-upgrade", "fleet-stop", "fleet-kill")   # of all nodes, under one supervisor
 FIRST_PORT = 9000                      # under the local ports that the kernel gives out
 
 
@@ -90,6 +91,7 @@
     settings: dict = {}                # over those that follow from hosts and load
     command: list[str] = []            # another program in the place of `serve`
     checkout: str = ""                 # another checkout of this repository
+    fleet: dict = {}                   # keys of the section [fleet]: the nodes are run by `fleet run`; {}: each by `serve`
 
 
 class Happening(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -203,12 +205,13 @@
             need(os.path.exists(shape.file), key + ".file", f"{shape.file} not found")
     for n, fault in enumerate(x.faults):
         key = f"faults[{n}]"
-        need(fault.kind in HOST_FAULTS + LIST_FAULTS + NODE_FAULTS, key + ".kind",
-             "one of " + ", ".join(HOST_FAULTS + LIST_FAULTS + NODE_FAULTS))
+        need(fault.kind in HOST_FAULTS + LIST_FAULTS + NODE_FAULTS + FLEET_FAULTS, key + ".kind",
+             "one of " + ", ".join(HOST_FAULTS + LIST_FAULTS + NODE_FAULTS + FLEET_FAULTS))
+        need(fault.kind not in FLEET_FAULTS or x.nodes.fleet, key + ".kind", "only with nodes.fleet")
         need(0 <= fault.at <= x.seconds, key + ".at", "within the run expected")
-        need(fault.kind in AT_ONCE + ("stop", "kill", "reload", "list-restart", "list-garbage", "join")
+        need(fault.kind in AT_ONCE + ("stop", "kill", "reload", "list-restart", "list-garbage", "join") + FLEET_FAULTS
              or fault.seconds > 0, key + ".seconds", "over 0 expected")
-        if fault.kind not in LIST_FAULTS:
+        if fault.kind not in LIST_FAULTS + FLEET_FAULTS:
             known = names[fault.kind in NODE_FAULTS]
             need(fault.on or fault.share > 0, key, "on or share expected")
             for name in fault.on:
@@ -235,7 +238,7 @@
     for one in sorted(x.faults, key=lambda f: f.at):
         among = [m.name for m in machines] if one.kind in HOST_FAULTS else [n.name for n in nodes]
         on = one.on
-        if not on and one.share and one.kind not in LIST_FAULTS:
+        if not on and one.share and one.kind not in LIST_FAULTS + FLEET_FAULTS:
             on = sorted(rng.choice(among, max(1, round(len(among) * one.share)), replace=False).tolist())
         faults.append(msgspec.structs.replace(one, on=on))
     for one in faults:
--- a/cottonspread/lab/run.py
+++ b/cottonspread/lab/run.py
@@ -19,7 +19,7 @@
 
 from cottonspread.lab import limits
 from cottonspread.lab import plan as plans
-from cottonspread.lab.plan import NODE_FAULTS
+from cottonspread.lab.plan import FLEET_FAULTS, NODE_FAULTS
 from cottonspread.lab.record import Record
 from cottonspread.lab.wire import now
 
@@ -106,17 +106,20 @@
         self.process, self.probe, self.up, self.wanted, self.cpu = None, None, False, True, 0.0
         self.most_rss = self.most_threads = self.most_fds = 0
 
-    def start(self):
+    def config(self):
         plan, x = self.play.plan, self.play.plan.experiment
-        path = os.path.join(self.play.folder, f"{self.node.name}.json")
-        config = {
+        return {
             "name": self.node.name, "listen": f"{self.node.ip}:{self.node.port}",
             "discovery": f"{self.node.ip}:{self.node.list_port}", "seed": "%x" % (plan.seed * 1000 + self.number),
             "limits": {"memory_mb": plan.variant.memory_mb or x.nodes.memory_mb,
                        "sockets": plan.variant.sockets or x.nodes.sockets},
             "settings": settings(plan, self.number), "load_lines": "loads"}      # what the lab's hosts mean by LOAD
+
+    def start(self):
+        plan, x = self.play.plan, self.play.plan.experiment
+        path = os.path.join(self.play.folder, f"{self.node.name}.json")
         with open(path, "w", encoding="utf-8") as file:
-            json.dump(config, file, indent=1)
+            json.dump(self.config(), file, indent=1)
         command = plan.variant.command or x.nodes.command or [sys.executable, "-m", "cottonspread", "serve"]
         checkout = plan.variant.checkout or x.nodes.checkout or ROOT
         with open(os.path.join(self.play.folder, f"{self.node.name}.log"), "ab") as log:
@@ -159,7 +162,7 @@
         self.plan = plans.make(experiment, variant, seed)
         self.folder, self.show, self.cut, self.reasons = os.path.abspath(folder), show, "", []
         self.children, self.nodes, self.timeline, self.todo, self.stamp = [], [], [], [], 0
-        self.start, self.record, self.warnings, self.stolen = 0, None, [], 0.0
+        self.start, self.record, self.warnings, self.stolen, self.fleet = 0, None, [], 0.0, None
 
     def node_cores(self, number):
         cores = sorted(os.sched_getaffinity(0))
@@ -223,7 +226,12 @@
                     raise Broken(f"{child.name}: ended before it was ready")
             if time.monotonic() > until:
                 raise Broken("not ready after 30 s: " + ", ".join(c.name for c in self.children if not c.ready))
-        self.nodes = [NodeProcess(self, n) for n in range(len(self.plan.nodes))]
+        if x.nodes.fleet:
+            from cottonspread.lab import fleet
+            self.fleet = fleet.FleetProcess(self)
+            self.nodes = [fleet.FleetNode(self, n) for n in range(len(self.plan.nodes))]
+        else:
+            self.nodes = [NodeProcess(self, n) for n in range(len(self.plan.nodes))]
         for node in self.nodes:
             node.start()
         while not all(node.up for node in self.nodes) and not self.cut:
@@ -297,6 +305,8 @@
 
     def node_faults(self):
         for one in self.plan.faults:
+            if one.kind in FLEET_FAULTS:
+                self.at(self.start + round(one.at * SECOND), self.fleet.fault, one)
             if one.kind in NODE_FAULTS:
                 for name in one.on:
                     node = next(p for p in self.nodes if p.node.name == name)
@@ -317,6 +327,9 @@
             self.note("reload", node)
             node.signal(signal.SIGHUP)
             return
+        if self.fleet:                       # its supervisor brings it back; meanwhile connections wait
+            self.fleet.node_fault(node, one)
+            return
         node.wanted = node.up = False
         self.note("stopping" if one.kind == "stop" else "killed", node)
         node.signal(signal.SIGTERM if one.kind == "stop" else signal.SIGKILL)
@@ -384,6 +397,8 @@
 
     def clear_away(self):
         """Only what this play has started, by its own process objects."""
+        if self.fleet:
+            self.fleet.clear_away()
         for node in self.nodes:
             if node.process is not None and node.process.poll() is None:
                 node.process.kill()
--- /dev/null
+++ b/tests/fleet/test_fleet.py
@@ -0,0 +1,403 @@
+"""Whole fleets on loopback: killed, frozen, crashed, reloaded with bad files, on full disks. Every wait is for what is to happen."""
+import importlib.util
+import json
+import os
+import resource
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+import pytest
+
+from cottonspread.fleet import control
+
+ROOT = Path(__file__).parent.parent.parent
+WAIT = 30
+
+
+def toy(count=2):
+    spec = importlib.util.spec_from_file_location("toy", ROOT / "examples" / "toy.py")
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    one, listener = module.Toy(count), socket.create_server(("127.0.0.1", 0))
+    threading.Thread(target=one.accept, args=(listener, one.discover), daemon=True).start()
+    return one, "%s:%d" % listener.getsockname()
+
+
+def free_ports(count):
+    """The first of so many ports in a row that nobody listens on."""
+    for first in range(21000 + os.getpid() % 4000, 31000, count):
+        socks = []
+        try:
+            for n in range(count):
+                socks.append(socket.create_server(("127.0.0.1", first + n)))
+            return first
+        except OSError:
+            continue
+        finally:
+            for sock in socks:
+                sock.close()
+
+
+class Fleet:
+    def __init__(self, instances=2, **keys):
+        self.folder = Path(tempfile.mkdtemp(prefix="fl-", dir="/tmp"))     # short: sockets' paths are
+        self.toy, self.discovery = toy()
+        self.port, self.processes = free_ports(instances + 1), []
+        self.keys = {"name": "f", "config": "node.json", "instances": instances, "listen": f"127.0.0.1:{self.port}", "state": "s",
+                     "stuck_s": 2.0, "backoff_s": 0.1, "backoff_most_s": 0.4, "restarts": 3, **keys}
+        self.node = json.loads((ROOT / "examples" / "node.json").read_text()) | {"discovery": self.discovery}
+        self.write()
+
+    def write(self, more="[instance]\norphan_s = 20.0\n", **keys):
+        self.keys |= keys
+        (self.folder / "node.json").write_text(json.dumps(self.node))
+        (self.folder / "o.toml").write_text(more + "[fleet]\n" + "".join(f"{k} = {json.dumps(v)}\n" for k, v in self.keys.items()))
+
+    def words(self, *words):
+        return [sys.executable, "-m", "cottonspread", "fleet", *words, "--operator", str(self.folder / "o.toml")]
+
+    def run(self, **more):
+        log = open(self.folder / "run.log", "ab")
+        self.processes.append(subprocess.Popen(self.words("run"), cwd=ROOT, stdout=log, stderr=log, **more))
+        log.close()
+        return self.processes[-1]
+
+    def command(self, *words):
+        done = subprocess.run(self.words(*words), cwd=ROOT, capture_output=True, text=True, timeout=WAIT * 2)
+        assert "Traceback" not in done.stderr, done.stderr
+        return done
+
+    def status(self):
+        """{} while no supervisor answers."""
+        try:
+            with control.connect(str(self.folder / "s" / "fleet.sock")) as sock:
+                sock.sendall(b'{"do": "status"}\n')
+                return json.loads(sock.makefile().readline())["status"]
+        except (OSError, ValueError):
+            return {}
+
+    def rows(self):
+        return {row["instance"]: row for row in self.status().get("instances", ())}
+
+    def until(self, true, what):
+        until = time.monotonic() + WAIT
+        while not true():
+            assert time.monotonic() < until, (what, self.status(), (self.folder / "run.log").read_text()[-3000:])
+            time.sleep(0.02)
+
+    def up(self):
+        self.until(lambda: self.status().get("ready") and not self.status()["rollout"] and not any(
+            r["leaving"] for r in self.status()["instances"]), "ready")
+        return {name: row["pid"] for name, row in self.rows().items()}
+
+    def say(self, n, line):
+        """What a client gets for its first line."""
+        with socket.create_connection(("127.0.0.1", self.port + n), timeout=10) as sock:
+            sock.sendall(line + b"\r\n")
+            return sock.makefile("rb").readline().strip()
+
+    def log(self):
+        return (self.folder / "run.log").read_text()
+
+    def end(self):
+        for process in self.processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGTERM)
+                process.wait(WAIT)
+        shutil.rmtree(self.folder)
+
+
+@pytest.fixture
+def fleet():
+    made = []
+
+    def make(*args, **keys):
+        made.append(Fleet(*args, **keys))
+        return made[-1]
+    yield make
+    for one in made:
+        one.end()
+
+
+def gone(pids):
+    return all(not os.path.exists(f"/proc/{pid}") or open(f"/proc/{pid}/stat").read().split(") ")[1][0] == "Z" for pid in pids)
+
+
+def test_commands_and_notices_to_the_service_manager(fleet, tmp_path):
+    one = fleet(2)
+    manager = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+    manager.bind(str(one.folder / "notify"))
+    said = []
+
+    def listen():                            # always: a manager that does not read misses notices
+        while True:
+            said.append(manager.recv(4096).decode())
+
+    def heard(word):
+        one.until(lambda: any(word in line for line in said), word)
+        return True
+    threading.Thread(target=listen, daemon=True).start()
+    process = one.run(env={**os.environ, "NOTIFY_SOCKET": str(one.folder / "notify"), "WATCHDOG_USEC": "200000"})
+    assert heard("READY=1") and heard("WATCHDOG=1") and one.status()["ready"], "ready was told before it was so"
+    before = one.up()
+    assert one.say(0, b"PING") == one.say(1, b"PING") == b"PONG"
+    table = one.command("status")
+    assert table.returncode == 0 and "f-0  " in table.stdout and "serving" in table.stdout
+    said.clear()
+    process.send_signal(signal.SIGHUP)
+    assert heard("RELOADING=1") and heard("READY=1") and one.up() == before, "nothing has changed, so nobody is restarted"
+    assert one.command("drain", "f-1").returncode == 0
+    one.until(lambda: one.rows()["f-1"]["state"] == "drained", "drained")
+    assert one.say(1, b"OPEN x k c=chat,d=2000") == b"BUSY" and one.say(1, b"PING") == b"ERR", "the door of the drained one"
+    crowd = [socket.create_connection(("127.0.0.1", one.port + 1), timeout=10) for _ in range(200)]
+    for sock in crowd:
+        sock.sendall(b"OPEN x k c=chat,d=2000\r\n")
+    assert [sock.recv(100) for sock in crowd] == [b"BUSY\r\n"] * 200 and "fault" not in one.log()
+    for sock in crowd:
+        sock.close()
+    assert one.say(0, b"PING") == b"PONG" and one.command("status").returncode == 0
+    assert one.command("restart", "f-1").returncode == one.command("restart", "f-0").returncode == 0
+    one.until(lambda: all(r["state"] == "serving" and r["pid"] not in before.values() for r in one.rows().values()), "both anew")
+    unknown = one.command("drain", "f-9")
+    assert unknown.returncode == 1 and "f-9: no such instance" in unknown.stderr
+    assert "instance=" in one.log() and "generation=" in one.command("logs", "f-0").stdout
+    said.clear()
+    assert one.command("stop").returncode == 0 and process.wait(WAIT) == 0 and heard("STOPPING=1")
+    assert one.command("status").returncode == 2
+
+
+def test_kill_of_an_instance_of_the_supervisor_and_of_both(fleet):
+    one = fleet(2)
+    first = one.run()
+    before = one.up()
+    os.kill(before["f-0"], signal.SIGKILL)
+    one.until(lambda: one.rows()["f-0"]["pid"] not in (None, before["f-0"]) and one.status()["ready"], "back")
+    assert one.rows()["f-0"]["why"] == "signal 9" and one.rows()["f-0"]["restarts"] == 1
+    before = one.up()
+    first.kill()
+    first.wait()
+    assert one.say(0, b"PING") == one.say(1, b"PING") == b"PONG", "without a supervisor they serve on"
+    second = one.run()
+    assert one.up() == before, "adopted, not started anew"
+    assert one.log().count("event=adopted") == 2
+    one.node["settings"]["Limits"]["MaxRetryAfter"] = 1000
+    one.write()
+    second.kill()
+    os.kill(before["f-0"], signal.SIGKILL)
+    second.wait()
+    one.until(lambda: gone([before["f-0"]]), "killed")
+    one.run()
+    after = one.up()
+    assert not set(after.values()) & set(before.values()), "the plan has changed: the one left over is replaced"
+    assert one.say(0, b"PING") == one.say(1, b"PING") == b"PONG"
+
+
+def test_instances_without_a_supervisor_stop_themselves(fleet):
+    one = fleet(2)
+    one.write("[instance]\norphan_s = 1.0\n")
+    process = one.run()
+    pids = one.up()
+    process.kill()
+    process.wait()
+    one.until(lambda: gone(pids.values()), "orphans have stopped")
+    one.run()
+    one.up()
+
+
+def test_a_frozen_instance_is_replaced_and_a_frozen_orphan_is_ended_at_the_next_start(fleet):
+    one = fleet(2)
+    process = one.run()
+    pids = one.up()
+    os.kill(pids["f-1"], signal.SIGSTOP)
+    one.until(lambda: one.rows()["f-1"]["pid"] not in (None, pids["f-1"]) and one.status()["ready"], "replaced")
+    assert one.rows()["f-1"]["why"] == "stuck: no step for 2 s" and one.rows()["f-0"]["pid"] == pids["f-0"]
+    pids = one.up()
+    process.kill()
+    process.wait()
+    os.kill(pids["f-0"], signal.SIGSTOP)
+    one.run()
+    after = one.up()
+    assert after["f-1"] == pids["f-1"] and after["f-0"] != pids["f-0"] and gone([pids["f-0"]])
+
+
+def broken_checkout(folder):
+    package = folder / "broken" / "cottonspread"
+    package.mkdir(parents=True)
+    (package / "__init__.py").write_text("raise SystemExit('broken on purpose')\n")
+    return package.parent
+
+
+def test_an_upgrade_that_does_not_start_goes_back_and_a_good_one_is_kept(fleet):
+    one = fleet(2)
+    process = one.run()
+    before = one.up()
+    done = one.command("upgrade", "--checkout", str(broken_checkout(one.folder)))
+    assert done.returncode == 1 and "f-0: exit 1" in done.stderr
+    assert one.up() == before, "the old ones were touched"
+    (one.folder / "new").symlink_to(ROOT)
+    assert one.command("upgrade", "--checkout", str(one.folder / "new")).returncode == 0
+    after = one.up()
+    assert not set(after.values()) & set(before.values())
+    assert open(f"/proc/{after['f-0']}/environ").read().split("PYTHONPATH=")[1].split("\0")[0] == str(one.folder / "new")
+    process.kill()
+    process.wait()
+    one.run()
+    assert one.up() == after, "the next supervisor knows of the upgrade"
+    assert one.command("upgrade", "--checkout", str(one.folder)).returncode == 2
+
+
+def test_one_that_crashes_at_each_start_is_given_up_and_told_to_clients(fleet):
+    one = fleet(2)
+    (one.folder / "s").mkdir()
+    (one.folder / "s" / "fleet.json").write_text(json.dumps({"program": [sys.executable, str(broken_checkout(one.folder))]}))
+    one.run()
+    one.until(lambda: {r["state"] for r in one.rows().values()} == {"given-up"}, "given up")
+    assert one.log().count("event=ended") == 8, "each once and three times again"
+    assert one.say(0, b"OPEN x k c=chat,d=2000") == b"BUSY"
+    assert one.command("upgrade").returncode == 0, "onto the supervisor's own program"
+    one.up()
+    assert one.say(0, b"PING") == b"PONG"
+
+
+def test_two_on_one_folder_and_addresses_that_are_taken(fleet):
+    one = fleet(2)
+    first = one.run()
+    one.up()
+    second = one.command("run")
+    assert second.returncode == 2 and f"a supervisor runs there already, pid {first.pid}" in second.stderr
+    other = fleet(2, listen=f"127.0.0.1:{one.port}")
+    third = other.command("run")
+    assert third.returncode == 2 and f"127.0.0.1:{one.port} for f-0: address in use" in third.stderr and "for f-1" in third.stderr
+    assert one.up()
+    first.kill()
+    first.wait()
+    (one.folder / "s" / "fleet.pid").write_text("1\n")          # stale, and some other process has that number
+    one.run()
+    one.up()
+
+
+def test_a_file_that_is_faulty_half_written_unreadable_or_gone_changes_nothing(fleet):
+    one = fleet(2)
+    process = one.run()
+    before = one.up()
+    good = (one.folder / "node.json").read_text(), (one.folder / "o.toml").read_text()
+
+    def spoil(template, operators):
+        for name, text in (("node.json", template), ("o.toml", operators)):
+            (one.folder / name).unlink(missing_ok=True)
+            if text is not None:
+                (one.folder / name).write_bytes(text.encode() if isinstance(text, str) else text)
+    kept = shutil.copy(one.folder / "o.toml", one.folder / "kept.toml")
+    for template, operators, said in ((good[0][:200], good[1], "no JSON"), (None, good[1], "No such file"), (b"\xff\xfe", good[1], "decode"),
+                                      (good[0].replace("chat", ""), good[1], "Name: '' is not a text"),
+                                      (good[0], good[1] + "at_onec = 3\n", "the nearest known one is at_once"),
+                                      (good[0], good[1].replace('"s"', '"t"'), "fleet.state: only a new supervisor"),
+                                      (good[0], None, "No such file")):
+        spoil(template, operators)
+        count = one.log().count("kept=\"the old configuration\"")
+        process.send_signal(signal.SIGHUP)
+        one.until(lambda: one.log().count("kept=\"the old configuration\"") > count, "told")
+        assert said in one.log().splitlines()[-1] or said in one.log(), said
+    spoil(*good)
+    assert one.up() == before and kept
+    assert one.command("reload").returncode == 0
+    one.node["settings"]["TrafficTypes"][0]["GuardTime"] = 2500
+    one.write()
+    assert one.command("reload").returncode == 0
+    assert not set(one.up().values()) & set(before.values())
+
+
+def test_a_live_change_reaches_running_instances(fleet):
+    one = fleet(2)
+    one.run()
+    before = one.up()
+    _, one.node["discovery"] = toy(1)
+    one.write()
+    assert one.command("reload").returncode == 0
+    assert one.up() == before, "nobody was restarted"
+    one.until(lambda: one.command("logs", "f-1").stdout.count("entries=1") == 1, "the new discovery's list")
+    one.write(instances=3)                   # Balancers changes with it: all are replaced, and one is new
+    assert one.command("reload").returncode == 0
+    after = one.up()
+    assert set(after) == {"f-0", "f-1", "f-2"} and not set(after.values()) & set(before.values())
+    one.write(instances=1)
+    assert one.command("reload").returncode == 0
+    one.until(lambda: set(one.rows()) == {"f-0"}, "the others are gone")
+    with pytest.raises(ConnectionRefusedError):
+        one.say(2, b"PING")
+
+
+def test_a_full_disk_costs_lines_and_no_service(fleet):
+    one = fleet(2)
+    process = one.run(preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_FSIZE, (0, 0)))
+    before = one.up()
+    assert one.say(0, b"PING") == one.say(1, b"PING") == b"PONG"
+    os.kill(before["f-0"], signal.SIGKILL)
+    one.until(lambda: one.rows()["f-0"]["pid"] not in (None, before["f-0"]) and one.status()["ready"], "back")
+    one.node["settings"]["TrafficTypes"][0]["GuardTime"] = 2500
+    one.write()
+    assert one.command("reload").returncode == 0
+    assert not (one.folder / "s" / "f-0.list.json").exists() and one.log() == ""
+    assert one.command("stop").returncode == 0 and process.wait(WAIT) == 0
+
+
+def test_descriptors_that_do_not_suffice_are_told_before_the_start_and_running_out_ends_nothing(fleet):
+    one = fleet(2)
+    done = subprocess.run(one.words("run"), cwd=ROOT, capture_output=True, text=True, timeout=WAIT,
+                          preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (40, 40)))
+    assert done.returncode == 2 and "descriptors" in done.stderr
+    process = one.run()
+    before = one.up()
+    full = resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (8, resource.prlimit(process.pid, resource.RLIMIT_NOFILE)[1]))
+    os.kill(before["f-0"], signal.SIGKILL)
+    one.until(lambda: "not started" in one.log(), "no descriptor for a new process")
+    resource.prlimit(process.pid, resource.RLIMIT_NOFILE, full)
+    one.until(lambda: one.status().get("ready") or one.rows().get("f-0", {}).get("state") == "given-up", "goes on")
+    assert one.command("restart", "f-0").returncode == 0
+    after = one.up()
+    assert after["f-1"] == before["f-1"]
+
+
+@pytest.mark.parametrize("saved", [True, False])
+def test_a_successor_started_from_an_old_list_sends_nothing_to_a_server_that_drains(fleet, saved):
+    """Its configuration lists the server as ready. What the holder was told of the drain reaches it by the saved list; where there
+    is none, it takes nothing before discovery has spoken."""
+    one = fleet(1)
+    hangs, answer = threading.Event(), one.toy.answer
+
+    def answered(query):
+        while hangs.is_set():
+            time.sleep(0.02)
+        return answer(query)
+    one.toy.answer = answered
+    one.node["known"] = {"generation": 0, "reset": True, "instances": [dict(s) for s in one.toy.servers]}
+    more = f"[instance]\nlist_wait_s = {0.2 if saved else 20.0}\nsave_list = {str(saved).lower()}\n"
+    one.write(more, start_s=25.0)
+    one.run()
+    pid = one.up()["f-0"]
+    one.toy.change(0, "Terminating")
+    kept = one.folder / "s" / "f-0.list.json"
+    if saved:
+        one.until(lambda: "Terminating" in kept.read_text(), "the drain is known")
+    else:
+        one.until(lambda: one.rows()["f-0"]["list"] == one.toy.version, "the drain is known")
+    hangs.set()
+    os.kill(pid, signal.SIGKILL)
+    one.until(lambda: one.rows()["f-0"]["generation"] == 2, "the successor is there")
+    if not saved:
+        one.until(lambda: one.rows()["f-0"]["state"] == "waiting", "it waits for discovery")
+        hangs.clear()
+    one.until(lambda: one.rows()["f-0"]["state"] == "serving", "serving")
+    for n in range(20):
+        assert one.say(0, b"OPEN i%d k%d c=chat,d=2000,g=%x" % (n, n, n)).startswith(b"UP")
+    hangs.clear()
+    log = one.folder / "s" / "log" / "f-0.log"
+    one.until(lambda: log.read_text().count("legs=") == 20, "all are over")
+    assert log.read_text().count("legs=1 host=toy-2") == 20, "toy-1, number 0, drains"
--- /dev/null
+++ b/tests/fleet/test_lab_fleet.py
@@ -0,0 +1,32 @@
+"""Eight instances under the lab's load, reloaded while a server drains, killed, upgraded and stopped in a burst: the ledger counts."""
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+from cottonspread.lab import record, results
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+def test_eight_instances_reloaded_upgraded_killed_and_stopped_lose_and_double_no_answer(tmp_path):
+    process = subprocess.run([sys.executable, "-m", "cottonspread", "lab", "run", "tests/fleet/eight.toml", "--out", str(tmp_path / "out"),
+                              "--quiet", "--again", "0"], cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True, timeout=120)
+    assert "Traceback" not in process.stdout, process.stdout
+    folder = str(tmp_path / "out" / "0-only")
+    result = results.read(folder)
+    told = [n for n in record.read(folder, "nodes") if n["k"].startswith("fleet-")]
+    assert [n["code"] for n in told if "code" in n] == [0, 0, 0], told          # reload, upgrade, stop
+    assert not result.audit["offences"], process.stdout
+    calls = [c for c in record.read(folder, "load") if c["k"] == "call"]
+    start = json.loads((Path(folder) / "start.json").read_text())["start"]
+    first_stop = next(n["t"] - start for n in told if n["k"] == "fleet-stop")
+    before = [c for c in calls if c["intended"] < first_stop - 500_000]
+    kinds = {}
+    for c in before:
+        kind = c["answers"][0][1] if c["answers"] else c.get("how")
+        kinds[kind] = kinds.get(kind, 0) + 1
+    assert len(before) > 400 and not kinds.get("refused"), kinds
+    stopped = [c for c in calls if first_stop <= c["intended"] < first_stop + 1_000_000]
+    assert len(stopped) > 60, "the burst"
+    assert any(c["answers"] and c["answers"][0][1] == "UP" for c in calls if c["intended"] > first_stop + 5_000_000), "back again"
