Fleet: a stop answers the last callers: the door takes over at once, the node writes out first

An instance that stops went on accepting to its last moment, and a node was done before its writer had written. Now it leaves its address to the supervisor's door at once, and is done when the last answer is with the kernel (a test). Starts are paced (start_at_once), rollouts watched by default.

--- a/benchmarks/fleet/forty.py
+++ b/benchmarks/fleet/forty.py
@@ -24,7 +24,9 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--out", default="found/forty")
     out = parser.parse_args().out
-    subprocess.run([sys.executable, "-m", "cottonspread", "lab", "run", str(HERE / "forty.toml"), "--out", out, "--quiet", "--again", "0"])
+    if subprocess.run([sys.executable, "-m", "cottonspread", "lab", "run", str(HERE / "forty.toml"), "--out", out, "--quiet", "--again",
+                       "0"]).returncode == 2:
+        raise SystemExit(2)
     folder = str(Path(out) / "0-only")
     result = results.read(folder)
     start = json.loads((Path(folder) / "start.json").read_text())["start"]
@@ -56,7 +58,7 @@
              "killed": len(back), "ended by signal 9": len(ids), "ms from kill -9 to its return": returned, "adopted": log.count("event=adopted"),
              "rules": {"offences": result.audit["offences"], "calls": result.audit["calls"], "legs": result.audit["legs"],
                        "excused": result.audit["excused"]},
-             "answers": result.answers if hasattr(result, "answers") else None, "usable": result.usable, "reasons": result.reasons}
+             "answers": result.answers, "usable": result.usable, "reasons": result.reasons}
     (HERE / "results" / "forty.json").write_text(json.dumps(told, indent=1) + "\n")
     print(json.dumps(told, indent=1))
 
--- a/cottonspread/cli/instance.py
+++ b/cottonspread/cli/instance.py
@@ -148,11 +148,8 @@
 
     def leave(self, handed):
         self.take_by = 0.0
-        if handed:
-            self.node.leave()
-            self.lock.drop()
-        else:
-            self.node.stop()                 # those who come while it stops are told so
+        self.node.leave(handed)
+        self.lock.drop()
         self.turn("leaving")
 
     def apply(self, live):
--- a/cottonspread/config/operator.py
+++ b/cottonspread/config/operator.py
@@ -46,6 +46,7 @@
     state: Annotated[str, key("new", "the folder for state, sockets and locks", min_length=1)] = "state"
     logs: Annotated[str, key("new", "the folder for the instances' logs; empty: log/ in the state folder")] = ""
     at_once: Annotated[int, key("live", "how many instances a rollout changes at the same time", ge=1, le=64)] = 1
+    start_at_once: Annotated[int, key("live", "how many start at the same time", ge=1, le=256)] = 8
     stop_at_once: Annotated[int, key("live", "how many stop at the same time; 0: all", ge=0)] = 0
     start_s: Annotated[float, key("live", "an instance that is not ready after so long has not started", ge=0.1, le=600)] = 10.0
     stop_s: Annotated[float, key("live", "an instance that has not stopped after so long is ended", ge=0.1, le=600)] = 8.0
@@ -54,7 +55,7 @@
     backoff_most_s: Annotated[float, key("live", "the longest such wait", ge=0.01, le=3600)] = 15.0
     restarts: Annotated[int, key("live", "restarts in the window below before an instance is given up", ge=1, le=1000)] = 6
     restarts_in_s: Annotated[float, key("live", "that window", ge=1, le=86400)] = 120.0
-    watch_s: Annotated[float, key("live", "how long a changed instance is watched before the next is changed", ge=0, le=3600)] = 0.0
+    watch_s: Annotated[float, key("live", "how long a changed instance is watched before the next is changed", ge=0, le=3600)] = 5.0
     worse_by: Annotated[float, key("live", "a rollout goes back when the share of calls that end badly rises by more", ge=0, le=1)] = 0.05
     worse_of: Annotated[int, key("live", "ended calls before that share is judged", ge=1)] = 20
 
--- a/cottonspread/fleet/core.py
+++ b/cottonspread/fleet/core.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field, replace
 
 SECOND = 1_000_000
-LEAVE_WAIT = SECOND                # for "I have left"; then the holder is ended, or its successor would wait for ever
+LEAVE_WAIT = 5 * SECOND            # for "I have left": it takes connections until then, so only one that is stuck is ended
 LATE = SECOND                      # the supervisor itself stood still for so long: nobody is blamed for silence in it
 
 # What a process says of itself; waiting: for a list with a server on it
@@ -39,7 +39,7 @@
 
 @dataclass(frozen=True)
 class Leave:
-    """Take no more; then stop: open calls answered, standing ones moved. `handed`: a successor takes the new ones."""
+    """Take no more; then stop: open calls answered, standing ones moved. `handed`: a successor takes the new ones, else the door."""
     name: str
     generation: int
     handed: bool
@@ -105,7 +105,6 @@
     since: int = 0
     told_take: int = 0
     told_leave: int = 0
-    handed: bool = False
     killed: int = 0
     steps: int = -1
     stepped: int = 0               # when the steps were last seen to grow
@@ -440,9 +439,9 @@
                 self.kill(new, "another plan")
             elif new.state == PREPARED and not new.told_take:
                 if old is not None and not old.told_leave:
-                    old.told_leave, old.handed = self.now, True
+                    old.told_leave = self.now
                     self.out.append(Leave(slot.name, old.generation, True))
-                elif old is None and all(p.handed or p.killed for p in slot.leaving):
+                elif old is None:
                     new.told_take = self.now
                     self.out.append(Door(slot.name, False))
                     slot.door = False
@@ -455,7 +454,6 @@
                 self.start(slot)
         elif not old.told_leave and (old.spec.start != spec.start or slot.anew):
             if self.now >= slot.not_before and not slot.given_up:
-                slot.anew = False
                 self.start(slot)
         elif old.spec.live != spec.live and old.applied != spec and not old.told_leave:
             old.applied = spec
@@ -464,6 +462,10 @@
             old.spec, old.applied = old.applied, None
 
     def start(self, slot):
+        # Forty interpreters that start at once are none of them ready in time.
+        if sum(s.next is not None and s.next.state == STARTING for s in self.slots.values()) >= self.plan.fleet.start_at_once:
+            return
+        slot.anew = False
         self.generation += 1
         slot.next = Process(slot.name, self.generation, slot.spec, self.now, since=self.now, stepped=self.now)
         slot.restarts += bool(slot.away_since)
--- a/cottonspread/fleet/supervisor.py
+++ b/cottonspread/fleet/supervisor.py
@@ -117,11 +117,12 @@
     def find_instances(self):
         """Those that an earlier supervisor left: asked who they are. One that does not answer is ended; what is stale goes."""
         found = []
+        running = instances_running()
         for file in sorted(os.listdir(self.folder)):
             path = os.path.join(self.folder, file)
             if not file.endswith(".sock") or file == "fleet.sock":
                 continue
-            pid = running_with(path)
+            pid = running.get(path)
             if pid is None:
                 unlink(path)
                 continue
@@ -553,17 +554,18 @@
         pass
 
 
-def running_with(path):
-    """The pid of the instance with this control socket, by its command line: a pid in a file may be anybody's by now."""
+def instances_running():
+    """pid by control socket of every instance on this machine, by their command lines: a pid in a file may be anybody's by now."""
+    found = {}
     for pid in filter(str.isdigit, os.listdir("/proc")):
         try:
             with open(f"/proc/{pid}/cmdline", "rb") as file:
                 words = file.read().split(b"\0")
         except OSError:
             continue
-        if b"instance" in words and path.encode() in words:
-            return int(pid)
-    return None
+        if b"instance" in words and b"--socket" in words[:-1]:
+            found[os.fsdecode(words[words.index(b"--socket") + 1])] = int(pid)
+    return found
 
 
 def end_process(pid, wait=5.0):
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -63,14 +63,14 @@
         self.place, self.room, self.clock = place, room, Clock()
         self.events, self.done = queue.Queue(QUEUE), threading.Event()
         self.most = most_ends(room)
-        self.workers = workers.Workers(Pool(), self.post, self.clock.now)
+        self.workers = workers.Workers(Pool(), self.post, self.clock.now, self.done.set)
         self.lock, self.door = threading.Lock(), Door(min(t.setup_target for t in begin.types) // 4)
         version, listed, addresses = discovery.read_list(known, names, News.SAVED)
         self.discovery = discovery.Discovery(place.discovery, names, self.post, version, begin.listing.ask, keep)
         self.reducer = Reducer(self.clock.now(), begin, names, hearing, self.most)
         self.post(ev.Heard(listed, addresses))
         self.listener, self.ending, self.shared, self.steps, self.ended = None, False, False, 0, Counter()
-        self.wake, self.accepting = None, None
+        self.wake, self.accepting, self.finished = None, None, False
 
     def post(self, event):
         self.events.put((self.clock.now(), event))
@@ -100,13 +100,13 @@
         self.wake, self.accepting = socket.socketpair(), threading.Event()
         workers.start_thread(self.accept_shared, stack=workers.WIDE)
 
-    def leave(self):
-        """Take no more, for a successor does, and stop. What is in the queue of the listener is the successor's."""
+    def leave(self, handed):
+        """Take no more, and stop. What is in the queue of the listener is another's: a successor's (`handed`), or the supervisor's."""
         if self.accepting:
             self.ending = True
             self.wake[1].send(b"x")
             self.accepting.wait()
-        self.post(ev.StopAsked(True))
+        self.post(ev.StopAsked(handed))
 
     def ping(self, wait=1.0):
         """Whether a PING is answered: by the reducer and the workers as a client's is, on a pair of sockets of its own."""
@@ -141,7 +141,7 @@
 
     def loop(self):
         """The one thread that runs the reducer."""
-        while not self.done.is_set():
+        while not self.finished:
             left = (self.reducer.due() - self.clock.now()) / 1e6
             try:
                 at, event = self.events.get(timeout=left) if left > 0 else self.events.get_nowait()
@@ -177,7 +177,7 @@
             self.workers.carry_out(effect)
 
     def finish(self):
-        self.ending = True
+        self.ending = self.finished = True
         self.discovery.stop()
         if self.shared:                      # others listen there too
             if self.wake:
@@ -188,8 +188,7 @@
             except OSError:
                 pass
             self.listener.close()
-        self.workers.writes.put(None)
-        self.done.set()
+        self.workers.writes.put(None)        # the last answers go out before the process may end
 
     def accept(self):
         while not self.ending:
--- a/cottonspread/net/workers.py
+++ b/cottonspread/net/workers.py
@@ -89,8 +89,9 @@
 
 
 class Workers:
-    def __init__(self, pool, post, clock):
-        self.pool, self.post, self.clock = pool, post, clock
+    def __init__(self, pool, post, clock, written=lambda: None):
+        """`written` is called once, when all has been handed to the kernel after the order None."""
+        self.pool, self.post, self.clock, self.written = pool, post, clock, written
         self.writes = queue.SimpleQueue()
         self.live = set()                    # who holds a socket, with what the reducer has not yet heard of
 
@@ -132,6 +133,7 @@
         while True:
             effect = self.writes.get()
             if effect is None:               # the node is done
+                self.written()
                 return
             if isinstance(effect, ev.Connected):
                 self.post(effect)
--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -15,7 +15,7 @@
 
 def fleet(**more):
     return Fleet(**{"name": "f", "config": "x", "instances": 3, "listen": "127.0.0.1:9", "start_s": 5.0, "stop_s": 4.0, "stuck_s": 3.0,
-                    "backoff_s": 0.5, "backoff_most_s": 4.0, "restarts": 4, "restarts_in_s": 60.0, **more})
+                    "backoff_s": 0.5, "backoff_most_s": 4.0, "restarts": 4, "restarts_in_s": 60.0, "watch_s": 0.0, **more})
 
 
 def plan(count=3, start="a", live="x", **more):
@@ -44,7 +44,8 @@
             assert key not in self.alive and key not in self.ended, "a generation used twice"
             assert sum(1 for k in self.alive if k[0] == e.name and self.alive[k]["state"] in ("starting", "waiting", "prepared")
                        and not self.alive[k]["killed"]) == 0, "two successors"
-            self.alive[key] = {"state": "starting", "spec": e.spec, "steps": 0, "killed": False, "ended": 0, "bad": 0, "frozen": False,
+            assert sum(p["state"] == "starting" and not p["told"] for p in self.alive.values()) < self.core.plan.fleet.start_at_once
+            self.alive[key] = {"told": False, "state": "starting", "spec": e.spec, "steps": 0, "killed": False, "ended": 0, "bad": 0, "frozen": False,
                                "leave": None, "live": e.spec.live}
             self.started.append(key)
         elif isinstance(e, c.Take):
@@ -67,7 +68,7 @@
 
     def status(self, key):
         p = self.alive[key]
-        p["steps"] += 1
+        p["steps"], p["told"] = p["steps"] + 1, True
         self.tell("told", *key, {k: p[k] for k in ("state", "steps", "ended", "bad", "live")})
 
     def exit(self, key, how):
@@ -108,7 +109,7 @@
         return {k[0]: p for k, p in self.alive.items() if p["state"] == "serving"}
 
 
-PLANS = [plan(), plan(live="y"), plan(start="b"), plan(2), plan(5, at_once=2), plan(4, start="bad"), plan(3, start="b", live="y", at_once=3)]
+PLANS = [plan(), plan(live="y"), plan(start="b"), plan(2), plan(5, at_once=2, start_at_once=2), plan(4, start="bad"), plan(3, start="b", live="y", at_once=3)]
 
 
 class Anything(RuleBasedStateMachine):
@@ -334,7 +335,7 @@
     world.alive, world.effects, world.outcomes, world.started, world.ended, world.over, world.doors = {}, [], [], [], set(), False, set()
     for n, state in enumerate(["serving", "serving", "prepared"]):
         spec = plan().specs[f"f-{n}"]
-        world.alive[f"f-{n}", 7 + n] = {"state": state, "spec": spec, "steps": 5, "killed": False, "ended": 0, "bad": 0, "frozen": False,
+        world.alive[f"f-{n}", 7 + n] = {"state": state, "spec": spec, "steps": 5, "killed": False, "ended": 0, "bad": 0, "frozen": False, "told": True,
                                         "leave": None, "live": "x"}
         world.tell("adopted", f"f-{n}", 7 + n, spec, {"state": state, "steps": 5, "live": "x"})
     world.tell("settle")
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -51,7 +51,7 @@
         self.toy, self.discovery = toy()
         self.port, self.processes = free_ports(instances + 1), []
         self.keys = {"name": "f", "config": "node.json", "instances": instances, "listen": f"127.0.0.1:{self.port}", "state": "s",
-                     "stuck_s": 2.0, "backoff_s": 0.1, "backoff_most_s": 0.4, "restarts": 3, **keys}
+                     "stuck_s": 2.0, "backoff_s": 0.1, "backoff_most_s": 0.4, "restarts": 3, "watch_s": 0.0, **keys}
         self.node = json.loads((ROOT / "examples" / "node.json").read_text()) | {"discovery": self.discovery}
         self.write()
 
@@ -173,6 +173,31 @@
     assert one.command("status").returncode == 2
 
 
+def test_a_single_node_tells_the_service_manager_too(fleet):
+    one, said = fleet(1), []
+    manager = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+    manager.bind(str(one.folder / "notify"))
+    answer, speaks = one.toy.answer, threading.Event()
+    one.toy.answer = lambda query: speaks.wait(WAIT) and answer(query)
+
+    def listen():
+        while True:
+            said.append(manager.recv(4096).decode())
+    threading.Thread(target=listen, daemon=True).start()
+    one.node["listen"] = f"127.0.0.1:{one.port}"
+    one.write()
+    process = subprocess.Popen([sys.executable, "-m", "cottonspread", "serve", "--config", str(one.folder / "node.json")], cwd=ROOT,
+                               stderr=subprocess.DEVNULL, env={**os.environ, "NOTIFY_SOCKET": str(one.folder / "notify"), "WATCHDOG_USEC": "100000"})
+    one.processes.append(process)
+    one.until(lambda: said.count("WATCHDOG=1") >= 3, "alive")
+    assert not any("READY" in line for line in said), "ready without a list"
+    speaks.set()
+    one.until(lambda: any("READY=1" in line for line in said), "ready")
+    process.send_signal(signal.SIGTERM)
+    one.until(lambda: "STOPPING=1" in said, "stopping")
+    assert process.wait(WAIT) == 0
+
+
 def test_kill_of_an_instance_of_the_supervisor_and_of_both(fleet):
     one = fleet(2)
     first = one.run()
@@ -201,9 +226,11 @@
 
 def test_instances_without_a_supervisor_stop_themselves(fleet):
     one = fleet(2)
-    one.write("[instance]\norphan_s = 1.0\n")
+    one.write("[instance]\norphan_s = 1.0\n[log]\nformat = \"json\"\n")
     process = one.run()
     pids = one.up()
+    lines = [json.loads(line) for line in (one.folder / "s" / "log" / "f-1.log").read_text().splitlines()]
+    assert lines and all((line["node"], line["generation"]) == ("f-1", 2) for line in lines)
     process.kill()
     process.wait()
     one.until(lambda: gone(pids.values()), "orphans have stopped")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -414,3 +414,16 @@
         for number, what in kept.items():
             signal.signal(number, what)
     assert rest == [b"UP ", ["kept", "why"], ["discovery"], 2, b"still here"]
+
+
+def test_the_last_answers_go_out_before_the_node_is_done():
+    node = Node(*config.read_node(NODE, {}))
+    ours, theirs = socket.socketpair()
+    end = ev.End(True)
+    node.listener = socket.create_server(("127.0.0.1", 0))
+    node.workers.begin(end, theirs)
+    node.carry_out(ev.Write(end, b"BUSY\r\n"))
+    node.carry_out(ev.Stop())
+    assert not node.join(0), "the process might end here, with the answer not yet written"
+    node.workers.write_all()
+    assert node.join(0) and ours.recv(100) == b"BUSY\r\n"
