--- a/cottonspread/fleet/core.py
+++ b/cottonspread/fleet/core.py
@@ -149,6 +149,7 @@
     todo: deque
     doing: dict = field(default_factory=dict)      # slot: when its change was ready; 0: it is not yet
     back: str = ""                 # going back, and why
+    usual: float = 0.0             # the share of calls that ended badly before it
 
 
 class Core:
@@ -291,7 +292,7 @@
 
     def begin(self, plan, why):
         before, self.plan = self.plan, plan
-        self.rollout = Rollout(plan, before, why, deque())
+        self.rollout = Rollout(plan, before, why, deque(), usual=self.badly([s.holder for s in self.slots.values() if s.holder]))
         self.target(plan)
 
     def target(self, plan):
@@ -381,11 +382,17 @@
         ended, bad = (p.seen.get(k, 0) - was for k, was in zip(("ended", "bad"), p.at_ready or (0, 0)))
         if ended < fleet.worse_of:
             return ""
-        old = [s.holder.seen for s in self.slots.values() if s.holder and s.spec.start != p.spec.start]
-        old_ended, old_bad = (sum(seen.get(k, 0) for seen in old) for k in ("ended", "bad"))
-        share, was = bad / ended, old_bad / old_ended if old_ended else 0.0
+        # Those not yet changed meet the same trouble now; of the last ones there are none left, so what was usual before counts too.
+        was = max(self.rollout.usual, self.badly([s.holder for s in self.slots.values() if s.holder and s.holder.spec.start != p.spec.start]))
+        share = bad / ended
         return f"{bad} of {ended} calls ended badly, before {was:.3f} of them" if share > was + fleet.worse_by else ""
 
+    @staticmethod
+    def badly(processes):
+        """The share of their calls that ended badly."""
+        ended, bad = (sum(p.seen.get(k, 0) for p in processes) for k in ("ended", "bad"))
+        return bad / ended if ended else 0.0
+
     # What is and what is wanted
 
     def consider_all(self):
--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -295,6 +295,21 @@
     assert {p["spec"].start for p in world.holders().values()} == {"a"} and len(world.holders()) == 3
 
 
+@pytest.mark.parametrize("count", [1, 3])
+def test_what_was_as_bad_before_is_no_fault_of_the_rollout(count):
+    world = up(count=count, watch_s=5.0)
+    for n in range(600):
+        world.now += SECOND // 10
+        if n == 50:
+            world.tell("replan", plan(count, start="b", watch_s=5.0), "upgrade")
+        for key in list(world.alive):
+            world.advance(key)
+            if key in world.alive:
+                p = world.alive[key]
+                p["ended"], p["bad"] = p["ended"] + 4, p["bad"] + 1
+    assert world.outcomes[-1].ok and {p["spec"].start for p in world.holders().values()} == {"b"}
+
+
 def test_a_rollout_goes_one_by_one_and_a_good_one_changes_all():
     world = up(watch_s=1.0)
     world.tell("replan", plan(start="b", watch_s=1.0))
