--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -428,3 +428,22 @@
     log = one.folder / "s" / "log" / "f-0.log"
     one.until(lambda: log.read_text().count("legs=") == 20, "all are over")
     assert log.read_text().count("legs=1 host=toy-2") == 20, "toy-1, number 0, drains"
+
+
+def test_an_upgrade_that_ends_more_calls_badly_goes_back_by_itself(fleet):
+    one = fleet(2, watch_s=60.0, worse_of=10)
+    one.run()
+    before = one.up()
+    assert all(one.say(n % 2, b"OPEN i%d k%d c=chat,d=2000" % (n, n)).startswith(b"UP") for n in range(20))
+    worse = one.folder / "worse"
+    shutil.copytree(ROOT / "cottonspread", worse / "cottonspread", ignore=shutil.ignore_patterns("__pycache__"))
+    node = worse / "cottonspread" / "net" / "node.py"
+    node.write_text(node.read_text().replace("            admitted = self.door.admits(self.clock.now())", "            admitted = False"))
+    upgrade = subprocess.Popen(one.words("upgrade", "--checkout", str(worse)), cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+    one.until(lambda: one.rows()["f-0"]["state"] == "serving" and one.rows()["f-0"]["pid"] != before["f-0"], "the first is changed")
+    for n in range(12):
+        assert one.say(0, b"OPEN j%d k%d c=chat,d=2000" % (n, n)).startswith(b"BUSY")
+    _, said = upgrade.communicate(timeout=WAIT)
+    assert upgrade.returncode == 1 and "f-0: " in said and "calls ended badly, before 0.000 of them" in said, said
+    after = one.up()
+    assert after["f-1"] == before["f-1"] and one.say(0, b"OPEN x k c=chat,d=2000").startswith(b"UP")
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -4,7 +4,7 @@
   list changes|full|saved HOST[:WORD=VALUE]    discovery has spoken       down     discovery fails
   came C                  a client connects    got END TEXT [| TEXT]      whole lines come; half: and part of one more
   up H, fail H            a connect's result   wrote END [broken]         a write held by `hold END` is done
-  over END [how]          nothing more comes   stop, tick                 SIGTERM; time passes
+  over END [how]          nothing more comes   stop [handed], tick        SIGTERM (a successor takes new ones); time passes
   asleep                  the node stood still until now                  at TIME got ..  it was here since then
 > connect H HOST, write END TEXT, finish END, cut END [broken], closed C REASON, stop    what must follow
 Ends to hosts are named h1, h2, .. as they are made. Writes are done at once unless held.
@@ -121,7 +121,7 @@
                 self.reading.discard(end)
                 self.step(ev.Over(end, args[1] if len(args) > 1 else "end"))
             case "stop":
-                self.step(ev.StopAsked())
+                self.step(ev.StopAsked("handed" in args))
             case "tick" | "asleep":
                 self.step(ev.Tick())
         out, self.out = self.out, []
