--- a/cottonspread/fleet/core.py
+++ b/cottonspread/fleet/core.py
@@ -432,7 +432,7 @@
                 self.kill(p, "did not leave")
         elif p is slot.next:
             # Without a list nobody can begin, and to start it anew brings none; in a rollout the holder goes on meanwhile.
-            if p.state == WAITING and slot.holder is None and self.rollout is None:
+            if p.state == WAITING and slot.holder is None and self.rollout is None and self.now - p.stepped <= fleet.stuck_s * SECOND:
                 p.allowed_from = self.now
             if self.now - max(p.began, p.allowed_from) > fleet.start_s * SECOND:
                 self.kill(p, f"not ready after {fleet.start_s:g} s")
--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -264,6 +264,19 @@
     assert not world.core.slots["f-1"].why and world.core.state_of(world.core.slots["f-1"]) == "drained"
 
 
+def test_one_without_a_list_is_waited_for_as_long_as_it_makes_steps_and_no_longer():
+    world = World(plan(count=1))
+    world.advance(("f-0", 1))
+    for n in range(600):
+        world.now += SECOND // 10
+        if n < 300:
+            world.status(("f-0", 1))
+        world.tell("tick")
+        if world.alive.get(("f-0", 1), {}).get("killed"):
+            break
+    assert 300 + 79 <= n <= 300 + 90, "its 5 s begin when it was last seen alive: 3 s after its last step"
+
+
 def test_a_supervisor_that_stood_still_itself_blames_nobody_for_the_silence():
     world = up()
     before = set(world.alive)
