--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -258,10 +258,25 @@
 
 
 def test_one_that_was_told_to_leave_and_ends_before_it_says_so_has_not_failed():
+    world = up(count=1)
+    world.tell("replan", plan(1, start="b"))
+    world.advance(("f-0", 2))
+    world.advance(("f-0", 2))
+    assert world.alive["f-0", 1]["leave"] is True
+    world.exit(("f-0", 1), "exit 0")
+    assert not world.core.slots["f-0"].why and world.holders()["f-0"]["spec"].start == "b"
+
+
+def test_one_that_freezes_while_it_leaves_is_ended():
     world = up()
     world.tell("drain", "f-1")
-    world.exit(("f-1", 2), "exit 0")
-    assert not world.core.slots["f-1"].why and world.core.state_of(world.core.slots["f-1"]) == "drained"
+    world.advance(("f-1", 2))
+    assert world.alive["f-1", 2]["state"] == "leaving"
+    world.alive["f-1", 2]["frozen"] = True
+    world.settle(3.5)
+    assert ("f-1", 2) in world.alive
+    world.settle(2)
+    assert ("f-1", 2) not in world.alive
 
 
 def test_one_without_a_list_is_waited_for_as_long_as_it_makes_steps_and_no_longer():
