Fleet core: a name that a rollout takes back while it leaves is kept in the table

It was dropped before its turn came, and the rollout had no end: found by 5,000 random sequences, now a test of its own that fails without the fix.

--- a/cottonspread/fleet/core.py
+++ b/cottonspread/fleet/core.py
@@ -300,21 +300,19 @@
         todo = self.rollout.todo
         todo.clear()
         for name, spec in plan.specs.items():
-            slot = self.slots.get(name)
+            slot, back = self.slots.get(name), False
             if slot is None:
-                slot = self.slots[name] = Slot(name, spec)
-            elif slot.spec != spec or slot.gone:
-                if slot not in self.rollout.doing:
-                    todo.append(slot)
-            else:
-                continue
-            if slot in self.rollout.doing or slot.holder is None:
-                slot.spec, slot.gone = spec, False
-                if slot not in self.rollout.doing:
-                    self.rollout.doing[slot] = 0
-                    slot.given_up, slot.in_row, slot.not_before = False, 0, 0
-                    if slot in todo:
-                        todo.remove(slot)
+                slot, back = Slot(name, spec), True
+                self.slots[name] = slot
+            elif slot.gone:                  # on its way out: from now on it is not, or it would be gone before its turn comes
+                slot.gone, back = False, True
+            if slot in self.rollout.doing:
+                slot.spec = spec
+            elif slot.holder is None and (back or slot.spec != spec):
+                slot.spec, slot.given_up, slot.in_row, slot.not_before = spec, False, 0, 0
+                self.rollout.doing[slot] = 0
+            elif slot.spec != spec:
+                todo.append(slot)
         for name, slot in self.slots.items():
             if name not in plan.specs:
                 slot.gone = True
@@ -365,7 +363,7 @@
         away = [s for s in self.slots.values() if not (s.serving() or s.drained or s.gone or s.given_up or s in r.doing)]
         while r.todo and len(r.doing) + len(away) < max(fleet.at_once, 1):
             slot = r.todo.popleft()
-            slot.spec, slot.gone = self.plan.specs[slot.name], False
+            slot.spec = self.plan.specs[slot.name]
             slot.given_up, slot.in_row, slot.not_before = False, 0, 0
             r.doing[slot] = 0
         if not r.todo and not r.doing:
--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -365,6 +365,20 @@
     assert world.over and not world.alive
 
 
+def test_a_name_that_is_taken_back_while_it_leaves_is_there_in_the_end():
+    """The first plan drops two names; it goes back while they leave. One was lost from the table, and the rollout never ended."""
+    world = up(count=4)
+    world.tell("replan", plan(2, start="bad"))
+    for _ in range(40):
+        world.now += SECOND // 20
+        for key in list(world.alive):
+            if key not in (("f-2", 3), ("f-3", 4)) or world.outcomes:
+                world.advance(key, {"bad"})
+        world.tell("tick")
+    world.settle(20, {"bad"})
+    assert not world.outcomes[-1].ok and set(world.holders()) == {"f-0", "f-1", "f-2", "f-3"}
+
+
 def test_a_live_change_starts_nothing():
     world = up()
     world.tell("replan", plan(live="y"))
