--- a/cottonspread/fleet/supervisor.py
+++ b/cottonspread/fleet/supervisor.py
@@ -179,12 +179,12 @@
             while signals:
                 number = signals.pop(0)
                 if number == signal.SIGHUP:
-                    self.reload(None)
+                    self.guarded(self.reload, None)
                 else:
                     self.manager.stopping()
                     self.tell("stop")
             while self.timers and self.timers[0][0] <= time.monotonic():
-                heapq.heappop(self.timers)[2]()
+                self.guarded(heapq.heappop(self.timers)[2])
             self.connect_waiting()
             self.tell("tick")
         self.close_up()
@@ -195,10 +195,14 @@
         for key, _ in self.selector.select(wait):
             if self.selector.get_map().get(key.fd) is not key:       # closed by what came before it in this round
                 continue
-            try:
-                key.data()
-            except Exception:                # our own: in plain sight, and the fleet goes on
-                log.exception("fault", extra={"pairs": {"while": "events"}})
+            self.guarded(key.data)
+
+    def guarded(self, what, *args):
+        """Our own faults: in plain sight, and the fleet goes on."""
+        try:
+            what(*args)
+        except Exception:
+            log.exception("fault", extra={"pairs": {"while": getattr(what, "__qualname__", "event")}})
 
     def at(self, after, what):
         heapq.heappush(self.timers, (time.monotonic() + after, id(what), what))
