Fleet reread: one reading of the file, one place for each small thing, dead state out

The missing section [fleet] was told in three places, the folders derived in two, a socket unlinked with the same guard in three, a table printed in two, an instance's JSON parsed twice for each plan, the operator's file read four times at a start, the generations written to disk at each start instead of once for all that start together. Keys that need a new supervisor are now known by their own mark. Core: a change of a name and its clean slate are one method each, the door is told only when it changes, adoption is no step any more. Also: an instance whose pidfd cannot be had is no longer listed as found before it is ended.

--- a/cottonspread/cli/fleet.py
+++ b/cottonspread/cli/fleet.py
@@ -6,34 +6,24 @@
 import time
 
 from cottonspread import config
+from cottonspread.cli import node
 
 HERE = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 COLUMNS = ("instance", "address", "pid", "state", "since_s", "connections", "calls", "list", "generation", "restarts", "why")
 
 
-def checked(text, name):
-    from cottonspread.cli import node
-    node.read_text(text, {})
-
-
-def folder(given):
+def folders(given):
     """(state folder, log folder) of the fleet that the file describes."""
     from cottonspread.config import operator as op
     from cottonspread.fleet import plan
-    fleet = op.read(given.operator)[2]
-    if fleet is None:
-        raise op.Faults([f"{given.operator}: fleet: missing: this command needs the section [fleet]"])
-    state = plan.beside(given.operator, fleet.state)
-    return state, plan.beside(given.operator, fleet.logs) if fleet.logs else os.path.join(state, "log")
+    return plan.folders(given.operator, op.read_fleet(given.operator)[2])
 
 
 def run(given):
-    from cottonspread.config import operator as op
     from cottonspread.fleet.supervisor import Supervisor
     from cottonspread.net import logfmt
-    log = op.read(given.operator)[0]
-    supervisor = Supervisor(given.operator, (sys.executable, HERE), checked)
-    write_out = logfmt.start("fleet", log.level.upper(), log.format)
+    supervisor = Supervisor(given.operator, (sys.executable, HERE), node.read_text)
+    write_out = logfmt.start("fleet", supervisor.logging.level.upper(), supervisor.logging.format)
     try:
         supervisor.prepare()
         return supervisor.run()
@@ -44,7 +34,7 @@
 def asked(given, said, wait):
     """The supervisor's answer. A command that is long under way is answered at its end."""
     from cottonspread.fleet import control
-    path = os.path.join(folder(given)[0], "fleet.sock")
+    path = os.path.join(folders(given)[0], "fleet.sock")
     try:
         sock = control.connect(path)
         sock.settimeout(wait)
@@ -73,15 +63,18 @@
     return 0 if answer["ok"] else 1
 
 
+def print_table(rows):
+    widths = [max(len(row[n]) for row in rows) for n in range(len(rows[0]))]
+    for row in rows:
+        print("  ".join(cell.ljust(width) for cell, width in zip(row, widths)).rstrip())
+
+
 def status(given):
     answer = asked(given, {"do": "status"}, 5.0)["status"]
     if given.json:
         print(json.dumps(answer, indent=1))
         return 0
-    rows = [COLUMNS, *(["" if row[c] is None else str(row[c]) for c in COLUMNS] for row in answer["instances"])]
-    widths = [max(len(row[n]) for row in rows) for n in range(len(COLUMNS))]
-    for row in rows:
-        print("  ".join(cell.ljust(width) for cell, width in zip(row, widths)).rstrip())
+    print_table([COLUMNS, *(["" if row[c] is None else str(row[c]) for c in COLUMNS] for row in answer["instances"])])
     r = answer["rollout"]
     print(f"{answer['fleet']}: supervisor {answer['pid']}, {'ready' if answer['ready'] else 'not all ready'}" + (
         f"; {r['of']}: {r['to_do']} to do, {r['under_way']} under way" + (f", going back: {r['going_back']}" if r["going_back"] else "") if r else ""))
@@ -90,7 +83,7 @@
 
 def logs(given):
     """The last lines of all instances, or of one, in the order of their times; `--follow` goes on."""
-    where = folder(given)[1]
+    where = folders(given)[1]
     names = [f"{given.name}.log"] if given.name else sorted(f for f in os.listdir(where) if f.endswith(".log"))
     try:
         files = [open(os.path.join(where, name), encoding="utf-8", errors="replace") for name in names]
@@ -112,10 +105,7 @@
         *parts, whole = op.read(given.operator)
     else:
         *parts, whole = op.read_text("")
-    rows = [(key, json.dumps(value), where, kind) for key, value, where, kind in op.in_force(parts, whole, given.operator)]
-    widths = [max(len(row[n]) for row in rows) for n in range(3)]
-    for row in rows:
-        print("  ".join(cell.ljust(width) for cell, width in zip(row, widths)) + "  " + row[3])
+    print_table([(key, json.dumps(value), where, kind) for key, value, where, kind in op.in_force(parts, whole, given.operator)])
     return 0
 
 
--- a/cottonspread/cli/instance.py
+++ b/cottonspread/cli/instance.py
@@ -38,12 +38,15 @@
         self.list_told, self.alone_since, self.beat_at, self.take_by = False, time.monotonic(), 0.0, 0.0
         path = os.path.join(told["folder"], f"{self.name}.list.json")
         self.saved = saved.Saved(path) if own["save_list"] else None
-        parts = list(config.read_node(json.dumps(self.start["config"] | {
-            "discovery": json.loads(self.live)["discovery"]}), {}))
+        parts = self.read(json.loads(self.live))
         if self.saved:
             parts[-1] = known_list(saved.read(path), parts)
         self.node = Node(*parts, keep=self.keep)
 
+    def read(self, live):
+        """The parts of the node's configuration."""
+        return list(config.read_node(json.dumps(self.start["config"] | {"discovery": live["discovery"]}), {}))
+
     def keep(self, version, instances, whole):
         if self.saved:
             self.saved.told(version, instances, whole)
@@ -68,10 +71,7 @@
                     self.leave(False)
                 self.look()
         finally:
-            try:
-                os.unlink(self.told["socket"])
-            except FileNotFoundError:        # a supervisor that took us for gone
-                pass
+            control.unlink(self.told["socket"])
         return 0
 
     def look(self):
@@ -95,11 +95,11 @@
         log.info("state", extra={"pairs": {"state": state}})
         self.tell()
 
-    def tell(self, *extra):
+    def tell(self):
         self.beat_at = time.monotonic()
         status = {"state": self.state, "live": self.live, "pid": os.getpid(), "version": __version__, **self.node.status()}
         for line in list(self.lines):
-            if not all(line.say(one) for one in (*extra, {"status": status})):
+            if not line.say({"status": status}):
                 self.drop(line)
 
     def welcome(self):
@@ -155,8 +155,7 @@
     def apply(self, live):
         said = json.loads(live)
         logging.getLogger("cottonspread").setLevel(said["level"].upper())
-        host, _, port = said["discovery"].rpartition(":")
-        self.node.follow((host, int(port)))
+        self.node.follow(self.read(said)[0].discovery)
         self.live = live
         log.info("reload", extra={"pairs": said})
         self.tell()
--- a/cottonspread/cli/node.py
+++ b/cottonspread/cli/node.py
@@ -25,7 +25,7 @@
     return read_text(text, os.environ)
 
 
-def read_text(text, environment):
+def read_text(text, environment={}):
     parts = config.read_node(text, environment)
     try:
         discovery.read_list(parts[-1], parts[2])
@@ -122,7 +122,7 @@
     own = operator(operators)
     if own and own[2] and not path:
         from cottonspread.fleet import plan
-        specs = plan.read(operators, (sys.executable, ""), lambda text, _: read_text(text, {})).specs
+        specs = plan.read(operators, (sys.executable, ""), read_text).specs
         print(f"{len(specs)} instances: " + ", ".join("%s on %s:%d" % (s.name, *s.address) for s in specs.values()))
         return 0
     place, room, names, _, begin, known = read(named(path))
--- a/cottonspread/config/operator.py
+++ b/cottonspread/config/operator.py
@@ -88,6 +88,7 @@
         faults.append((name, "expected a section, [" + name + "]"))
         return None
     known, taken, before = {f.name: f for f in msgspec.structs.fields(kind)}, {}, len(faults)
+    hints = typing.get_type_hints(kind, include_extras=True)
     for word in values.keys() - known.keys():
         faults.append((f"{name}.{word}", "unknown key" + near(word, known)))
     for word, field in known.items():
@@ -96,7 +97,7 @@
                 faults.append((f"{name}.{word}", "missing"))
             continue
         try:
-            taken[word] = msgspec.convert(values[word], typing.get_type_hints(kind, include_extras=True)[word])
+            taken[word] = msgspec.convert(values[word], hints[word])
         except msgspec.ValidationError as fault:
             faults.append((f"{name}.{word}", f"{values[word]!r}: {fault}"))
     return kind(**taken) if len(faults) == before else None
@@ -145,6 +146,14 @@
     return read_text(text, path)
 
 
+def read_fleet(path):
+    """As `read`, of a file that must have the section [fleet]: (Log, Instance, Fleet)."""
+    log, instance, fleet, _ = read(path)
+    if fleet is None:
+        raise Faults([f"{path}: fleet: missing: this command needs the section [fleet]"])
+    return log, instance, fleet
+
+
 def in_force(parts, whole, path):
     """(key, value, where it is from, what a reload does) for every key of every section that is there."""
     for (name, kind), section in zip(SECTIONS.items(), parts):
--- a/cottonspread/fleet/control.py
+++ b/cottonspread/fleet/control.py
@@ -63,13 +63,18 @@
     return sock
 
 
-def listening(path):
-    """A control socket at this path; what an earlier process left there is removed. Only its owner may connect."""
-    sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+def unlink(path):
+    """Whoever ends removes its own socket too, perhaps just now."""
     try:
         os.unlink(path)
     except FileNotFoundError:
         pass
+
+
+def listening(path):
+    """A control socket at this path; what an earlier process left there is removed. Only its owner may connect."""
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    unlink(path)
     mask = os.umask(0o177)
     try:
         sock.bind(path)
--- a/cottonspread/fleet/core.py
+++ b/cottonspread/fleet/core.py
@@ -99,7 +99,6 @@
     generation: int
     spec: object
     began: int
-    adopted: bool = False
     allowed_from: int = 0          # its time to get ready runs from here
     state: str = STARTING
     since: int = 0
@@ -137,6 +136,10 @@
     def processes(self):
         return [p for p in (self.holder, self.next) if p] + self.leaving
 
+    def afresh(self):
+        """What it failed at before does not count any more."""
+        self.given_up, self.in_row, self.not_before = False, 0, 0
+
     def serving(self):
         return self.holder is not None and self.holder.state == SERVING and not self.holder.told_leave
 
@@ -168,8 +171,7 @@
                 p.stepped, p.allowed_from = p.stepped + gap, max(p.began, p.allowed_from) + gap
                 p.told_leave += gap if p.told_leave else 0
         getattr(self, what)(*args)
-        if what != "adopted":                # first all of them, then `settle`
-            self.consider_all()
+        self.consider_all()
         out, self.out = self.out, []
         return out
 
@@ -184,10 +186,10 @@
         pass
 
     def adopted(self, name, generation, spec, status):
-        """A process that an earlier supervisor began, found before anything is started."""
+        """A process that an earlier supervisor began, found before anything is started. No step: first all of them, then `settle`."""
         self.generation = max(self.generation, generation)
         slot = self.slots.get(name)
-        p = Process(name, generation, spec, self.now, adopted=True, state=status["state"], since=self.now, stepped=self.now, seen=status)
+        p = Process(name, generation, spec, self.now, state=status["state"], since=self.now, stepped=self.now, seen=status)
         if slot is None:                     # not in the plan any more
             slot = self.slots[name] = Slot(name, spec, gone=True)
         if p.state == SERVING and slot.holder is None:
@@ -284,8 +286,8 @@
         """Back from a drain or after being given up, else a successor."""
         slot = self.slots[name]
         slot.anew = slot.holder is not None and not slot.drained
-        slot.drained = slot.given_up = False
-        slot.not_before = slot.in_row = 0
+        slot.drained = False
+        slot.afresh()
         slot.fails.clear()
 
     # Rollouts
@@ -309,29 +311,27 @@
             if slot in self.rollout.doing:
                 slot.spec = spec
             elif slot.holder is None and (back or slot.spec != spec):
-                slot.spec, slot.given_up, slot.in_row, slot.not_before = spec, False, 0, 0
-                self.rollout.doing[slot] = 0
+                self.change(slot, spec)
             elif slot.spec != spec:
                 todo.append(slot)
         for name, slot in self.slots.items():
             if name not in plan.specs:
                 slot.gone = True
 
+    def change(self, slot, spec):
+        slot.spec = spec
+        slot.afresh()
+        self.rollout.doing[slot] = 0
+
     def go_back(self, why):
         r = self.rollout
         r.back, self.plan = why, r.before
         self.out.append(Say("going-back", {"from": r.why, "why": why}, "error"))
         for slot in r.doing:
-            r.doing[slot] = 0
             if slot.next:
                 self.kill(slot.next, "going back")
-        r.todo.clear()
-        done = list(r.doing)
-        r.doing.clear()
-        for slot in done:                    # those that were under way are turned round at once
-            if slot.name in r.before.specs:
-                slot.spec = r.before.specs[slot.name]
-                r.doing[slot] = 0
+        # Those that were under way are turned round at once.
+        r.doing = {slot: 0 for slot in r.doing if slot.name in r.before.specs}
         self.target(r.before)
 
     def end_rollout(self, ok, why):
@@ -363,9 +363,7 @@
         away = [s for s in self.slots.values() if not (s.serving() or s.drained or s.gone or s.given_up or s in r.doing)]
         while r.todo and len(r.doing) + len(away) < max(fleet.at_once, 1):
             slot = r.todo.popleft()
-            slot.spec = self.plan.specs[slot.name]
-            slot.given_up, slot.in_row, slot.not_before = False, 0, 0
-            r.doing[slot] = 0
+            self.change(slot, self.plan.specs[slot.name])
         if not r.todo and not r.doing:
             self.end_rollout(not r.back, r.back)
 
@@ -414,9 +412,13 @@
         door = not slot.holder and not (slot.next and slot.next.told_take) and (
             self.stopping or slot.drained or slot.given_up or slot.gone or slot.next is None and slot.not_before > self.now
             or slot.next is not None and slot.next.state == WAITING)
-        if door != slot.door and slot.name in self.slots:
-            slot.door = door
-            self.out.append(Door(slot.name, door))
+        if slot.name in self.slots:
+            self.set_door(slot, door)
+
+    def set_door(self, slot, open):
+        if open != slot.door:
+            slot.door = open
+            self.out.append(Door(slot.name, open))
 
     def look_at(self, slot, p, fleet):
         """Whether it is in time with what it is to do."""
@@ -448,8 +450,7 @@
                     self.out.append(Leave(slot.name, old.generation, True))
                 elif old is None:
                     new.told_take = self.now
-                    self.out.append(Door(slot.name, False))
-                    slot.door = False
+                    self.set_door(slot, False)         # before the other takes
                     self.out.append(Take(slot.name, new.generation))
             return
         if new is not None or old is not None and old.killed and not old.told_leave:
--- a/cottonspread/fleet/plan.py
+++ b/cottonspread/fleet/plan.py
@@ -50,11 +50,16 @@
     return os.path.join(os.path.dirname(os.path.abspath(path)), other)
 
 
-def read(path, program, check=lambda text, name: None):
-    """The plan that the files give now. Raises config.Senseless, naming file and key. `check(text, name)` may raise it too."""
-    log, instance, fleet, _ = op.read(path)
-    if fleet is None:
-        raise op.Faults([f"{path}: fleet: missing: this command needs the section [fleet]"])
+def folders(path, fleet):
+    """(for state, for logs)."""
+    state = beside(path, fleet.state)
+    return state, beside(path, fleet.logs) if fleet.logs else os.path.join(state, "log")
+
+
+def read(path, program, check=lambda text: config.read_node(text, {})):
+    """The plan that the files give now. Raises config.Senseless, naming file and key. `check(text)` reads an instance's JSON: the
+    parts of config.read_node, or config.Senseless."""
+    log, instance, fleet = op.read_fleet(path)
     template = beside(path, fleet.config)
     try:
         with open(template, encoding="utf-8") as file:
@@ -75,8 +80,7 @@
             own["discovery"] = stepped(whole["discovery"], fleet.discovery_step * n) if fleet.discovery_step else whole["discovery"]
             if "seed" in whole:
                 own["seed"] = "%x" % (int(whole["seed"], 16) + n)
-            place = config.read_node(canonical(own), {})[0]
-            check(canonical(own), name)
+            place = check(canonical(own))[0]
         except (config.Senseless, ValueError, TypeError) as fault:
             raise op.Faults([f"{template}: {fault} (instance {name})"]) from fault
         live = {key: own.pop(key) for key in LIVE} | {"level": log.level}
@@ -99,14 +103,12 @@
     return sock
 
 
-def bind_all(specs, held=()):
-    """Listening sockets for all that are not in `held`, by name; every address that is taken is named at once."""
+def bind_all(specs):
+    """Listening sockets by address; every address that is taken is named at once."""
     taken, faults = {}, []
-    for spec in specs.values():
-        if spec.name in held:
-            continue
+    for spec in specs:
         try:
-            taken[spec.name] = bound(spec.address)
+            taken[spec.address] = bound(spec.address)
         except OSError as fault:
             why = "address in use" if fault.errno == errno.EADDRINUSE else fault.strerror or str(fault)
             faults.append(f"fleet.listen: {spec.address[0]}:{spec.address[1]} for {spec.name}: {why}")
--- a/cottonspread/fleet/supervisor.py
+++ b/cottonspread/fleet/supervisor.py
@@ -37,22 +37,18 @@
     """A client at the door: its first line is read, for closing on unread bytes would eat the BUSY."""
 
     def __init__(self, sock):
-        self.sock, self.until, self.data, self.answered = sock, time.monotonic() + DOOR_WAIT, b"", False
+        self.sock, self.data, self.answered = sock, b"", False
 
 
 class Supervisor:
     def __init__(self, path, program, check):
         self.path, self.own_program, self.check = os.path.abspath(path), tuple(program), check
-        fleet = op.read(self.path)[2]
-        if fleet is None:
-            raise op.Faults([f"{path}: fleet: missing: this command needs the section [fleet]"])
-        self.folder = plans.beside(self.path, fleet.state)
-        self.logs = plans.beside(self.path, fleet.logs) if fleet.logs else os.path.join(self.folder, "log")
-        self.fixed = fleet.name, fleet.state, fleet.logs
+        self.logging, _, self.fleet = op.read_fleet(self.path)
+        self.folder, self.logs = plans.folders(self.path, self.fleet)
         self.manager, self.selector, self.timers = notify.Manager(), selectors.DefaultSelector(), []
         self.sockets, self.doors, self.guests = {}, {}, {}      # by address; by name; by socket
         self.children, self.pidfds, self.channels = {}, {}, {}  # by (name, generation)
-        self.waiting, self.clients = {}, {}                     # control sockets not yet there; connections of commands
+        self.waiting = {}                                       # control sockets not yet there
         self.answers, self.was_ready, self.done, self.began = [], False, False, time.monotonic()
 
     # The start
@@ -64,22 +60,20 @@
             os.makedirs(self.logs, exist_ok=True)
         except OSError as fault:
             raise op.Faults([f"{self.path}: fleet.state: {fault}"]) from fault
-        longest = os.path.join(self.folder, f"{self.fixed[0]}-255.{10 ** 6}.sock")
+        longest = os.path.join(self.folder, f"{self.fleet.name}-255.{10 ** 6}.sock")
         if len(longest) > control.LONGEST_PATH:
             raise op.Faults([f"{self.path}: fleet.state: {self.folder}: too long a path for sockets: {len(longest)} bytes "
                              f"with their names, {control.LONGEST_PATH} are possible"])
         self.lock = control.Lock(os.path.join(self.folder, "fleet.pid"))
         if not self.lock.take():
             raise op.Faults([f"{self.path}: fleet.state: {self.folder}: a supervisor runs there already, pid {self.lock.holder()}"])
-        self.room(op.read(self.path)[2].instances)
+        self.room(self.fleet.instances)
         kept = self.kept()
         self.program = tuple(kept.get("program") or self.own_program)
-        self.plan = plans.read(self.path, self.program, self.check)
+        plan = plans.read(self.path, self.program, self.check)
         found = self.find_instances()
-        missing = {n: s for n, s in self.plan.specs.items() if s.address not in self.sockets}
-        taken = plans.bind_all(missing)
-        self.sockets.update({missing[name].address: sock for name, sock in taken.items()})
-        self.core = Core(now(), self.plan)
+        self.bind(plan)
+        self.core = Core(now(), plan)
         self.core.generation = kept.get("generation", 0)
         self.control = control.listening(os.path.join(self.folder, "fleet.sock"))
         self.control.setblocking(False)
@@ -89,6 +83,10 @@
             self.follow(name, generation, sock)
         self.tell("settle")
 
+    def bind(self, plan):
+        """The addresses that are not held yet."""
+        self.sockets |= plans.bind_all(s for s in plan.specs.values() if s.address not in self.sockets)
+
     def room(self, instances):
         """Each instance costs a listener, a control socket and a pidfd, twice while it is changed; its process has its own limit."""
         need = 5 * instances + MOST_AT_DOOR + 32
@@ -124,7 +122,7 @@
                 continue
             pid = running.get(path)
             if pid is None:
-                unlink(path)
+                control.unlink(path)
                 continue
             try:
                 sock = control.connect(path)
@@ -142,12 +140,12 @@
                     listener.close()
                 else:
                     self.sockets[spec.address] = listener
-                found.append((spec.name, hello["generation"], spec, status, sock))
                 self.pidfds[spec.name, hello["generation"]] = os.pidfd_open(pid)
+                found.append((spec.name, hello["generation"], spec, status, sock))
             except (OSError, ValueError, LookupError) as fault:
                 log.error("not-adopted", extra={"pairs": {"pid": pid, "socket": file, "why": fault or type(fault).__name__}})
                 end_process(pid)
-                unlink(path)
+                control.unlink(path)
         return found
 
     def follow(self, name, generation, sock):
@@ -188,7 +186,7 @@
             self.connect_waiting()
             self.tell("tick")
         self.close_up()
-        unlink(os.path.join(self.folder, "fleet.sock"))
+        control.unlink(os.path.join(self.folder, "fleet.sock"))
         return 0
 
     def hear_all(self, wait):
@@ -220,7 +218,10 @@
         return f"{sum(s.serving() for s in slots)} of {len(slots)} instances serve"
 
     def tell(self, what, *args):
-        for effect in self.core.step(now(), what, *args):
+        effects = self.core.step(now(), what, *args)
+        if any(isinstance(effect, Start) for effect in effects):
+            self.keep()                      # the generations, once for all that start now
+        for effect in effects:
             self.carry_out(effect)
         if not self.was_ready and self.core.ready():
             self.was_ready = True
@@ -265,7 +266,6 @@
         listener = self.sockets[spec.address]
         told = {"name": name, "generation": generation, "start": spec.start, "live": spec.live, "folder": self.folder,
                 "socket": path, "listener": listener.fileno()}
-        self.keep()
         try:
             with open_log(os.path.join(self.logs, f"{name}.log")) as out:
                 child = subprocess.Popen(
@@ -285,14 +285,10 @@
                     return                   # its end will be noticed
                 child.wait()
                 del self.children[name, generation]
-            self.later(lambda: self.tell("not_started", name, generation, why))
+            self.at(0, lambda: self.tell("not_started", name, generation, why))      # not inside of a step of the core
             return
         self.waiting[name, generation] = path
 
-    def later(self, what):
-        """Not inside of a step of the core."""
-        self.at(0, what)
-
     def connect_waiting(self):
         for (name, generation), path in list(self.waiting.items()):
             try:
@@ -339,8 +335,11 @@
     def drop_channel(self, name, generation):
         line = self.channels.pop((name, generation), None)
         if line:
-            self.selector.unregister(line.sock)
-            line.sock.close()
+            self.let_go(line.sock)
+
+    def let_go(self, sock):
+        self.selector.unregister(sock)
+        sock.close()
 
     def order(self, effect, said):
         line = self.channels.get((effect.name, effect.generation))
@@ -438,8 +437,7 @@
 
     def see_out(self, guest):
         if self.guests.pop(guest.sock, None):
-            self.selector.unregister(guest.sock)
-            guest.sock.close()
+            self.let_go(guest.sock)
 
     # Commands
 
@@ -448,7 +446,6 @@
             line = control.Line(self.control.accept()[0])
         except OSError:
             return
-        self.clients[line.sock] = line
         self.selector.register(line.sock, selectors.EVENT_READ, lambda: self.command(line))
 
     def command(self, line):
@@ -462,10 +459,8 @@
                 log.exception("fault", extra={"pairs": {"while": one.get("do")}})
                 line.say({"ok": False, "why": f"our own fault: {type(fault).__name__}: {fault}"})
         if not stands or not line.flush():
-            self.clients.pop(line.sock, None)
             self.answers = [(k, other) for k, other in self.answers if other is not line]
-            self.selector.unregister(line.sock)
-            line.sock.close()
+            self.let_go(line.sock)
 
     def obey(self, line, one):
         do, name = one.get("do"), one.get("name")
@@ -502,12 +497,11 @@
         if self.core.stopping:
             raise config.Senseless("the fleet is stopping")
         plan = plans.read(self.path, program, self.check)
-        fleet = plan.fleet
-        if (fleet.name, fleet.state, fleet.logs) != self.fixed:
-            raise op.Faults([f"{self.path}: fleet.{key}: only a new supervisor takes this over" for key, was in zip(
-                ("name", "state", "logs"), self.fixed) if getattr(fleet, key) != was])
-        taken = plans.bind_all({n: s for n, s in plan.specs.items() if s.address not in self.sockets})
-        self.sockets.update({plan.specs[name].address: sock for name, sock in taken.items()})
+        fixed = [key for key, _, meta in op.fields(op.Fleet) if meta.extra["reload"] == "new"
+                 and getattr(plan.fleet, key) != getattr(self.fleet, key)]
+        if fixed:
+            raise op.Faults([f"{self.path}: fleet.{key}: only a new supervisor takes this over" for key in fixed])
+        self.bind(plan)
         if line:
             self.answers.append((plan, line))
         self.tell("replan", plan, why)
@@ -536,7 +530,7 @@
                 "version": seen.get("version"), "ended": seen.get("ended"), "bad": seen.get("bad"),
                 "restarts": slot.restarts, "why": slot.why, "leaving": len(slot.leaving)})
         r = self.core.rollout
-        return {"fleet": self.fixed[0], "pid": os.getpid(), "ready": self.core.ready(), "program": list(self.core.plan.program),
+        return {"fleet": self.fleet.name, "pid": os.getpid(), "ready": self.core.ready(), "program": list(self.core.plan.program),
                 "rollout": {"of": r.why, "to_do": len(r.todo), "under_way": len(r.doing), "going_back": r.back} if r else None,
                 "instances": rows}
 
@@ -550,14 +544,6 @@
         return open(os.devnull, "ab")
 
 
-def unlink(path):
-    """Whoever ends removes its own socket too, perhaps just now."""
-    try:
-        os.unlink(path)
-    except FileNotFoundError:
-        pass
-
-
 def instances_running():
     """pid by control socket of every instance on this machine, by their command lines: a pid in a file may be anybody's by now."""
     found = {}
--- a/cottonspread/lab/fleet.py
+++ b/cottonspread/lab/fleet.py
@@ -24,7 +24,7 @@
         self.path = os.path.join(play.folder, "operator.toml")
         self.template = os.path.join(play.folder, "node.json")
         self.state = os.path.join(play.folder, "s")
-        self.began = self.ready_after = 0.0
+        self.seen = 0.0, {}            # a status, and when it was told
 
     def write(self):
         plan, first = self.play.plan, self.play.nodes[0]
@@ -45,7 +45,7 @@
     def start(self):
         if self.running:
             return
-        self.running, self.began = True, time.monotonic()
+        self.running = True
         self.write()
         with open(os.path.join(self.play.folder, "fleet.log"), "ab") as log:
             self.process = subprocess.Popen(**self.words("run"), stdout=log, stderr=log, preexec_fn=lambda: prepare_child(None))
@@ -157,7 +157,7 @@
 
     def start(self):
         self.play.fleet.start()
-        self.process, self.up, self.probe, self.asked = self.play.fleet.process, False, None, 0.0
+        self.up, self.probe = False, None
 
     @property
     def process(self):
@@ -180,10 +180,10 @@
             os.kill(pid, number)
 
     def sample(self):
-        play = self.play
-        if not getattr(play.fleet, "seen", None) or time.monotonic() - play.fleet.seen[0] > 0.5:
-            play.fleet.seen = time.monotonic(), play.fleet.status()
-        pid = play.fleet.seen[1].get(self.node.name, {}).get("pid")
+        fleet = self.play.fleet
+        if time.monotonic() - fleet.seen[0] > 0.5:         # one for all nodes
+            fleet.seen = time.monotonic(), fleet.status()
+        pid = fleet.seen[1].get(self.node.name, {}).get("pid")
         if pid and (self.probe is None or self.probe.pid != pid):
             try:
                 self.probe, self.cpu = psutil.Process(pid), 0.0
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -232,8 +232,9 @@
         conn.guard = self.happened + wait
         left = max(0, wait - lain - min(self.own.most(self.now), (wait - lain) // 4))
         # Two descriptors for every call, and some left to answer with: at the edge a call is turned away.
-        if self.turns_away(conn) or self.ends + 1 > self.most_ends:
-            self.finish(conn, "stopping" if self.turns_away(conn) else "no-room", lines.busy(self.come_back()))
+        turned = self.turns_away(conn)
+        if turned or self.ends + 1 > self.most_ends:
+            self.finish(conn, "stopping" if turned else "no-room", lines.busy(self.come_back()))
             return
         host = self.servers.get(opening.held_by)
         if opening.held_by is not None and (host is None or host.address is None):
--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -394,7 +394,7 @@
         spec = plan().specs[f"f-{n}"]
         world.alive[f"f-{n}", 7 + n] = {"state": state, "spec": spec, "steps": 5, "killed": False, "ended": 0, "bad": 0, "frozen": False, "told": True,
                                         "leave": None, "live": "x"}
-        world.tell("adopted", f"f-{n}", 7 + n, spec, {"state": state, "steps": 5, "live": "x"})
+        world.core.adopted(f"f-{n}", 7 + n, spec, {"state": state, "steps": 5, "live": "x"})
     world.tell("settle")
     assert not [e for e in world.effects if isinstance(e, c.Start) and e.name != "f-2"][1:], "all at once"
     world.settle(40)
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -126,24 +126,29 @@
         one.end()
 
 
+def notices(one):
+    """What a service manager gets that listens at the fleet's `notify`; always, for one that does not read misses notices."""
+    manager, said = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM), []
+    manager.bind(str(one.folder / "notify"))
+
+    def listen():
+        while True:
+            said.append(manager.recv(4096).decode())
+    threading.Thread(target=listen, daemon=True).start()
+    return said
+
+
 def gone(pids):
     return all(not os.path.exists(f"/proc/{pid}") or open(f"/proc/{pid}/stat").read().split(") ")[1][0] == "Z" for pid in pids)
 
 
 def test_commands_and_notices_to_the_service_manager(fleet, tmp_path):
     one = fleet(2)
-    manager = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
-    manager.bind(str(one.folder / "notify"))
-    said = []
-
-    def listen():                            # always: a manager that does not read misses notices
-        while True:
-            said.append(manager.recv(4096).decode())
+    said = notices(one)
 
     def heard(word):
         one.until(lambda: any(word in line for line in said), word)
         return True
-    threading.Thread(target=listen, daemon=True).start()
     process = one.run(env={**os.environ, "NOTIFY_SOCKET": str(one.folder / "notify"), "WATCHDOG_USEC": "200000"})
     assert heard("READY=1") and heard("WATCHDOG=1") and one.status()["ready"], "ready was told before it was so"
     before = one.up()
@@ -174,16 +179,10 @@
 
 
 def test_a_single_node_tells_the_service_manager_too(fleet):
-    one, said = fleet(1), []
-    manager = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
-    manager.bind(str(one.folder / "notify"))
+    one = fleet(1)
+    said = notices(one)
     answer, speaks = one.toy.answer, threading.Event()
     one.toy.answer = lambda query: speaks.wait(WAIT) and answer(query)
-
-    def listen():
-        while True:
-            said.append(manager.recv(4096).decode())
-    threading.Thread(target=listen, daemon=True).start()
     one.node["listen"] = f"127.0.0.1:{one.port}"
     one.write()
     process = subprocess.Popen([sys.executable, "-m", "cottonspread", "serve", "--config", str(one.folder / "node.json")], cwd=ROOT,
