--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -122,11 +122,40 @@
         return listed if not slow_part else min(listed, 2 + round(listed * part / slow_part))
 
 
+class Readings:
+    """What other nodes put on servers, as probes tell it, and when one is worth its price."""
+    LIFE = 4 * SECOND              # an older reading tells nothing
+    FRESH = SECOND                 # an older one is asked for anew before a call goes by it
+    LOW, HIGH = 0.55, 0.85         # a call passes over a server asked for more; nodes that read the same differ
+    MOST = 3                       # probes a call
+    SILENT = 9.0                   # the load of one that does not answer
+
+    def __init__(self, probed, chance):
+        self.probed, self.chance, self.waiting = probed, chance, {}
+
+    def bound(self):
+        return self.LOW + (self.HIGH - self.LOW) * self.chance.below(1000) / 1000 if self.probed else 0
+
+    def wanted(self, call, host, now):
+        return self.probed and call.probes < self.MOST and now - host.asked_at > self.FRESH
+
+    def told(self, host, e, now):
+        if e.ending is not Ending.FULL:              # one that answers too many probes tells nothing
+            host.asked, host.asked_at = e.load if e.ending is Ending.OK else self.SILENT, now
+
+    def known(self, host, now):
+        return now - host.asked_at <= self.LIFE
+
+    def crowded(self, host, call, now):
+        return self.known(host, now) and host.asked >= call.bound
+
+
 class Membership:
     """The servers that the list names, and the asking where it must be asked."""
 
-    def __init__(self, chance):
+    def __init__(self, chance, weights_move):
         self.chance, self.hosts, self.failures = chance, {}, 0
+        self.weights_move, self.nominal = weights_move, {}
 
     def read(self, listed):
         """Takes in a word from the list; returns (servers now unfit for records, servers started anew)."""
@@ -141,6 +170,10 @@
             host.entry = entry
             if not host.up:
                 lost.append(host)
+        for entry in entries if self.weights_move else ():
+            self.nominal[entry.kind] = max(entry.weight, self.nominal.get(entry.kind, 0.01))
+        for host in self.hosts.values():
+            host.size = max(self.nominal.get(host.entry.kind, host.entry.weight), 0.01)
         return lost, started
 
     def up(self):
@@ -332,7 +365,8 @@
         self.zone, self.crossing, self.moving = begin.zone, begin.prices.crossing, begin.prices.moving
         self.chance = Chance(begin.seed)
         self.records, self.groups = Records(), Groups()
-        self.rotation, self.membership = Rotation(self.chance, self.far), Membership(self.chance)
+        self.readings = Readings(begin.loads_probed, self.chance)
+        self.rotation, self.membership = Rotation(self.chance, self.near_first), Membership(self.chance, begin.weights_move)
         self.health = Health(min((t.message_target for t in begin.types if t.message_target), default=SECOND))
         self.loads, self.warm_up = Loads(), WarmUp(begin.cold, begin.nodes, self.chance)
         self.ceilings = Ceilings(self.loads, self.chance, begin.nodes)
@@ -344,7 +378,7 @@
         self.marked = {}               # servers that may be fresh, set aside, slow or under a ceiling
         self.takes = {io.Arrived: self.arrive, io.Listed: self.listed, io.Accepted: self.answered,
                       io.LegEnded: self.answered, io.LoadTold: self.told, io.DelayTold: self.told,
-                      io.Expired: self.expire, io.TimerFired: self.timer}
+                      io.Expired: self.expire, io.TimerFired: self.timer, io.Probed: self.probed}
         if begin.listing.ask:
             self.out.append(io.Follow())
 
@@ -368,6 +402,10 @@
             host = self.choose(call) if until else None
             if host is None:
                 break
+            if self.readings.wanted(call, host, self.now):
+                call.probes, call.asked = call.probes + 1, host
+                yield io.Probe(host.name)
+                continue                     # chosen again, with what the probe told
             self.records.put(call.key, host, self.now)
             result = yield io.Send(call.id, host.name, until)
             if isinstance(result, io.Accepted):
@@ -397,10 +435,11 @@
                     and (host not in self.marked or self.health.may_send(host, self.now)
                          and not self.health.slow(host, self.now, Health.NEAR)
                          and self.ceilings.room(host, call, self.now))
-                    and self.warm_up.may_send(host, self.now))
+                    and (host is call.asked or self.warm_up.may_send(host, self.now)))
 
         def light(host):
-            return not well_over(len(host.legs), mean * max(1, host.size / mean_size))
+            return not well_over(len(host.legs), mean * max(1, host.size / mean_size)) and not (
+                self.readings.crowded(host, call, self.now))
 
         # Nothing is heard of a server that holds nothing of this node. Unless fresh it goes by the others, or
         # nodes with one connection on every third server keep a whole jammed fleet full.
@@ -411,7 +450,7 @@
             # were rejected though every server was idle.
             if not light(host) or well_over(host.load / Loads.MEAN, mean_load * host.size / mean_size):
                 return False
-            if (host.legs or blind or host in self.fresh) and ready(host):
+            if (host.legs or blind or host in self.fresh or self.readings.known(host, self.now)) and ready(host):
                 return True
             # In a jam all are shut: looked at for each call, two hundred servers cost it a millisecond.
             host.shut_until = self.now + SECOND // 4
@@ -427,13 +466,13 @@
         if recorded and ready(recorded) and light(recorded):
             return recorded
         # Where none fits the call is rejected at once: filling the last free server is how a jam spreads.
-        if not self.shared or call.group is None or not (call.returned or self.slow_part):
+        if not self.shared or call.group is None or not (call.returned or self.slow_part or self.readings.probed):
             near = self.rotation.next(lambda h: not self.far(h) and open_to_new(h), self.now)
             return near or self.rotation.next(open_to_new, self.now)
         # With many nodes a client that comes back meets one without its group's record, and each server that
         # holds any of the group pays for it: a group spread over every server keeps them all jammed. Servers
         # replaced in a release stay empty while the others jam, so fresh ones come first.
-        most = self.groups.servers(call.group, len(self.rotation.order), self.slow_part)
+        most = self.groups.servers(call.group, len(self.rotation.order), max(self.slow_part, self.readings.probed))
         ranked = self.rotation.ranked_for(call.group)
         ranked = [h for h in ranked if h in self.fresh] + ranked[:most]
         return next((h for h in ranked if h.shut_until <= self.now and open_to_new(h)), None)
@@ -456,6 +495,11 @@
         # Fresh ones and those set aside would pull the mean down: sound ones would all seem well over it.
         self.apart = [h for h in up if h in self.fresh or not self.health.may_send(h, self.now)]
 
+    def near_first(self, host):
+        """Of a group's order. Where loads are probed one order serves all zones: a server more that pays for the group
+        costs more than crossings do."""
+        return not self.readings.probed and self.far(host)
+
     def far(self, host):
         return bool(self.crossing) and host.entry.zone != self.zone
 
@@ -476,7 +520,7 @@
     def arrive(self, e):
         key = e.group if e.group is not None else e.key
         call = Call(e.call, self.types[e.type], key, e.group, self.now + e.time_left, e.mid_flow, e.returned)
-        self.calls[call.id], call.path = call, self.path(call)
+        self.calls[call.id], call.path, call.bound = call, self.path(call), self.readings.bound()
         self.groups.met(e.group)
         if e.held_by is not None:
             unlisted = Host(e.held_by, io.Entry(e.held_by, state=State.GONE))      # nothing new goes there
@@ -496,6 +540,11 @@
             host.sent.add(self.now)
             self.way.sent.add(self.now)
             self.open_leg(call, host)
+        elif isinstance(action, io.Probe):
+            waiting = self.readings.waiting.setdefault(action.host, [])
+            waiting.append(call)
+            if len(waiting) > 1:
+                self.out.pop()               # asked already
         else:
             self.end(call)
 
@@ -603,6 +652,14 @@
 
     # What servers and the list tell
 
+    def probed(self, e):
+        host = self.membership.hosts.get(e.host)
+        if host:
+            self.readings.told(host, e, self.now)
+        for call in self.readings.waiting.pop(e.host, ()):
+            if not call.ended:
+                self.resume(call, None)
+
     def told(self, e):
         call = self.calls.get(e.call)
         leg = call.legs[-1] if call and call.legs else None
--- a/cottonspread/drill/codec.py
+++ b/cottonspread/drill/codec.py
@@ -63,6 +63,11 @@
     return None
 
 
+def report(text):
+    """A load report's values by name; empty where none is attached."""
+    return {name: float(value) for name, _, value in (pair.partition(":") for pair in (text or "").split(",") if pair)}
+
+
 def data(text):
     return b"" if text == "-" else base64.b64decode(text, validate=True)
 
@@ -76,7 +81,8 @@
     "expired": lambda f: i.Expired(int(f["Call"])),
     "status_note": status_note,
     "fired": lambda f: i.TimerFired(f["Cookie"]),
-    "pong": lambda f: i.Probed(f["Host"], ENDINGS[int(f["Disposition"])], micros(f.get("WaitTime", 0))),
+    "pong": lambda f: i.Probed(f["Host"], ENDINGS[int(f["Disposition"])], micros(f.get("WaitTime", 0)),
+                                 report(f.get("Feedback")).get("x0", -1.0)),
     "peer": lambda f: i.PeerTold(int(f["Neighbour"]), data(f["Bytes"])),
 }
 
--- a/cottonspread/interface.py
+++ b/cottonspread/interface.py
@@ -109,6 +109,8 @@
     may_probe: bool = False
     may_tell: bool = False
     groups_share_work: bool = False
+    loads_probed: bool = False       # a probe's answer tells the load asked of a host over what it can do
+    weights_move: bool = False       # listed weights: nominal size over 1 + calls held a core, late
 
 
 @dataclass(frozen=True)
@@ -116,7 +118,7 @@
     host: object
     zone: int = 0
     kind: int = 0
-    size: float = 1.0
+    weight: float = 1.0              # as listed: its size, or what `Begin.weights_move` says
     cell: int = 0
     started: int = 0                 # 0: long ago
     state: State = State.UP
@@ -188,6 +190,7 @@
     host: object
     ending: Ending
     waited: int = 0
+    load: float = -1.0               # asked of the host over what it can do, seconds ago; -1: not told
 
 
 @dataclass(frozen=True)
--- a/cottonspread/state.py
+++ b/cottonspread/state.py
@@ -43,6 +43,11 @@
     """One server as this node knows it."""
     name: object
     entry: io.Entry
+    size: float = 1.0                             # nominal, for its turn in the rotation
+    held: float = 0.0                             # calls a core over all nodes, as its weight told
+    held_at: int = -60 * SECOND
+    asked: float = 0.0                            # load asked of it over what it can do, as a probe told
+    asked_at: int = -60 * SECOND
     legs: dict = field(default_factory=dict)      # legs out or standing, in order of sending
     setups: int = 0                               # of these, not yet answered
     groups: Counter = field(default_factory=Counter)
@@ -65,10 +70,6 @@
     sends_away: bool = False                      # and it asks them to itself
     sent: Ring = field(default_factory=lambda: Ring(SECOND // 4, 64))     # legs, over up to 16 s
 
-    @property
-    def size(self):
-        return max(self.entry.size, 0.01)
-
     @property
     def up(self):
         return self.entry.state is State.UP
@@ -98,4 +99,7 @@
     returned: bool
     legs: list = field(default_factory=list)
     path: object = None
+    bound: float = 0.0                            # a server asked for more is passed over, see `Readings`
+    probes: int = 0
+    asked: Host = None                            # whose probe it waited for: within the cold budget then
     ended: bool = False
--- a/tests/notation.py
+++ b/tests/notation.py
@@ -28,7 +28,7 @@
         io.ColdStart(float(o.get("cold", 0.12)), ms(o.get("warm", 20000)), 2.5, ms(2000)),
         io.ListRules(o.get("list") == "ask", ms(10000), ms(400)),
         io.Prices(float(o.get("crossing", 0)), float(o.get("moving", 0.03))),
-        False, "tell" in o, True)
+        False, "tell" in o, True, "probe" in o, "moving_weights" in o)
 
 
 def entry(word):
