--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -158,23 +158,36 @@
         self.weights_move, self.nominal = weights_move, {}
 
     def read(self, listed):
-        """Takes in a word from the list; returns (servers now unfit for records, servers started anew)."""
-        lost, started, entries = [], [], list(listed.entries)
-        if listed.news is not News.CHANGES:
+        """Takes in a word from the list; returns (servers now unfit for records, servers started anew, whether any more
+        than weights that move is new)."""
+        lost, started, entries, new = [], [], list(listed.entries), listed.news is not News.CHANGES
+        if new:
             named = {e.host for e in entries}
             entries += [io.Entry(name, state=State.GONE) for name in self.hosts if name not in named]
         for entry in entries:
-            host = self.hosts.setdefault(entry.host, Host(entry.host, entry))
+            host = self.hosts.get(entry.host)
+            if host is None:
+                host = self.hosts[entry.host] = Host(entry.host, entry)
+                new = True
+            new = self.weigh(entry) or new or not entry.like(host.entry)
             if entry.started > host.entry.started:
                 started.append(host)
             host.entry = entry
             if not host.up:
                 lost.append(host)
-        for entry in entries if self.weights_move else ():
-            self.nominal[entry.kind] = max(entry.weight, self.nominal.get(entry.kind, 0.01))
-        for host in self.hosts.values():
-            host.size = max(self.nominal.get(host.entry.kind, host.entry.weight), 0.01)
-        return lost, started
+        if new:
+            for host in self.hosts.values():
+                host.size = max(self.nominal.get(host.entry.kind, host.entry.weight), 0.01)
+        return lost, started, new
+
+    def weigh(self, entry):
+        """Whether a size has changed: where weights move, the largest one listed for the kind is its size."""
+        if not self.weights_move:
+            return entry.weight != self.hosts[entry.host].entry.weight
+        if entry.weight <= self.nominal.get(entry.kind, 0):
+            return False
+        self.nominal[entry.kind] = entry.weight
+        return True
 
     def up(self):
         return [h for h in self.hosts.values() if h.up]
@@ -720,7 +733,11 @@
             self.out.append(io.Timer(self.membership.wait_to_ask(), "ask"))
             return
         self.membership.failures = 0
-        lost, started = self.membership.read(e)
+        lost, started, new = self.membership.read(e)
+        # Weights that move come each second for every server: to make rotation, orders and sums anew for each word
+        # took a thousand nodes with 270 servers more time than there was.
+        if not new:
+            return
         for host in lost:
             self.records.clear_host(host)
             leaving = [] if host.drains else [leg for leg in host.legs if leg.accepted]
--- a/cottonspread/drill/codec.py
+++ b/cottonspread/drill/codec.py
@@ -26,24 +26,20 @@
 def split(line):
     """One line as its message name and its fields."""
     name, _, rest = line.partition("\t")
-    fields = {}
-    text = TEXT_FIELDS.get(name)
-    while rest:
-        if text and rest.startswith(text + "="):
-            fields[text] = rest[len(text) + 1:]
-            break
-        part, _, rest = rest.partition("\t")
-        key, eq, value = part.partition("=")
-        if not eq:
-            raise Unreadable(f"part without '=': {part!r}")
-        fields[key] = value
-    return name, fields
+    text, last = TEXT_FIELDS.get(name), {}
+    if text:                                 # runs to the end of the line
+        before, found, value = ("\t" + rest).partition(f"\t{text}=")
+        rest, last = before[1:], {text: value} if found else {}
+    try:
+        return name, {**dict([part.split("=", 1) for part in rest.split("\t") if part]), **last}
+    except ValueError:
+        raise Unreadable(f"part without '=': {rest!r}") from None
 
 
 def entry(f):
-    return i.Entry(f["Host"], int(f.get("Site", 0)), int(f.get("Shape", 0)), float(f.get("Heft", 1)),
-                   int(f.get("UnitGroup", 0)), micros(f.get("CameUp", 0)),
-                   STATES[f.get("Availability", "up")])
+    got = f.get
+    return i.Entry(f["Host"], int(got("Site", 0)), int(got("Shape", 0)), float(got("Heft", 1)),
+                   int(got("UnitGroup", 0)), micros(f["CameUp"]) if "CameUp" in f else 0, STATES[got("Availability", "up")])
 
 
 def arrived(f):
--- a/cottonspread/interface.py
+++ b/cottonspread/interface.py
@@ -6,6 +6,7 @@
 """
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import NamedTuple
 
 
 class Effect(Enum):
@@ -113,8 +114,7 @@
     weights_move: bool = False       # listed weights: nominal size over 1 + calls held a core, late
 
 
-@dataclass(frozen=True)
-class Entry:
+class Entry(NamedTuple):             # made for every server at every word of the list: the cheapest type
     host: object
     zone: int = 0
     kind: int = 0
@@ -123,6 +123,11 @@
     started: int = 0                 # 0: long ago
     state: State = State.UP
 
+    def like(self, other):
+        """Whether it differs from `other` by its weight at most."""
+        return (self.state is other.state and self.started == other.started and self.zone == other.zone
+                and self.kind == other.kind and self.cell == other.cell)
+
 
 # Events: what a front tells.
 
