The node probes on sockets; the rotation keeps to a group's few servers; nodes of both shapes tested together

Cause: the real node raised TypeError at a probe and read neither LoadReport nor Weights; and with a group's order for every call no new key took the rotation any more, which the design rests on. Module: new keys of a group take the rotation over the group's few servers; its order is for clients that come back, a jam, and servers read to be filled (mean reading 0.4). Program: STATS probes in threads of their own, 64 under way at most, each answered in 250 ms; LoadReport, Weights and Limits.Probes read and checked, the old shape as default; `check` says the shape; a list word that only moves weights is neither logged nor saved with an fsync.

--- a/cottonspread/cli/instance.py
+++ b/cottonspread/cli/instance.py
@@ -37,8 +37,8 @@
         self.lock = control.Lock(os.path.join(told["folder"], f"{self.name}.lock"))
         self.list_told, self.alone_since, self.beat_at, self.take_by = False, time.monotonic(), 0.0, 0.0
         path = os.path.join(told["folder"], f"{self.name}.list.json")
-        self.saved = saved.Saved(path) if own["save_list"] else None
         parts = self.read(json.loads(self.live))
+        self.saved = saved.Saved(path, parts[4].weights_move) if own["save_list"] else None
         if self.saved:
             parts[-1] = known_list(saved.read(path), parts)
         self.node = Node(*parts, keep=self.keep)
--- a/cottonspread/cli/node.py
+++ b/cottonspread/cli/node.py
@@ -130,6 +130,8 @@
           f"discovery at {place.discovery[0]}:{place.discovery[1]}")
     print(f"{len(names.types)} traffic types, node {begin.me} of {begin.nodes}, "
           f"{len(known['instances'])} servers known, room for {most_ends(room)} connections")
+    print(f"weights listed {'move with load' if begin.weights_move else 'are sizes'}, "
+          f"hosts' load {'told to probes' if begin.loads_probed else 'not asked for'}")
     return 0
 
 
--- a/cottonspread/config/platform.py
+++ b/cottonspread/config/platform.py
@@ -12,7 +12,7 @@
 EFFECTS = {"safe": i.Effect.REPEATABLE, "keyed": i.Effect.REFERENCED, "unsafe": i.Effect.ONCE_ONLY}
 SCOPES = {scope: scope for scope in ("all", "zone", "cell")}
 ASKED = {"push": False, "ask": True}
-HOW = {how: how for how in ("none", "probe", "answers")}
+HOW = {how: how for how in ("none", "probe", "answers")}             # `LoadReport.How`
 MOVING = {"none": False, "nominal": False, "rough": False, "live": True}
 MISSING = object()
 
@@ -127,7 +127,7 @@
     types = tuple(read_type(t, micros(targets[n]) if n < len(targets) else 0)
                   for n, t in enumerate(c.parts("TrafficTypes")))
     report = c.part("LoadReport")
-    how = report.choice("How", "none", HOW)
+    probes, how, told = limits.flag("Probes"), report.choice("How", "none", HOW), report.plain("Names", str)
     if not types:
         raise Senseless(f"{c.at('TrafficTypes')}: names no traffic type")
     tenants = tuple(i.Tenant(t.text("Name", str(n)), t.number("Share", 0), t.number("AllowancePerS", 0),
@@ -142,8 +142,8 @@
         i.ListRules(c.choice("MembershipMode", "push", ASKED), rules.span("AskEvery", 0),
                     rules.span("DrainGrace", 0)),
         i.Prices(*(costs.number(k, 0) for k in ("CrossZone", "Moves", "Probe", "Peer"))),
-        limits.flag("Probes"), limits.flag("PeerMessages"), kind.flag("Groups"),
-        limits.flag("Probes") and how == "probe" and "x0" in report.plain("Names", str),
+        probes, limits.flag("PeerMessages"), kind.flag("Groups"),
+        probes and how == "probe" and "x0" in told,
         c.choice("Weights", "nominal", MOVING))
 
 
--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -123,15 +123,17 @@
 
 
 class Readings:
-    """What other nodes put on servers, as probes tell it, and when one is worth its price."""
+    """What all nodes together put on servers, as probes tell it: load asked over what a server can do."""
     LIFE = 4 * SECOND              # an older reading tells nothing
     FRESH = SECOND                 # an older one is asked for anew before a call goes by it
-    LOW, HIGH = 0.55, 0.85         # a call passes over a server asked for more; nodes that read the same differ
-    MOST = 3                       # probes a call
+    LOW, HIGH = 0.55, 0.85         # a call passes over a server asked for more; one bound for all would herd
+    MOST = 3                       # probes a call: a budget over all nodes that follows the calls
+    FILLED, LAST = 0.4, 8          # mean of the last readings from which a group fills its servers in order
     SILENT = 9.0                   # the load of one that does not answer
 
     def __init__(self, probed, chance):
-        self.probed, self.chance, self.waiting = probed, chance, {}
+        self.probed, self.chance, self.mean, self.heard = probed, chance, 0.0, 0
+        self.waiting = {}              # calls, by the server whose probe they wait for
 
     def bound(self):
         return self.LOW + (self.HIGH - self.LOW) * self.chance.below(1000) / 1000 if self.probed else 0
@@ -140,8 +142,15 @@
         return self.probed and call.probes < self.MOST and now - host.asked_at > self.FRESH
 
     def told(self, host, e, now):
-        if e.ending is not Ending.FULL:              # one that answers too many probes tells nothing
-            host.asked, host.asked_at = e.load if e.ending is Ending.OK else self.SILENT, now
+        if e.ending is Ending.FULL or e.ending is Ending.OK and e.load < 0:
+            return                           # asked too often, or it tells no load
+        host.asked, host.asked_at = e.load if e.ending is Ending.OK else self.SILENT, now
+        self.heard = min(self.heard + 1, self.LAST)
+        self.mean += (min(host.asked, 1) - self.mean) / self.heard
+
+    def filled(self):
+        """Whether servers are asked for so much that what groups cost them tells."""
+        return self.mean >= self.FILLED
 
     def known(self, host, now):
         return now - host.asked_at <= self.LIFE
@@ -158,8 +167,8 @@
         self.weights_move, self.nominal = weights_move, {}
 
     def read(self, listed):
-        """Takes in a word from the list; returns (servers now unfit for records, servers started anew, whether any more
-        than weights that move is new)."""
+        """Takes in a word from the list; returns (servers now unfit for records, servers started anew,
+        whether more is new than weights that move)."""
         lost, started, entries, new = [], [], list(listed.entries), listed.news is not News.CHANGES
         if new:
             named = {e.host for e in entries}
@@ -177,17 +186,23 @@
                 lost.append(host)
         if new:
             for host in self.hosts.values():
-                host.size = max(self.nominal.get(host.entry.kind, host.entry.weight), 0.01)
+                host.size = max(self.nominal.get(self.kind(host.entry), host.entry.weight), 0.01)
         return lost, started, new
 
     def weigh(self, entry):
-        """Whether a size has changed: where weights move, the largest one listed for the kind is its size."""
+        """Whether a size has changed. Weights that move are size over 1 + calls held a core: the largest
+        listed for a kind (where kinds are not told, for a server) is its size."""
         if not self.weights_move:
             return entry.weight != self.hosts[entry.host].entry.weight
-        if entry.weight <= self.nominal.get(entry.kind, 0):
-            return False
-        self.nominal[entry.kind] = entry.weight
-        return True
+        kind = self.kind(entry)
+        grows = entry.weight > self.nominal.get(kind, 0)
+        if grows:
+            self.nominal[kind] = entry.weight
+        return grows
+
+    @staticmethod
+    def kind(entry):
+        return entry.kind if entry.kind >= 0 else entry.host
 
     def up(self):
         return [h for h in self.hosts.values() if h.up]
@@ -317,7 +332,7 @@
             return 1.0
         return cold.share + (1 - cold.share) * max(0, now - started) / cold.warm_after
 
-    def may_send(self, host, now):
+    def may_send(self, host, now, drawn=False):
         """What others carry is the guide to what a fresh one could: it fills up in its warm-up time."""
         part, window = self.part(host, now), self.cold.window
         # After a restart of a node all its clients come at once: set-ups that wait too long are tried again
@@ -329,6 +344,9 @@
         budget = max(1 / self.nodes, self.cold.multiple * part * self.usual * window / self.cold.warm_after)
         if budget >= 1:
             return host.sent.total(now, window) < budget
+        # A draw that the call's own probe came after is still good: else no cold server ever got a call.
+        if drawn:
+            return True
         # The rule counts all nodes together, and no part of a leg can be sent: it draws once a window whether
         # it may send one. One leg a window from each of sixty nodes, or parts saved up, pushed servers over.
         if now - host.drawn_at < window:
@@ -379,7 +397,8 @@
         self.chance = Chance(begin.seed)
         self.records, self.groups = Records(), Groups()
         self.readings = Readings(begin.loads_probed, self.chance)
-        self.rotation, self.membership = Rotation(self.chance, self.near_first), Membership(self.chance, begin.weights_move)
+        self.rotation = Rotation(self.chance, self.near_first)
+        self.membership = Membership(self.chance, begin.weights_move)
         self.health = Health(min((t.message_target for t in begin.types if t.message_target), default=SECOND))
         self.loads, self.warm_up = Loads(), WarmUp(begin.cold, begin.nodes, self.chance)
         self.ceilings = Ceilings(self.loads, self.chance, begin.nodes)
@@ -415,6 +434,7 @@
             host = self.choose(call) if until else None
             if host is None:
                 break
+            # What other nodes put on a server is not in this one's counts: a connection or none on each.
             if self.readings.wanted(call, host, self.now):
                 call.probes, call.asked = call.probes + 1, host
                 yield io.Probe(host.name)
@@ -448,7 +468,7 @@
                     and (host not in self.marked or self.health.may_send(host, self.now)
                          and not self.health.slow(host, self.now, Health.NEAR)
                          and self.ceilings.room(host, call, self.now))
-                    and (host is call.asked or self.warm_up.may_send(host, self.now)))
+                    and self.warm_up.may_send(host, self.now, host is call.asked))
 
         def light(host):
             return not well_over(len(host.legs), mean * max(1, host.size / mean_size)) and not (
@@ -459,11 +479,12 @@
         blind = self.nodes == 1 or self.chance.below(1000) >= 2500 * self.slow_part ** 2
 
         def open_to_new(host):               # heavy connections gather on a server of few: by load as well
-            # Over the mean it is passed by, and not shut: with few connections each was over it in turn, and calls
-            # were rejected though every server was idle.
+            # Over the mean it is passed by, and not shut: with few connections each was over it in turn, and
+            # calls were rejected though every server was idle.
             if not light(host) or well_over(host.load / Loads.MEAN, mean_load * host.size / mean_size):
                 return False
-            if (host.legs or blind or host in self.fresh or self.readings.known(host, self.now)) and ready(host):
+            heard = host.legs or blind or host in self.fresh or self.readings.known(host, self.now)
+            if heard and ready(host):
                 return True
             # In a jam all are shut: looked at for each call, two hundred servers cost it a millisecond.
             host.shut_until = self.now + SECOND // 4
@@ -479,16 +500,20 @@
         if recorded and ready(recorded) and light(recorded):
             return recorded
         # Where none fits the call is rejected at once: filling the last free server is how a jam spreads.
-        if not self.shared or call.group is None or not (call.returned or self.slow_part or self.readings.probed):
+        ordered = call.returned or self.slow_part or self.readings.filled()
+        if not self.shared or call.group is None or not (ordered or self.readings.probed):
             near = self.rotation.next(lambda h: not self.far(h) and open_to_new(h), self.now)
             return near or self.rotation.next(open_to_new, self.now)
         # With many nodes a client that comes back meets one without its group's record, and each server that
         # holds any of the group pays for it: a group spread over every server keeps them all jammed. Servers
         # replaced in a release stay empty while the others jam, so fresh ones come first.
-        most = self.groups.servers(call.group, len(self.rotation.order), max(self.slow_part, self.readings.probed))
+        part = 1 if self.readings.probed else self.slow_part
         ranked = self.rotation.ranked_for(call.group)
-        ranked = [h for h in ranked if h in self.fresh] + ranked[:most]
-        return next((h for h in ranked if h.shut_until <= self.now and open_to_new(h)), None)
+        few = ranked[:self.groups.servers(call.group, len(ranked), part)]
+        if not ordered:                      # the rotation, too, keeps to the group's few servers
+            return self.rotation.next(lambda h: h in few and open_to_new(h), self.now)
+        few = [h for h in ranked if h in self.fresh] + few
+        return next((h for h in few if h.shut_until <= self.now and open_to_new(h)), None)
 
     def look_at_marked(self):
         """Which servers are fresh, and which do not count in the mean; looked at four times a second."""
@@ -509,8 +534,8 @@
         self.apart = [h for h in up if h in self.fresh or not self.health.may_send(h, self.now)]
 
     def near_first(self, host):
-        """Of a group's order. Where loads are probed one order serves all zones: a server more that pays for the group
-        costs more than crossings do."""
+        """Of a group's order. Where loads are probed one order serves all zones: a server more that pays
+        for the group costs more than crossings do."""
         return not self.readings.probed and self.far(host)
 
     def far(self, host):
@@ -734,8 +759,8 @@
             return
         self.membership.failures = 0
         lost, started, new = self.membership.read(e)
-        # Weights that move come each second for every server: to make rotation, orders and sums anew for each word
-        # took a thousand nodes with 270 servers more time than there was.
+        # Weights that move come each second for every server: to make rotation, orders and sums anew for each
+        # word took more time than there was where servers are many.
         if not new:
             return
         for host in lost:
--- a/cottonspread/lab/hosts.py
+++ b/cottonspread/lab/hosts.py
@@ -113,7 +113,7 @@
 
     def first(self, conn, line, at):
         if line in (b"PING", b"STATS"):
-            self.say(conn, b"PONG" if line == b"PING" else b"NO")
+            self.say(conn, b"PONG" if line == b"PING" else self.report(at))
             return
         try:
             opening = conn.call = wire.first_line(line)
@@ -128,6 +128,12 @@
                               "cold": round(self.model.share(), 4), "up": self.model.state})
         self.do(self.model.first(at, conn, opening))
 
+    def report(self, at):
+        if not self.part.plan.experiment.hosts.reports:
+            return b"NO"
+        self.part.record.put({"k": "probe", "t": at, "host": self.machine.name})
+        return b"PONG " + b",".join(b"%s:%.4f" % (name, value) for name, value in self.model.report(at))
+
     def do(self, effects):
         for effect in effects:
             if isinstance(effect, (model.Say, model.Close)) and effect.conn.over:
--- a/cottonspread/lab/listing.py
+++ b/cottonspread/lab/listing.py
@@ -3,6 +3,9 @@
 `changes` derives from a plan's faults what the list has to tell and when; `Book` answers; `Listing` is the shell.
 """
 import json
+import socket
+import threading
+import time
 import urllib.parse
 
 from cottonspread.lab.loop import listener
@@ -56,6 +59,15 @@
         else:
             self.entries[name] = entry
 
+    def weigh(self, held):
+        """Weights that move: each host's size over one and the connections that it holds a core, as one change of the list."""
+        self.version += 1
+        for name, (size, count) in held.items():
+            if name in self.entries:
+                entry = self.entries[name] = dict(self.entries[name], weight=size / (1 + count))
+                self.news.append((self.version, entry))
+        self.news = self.news[-20 * len(self.entries) - 1000:]
+
     def whole(self):
         return {"generation": self.version, "reset": True, "instances": list(self.entries.values())}
 
@@ -95,12 +107,36 @@
                 "lifecycle": "Ready", "weight": m.traits.cores * m.traits.speed, "startedAtMs": 0}
 
     def begin(self):
+        if self.plan.experiment.listing.weights_ms:
+            self.held = {}
+            threading.Thread(target=self.watch_hosts, daemon=True).start()
+            self.weigh()
         for after, name, lifecycle, started in changes(self.plan):
             self.loop.at(self.start + after, self.change, name, lifecycle, started)
         for one in self.plan.faults:
             if one.kind in LIST_FAULTS:
                 self.loop.at(self.start + round(one.at * SECOND), self.fault, one)
 
+    def watch_hosts(self):
+        """In a thread of its own, for a host may hang: the connections held a core, by host."""
+        while True:
+            for m in self.plan.machines:
+                try:
+                    with socket.create_connection((m.ip, m.port), 0.2) as sock:
+                        sock.sendall(b"STATS\r\n")
+                        told = dict(pair.split(b":") for pair in sock.recv(4096).split()[1].split(b","))
+                    cores = m.traits.cores
+                    self.held[m.name] = cores * m.traits.speed, float(told[b"outstanding"]) / cores
+                except (OSError, ValueError, IndexError, KeyError):
+                    continue                 # it keeps the weight that it had
+            time.sleep(self.plan.experiment.listing.weights_ms / 2000)
+
+    def weigh(self):
+        self.loop.at(now() + round(self.plan.experiment.listing.weights_ms * 1000), self.weigh)
+        if self.held:
+            self.book.weigh(dict(self.held))
+            self.answer_watches()
+
     def change(self, name, lifecycle, started):
         machine = next(m for m in self.plan.machines if m.name == name)
         at = None if started is None else (self.start + round(started) + self.plan.unix_offset) // 1000
--- a/cottonspread/lab/model.py
+++ b/cottonspread/lab/model.py
@@ -117,6 +117,12 @@
         self.pile = max(0.0, self.pile + (self.demand() - self.capacity()) * (span - hung))
         self.now = now
 
+    def report(self, now):
+        """What a probe is told, as (name, value): load asked over what it can do, seconds of work piled up, connections."""
+        self.pass_time(now)
+        capacity = self.capacity()
+        return ((b"x0", self.demand() / capacity), (b"x1", self.pile / capacity / SECOND), (b"outstanding", len(self.conns)))
+
     def done(self, work=0.0):
         """When work that comes now is through."""
         return max(self.now, self.stuck) + round((self.pile + work) / self.capacity()) + self.traits.message_us
--- a/cottonspread/lab/plan.py
+++ b/cottonspread/lab/plan.py
@@ -73,12 +73,14 @@
     zones: int = 1
     speed_sigma: float = 0.0
     processes: int = 1
+    reports: bool = False              # STATS is answered with x0, x1 and outstanding; else with NO
     traits: Traits = msgspec.field(default_factory=Traits)
 
 
 class List(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     lag_ms: float = 300                # from a change to the list's word on it
     silent_s: float = 6.0              # until a silent machine is listed as gone
+    weights_ms: float = 0              # over 0: so often weights become size / (1 + connections held a core); needs reports
 
 
 class Nodes(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -89,6 +91,7 @@
     front_notice_s: float = 2.0        # until the front deals no more to a node that is gone
     grace_ms: float = 500
     settings: dict = {}                # over those that follow from hosts and load
+    shapes: list[dict] = []            # further settings, for the nodes in turn: some in one shape, some in another
     command: list[str] = []            # another program in the place of `serve`
     checkout: str = ""                 # another checkout of this repository
     fleet: dict = {}                   # keys of the section [fleet]: the nodes are run by `fleet run`; {}: each by `serve`
@@ -184,6 +187,7 @@
     need(x.load.groups > 0, "load.groups", "at least 1 expected")
     need(1 <= x.load.processes <= 64, "load.processes", "1 to 64 expected")
     need(1 <= x.hosts.processes <= 64, "hosts.processes", "1 to 64 expected")
+    need(not x.listing.weights_ms or x.hosts.reports, "list.weights_ms", "only with hosts.reports")
     need(x.hosts.traits.drain in ("paced", "at-once", "none"), "hosts.traits.drain", "paced, at-once or none expected")
     for n, kind in enumerate(x.load.types):
         need(kind.effect in ("repeatable", "referenced", "once-only"), f"load.types[{n}].effect",
--- a/cottonspread/lab/run.py
+++ b/cottonspread/lab/run.py
@@ -49,7 +49,8 @@
                    "ConnectTimeout": 250},
         "Rules": {"ColdFrom": t.cold_share, "RampTime": t.warm_s * 1000, "TipMultiple": t.tip_multiple,
                   "OverloadFor": t.tip_s * 1000, "DrainGrace": x.nodes.grace_ms}}
-    return merged(merged(out, x.nodes.settings), plan.variant.settings)
+    shape = x.nodes.shapes[number % len(x.nodes.shapes)] if x.nodes.shapes else {}
+    return merged(merged(merged(out, x.nodes.settings), shape), plan.variant.settings)
 
 
 def merged(under, over):
--- a/cottonspread/lists/saved.py
+++ b/cottonspread/lists/saved.py
@@ -26,10 +26,15 @@
 class Saved:
     """Keeps what discovery tells, as its JSON. A disk that takes nothing costs a log line, and the node goes on."""
 
-    def __init__(self, path):
-        self.path, self.known, self.failing = path, {}, False
+    def __init__(self, path, weights_move=False):
+        self.path, self.known, self.failing, self.weights_move = path, {}, False, weights_move
 
     def told(self, version, instances, whole):
+        # Weights that move came each second, and each word was a write and an fsync. What was saved first, which is
+        # nearer to the sizes, stays.
+        if self.weights_move and not whole and all(
+                one | {"weight": 0} == self.known.get(str(one["instanceId"]), {}) | {"weight": 0} for one in instances):
+            return
         if whole:
             self.known = {}
         for one in instances:
--- a/cottonspread/net/events.py
+++ b/cottonspread/net/events.py
@@ -65,6 +65,15 @@
     addresses: dict
 
 
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """A probe is over. `report`: the host's load report, by name."""
+    host: object
+    ending: io.Ending
+    report: dict
+    waited: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class ListFailed:
     pass
@@ -90,6 +99,14 @@
     wait: int
 
 
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """Probe a host on a connection of its own; `Asked` comes within `wait` microseconds or little more."""
+    host: object
+    address: tuple
+    wait: int
+
+
 @dataclass(frozen=True, slots=True)
 class Read:
     end: End
--- a/cottonspread/net/lines.py
+++ b/cottonspread/net/lines.py
@@ -8,6 +8,7 @@
 from cottonspread.interface import Ending
 
 PING, PONG, ERR, MOVE, BYE = b"PING", b"PONG\r\n", b"ERR\r\n", b"MOVE\r\n", b"BYE"
+STATS, LONGEST_REPORT = b"STATS\r\n", 4096
 ENDINGS = {b"BYE": Ending.OK, b"MOVE": Ending.CANCELLED, b"BUSY": Ending.FULL}
 WORD, NUMBER = re.compile(r"[!-~]{1,64}"), re.compile(r"[0-9]+")
 
@@ -130,6 +131,21 @@
     return None if word == b"UP" else ENDINGS.get(word, Ending.ERROR)
 
 
+def read_report(line):
+    """A host's answer to STATS, as (how the probe ended, the values of its load report by name). A host that answers neither
+    `PONG` nor `ERR` (too many probes, or none allowed) tells nothing: FULL. Values that are no number are left out."""
+    word, _, rest = line.strip().partition(b" ")
+    report = {}
+    for pair in rest.decode("latin-1").split(",") if word == b"PONG" else ():
+        name, _, value = pair.strip().partition(":")
+        try:
+            report[name] = float(value)
+        except ValueError:
+            continue
+    return {b"PONG": Ending.OK, b"ERR": Ending.ERROR}.get(word, Ending.FULL), {
+        name: value for name, value in report.items() if 0 <= value < 1e15}
+
+
 def read_load(line):
     """The load that a host's line tells; None for any other line."""
     if not line.startswith(b"LOAD "):
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -31,6 +31,9 @@
 SILENT = 9 * SECOND // 2
 COMING = SECOND // 2               # new connections go on coming for so long after SIGTERM
 STANDING_WAIT = 40 * SECOND        # for a connection that was open before the start
+PROBE_WAIT = SECOND // 4           # a host that takes longer to tell its load is no place for a new call
+NOT_LISTED = io.Entry(None, state=io.State.GONE)
+MOST_PROBES = 64                   # under way; each has a thread and a descriptor
 
 
 @dataclass(eq=False)
@@ -80,18 +83,20 @@
         self.begin, self.names, self.hearing, self.most_ends = begin, names, hearing, most_ends
         self.module = Balancer(now, begin)
         self.own = Lateness()
-        self.servers, self.conns, self.ends = {}, {}, 0
+        self.servers, self.entries, self.conns, self.ends = {}, {}, {}, 0
         self.unopened = {}                   # clients without a sound first line, the oldest first
         self.by_id, self.ended_ids = {}, {}  # calls that are open, and ended ones, by the client's word for them
         self.longest_wait = LONGEST_WAIT * max(t.guard_time for t in begin.types)
         self.timers, self.stamp = [], 0
+        self.asking = set()                  # hosts with a probe under way whose end the module waits for
+        self.probes = 0
         self.listed, self.stopping, self.stop_by, self.leave_from, self.handed = False, 0, 0, 0, False
         self.usual = 0.0                     # mean of the loads told
         targets = [t.message_target for t in begin.types if t.message_target]
         self.slow_from = min(targets, default=SECOND) // 3
         self.handlers = {ev.Came: self.came, ev.Connected: self.connected, ev.Got: self.got,
                          ev.Written: self.wrote, ev.Over: self.over, ev.Heard: self.heard,
-                         ev.ListFailed: self.list_failed, ev.StopAsked: self.stop, ev.Tick: lambda e: None}
+                         ev.ListFailed: self.list_failed, ev.Asked: self.asked, ev.StopAsked: self.stop, ev.Tick: lambda e: None}
         self.after(SWEEP, self.sweep)
         self.after(LISTEN, self.listen)
         for action in self.module.actions():
@@ -161,6 +166,8 @@
                 self.after(action.after, self.tell, io.TimerFired(action.token))
             case io.Follow():
                 self.out.append(ev.FollowList())
+            case io.Probe():
+                self.probe(action.host)
             case io.Log():
                 self.out.append(ev.Say("decision", {"text": action.text}))
             case _:
@@ -300,8 +307,7 @@
     def send(self, conn, name, until):
         leg = Leg(conn, len(conn.legs), self.server(name), until)
         out = [other for other in conn.legs if not other.ended]
-        late = self.stopping and self.now >= self.stop_by - SECOND // 4
-        if (conn.answered or conn.up or late or until <= self.now or leg.number >= self.begin.legs.most_legs
+        if (conn.answered or conn.up or self.hurries() or until <= self.now or leg.number >= self.begin.legs.most_legs
                 or out and not self.begin.legs.two_at_once):
             conn.legs.append(leg)
             self.end_leg(leg, Ending.MOOT)
@@ -474,6 +480,30 @@
                 if leg.heard.waiting and self.now - leg.heard.waiting[0] - min(late, SECOND) > SILENT:
                     self.move(leg.conn, "silent-host")
 
+    # Probes
+
+    def probe(self, name):
+        """Every one is answered: calls wait for it. One for which there is no room tells nothing of its host."""
+        host = self.server(name)
+        if host.address is None:
+            self.tell(io.Probed(name, Ending.CONNECT_FAILED))
+        elif self.probes >= MOST_PROBES or self.ends + 2 > self.most_ends or self.hurries():
+            self.tell(io.Probed(name, Ending.FULL))
+        else:
+            self.asking.add(name)
+            self.probes += 1
+            self.ends += 1
+            self.out.append(ev.Ask(name, host.address, PROBE_WAIT))
+
+    def asked(self, e):
+        self.probes -= 1
+        self.ends -= 1
+        if e.host in self.asking:
+            self.asking.discard(e.host)
+            # A node that was late itself may have left the answer lying: no word on the host.
+            late = e.ending is Ending.TIMEOUT and self.own.most(self.now)
+            self.tell(io.Probed(e.host, Ending.FULL if late else e.ending, e.waited, e.report.get("x0", -1.0)))
+
     # Ends and moves
 
     def move(self, conn, reason):
@@ -671,15 +701,20 @@
             self.server(name).address = address
         self.listed = self.listed or any(entry.state is io.State.UP for entry in e.listed.entries)
         self.tell(e.listed)
+        # Weights that move come each second; what is said of the list is who came, left or began anew.
+        new = [entry for entry in e.listed.entries if not entry.like(self.entries.get(entry.host, NOT_LISTED))]
+        self.entries.update((entry.host, entry) for entry in new)
         gone = {entry.host for entry in e.listed.entries if entry.state is io.State.GONE}
         if e.listed.news is not io.News.CHANGES:
             gone |= self.servers.keys() - e.addresses.keys()
         for name in gone:
             self.servers[name].address = None
+            self.entries.pop(name, None)
             if not self.servers[name].legs:
                 del self.servers[name]
-        self.out.append(ev.Say("list", {"news": e.listed.news.name.lower(), "version": e.listed.version,
-                                        "entries": len(e.listed.entries)}))
+        if new or gone or e.listed.news is not io.News.CHANGES:
+            self.out.append(ev.Say("list", {"news": e.listed.news.name.lower(), "version": e.listed.version,
+                                            "entries": len(e.listed.entries)}))
 
     def list_failed(self, e):
         if self.begin.listing.ask:           # the others are not told, and keep the last list
@@ -703,11 +738,17 @@
         self.at(self.stop_by - SECOND // 4, self.hurry)
         self.out.append(ev.Say("stopping", {"standing": len(standing), "open": len(self.conns)}))
 
+    def hurries(self):
+        return self.stopping and self.now >= self.stop_by - SECOND // 4
+
     def hurry(self):
         """The last moment for an answer: a call whose guard time is longer would be lost with the node."""
         for conn in list(self.conns):
             for leg in conn.legs if not conn.up else ():
                 self.end_leg(leg, Ending.TIMEOUT)      # and no other leg is sent, see `send`
+        for name in sorted(self.asking, key=str):      # calls that wait for a probe are lost as well
+            self.tell(io.Probed(name, Ending.FULL))
+        self.asking.clear()
 
     def stop_when_done(self):
         if self.now >= self.stop_by or self.now - self.stopping > COMING and not self.conns:
--- a/cottonspread/net/workers.py
+++ b/cottonspread/net/workers.py
@@ -10,7 +10,9 @@
 import socket
 import struct
 import threading
+import time
 
+from cottonspread.interface import Ending
 from cottonspread.net import events as ev
 from cottonspread.net import lines
 
@@ -110,7 +112,34 @@
             return False
         return True
 
+    def ask(self, order):
+        """One probe, in a thread of its own: a host that says nothing holds up nobody. Our own want of a descriptor is no word on
+        the host."""
+        began, data = time.monotonic(), b""
+        try:
+            with socket.create_connection(order.address, timeout=order.wait / 1e6) as sock:
+                sock.sendall(lines.STATS)
+                while not data.endswith(b"\n") and len(data) < lines.LONGEST_REPORT:
+                    sock.settimeout(max(0.001, order.wait / 1e6 - (time.monotonic() - began)))
+                    got = sock.recv(lines.LONGEST_REPORT)
+                    if not got:
+                        raise ConnectionResetError
+                    data += got
+            ending, report = lines.read_report(data)
+        except TimeoutError:
+            ending, report = Ending.TIMEOUT, {}
+        except OSError as fault:
+            ours = fault.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+            ending, report = Ending.FULL if ours else Ending.CONNECT_FAILED, {}
+        self.post(ev.Asked(order.host, ending, report, round((time.monotonic() - began) * 1e6)))
+
     def carry_out(self, effect):
+        if isinstance(effect, ev.Ask):
+            try:
+                start_thread(self.ask, effect)
+            except RuntimeError:             # no thread is to be had; as below, by way of the writer
+                self.writes.put(ev.Asked(effect.host, Ending.FULL, {}))
+            return
         if isinstance(effect, ev.Connect):
             try:
                 sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -135,7 +164,7 @@
             if effect is None:               # the node is done
                 self.written()
                 return
-            if isinstance(effect, ev.Connected):
+            if isinstance(effect, (ev.Connected, ev.Asked)):
                 self.post(effect)
                 continue
             worker = effect.end.worker
--- a/cottonspread/state.py
+++ b/cottonspread/state.py
@@ -44,8 +44,6 @@
     name: object
     entry: io.Entry
     size: float = 1.0                             # nominal, for its turn in the rotation
-    held: float = 0.0                             # calls a core over all nodes, as its weight told
-    held_at: int = -60 * SECOND
     asked: float = 0.0                            # load asked of it over what it can do, as a probe told
     asked_at: int = -60 * SECOND
     legs: dict = field(default_factory=dict)      # legs out or standing, in order of sending
--- a/tests/notation.py
+++ b/tests/notation.py
@@ -34,7 +34,7 @@
 def entry(word):
     name, _, rest = word.partition(":")
     o = pairs(rest.split(",")) if rest else {}
-    return io.Entry(name, int(o.get("zone", 0)), 0, float(o.get("size", 1)), int(o.get("cell", 0)),
+    return io.Entry(name, int(o.get("zone", 0)), int(o.get("kind", 0)), float(o.get("size", 1)), int(o.get("cell", 0)),
                     ms(o.get("started", 0)), io.State(o.get("state", "up")))
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -14,13 +14,14 @@
 
 from cottonspread import cli, config
 from cottonspread import interface as io
+from cottonspread.lists import saved
 from cottonspread.net import discovery, lines, logfmt
 from cottonspread.net import events as ev
 from cottonspread.net.http import BadAnswer, Http
 from cottonspread.net.node import Node, grow_table
 from cottonspread.net.notes import Heard, Notes
 from cottonspread.net.pool import SIZE, Pool
-from cottonspread.net.workers import WIDE, start_thread
+from cottonspread.net.workers import WIDE, Workers, start_thread
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 NODE = (EXAMPLES / "node.json").read_text()
@@ -151,6 +152,46 @@
     assert notes.delay(9_002_000, light, 310, 0, USUAL) == 310_000
 
 
+# Probes
+
+@pytest.mark.parametrize("line, told", [
+    (b"PONG x0:0.41,x1:0.02\r\n", (io.Ending.OK, {"x0": 0.41, "x1": 0.02})), (b"PONG\r\n", (io.Ending.OK, {})),
+    (b"PONG x0:nan,x1:much,:1\r\n", (io.Ending.OK, {"": 1.0})), (b"ERR\r\n", (io.Ending.ERROR, {})),
+    (b"NO\r\n", (io.Ending.FULL, {})), (b"", (io.Ending.FULL, {}))])
+def test_a_load_report_is_read_and_what_is_no_number_left_out(line, told):
+    assert lines.read_report(line) == told
+
+
+def probe(address, wait=WAIT):
+    told = queue.Queue()
+    Workers(Pool(), told.put, lambda: 0).carry_out(ev.Ask("s-1", address, round(wait * 1_000_000)))
+    return told.get(timeout=WAIT)
+
+
+def test_a_probe_is_answered_whatever_the_host_does():
+    """Calls wait for it: one that never ended would hold them until their guard time."""
+    answers = Answers(b"PONG x0:0.5\r\n", b"ERR\r\n", b"", b"x" * 5000)
+    assert [(e.ending, e.report) for e in (probe(answers.address) for _ in range(4))] == [
+        (io.Ending.OK, {"x0": 0.5}), (io.Ending.ERROR, {}), (io.Ending.CONNECT_FAILED, {}), (io.Ending.FULL, {})]
+    silent = socket.create_server(("127.0.0.1", 0))
+    assert probe(silent.getsockname(), 0.05).ending is io.Ending.TIMEOUT
+    silent.close()
+    assert probe(Answers().closed()).ending is io.Ending.CONNECT_FAILED
+
+
+def test_a_list_whose_weights_move_is_not_saved_at_each_word(tmp_path):
+    """Each second a write and an fsync; and a successor took weights under load for the sizes to begin with."""
+    one = {"instanceId": "s-1", "lifecycle": "Ready", "weight": 3.0}
+    for moving, kept in ((True, 3.0), (False, 0.2)):
+        path = tmp_path / f"{moving}.json"
+        keeper = saved.Saved(str(path), moving)
+        keeper.told(1, [one], True)
+        keeper.told(2, [one | {"weight": 0.2}], False)
+        assert saved.read(str(path))["instances"][0]["weight"] == kept
+        keeper.told(3, [one | {"weight": 0.2, "lifecycle": "Terminating"}], False)
+        assert saved.read(str(path))["instances"][0]["lifecycle"] == "Terminating"
+
+
 # HTTP and discovery
 
 class Answers:
@@ -161,6 +202,10 @@
         self.address = self.listener.getsockname()
         threading.Thread(target=self.run, args=(answers,), daemon=True).start()
 
+    def closed(self):
+        self.listener.close()
+        return self.address
+
     def run(self, answers):
         for answer in answers:
             sock, _ = self.listener.accept()
@@ -237,6 +282,30 @@
 
 # Configuration and command line
 
+WITH_TYPE = {"TrafficTypes": [{"SetupTarget": 1, "GuardTime": 9}]}
+
+
+@pytest.mark.parametrize("settings, probed, moving", [
+    ({}, False, False),                      # the old shape, where nothing is said
+    ({"Limits": {"Probes": True}, "LoadReport": {"How": "none", "Names": []}, "Weights": "nominal"}, False, False),
+    ({"Limits": {"Probes": True}, "LoadReport": {"How": "probe", "Names": ["x0", "x1"]}, "Weights": "live"}, True, True),
+    ({"Limits": {"Probes": True}, "LoadReport": {"How": "probe", "Names": ["outstanding"]}}, False, False),
+    ({"LoadReport": {"How": "probe", "Names": ["x0"]}, "Weights": "rough"}, False, False)])
+def test_a_node_probes_and_takes_weights_for_loads_only_where_its_settings_say_so(settings, probed, moving):
+    begin = config.read_begin(WITH_TYPE | settings, 1)
+    assert (begin.loads_probed, begin.weights_move) == (probed, moving)
+
+
+def test_check_says_which_shape_the_settings_have(tmp_path, capsys):
+    file = tmp_path / "node.json"
+    for settings, said in (({}, "are sizes, hosts' load not asked for"), (
+            {"Weights": "live", "Limits": {"Probes": True}, "LoadReport": {"How": "probe", "Names": ["x0"]}},
+            "move with load, hosts' load told to probes")):
+        file.write_text(json.dumps(json.loads(NODE) | {"settings": WITH_TYPE | settings}))
+        assert cli.main(["check", "--config", str(file)]) == 0
+        assert said in capsys.readouterr().out
+
+
 @pytest.mark.parametrize("change, key", [
     ({"listen": "here"}, "listen"), ({"name": None}, "name"), ({"seed": "xyz"}, "seed"),
     ({"limits": {"sockets": "many"}}, "limits.sockets"), ({"settings": {}}, "settings.TrafficTypes"),
@@ -244,6 +313,10 @@
     ({"settings": {"TrafficTypes": [{"SetupTarget": -1, "GuardTime": 9}]}}, "settings.TrafficTypes[0].SetupTarget"),
     ({"settings": {"TrafficTypes": [{"SetupTarget": 1, "GuardTime": 9, "Effect": "odd"}]}},
      "settings.TrafficTypes[0].Effect"),
+    ({"settings": WITH_TYPE | {"LoadReport": {"How": "often"}}}, "settings.LoadReport.How"),
+    ({"settings": WITH_TYPE | {"LoadReport": {"How": "probe", "Names": "x0"}}}, "settings.LoadReport.Names"),
+    ({"settings": WITH_TYPE | {"Weights": "heavy"}}, "settings.Weights"),
+    ({"settings": WITH_TYPE | {"Limits": {"Probes": "some"}}}, "settings.Limits.Probes"),
     ({"known": {"instances": []}}, "known")])
 def test_faulty_configuration_stops_the_start_and_names_its_key(change, key, tmp_path, capsys, monkeypatch):
     for variable in ("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY"):
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -5,8 +5,9 @@
   came C                  a client connects    got END TEXT [| TEXT]      whole lines come; half: and part of one more
   up H, fail H            a connect's result   wrote END [broken]         a write held by `hold END` is done
   over END [how]          nothing more comes   stop [handed], tick        SIGTERM (a successor takes new ones); time passes
+  asked HOST ENDING [X0]  a probe is over, with the load told
   asleep                  the node stood still until now                  at TIME got ..  it was here since then
-> connect H HOST, write END TEXT, finish END, cut END [broken], closed C REASON, stop    what must follow
+> ask HOST, connect H HOST, write END TEXT, finish END, cut END [broken], closed C REASON, stop    what must follow
 Ends to hosts are named h1, h2, .. as they are made. Writes are done at once unless held.
 
 The world below checks of every scenario: one order to read and one to write at a time on each end, nothing after
@@ -34,6 +35,7 @@
                                int(site.get("ends", 100)))
         self.ends, self.names, self.held, self.out = {}, {}, set(), []
         self.reading, self.writing, self.freed, self.said = set(), set(), set(), {}
+        self.asks = []
         self.now = 0
         self.perform(self.reducer.step(0, ev.Tick()))
 
@@ -70,6 +72,9 @@
                 case ev.Free():
                     assert end not in self.reading and end not in self.writing, f"{name} given back in use"
                     self.freed.add(end)
+                case ev.Ask():
+                    self.asks.append(effect.host)
+                    self.out.append(["ask", effect.host])
                 case ev.Say(event="closed"):
                     client = next(n for n, e in self.ends.items() if e.client and e.conn is not None
                                   and e.freed and n not in self.said.get("closed", []))
@@ -120,6 +125,10 @@
                 assert end in self.reading, f"nobody reads {args[0]}"
                 self.reading.discard(end)
                 self.step(ev.Over(end, args[1] if len(args) > 1 else "end"))
+            case "asked":
+                self.asks.remove(args[0])
+                report = {"x0": float(args[2])} if len(args) > 2 else {}
+                self.step(ev.Asked(args[0], io.Ending[args[1].upper()], report))
             case "stop":
                 self.step(ev.StopAsked("handed" in args))
             case "tick" | "asleep":
@@ -129,6 +138,8 @@
 
     def finish(self):
         """Everybody leaves: nothing may be left, and each call had its one answer."""
+        for name in list(self.asks):
+            self.act(self.now, "asked", [name, "full"])
         for _ in range(10):                  # an end may bring a line, a line an end, a failure another leg
             for name in [name for name, end in self.ends.items() if end not in self.freed]:
                 end = self.ends[name]
