--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -131,7 +131,8 @@
     FILLED, LAST = 0.4, 8          # mean of the last readings from which a group fills its servers in order
     SILENT = 9.0                   # the load of one that does not answer
 
-    def __init__(self, probed, chance):
+    def __init__(self, probed, message_target, chance):
+        self.message_target = message_target
         self.probed, self.chance, self.mean, self.heard = probed, chance, 0.0, 0
         self.waiting = {}              # calls, by the server whose probe they wait for
 
@@ -145,6 +146,8 @@
         if e.ending is Ending.FULL or e.ending is Ending.OK and e.load < 0:
             return                           # asked too often, or it tells no load
         host.asked, host.asked_at = e.load if e.ending is Ending.OK else self.SILENT, now
+        if e.piled * SECOND >= self.message_target:
+            host.asked = max(host.asked, 1.0)    # one that hangs is asked for no more than before, and piles up
         self.heard = min(self.heard + 1, self.LAST)
         self.mean += (min(host.asked, 1) - self.mean) / self.heard
 
@@ -396,10 +399,11 @@
         self.zone, self.crossing, self.moving = begin.zone, begin.prices.crossing, begin.prices.moving
         self.chance = Chance(begin.seed)
         self.records, self.groups = Records(), Groups()
-        self.readings = Readings(begin.loads_probed, self.chance)
+        message_target = min((t.message_target for t in begin.types if t.message_target), default=SECOND)
+        self.readings = Readings(begin.loads_probed, message_target, self.chance)
         self.rotation = Rotation(self.chance, self.near_first)
         self.membership = Membership(self.chance, begin.weights_move)
-        self.health = Health(min((t.message_target for t in begin.types if t.message_target), default=SECOND))
+        self.health = Health(message_target)
         self.loads, self.warm_up = Loads(), WarmUp(begin.cold, begin.nodes, self.chance)
         self.ceilings = Ceilings(self.loads, self.chance, begin.nodes)
         self.way = Host("way to the servers", io.Entry(None))       # what all set-ups share, a store perhaps
--- a/cottonspread/drill/codec.py
+++ b/cottonspread/drill/codec.py
@@ -64,6 +64,12 @@
     return {name: float(value) for name, _, value in (pair.partition(":") for pair in (text or "").split(",") if pair)}
 
 
+def probed(f):
+    told = report(f.get("Feedback"))
+    return i.Probed(f["Host"], ENDINGS[int(f["Disposition"])], micros(f.get("WaitTime", 0)),
+                    told.get("x0", -1.0), told.get("x1", 0.0))
+
+
 def data(text):
     return b"" if text == "-" else base64.b64decode(text, validate=True)
 
@@ -77,8 +83,7 @@
     "expired": lambda f: i.Expired(int(f["Call"])),
     "status_note": status_note,
     "fired": lambda f: i.TimerFired(f["Cookie"]),
-    "pong": lambda f: i.Probed(f["Host"], ENDINGS[int(f["Disposition"])], micros(f.get("WaitTime", 0)),
-                                 report(f.get("Feedback")).get("x0", -1.0)),
+    "pong": probed,
     "peer": lambda f: i.PeerTold(int(f["Neighbour"]), data(f["Bytes"])),
 }
 
--- a/cottonspread/interface.py
+++ b/cottonspread/interface.py
@@ -196,6 +196,7 @@
     ending: Ending
     waited: int = 0
     load: float = -1.0               # asked of the host over what it can do, seconds ago; -1: not told
+    piled: float = 0.0               # seconds of work piled up
 
 
 @dataclass(frozen=True)
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -502,7 +502,8 @@
             self.asking.discard(e.host)
             # A node that was late itself may have left the answer lying: no word on the host.
             late = e.ending is Ending.TIMEOUT and self.own.most(self.now)
-            self.tell(io.Probed(e.host, Ending.FULL if late else e.ending, e.waited, e.report.get("x0", -1.0)))
+            self.tell(io.Probed(e.host, Ending.FULL if late else e.ending, e.waited, e.report.get("x0", -1.0),
+                                e.report.get("x1", 0.0)))
 
     # Ends and moves
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -4,7 +4,7 @@
 type NAME WORD=VALUE ...      a traffic type; without one there is a single repeatable type
 TIME EVENT ARGS               TIME in ms; events: list changes|full|saved|failed HOST[:WORD=VALUE[,..]] ..,
                               call ID .., open ID HOST .., accept ID LEG, done ID LEG ENDING [closed],
-                              load ID N, delay ID MS, expire ID, timer TOKEN, probed HOST ENDING [LOAD]
+                              load ID N, delay ID MS, expire ID, timer TOKEN, probed HOST ENDING [LOAD [PILED]]
 > ACTION ARGS                 the actions that must follow, all of them, in this order (timers and logs aside);
                               on a line of their own or behind their event
 >? TEXT                       an action that must be somewhere among them, none of the others minded
@@ -36,7 +36,7 @@
     if verb == "done":
         return io.LegEnded(args[0], int(args[1]), io.Ending[args[2].upper()], "closed" in args)
     if verb == "probed":
-        return io.Probed(args[0], io.Ending[args[1].upper()], 0, float(args[2]) if len(args) > 2 else -1.0)
+        return io.Probed(args[0], io.Ending[args[1].upper()], 0, *map(float, args[2:]))
     id = args[0]
     return {"accept": lambda: io.Accepted(id, int(args[1]), 0),
             "load": lambda: io.LoadTold(id, float(args[1])),
