--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -22,7 +22,6 @@
 
     def __init__(self):
         self.by_key = OrderedDict()              # key: (server, when last in use), the longest idle first
-        self.left = OrderedDict()  # cleared by a drain: the server may still hold a key's open connection
 
     def find(self, key, now):
         while self.by_key:
@@ -48,9 +47,7 @@
 
     def clear_host(self, host):
         for key in [k for k, (h, _) in self.by_key.items() if h is host]:
-            self.left[key] = self.by_key.pop(key)[0]
-        while len(self.left) > self.MOST:
-            self.left.popitem(last=False)
+            del self.by_key[key]
 
 
 class Rotation:
@@ -146,8 +143,8 @@
         if e.ending is Ending.FULL or e.ending is Ending.OK and e.load < 0:
             return                           # asked too often, or it tells no load
         host.asked, host.asked_at = e.load if e.ending is Ending.OK else self.SILENT, now
-        if e.piled * SECOND >= self.message_target:
-            host.asked = max(host.asked, 1.0)    # one that hangs is asked for no more than before, and piles up
+        if e.piled * SECOND >= self.message_target:      # one that hangs is asked for no more than before
+            host.asked = max(host.asked, 1.0)
         self.heard = min(self.heard + 1, self.LAST)
         self.mean += (min(host.asked, 1) - self.mean) / self.heard
 
@@ -495,10 +492,6 @@
             return False
 
         recorded = self.records.find(call.key, self.now)
-        if call.mid_flow and not call.legs:
-            holder = recorded or self.records.left.get(call.key)
-            if holder and holder.entry.state is not State.GONE:
-                return holder                # the connection goes on there, also while the server drains
         if not self.health.may_send(self.way, self.now):
             return None
         if recorded and ready(recorded) and light(recorded):
@@ -561,7 +554,7 @@
 
     def arrive(self, e):
         key = e.group if e.group is not None else e.key
-        call = Call(e.call, self.types[e.type], key, e.group, self.now + e.time_left, e.mid_flow, e.returned)
+        call = Call(e.call, self.types[e.type], key, e.group, self.now + e.time_left, e.returned)
         self.calls[call.id], call.path, call.bound = call, self.path(call), self.readings.bound()
         self.groups.met(e.group)
         if e.held_by is not None:
--- a/cottonspread/drill/codec.py
+++ b/cottonspread/drill/codec.py
@@ -12,7 +12,7 @@
         "unavailable": i.News.FAILED}
 TEXT_FIELDS = {"begin": "Config"}
 LOAD_CHANGED, MESSAGES_SLOW = 1, 2
-MID_FLOW, RETURNED, HINTED = 8, 16, 1
+RETURNED, HINTED = 16, 1
 
 
 class Unreadable(ValueError):
@@ -47,7 +47,7 @@
     return i.Arrived(int(f["Call"]), int(f["Service"]), micros(f.get("ExpiresIn", 0)), f.get("PathKey"),
                      f.get("TeamId"), int(f.get("Team", 0)),
                      float(f.get("Effort", 0)) if options & HINTED else 0.0,
-                     bool(options & MID_FLOW), bool(options & RETURNED), f.get("Host"))
+                     bool(options & RETURNED), f.get("Host"))
 
 
 def status_note(f):
--- a/cottonspread/interface.py
+++ b/cottonspread/interface.py
@@ -147,7 +147,6 @@
     group: object = None
     tenant: int = 0
     load: float = 0.0
-    mid_flow: bool = False           # packets of an open connection, now at this node
     returned: bool = False           # back after a break or a move
     held_by: object = None           # already open through this node, at this host
 
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -250,7 +250,7 @@
         self.read(conn.client)               # to notice when it leaves
         self.at(conn.guard + self.begin.tick, self.overdue, conn)
         self.tell(io.Arrived(conn, opening.type, left, opening.key, opening.group, opening.tenant, opening.load,
-                             False, opening.returned, opening.held_by))
+                             opening.returned, opening.held_by))
         if host is not None:
             self.open_leg(conn, host, conn.guard, STANDING_WAIT // 4)
 
--- a/cottonspread/state.py
+++ b/cottonspread/state.py
@@ -93,7 +93,6 @@
     key: object
     group: object
     guard: int                                    # when this try is given up by its client
-    mid_flow: bool
     returned: bool
     legs: list = field(default_factory=list)
     path: object = None
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -32,7 +32,7 @@
         names = [t.name for t in types]
         return io.Arrived(args[0], names.index(o["type"]) if "type" in o else 0, ms(o.get("left", 1200)),
                           o.get("key"), o.get("group"), int(o.get("tenant", 0)), 0.0,
-                          "mid" in o, "returned" in o, held)
+                          "returned" in o, held)
     if verb == "done":
         return io.LegEnded(args[0], int(args[1]), io.Ending[args[2].upper()], "closed" in args)
     if verb == "probed":
