--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -226,6 +226,7 @@
     PERIOD = 3 * SECOND // 4       # with the bucket it falls in, a second
     RUN = 3                        # servers timed out with no answer between: not the trouble of one
     OPEN_AT = 8                    # trickle that counts as no limit any more
+    EARLY = 0.7                    # of the message target: slow already, where many nodes fill one server
     NEAR = 0.4                     # of the message target: one more connection makes a server slow
     NOTE_LIFE = 5 * SECOND // 2    # told once a second while it lasts: two words missed, and it is over
 
@@ -400,7 +401,7 @@
         self.readings = Readings(begin.loads_probed, message_target, self.chance)
         self.rotation = Rotation(self.chance, self.near_first)
         self.membership = Membership(self.chance, begin.weights_move)
-        self.health = Health(message_target)
+        self.health = Health(message_target * (Health.EARLY if begin.loads_probed else 1))
         self.loads, self.warm_up = Loads(), WarmUp(begin.cold, begin.nodes, self.chance)
         self.ceilings = Ceilings(self.loads, self.chance, begin.nodes)
         self.way = Host("way to the servers", io.Entry(None))       # what all set-ups share, a store perhaps
@@ -726,7 +727,10 @@
             return                           # back, and working off what piled up
         elif lasts and delay <= before / 2:
             return                           # soon drained: one more cut would leave it idle afterwards
-        elif self.now - host.slow_from >= SECOND // 2 or delay >= 4 * self.health.slow_from:
+        # Where loads are probed a node holds next to nothing of a server; its second word comes a second
+        # later, and all nodes together have lost the revenue of that second.
+        elif (self.readings.probed or self.now - host.slow_from >= SECOND // 2
+              or delay >= 4 * self.health.slow_from):
             leaving = list(self.ceilings.cut(host, self.now))
         else:
             return
