One place turns a load report into the module's event: front/reports.py, for the drill and the node

Found on reading the change once more: which of the report's names is the load and which the piled-up work stood twice, in the drill's codec and in the reducer. Both now call `probed`. Left: `config` names x0 too, since it may not import from the fronts; a reading of up to 4 s outlives a server's restart under its id.

--- a/cottonspread/drill/codec.py
+++ b/cottonspread/drill/codec.py
@@ -4,6 +4,7 @@
 from cottonspread import config
 from cottonspread import interface as i
 from cottonspread.config import micros
+from cottonspread.front.reports import probed
 
 ENDINGS = {0: i.Ending.OK, 5: i.Ending.ERROR, 11: i.Ending.FULL, 110: i.Ending.TIMEOUT,
            111: i.Ending.CONNECT_FAILED, 104: i.Ending.RESET, 125: i.Ending.CANCELLED, 114: i.Ending.MOOT}
@@ -64,12 +65,6 @@
     return {name: float(value) for name, _, value in (pair.partition(":") for pair in (text or "").split(",") if pair)}
 
 
-def probed(f):
-    told = report(f.get("Feedback"))
-    return i.Probed(f["Host"], ENDINGS[int(f["Disposition"])], micros(f.get("WaitTime", 0)),
-                    told.get("x0", -1.0), told.get("x1", 0.0))
-
-
 def data(text):
     return b"" if text == "-" else base64.b64decode(text, validate=True)
 
@@ -83,7 +78,8 @@
     "expired": lambda f: i.Expired(int(f["Call"])),
     "status_note": status_note,
     "fired": lambda f: i.TimerFired(f["Cookie"]),
-    "pong": probed,
+    "pong": lambda f: probed(f["Host"], ENDINGS[int(f["Disposition"])], micros(f.get("WaitTime", 0)),
+                             report(f.get("Feedback"))),
     "peer": lambda f: i.PeerTold(int(f["Neighbour"]), data(f["Bytes"])),
 }
 
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -11,6 +11,7 @@
 from cottonspread import interface as io
 from cottonspread.decide import Balancer
 from cottonspread.front.lateness import Lateness
+from cottonspread.front.reports import probed
 from cottonspread.interface import Ending
 from cottonspread.net import events as ev
 from cottonspread.net import lines
@@ -502,8 +503,7 @@
             self.asking.discard(e.host)
             # A node that was late itself may have left the answer lying: no word on the host.
             late = e.ending is Ending.TIMEOUT and self.own.most(self.now)
-            self.tell(io.Probed(e.host, Ending.FULL if late else e.ending, e.waited, e.report.get("x0", -1.0),
-                                e.report.get("x1", 0.0)))
+            self.tell(probed(e.host, Ending.FULL if late else e.ending, e.waited, e.report))
 
     # Ends and moves
 
