--- a/cottonspread/cli/node.py
+++ b/cottonspread/cli/node.py
@@ -74,9 +74,9 @@
                 pass
         return 0
     except OSError as fault:
-        where = "%s:%d" % parts[0].listen
+        where = fault.filename or "listen: %s:%d" % parts[0].listen
         what = "address in use" if fault.errno == errno.EADDRINUSE else fault.strerror or fault
-        print(f"cottonspread: listen: {where}: {what}", file=sys.stderr)
+        print(f"cottonspread: {where}: {what}", file=sys.stderr)
         return 1
     finally:
         write_out()
@@ -127,9 +127,10 @@
         return 0
     place, room, names, _, begin, known = read(named(path))
     print(f"{place.name}: listens on {place.listen[0]}:{place.listen[1]}, "
-          f"discovery at {place.discovery[0]}:{place.discovery[1]}")
+          f"discovery at {place.discovery[0]}:{place.discovery[1]}, "
+          + ("operators at %s:%d" % place.operator if place.operator else "no address for operators"))
     print(f"{len(names.types)} traffic types, node {begin.me} of {begin.nodes}, "
-          f"{len(known['instances'])} servers known, room for {most_ends(room)} connections")
+          f"{len(known['instances'])} servers known, room for {most_ends(room, place.operator)} connections")
     print(f"weights listed {'move with load' if begin.weights_move else 'are sizes'}, "
           f"hosts' load {'told to probes' if begin.loads_probed else 'not asked for'}")
     return 0
--- a/cottonspread/config/platform.py
+++ b/cottonspread/config/platform.py
@@ -87,6 +87,10 @@
             return host, int(port)
         return self.take(key, default, "an address as HOST:PORT", read)
 
+    def place(self, key, default):
+        """An address, or None where none is given."""
+        return default if self.values.get(key, default) is None else self.address(key, default)
+
     def part(self, key, default=MISSING):
         return Keys(self.take(key, {} if default is MISSING else default, "an object", dict), self.at(key))
 
@@ -155,6 +159,7 @@
     name: str
     listen: tuple
     discovery: tuple
+    operator: tuple = None         # where the operators call; None: nowhere
 
 
 @dataclass(frozen=True)
@@ -189,9 +194,9 @@
 def read_node(text, environment):
     """What a node is told, as parts: (Place, Room, Names, Hearing, Begin, known list as JSON)."""
     whole = Keys(parse(text, "configuration"), "")
-    place = Place(*(read(key, environment.get("PROXY_" + key.upper()) or MISSING)
-                    for key, read in (("name", whole.text), ("listen", whole.address),
-                                      ("discovery", whole.address))))
+    place = Place(*(read(key, environment.get("PROXY_" + key.upper()) or default)
+                    for key, read, default in (("name", whole.text, MISSING), ("listen", whole.address, MISSING),
+                                               ("discovery", whole.address, MISSING), ("operator", whole.place, None))))
     limits = whole.part("limits")
     room = Room(limits.whole("memory_mb", 192, least=32), limits.whole("sockets", 1024, least=64))
     seed = whole.take("seed", "0", "a number in hexadecimal", lambda v: int(v, 16))
--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -427,6 +427,11 @@
             take(event)
         return self.actions()
 
+    def avoided(self, now):
+        """How many listed servers get nothing new now: they drain, or are set aside."""
+        return sum(not h.up or now < h.aside_until for h in self.membership.hosts.values()
+                   if h.entry.state is not State.GONE)
+
     def path(self, call):
         """A call from arrival to its final answer: yields what is to be done, is resumed with the result."""
         if call.legs:                        # open already, when this node started
--- /dev/null
+++ b/cottonspread/front/figures.py
@@ -0,0 +1,46 @@
+"""What a node counts for its operators. Pure: the owner of a state counts into it, whoever asks gets it as text.
+
+Each event is counted in one place (`Reducer.finish`, `host_lines`, `wrote`, `retuned`), each number has one writer, and a reader in
+another thread takes whole numbers as they stand: nobody waits for anybody. Every process counts from 0.
+"""
+ANSWERS = ("success", "busy", "failure")
+
+
+def label(text):
+    """A label's value, with what would end it escaped."""
+    return text.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
+
+
+class Figures:
+    def __init__(self, types):
+        self.answers, self.at_door, self.types = {}, {}, ()
+        self.backend_calls = self.hosts_listed = self.hosts_down = self.reconfig_ok = self.reconfig_failed = 0
+        self.know(types)
+
+    def know(self, types):
+        """The names of the traffic types in force. What was counted under one that is gone stays."""
+        for name in types:
+            for answer in ANSWERS:
+                self.answers.setdefault((answer, name), 0)
+            self.at_door.setdefault(name, 0)
+        self.types = tuple(types)
+
+    def answered(self, answer, name):
+        self.answers[answer, name] += 1
+
+    def turned_away(self, name):
+        """BUSY before the reducer heard of it: by the thread that accepts, and no other."""
+        if name in self.at_door:
+            self.at_door[name] += 1
+
+    def numbers(self, inflight):
+        """Every figure, as (name, labels, value)."""
+        at_door = dict(self.at_door)
+        for (answer, name), count in dict(self.answers).items():
+            yield answer, f'{{tier="{label(name)}"}}', count + (at_door.get(name, 0) if answer == "busy" else 0)
+        yield "inflight", "", inflight
+        for name in ("backend_calls", "hosts_listed", "hosts_down", "reconfig_ok", "reconfig_failed"):
+            yield name, "", getattr(self, name)
+
+    def text(self, inflight):
+        return "".join(f"app_{name}{labels} {value}\n" for name, labels, value in self.numbers(inflight))
--- a/cottonspread/net/events.py
+++ b/cottonspread/net/events.py
@@ -85,6 +85,12 @@
     handed: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class DrainAsked:
+    """By the operators: the node is to be drained, or (`on` is false) to serve again."""
+    on: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Only time has passed."""
--- a/cottonspread/net/lines.py
+++ b/cottonspread/net/lines.py
@@ -116,6 +116,12 @@
                    tenants.get(pairs.get("t"), 0), load, pairs.get("again") == "1", pairs.get("at"))
 
 
+def type_named(line):
+    """The traffic type that a first line names, whatever else stands in it; "" if none."""
+    named = re.match(rb"OPEN [^ ]+ [^ ]+ (?:[^ ]*,)?c=([^ ,\r\n]*)", line)
+    return named[1].decode("ascii", "replace") if named else ""
+
+
 def onward(line, wait):
     """The first line as a host gets it: `d` tells how long this node will wait."""
     return re.sub(rb"(?<=[ ,])d=\d+", b"d=%d" % max(1, wait // 1000), line, count=1)
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -14,7 +14,7 @@
 
 from cottonspread.front.lateness import Door
 from cottonspread.interface import News
-from cottonspread.net import discovery, lines, workers
+from cottonspread.net import admin, discovery, lines, workers
 from cottonspread.net import events as ev
 from cottonspread.net.pool import Pool
 from cottonspread.net.reducer import Reducer
@@ -31,6 +31,15 @@
 BASE_MB, END_KB = 24, 32           # measured, with a third to spare: docs/design.md
 
 
+def place_for(address, answer):
+    """The operators' address, if there is to be one."""
+    try:
+        return admin.Admin(address, answer) if address else None
+    except OSError as fault:
+        fault.filename = "operator: %s:%d" % address         # which of the node's two addresses it is
+        raise
+
+
 class Clock:
     """Unix time in microseconds that never goes back."""
 
@@ -41,9 +50,10 @@
         return int((time.monotonic() + self.offset) * 1_000_000)
 
 
-def most_ends(room):
+def most_ends(room, operator=None):
     """How many connections, clients' and hosts', fit into descriptors and memory."""
-    return max(2, min(room.sockets - SPARE_ENDS, (room.memory_mb - BASE_MB) * 1024 // END_KB))
+    spare = SPARE_ENDS + (admin.SET_ASIDE if operator else 0)
+    return max(2, min(room.sockets - spare, (room.memory_mb - BASE_MB) * 1024 // END_KB))
 
 
 def grow_table(sockets):
@@ -62,7 +72,7 @@
         """`keep(version, instances, whole)`, if given, is told each list as JSON, in the discovery's thread."""
         self.place, self.room, self.clock = place, room, Clock()
         self.events, self.done = queue.Queue(QUEUE), threading.Event()
-        self.most = most_ends(room)
+        self.most = most_ends(room, place.operator)
         self.workers = workers.Workers(Pool(), self.post, self.clock.now, self.done.set)
         self.lock, self.door = threading.Lock(), Door(min(t.setup_target for t in begin.types) // 4)
         version, listed, addresses = discovery.read_list(known, names, News.SAVED)
@@ -71,6 +81,7 @@
         self.post(ev.Heard(listed, addresses))
         self.listener, self.ending, self.shared, self.steps, self.ended = None, False, False, 0, Counter()
         self.wake, self.accepting, self.finished = None, None, False
+        self.admin, self.urgent = None, queue.SimpleQueue()  # `urgent`: events that no full queue may hold up
 
     def post(self, event):
         self.events.put((self.clock.now(), event))
@@ -79,15 +90,43 @@
         """`listener`: a socket that another process keeps too and that listens already; nothing is taken from it before `take`."""
         self.shared = listener is not None
         self.listener = listener or socket.create_server(self.place.listen, backlog=BACKLOG)
+        self.admin = place_for(self.place.operator, self.called)
         # What came before it was accepted is stamped too: a client's time runs from when its line was here.
         self.listener.setsockopt(socket.SOL_SOCKET, lines.SO_TIMESTAMPNS, 1)
         grow_table(self.room.sockets)
         self.workers.start()
+        if self.admin:
+            workers.start_thread(self.admin.run, stack=workers.WIDE)
         for target in (self.loop, self.discovery.run) if self.shared else (self.loop, self.discovery.run, self.accept):
             workers.start_thread(target, stack=workers.WIDE)
         log.info("listening", extra={"pairs": {"address": "%s:%d" % self.listener.getsockname()[:2],
                                                "most_ends": self.most}})
 
+    def serves(self):
+        """Whether connections are taken from the listener, and there is a server to send them to."""
+        return self.reducer.listed and not self.reducer.stopping and (not self.shared or self.accepting is not None)
+
+    def called(self, word):
+        """The answer to an operator's call; in the thread of their address, which may wait for nothing."""
+        if word == "health":
+            return b"200 yes\n" if self.serves() else b"400 no\n"
+        if word == "counters":
+            return b"200 the figures\n%sEOF\n" % self.reducer.figures.text(len(self.reducer.by_id)).encode()
+        if word not in ("quiesce", "resume"):
+            return b"400 known calls: health, counters, quiesce, resume\n"
+        if self.reducer.stopping:
+            return b"400 stopping\n"
+        self.hasten(ev.DrainAsked(word == "quiesce"))
+        return b"200 draining\n" if word == "quiesce" else b"200 serving\n"
+
+    def hasten(self, event):
+        """For the reducer before all that waits in its queue, and without waiting for room there."""
+        self.urgent.put((self.clock.now(), event))
+        try:
+            self.events.put_nowait((self.clock.now(), ev.Tick()))            # wakes it
+        except queue.Full:                   # it is awake
+            pass
+
     def follow(self, address):
         """Another discovery from now on; the list, calls and connections stay."""
         if address != self.place.discovery:
@@ -144,9 +183,9 @@
         while not self.finished:
             left = (self.reducer.due() - self.clock.now()) / 1e6
             try:
-                at, event = self.events.get(timeout=left) if left > 0 else self.events.get_nowait()
+                at, event = self.urgent.get_nowait()
             except queue.Empty:
-                at, event = 0, ev.Tick()
+                at, event = self.next(left)
             now = self.clock.now()
             at = getattr(event, "at", 0) or at or now
             if isinstance(event, ev.Got) and event.end.client and event.end.conn.opening is None:
@@ -155,6 +194,13 @@
             for effect in self.step(event, at):
                 self.carry_out(effect)
 
+    def next(self, left):
+        """What comes next from the queue within so many seconds."""
+        try:
+            return self.events.get(timeout=left) if left > 0 else self.events.get_nowait()
+        except queue.Empty:
+            return 0, ev.Tick()
+
     def step(self, event, at=0):
         """One step of the reducer. Our own fault stands in the log with its trace, and costs one connection."""
         self.steps += 1
@@ -179,6 +225,8 @@
     def finish(self):
         self.ending = self.finished = True
         self.discovery.stop()
+        if self.admin:
+            self.admin.stop()
         if self.shared:                      # others listen there too
             if self.wake:
                 self.wake[1].send(b"x")
@@ -245,15 +293,15 @@
         self.post(ev.Came(end))
 
     def turn_away(self, sock, reason, come_back):
-        """No room or no time even for its first line."""
+        """No room or no time for its call. Of its first line only the type is read, for the figures."""
         try:
             sock.send(lines.busy(come_back), socket.MSG_DONTWAIT)
             sock.shutdown(socket.SHUT_WR)
         except OSError:
             pass
         try:
-            sock.recv(4096, socket.MSG_DONTWAIT)          # unread, it would make the end a reset
-        except OSError:
+            self.reducer.figures.turned_away(lines.type_named(sock.recv(4096, socket.MSG_DONTWAIT)))
+        except OSError:                      # unread, it would make the end a reset
             pass
         sock.close()
         self.ended[reason] += 1
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -10,6 +10,7 @@
 
 from cottonspread import interface as io
 from cottonspread.decide import Balancer
+from cottonspread.front.figures import Figures
 from cottonspread.front.lateness import Lateness
 from cottonspread.front.reports import probed
 from cottonspread.interface import Ending
@@ -30,7 +31,8 @@
 # A host that echoes nothing is left before the 7 s that a client bears. They count from when it stopped, and the next
 # line may be two seconds later.
 SILENT = 9 * SECOND // 2
-COMING = SECOND // 2               # new connections go on coming for so long after SIGTERM
+COMING = SECOND // 2               # new connections go on coming for so long after SIGTERM, or after a PING that was not answered yes
+DRAINED = 3 * SECOND               # a drained node holds no client by then: its front gives it 4 s
 STANDING_WAIT = 40 * SECOND        # for a connection that was open before the start
 PROBE_WAIT = SECOND // 4           # a host that takes longer to tell its load is no place for a new call
 NOT_LISTED = io.Entry(None, state=io.State.GONE)
@@ -58,6 +60,7 @@
     client: ev.End
     began: int
     opening: lines.Opening = None
+    type: io.TrafficType = None    # the one it opened under, whatever the settings become
     guard: int = 0
     legs: list = field(default_factory=list)
     answered: bool = False         # the final answer is given, or the client is gone
@@ -66,9 +69,18 @@
     reason: str = ""               # why it ended; "" while it stands
     setup: int = 0
     pings: int = 0
+    counted: bool = False          # its final answer, among the figures
     rude: bool = False             # no usual client: it is cut off, and what it still sends is not read
 
 
+@dataclass(eq=False)
+class Leaving:
+    """Clients are being moved off, by a drain or for the end; the last moment for an answer is `hurry_at`."""
+    reason: str
+    first: int
+    hurry_at: int
+
+
 @dataclass(eq=False)
 class Server:
     """What a front keeps of a host: its address, and what its messages take."""
@@ -91,13 +103,17 @@
         self.timers, self.stamp = [], 0
         self.asking = set()                  # hosts with a probe under way whose end the module waits for
         self.probes = 0
-        self.listed, self.stopping, self.stop_by, self.leave_from, self.handed = False, 0, 0, 0, False
+        self.figures = Figures(t.name for t in begin.types)
+        self.listed, self.stopping, self.stop_by, self.handed = False, 0, 0, False
+        self.draining = 0                    # since when, as the operators asked; 0: it takes calls
+        self.leaving = None                  # while clients are moved off
         self.usual = 0.0                     # mean of the loads told
         targets = [t.message_target for t in begin.types if t.message_target]
         self.slow_from = min(targets, default=SECOND) // 3
         self.handlers = {ev.Came: self.came, ev.Connected: self.connected, ev.Got: self.got,
                          ev.Written: self.wrote, ev.Over: self.over, ev.Heard: self.heard,
-                         ev.ListFailed: self.list_failed, ev.Asked: self.asked, ev.StopAsked: self.stop, ev.Tick: lambda e: None}
+                         ev.ListFailed: self.list_failed, ev.Asked: self.asked, ev.StopAsked: self.stop,
+                         ev.DrainAsked: self.drain, ev.Tick: lambda e: None}
         self.after(SWEEP, self.sweep)
         self.after(LISTEN, self.listen)
         for action in self.module.actions():
@@ -215,7 +231,7 @@
             return
         if first.rstrip(b"\r") == lines.PING:
             conn.pings += 1
-            if self.listed and not self.turns_away(conn):
+            if self.listed and not self.draining and not self.turns_away(conn):
                 self.write(conn.client, lines.PONG)
             else:
                 self.turn_out(conn, "not-ready")
@@ -231,7 +247,7 @@
         if opening.id in self.by_id or opening.id in self.ended_ids:
             self.turn_out(conn, "id-in-use")
             return
-        conn.opening = opening
+        conn.opening, conn.type = opening, self.begin.types[opening.type]
         self.unopened.pop(conn, None)
         self.by_id[opening.id] = conn
         wait = opening.wait if opening.held_by is None else STANDING_WAIT
@@ -242,7 +258,7 @@
         # Two descriptors for every call, and some left to answer with: at the edge a call is turned away.
         turned = self.turns_away(conn)
         if turned or self.ends + 1 > self.most_ends:
-            self.finish(conn, "stopping" if turned else "no-room", lines.busy(self.come_back()))
+            self.finish(conn, turned or "no-room", lines.busy(self.come_back()))
             return
         host = self.servers.get(opening.held_by)
         if opening.held_by is not None and (host is None or host.address is None):
@@ -256,8 +272,11 @@
             self.open_leg(conn, host, conn.guard, STANDING_WAIT // 4)
 
     def turns_away(self, conn):
-        """Stopping, and the client could as well have come to the successor, if there is one."""
-        return self.stopping and not (self.handed and conn.began <= self.stopping)
+        """The reason code, or "". Stopping: the client could as well have come to the successor, if there is one. Drained: the
+        front sent it before it had its no."""
+        if self.stopping and not (self.handed and conn.began <= self.stopping):
+            return "stopping"
+        return "draining" if self.draining and self.now - self.draining > COMING else ""
 
     def come_back(self):
         return self.begin.legs.longest_advice // 2 if self.begin.legs.may_advise else 0
@@ -298,6 +317,9 @@
         """A last line for the client, then the end of its connection."""
         conn.reason = conn.reason or reason
         conn.answered = True
+        if conn.type and not conn.counted and not conn.up:
+            conn.counted = True
+            self.figures.answered("busy" if line.startswith(b"BUSY") else "failure", conn.type.name)
         self.closed_id(conn)
         if line and not conn.client.writing:
             self.write(conn.client, line)
@@ -382,13 +404,14 @@
         ending = lines.read_answer(first)
         conn = leg.conn
         if ending is None:
-            leg.up = conn.up = True
+            leg.up = conn.up = conn.counted = True
+            self.figures.answered("success", conn.type.name)
             if not leg.host.legs:
                 leg.host.notes.met_at = self.now
             leg.host.legs[leg] = None
             conn.setup = self.now - conn.began
-            if self.stopping:
-                self.at(self.leave_from, self.move, conn, "moved-stopping")
+            if self.leaving:
+                self.at(self.leaving.first, self.move_off, self.leaving, conn)
             if conn.opening.held_by is None:
                 self.tell(io.Accepted(conn, leg.number, 0))
             self.pass_on(leg, data, len(first) + 1)
@@ -571,6 +594,10 @@
 
     def wrote(self, e):
         end, conn = e.end, e.end.conn
+        first = e.ok and not end.client and not end.leg.written
+        if first:                            # also if the leg has ended meanwhile: its host has the line
+            end.leg.written = True
+            self.figures.backend_calls += 1
         if end.client and conn.up and self.now - end.writing - self.own.most(self.now) > self.slow_from:
             conn.legs[-1].heard.waiting.clear()        # echoes were late for want of a reader
         elif not end.client and end.leg.up and e.at:
@@ -589,8 +616,7 @@
                 self.end_leg(end.leg, Ending.CONNECT_FAILED)
             else:
                 self.host_over(end.leg, "reset")
-        elif not end.client and not end.leg.written:
-            end.leg.written = True
+        elif first:
             self.read(end)
         elif not end.client:
             self.read(conn.client)           # the next lines only once these are out: nothing piles up here
@@ -654,7 +680,7 @@
         leg = conn.legs[-1] if conn.legs else None
         pairs = {"reason": conn.reason or "unknown", "s": (self.now - conn.began) / SECOND}
         if conn.opening:
-            pairs |= {"call": conn.opening.id, "type": conn.opening.type, "legs": len(conn.legs)}
+            pairs |= {"call": conn.opening.id, "type": conn.type.name, "legs": len(conn.legs)}
         if leg:
             pairs["host"] = leg.host.name
         if conn.up:
@@ -672,6 +698,7 @@
             for leg in conn.legs:
                 if leg.end is not None:
                     self.sweep_end(leg.end)
+        self.figures.hosts_down = self.module.avoided(self.now)
         if self.stopping:
             self.stop_when_done()
 
@@ -713,6 +740,7 @@
             self.entries.pop(name, None)
             if not self.servers[name].legs:
                 del self.servers[name]
+        self.figures.hosts_listed = len(self.entries)
         if new or gone or e.listed.news is not io.News.CHANGES:
             self.out.append(ev.Say("list", {"news": e.listed.news.name.lower(), "version": e.listed.version,
                                             "entries": len(e.listed.entries)}))
@@ -721,7 +749,33 @@
         if self.begin.listing.ask:           # the others are not told, and keep the last list
             self.tell(io.Listed(io.News.FAILED))
 
-    # The end
+    # The end, and drains
+
+    def send_off(self, reason, first, last):
+        """Drain and SIGTERM: from `first` on every client is asked to move, those that stand now evenly up to `last`; a moment
+        after that each call has its answer."""
+        self.leaving = leaving = Leaving(reason, first, last + SECOND // 4)
+        standing = [conn for conn in self.conns if conn.up and not conn.reason]
+        span = max(0, last - first)
+        for n, conn in enumerate(standing):
+            self.at(first + span * n // len(standing), self.move_off, leaving, conn)
+        self.at(leaving.hurry_at, self.hurry, leaving)
+        self.out.append(ev.Say(reason.removeprefix("moved-"), {"standing": len(standing), "open": len(self.conns)}))
+
+    def move_off(self, leaving, conn):
+        if self.leaving is leaving:          # a drain that was taken back moves nobody any more
+            self.move(conn, leaving.reason)
+
+    def drain(self, e):
+        """As the operators ask: a front that is told no to its PING sends nobody any more, and who stands here is moved."""
+        if self.stopping or bool(self.draining) is e.on:
+            return
+        if e.on:
+            self.draining = self.now
+            self.send_off("moved-draining", self.now + COMING, self.now + DRAINED - SECOND // 2)
+        else:
+            self.draining, self.leaving = 0, None
+            self.out.append(ev.Say("resumed", {"open": len(self.conns)}))
 
     def stop(self, e):
         if self.stopping:
@@ -731,19 +785,15 @@
         # New connections go on coming here for a while: who is moved now would come back to this node. And in a
         # rolling restart the node before this one is just coming back: who was moved at once found none to take it.
         last = self.stop_by - SECOND // 2
-        self.leave_from = max(self.now + COMING, self.now + (last - self.now) * 3 // 5)
-        standing = [conn for conn in self.conns if conn.up and not conn.reason]
-        span = max(0, last - self.leave_from)
-        for n, conn in enumerate(standing):
-            self.at(self.leave_from + span * n // len(standing), self.move, conn, "moved-stopping")
-        self.at(self.stop_by - SECOND // 4, self.hurry)
-        self.out.append(ev.Say("stopping", {"standing": len(standing), "open": len(self.conns)}))
+        self.send_off("moved-stopping", max(self.now + COMING, self.now + (last - self.now) * 3 // 5), last)
 
     def hurries(self):
-        return self.stopping and self.now >= self.stop_by - SECOND // 4
+        return self.leaving and self.now >= self.leaving.hurry_at
 
-    def hurry(self):
+    def hurry(self, leaving):
         """The last moment for an answer: a call whose guard time is longer would be lost with the node."""
+        if self.leaving is not leaving:
+            return
         for conn in list(self.conns):
             for leg in conn.legs if not conn.up else ():
                 self.end_leg(leg, Ending.TIMEOUT)      # and no other leg is sent, see `send`
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,191 @@
+"""The operators' address: the calls, bad input, callers who never finish; and the figures as text."""
+import queue
+import re
+import socket
+import threading
+
+import pytest
+
+from cottonspread import config
+from cottonspread.front.figures import ANSWERS, Figures
+from cottonspread.net import admin, lines
+from cottonspread.net.node import Node, most_ends
+from cottonspread.net.workers import WIDE, start_thread
+
+from test_net import NODE, WAIT, Client, service, toy          # noqa: F401 (fixtures)
+
+
+def call(address, said, end=False):
+    """What an operator's call brings back, to the end of the connection."""
+    with socket.create_connection(address, timeout=WAIT) as sock:
+        sock.sendall(said)
+        if end:
+            sock.shutdown(socket.SHUT_WR)
+        with sock.makefile("rb") as file:
+            return file.read()
+
+
+@pytest.fixture
+def door():
+    """The address alone, answering each word with itself."""
+    one = admin.Admin(("127.0.0.1", 0), lambda word: b"200 " + word.encode() + b"\n")
+    thread = threading.Thread(target=one.run, daemon=True)
+    thread.start()
+    yield one, one.listener.getsockname()
+    one.stop()
+    thread.join(WAIT)
+    assert not thread.is_alive() and not one.callers
+
+
+@pytest.mark.parametrize("said, answer", [
+    (b"health\r\n", b"200 health\n"), (b"health\n", b"200 health\n"), (b" health \r\n", b"200 health\n"),
+    (b"x" * admin.LONGEST + b"\n", b"200 " + b"x" * admin.LONGEST + b"\n"),
+    (b"health\r\nhealth\r\n", b"400"), (b"health\nh", b"400"), (b"x" * 4000, b"400"), (b"x" * 400 + b"\n", b"400")])
+def test_one_line_has_one_answer_and_all_else_400(door, said, answer):
+    assert call(door[1], said).startswith(answer)
+
+
+def test_half_a_line_and_an_end_is_400_and_nothing_is_nothing(door):
+    assert call(door[1], b"heal", end=True).startswith(b"400")
+    assert call(door[1], b"", end=True) == b""
+
+
+def test_a_line_in_pieces_is_one_line(door):
+    with socket.create_connection(door[1], timeout=WAIT) as sock:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for piece in (b"he", b"al", b"th\r", b"\n"):
+            sock.sendall(piece)
+        assert sock.makefile("rb").read() == b"200 health\n"
+
+
+def test_callers_who_never_finish_keep_nobody_out(door):
+    """They are turned out for a new one when all places are taken: with their time limit alone the thirteenth waited two seconds."""
+    silent = [socket.create_connection(door[1], timeout=WAIT) for _ in range(3 * admin.MOST)]
+    for sock in silent:
+        sock.sendall(b"hea")
+    assert call(door[1], b"health\n") == b"200 health\n"
+    assert len(door[0].callers) <= admin.MOST
+
+
+def test_a_line_that_never_ends_is_closed_after_its_time(door, monkeypatch):
+    monkeypatch.setattr(admin, "LINE_WAIT", 0.05)
+    with socket.create_connection(door[1], timeout=WAIT) as sock:
+        sock.sendall(b"heal")
+        assert sock.makefile("rb").read().startswith(b"400")
+
+
+def test_a_fault_of_ours_costs_one_call():
+    said = iter([RuntimeError("broken"), b"200 yes\n"])
+
+    def answer(word):
+        one = next(said)
+        if isinstance(one, Exception):
+            raise one
+        return one
+
+    one = admin.Admin(("127.0.0.1", 0), answer)
+    threading.Thread(target=one.run, daemon=True).start()
+    address = one.listener.getsockname()
+    assert call(address, b"health\n").startswith(b"400") and call(address, b"health\n") == b"200 yes\n"
+    one.stop()
+
+
+# Figures
+
+def test_every_type_known_has_its_figures_zero_included_and_names_are_escaped():
+    figures = Figures(["plain", 'a"b\\c\nd'])
+    figures.answered("busy", "plain")
+    figures.turned_away("plain")
+    figures.turned_away("unheard-of")
+    text = figures.text(3)
+    assert 'app_busy{tier="plain"} 2\n' in text and "app_inflight 3\n" in text
+    assert 'app_success{tier="a\\"b\\\\c\\nd"} 0\n' in text
+    assert all(re.fullmatch(r'app_[a-z_]+(\{tier="(?:[^"\\]|\\.)*"\})? \d+', line) for line in text.splitlines())
+    figures.know(["new"])
+    assert 'app_failure{tier="new"} 0\n' in figures.text(0) and 'app_busy{tier="plain"} 2\n' in figures.text(0)
+    assert {name for name, _, _ in figures.numbers(0)} == {
+        *ANSWERS, "inflight", "backend_calls", "hosts_listed", "hosts_down", "reconfig_ok", "reconfig_failed"}
+
+
+@pytest.mark.parametrize("line, name", [
+    (b"OPEN 01 02 c=chat,d=2000\r\n", "chat"), (b"OPEN 01 02 d=2000,c=chat\r\n", "chat"), (b"OPEN 01 02 d=1,xc=chat", ""),
+    (b"PING\r\n", ""), (b"", ""), (b"\xff\xfe c=chat", ""), (b"OPEN 01 02 c=\xff\n", "\ufffd")])
+def test_the_type_of_a_call_turned_away_at_the_door_is_read(line, name):
+    assert lines.type_named(line) == name
+
+
+# A node with such an address
+
+@pytest.fixture
+def operated(monkeypatch, toy):  # noqa: F811
+    servers, listener = toy.Toy(2), socket.create_server(("127.0.0.1", 0))
+    threading.Thread(target=servers.accept, args=(listener, servers.discover), daemon=True).start()
+    parts = list(config.read_node(NODE, {}))
+    parts[0] = config.Place("n1", ("127.0.0.1", 0), listener.getsockname(), ("127.0.0.1", 0))
+    node = Node(*parts)
+    node.start()
+    yield node, node.listener.getsockname(), node.admin.listener.getsockname()
+    node.stop()
+    assert node.join(WAIT)
+
+
+def until(address, said, want):
+    """Asks until the answer is the one wanted: an order's effect comes a moment after its answer."""
+    while not want((answer := call(address, said))):
+        pass
+    return answer
+
+
+def test_a_node_is_asked_drained_and_resumed(operated):
+    node, address, operators = operated
+    until(operators, b"health\n", lambda a: a == b"200 yes\n")
+    client = Client(address, b"OPEN 01 02 c=chat,d=2000,g=0a")
+    assert client.hear().startswith(b"UP ")
+    text = call(operators, b"counters\r\n")
+    assert text.startswith(b"200") and text.endswith(b"\nEOF\n")
+    for line in (b'app_success{tier="chat"} 1\n', b"app_backend_calls 1\n", b"app_inflight 1\n", b"app_hosts_listed 2\n"):
+        assert line in text
+    assert call(operators, b"stop\n").startswith(b"400") and call(operators, b"\n").startswith(b"400")
+    assert call(operators, b"quiesce\n").startswith(b"200")
+    assert call(address, b"PING\r\n").startswith(b"ERR")
+    assert client.hear() == b"MOVE" and client.hear() == b""
+    assert call(operators, b"resume\n").startswith(b"200")
+    ping = Client(address, b"PING")
+    assert ping.hear() == b"PONG"
+
+
+def test_operators_are_answered_while_the_reducer_does_nothing_and_its_queue_is_full(operated, monkeypatch):
+    """A call that went by the reducer's queue waited for as long as the node was busy."""
+    node, address, operators = operated
+    until(operators, b"health\n", lambda a: a == b"200 yes\n")
+    go, held = threading.Event(), threading.Event()
+
+    def stuck(event):
+        held.set()
+        go.wait(WAIT)
+
+    from cottonspread.net import events as ev
+    monkeypatch.setitem(node.reducer.handlers, ev.Tick, stuck)
+    node.post(ev.Tick())
+    assert held.wait(WAIT)
+    try:
+        while True:
+            node.events.put_nowait((0, ev.Tick()))
+    except queue.Full:
+        pass
+    for said in (b"health\n", b"counters\n", b"quiesce\n"):
+        assert call(operators, said).startswith(b"200")
+    assert not node.reducer.draining
+    monkeypatch.setitem(node.reducer.handlers, ev.Tick, lambda event: None)
+    go.set()
+    until(address, b"PING\r\n", lambda a: a.startswith(b"ERR"))      # the order went before all that waited
+
+
+def test_a_node_without_the_key_has_no_such_address(service):  # noqa: F811
+    node, _ = service
+    assert node.place.operator is None and node.admin is None
+
+
+def test_the_descriptors_of_the_address_are_set_aside():
+    room = config.Room(192, 256)
+    assert most_ends(room) - most_ends(room, ("127.0.0.1", 1)) == admin.SET_ASIDE > admin.MOST
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -5,14 +5,17 @@
   came C                  a client connects    got END TEXT [| TEXT]      whole lines come; half: and part of one more
   up H, fail H            a connect's result   wrote END [broken]         a write held by `hold END` is done
   over END [how]          nothing more comes   stop [handed], tick        SIGTERM (a successor takes new ones); time passes
+  drain, resume           as operators call    figures NAME=N ..          what the node counts: success.TYPE, inflight, ..
   asked HOST ENDING [X0]  a probe is over, with the load told
   asleep                  the node stood still until now                  at TIME got ..  it was here since then
 > ask HOST, connect H HOST, write END TEXT, finish END, cut END [broken], closed C REASON, stop    what must follow
 Ends to hosts are named h1, h2, .. as they are made. Writes are done at once unless held.
 
 The world below checks of every scenario: one order to read and one to write at a time on each end, nothing after
-an end is given back, each call exactly one final answer, and in the end no descriptor, call or leg left.
+an end is given back, each call exactly one final answer, in the end no descriptor, call or leg left, and that the node's
+figures are what the lines on its connections say.
 """
+from collections import Counter
 from pathlib import Path
 
 import pytest
@@ -36,6 +39,7 @@
         self.ends, self.names, self.held, self.out = {}, {}, set(), []
         self.reading, self.writing, self.freed, self.said = set(), set(), set(), {}
         self.asks = []
+        self.whole = set()                   # hosts' ends that got a first line whole
         self.now = 0
         self.perform(self.reducer.step(0, ev.Tick()))
 
@@ -88,8 +92,28 @@
                 self.reading.discard(end)
                 self.step(ev.Over(end, "end"))
             elif isinstance(effect, ev.Write) and end in self.writing and self.names[end] not in self.held:
-                self.writing.discard(end)
-                self.step(ev.Written(end, True))
+                self.written(end, True)
+
+    def written(self, end, ok):
+        self.writing.discard(end)
+        if ok and not end.client:
+            self.whole.add(end)
+        self.step(ev.Written(end, ok))
+
+    def recount(self):
+        """The figures from what went over the connections, without the node's own count."""
+        counted = Counter(backend_calls=len(self.whole))
+        for name, end in self.ends.items():
+            said = self.said.get(name)
+            if end.client and end.conn.opening and said:
+                word = said[0].split()[0]
+                answer = {b"UP": "success", b"BUSY": "busy"}.get(word, "failure")
+                counted[answer, end.conn.type.name] += 1
+        return +counted
+
+    def figures(self):
+        figures = self.reducer.figures
+        return +Counter(figures.answers | {"backend_calls": figures.backend_calls})
 
     def act(self, now, verb, args):
         while verb != "asleep" and self.reducer.due() < now:         # the loop's own calls in between
@@ -119,8 +143,7 @@
                 self.held.add(args[0])
             case "wrote":
                 self.held.discard(args[0])
-                self.writing.discard(end)
-                self.step(ev.Written(end, "broken" not in args))
+                self.written(end, "broken" not in args)
             case "over":
                 assert end in self.reading, f"nobody reads {args[0]}"
                 self.reading.discard(end)
@@ -131,6 +154,13 @@
                 self.step(ev.Asked(args[0], io.Ending[args[1].upper()], report))
             case "stop":
                 self.step(ev.StopAsked("handed" in args))
+            case "drain" | "resume":
+                self.step(ev.DrainAsked(verb == "drain"))
+            case "figures":
+                told = {name + "." * bool(labels) + labels[7:-2]: value
+                        for name, labels, value in self.reducer.figures.numbers(len(self.reducer.by_id))}
+                for word in args:
+                    assert told[word.split("=")[0]] == int(word.split("=")[1]), (word, told)
             case "tick" | "asleep":
                 self.step(ev.Tick())
         out, self.out = self.out, []
@@ -158,6 +188,7 @@
                 finals = 1 if said and said[0].startswith(b"UP") else len(said)     # after UP lines are only passed
                 gone = end.conn.reason == "left-in-setup"
                 assert finals + gone == 1, f"{name}: {said}, {end.conn.reason}"
+        assert self.figures() == self.recount()
 
 
 @pytest.mark.parametrize("file", FILES, ids=lambda f: f.stem)
@@ -188,7 +219,7 @@
         world.act(now, "tick", [])
         moves = [("came", [f"c{n}"])] * 3 + [("tick", []), ("down", [])]
         moves += [("list", ["changes", f"{one_of('abc')}:state={one_of(['up', 'draining', 'gone', 'up'])}"])]
-        moves += [("stop", [])] if n > 80 else []
+        moves += [("stop", [])] if n > 80 else [("drain", []), ("resume", [])]
         for name, end in world.ends.items():
             if end in world.writing:
                 moves += [("wrote", [name]), ("wrote", [name, "broken"])]
