--- a/cottonspread/cli/instance.py
+++ b/cottonspread/cli/instance.py
@@ -15,7 +15,7 @@
 import time
 
 from cottonspread import __version__, config
-from cottonspread.cli.node import known_list
+from cottonspread.cli.known import known_list
 from cottonspread.fleet import control
 from cottonspread.lists import saved
 from cottonspread.net import logfmt
--- a/cottonspread/cli/node.py
+++ b/cottonspread/cli/node.py
@@ -6,23 +6,27 @@
 import signal
 import sys
 import time
-from dataclasses import replace
 
 from cottonspread import __version__, config
+from cottonspread.cli.succession import Succession, inherited
 from cottonspread.fleet import notify
 from cottonspread.net import discovery, logfmt
+from cottonspread.net import events as ev
 from cottonspread.net.node import Node, most_ends
 
 log = logging.getLogger("cottonspread.cli")
 
 
-def read(path):
+def text_of(path):
     try:
         with open(path, encoding="utf-8") as file:
-            text = file.read()
+            return file.read()
     except (OSError, UnicodeDecodeError) as fault:
         raise config.Senseless(f"configuration: {path}: {fault}") from fault
-    return read_text(text, os.environ)
+
+
+def read(path):
+    return read_text(text_of(path), os.environ)
 
 
 def read_text(text, environment={}):
@@ -34,17 +38,6 @@
     return parts
 
 
-def known_list(saved, parts):
-    """The newer of the list that was saved and the one in the configuration, as JSON."""
-    known = parts[-1]
-    try:
-        version = discovery.read_list(saved, parts[2])[0] if saved else -1
-    except discovery.BadList as fault:
-        log.warning("saved-list", extra={"pairs": {"why": fault, "kept": "none"}})
-        return known
-    return saved if version >= discovery.read_list(known, parts[2])[0] else known
-
-
 def operator(path):
     """The operator's sections, or their defaults without a file: (log or None, whole)."""
     if not path:
@@ -56,20 +49,24 @@
 def serve(path, operators=None):
     asked = queue.SimpleQueue()              # by signals, which may come while one is being dealt with
     signal.signal(signal.SIGHUP, lambda *_: asked.put(reload))
-    parts = read(path)
+    force = InForce(path)
+    parts, listener = list(force.parts), inherited(os.environ)
     own = operator(operators)
     write_out = logfmt.start(parts[0].name, own[0].level.upper(), own[0].format) if own else logfmt.start(parts[0].name)
     manager, told = notify.Manager(), False
     try:
-        node = Node(*parts)
+        succession = Succession(parts) if listener else None
+        node = Node(*parts, keep=succession and succession.keep)
         for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: asked.put(lambda node, *_: node.stop()))
-        node.start()
+            signal.signal(number, lambda *_: asked.put(stop))
+        node.start(listener)
         while not node.join(0):
+            if succession:
+                succession.look(node)
             if manager.address:
                 told = report(manager, node, told)
             try:
-                asked.get(timeout=0.1)(node, path, parts)
+                asked.get(timeout=0.1 if not succession or succession.state == "serving" else 0.02)(node, force)
             except queue.Empty:
                 pass
         return 0
@@ -82,6 +79,24 @@
         write_out()
 
 
+def stop(node, force):
+    """SIGTERM. What lies in the queue of a listener that the platform holds is its next process's."""
+    node.leave(True) if node.shared else node.stop()
+
+
+class InForce:
+    """The configuration that the node runs under, as it was read."""
+
+    def __init__(self, path):
+        self.path = path
+        self.values, self.parts = self.read()
+        self.started = self.parts            # what cannot change while it runs is as it was then
+
+    def read(self):
+        text = text_of(self.path)
+        return config.parse(text, "configuration"), read_text(text, os.environ)
+
+
 def report(manager, node, told):
     """To the service manager: ready once a list is known and a PING answered; alive as long as the reducer makes steps."""
     steps, ready, at = told or (-1, False, 0.0)
@@ -97,24 +112,28 @@
     return steps, ready, at
 
 
-def reload(node, path, started_with):
-    """SIGHUP: a new discovery is followed at once. Whatever stands in the file, the node goes on."""
+def reload(node, force):
+    """SIGHUP: the file is read whole and checked whole, then taken over in one event. Whatever stands in it, the node goes on."""
     try:
-        parts = read(path)
+        values, parts = force.read()
+        config.complete(force.values, values)
     except config.Senseless as fault:
+        node.hasten(ev.NotRetuned())
         log.error("reload", extra={"pairs": {"why": fault, "kept": "the old configuration"}})
         return
     except Exception:                        # our own fault
+        node.hasten(ev.NotRetuned())
         log.exception("fault", extra={"pairs": {"while": "reload"}})
         return
-    node.follow(parts[0].discovery)
-    place, room, names, hearing, begin, _ = parts
-    was, *others, old_begin, _ = started_with
+    place, room, _, _, begin, _ = parts
+    was, had, _, _, old, _ = force.started
+    node.retune(*parts[:-1])
     kept = [key for key, same in (
-        ("name", place.name == was.name), ("listen", place.listen == was.listen),
-        ("limits", [room] == others[:1]), ("settings", [names, hearing] == others[1:]
-                                           and replace(begin, seed=0) == replace(old_begin, seed=0))) if not same]
-    log.info("reload", extra={"pairs": {"discovery": "%s:%d" % parts[0].discovery} | (
+        ("name", place.name == was.name), ("listen", place.listen == was.listen), ("operator", place.operator == was.operator),
+        ("limits", room == had), ("settings.MembershipMode", begin.listing.ask == old.listing.ask),
+        ("settings.Weights", begin.weights_move == old.weights_move)) if not same]
+    force.values, force.parts = values, parts
+    log.info("reload", extra={"pairs": {"discovery": "%s:%d" % place.discovery, "types": ",".join(t.name for t in begin.types)} | (
         {"at_next_start": ",".join(kept)} if kept else {})})
 
 
--- a/cottonspread/config/platform.py
+++ b/cottonspread/config/platform.py
@@ -65,6 +65,14 @@
     def span(self, key, default=MISSING):
         return round(self.number(key, default) * 1000)
 
+    def over_nothing(self, key):
+        """A span that is not 0."""
+        def read(value):
+            if not 0 < micros(value):
+                raise ValueError
+            return micros(value)
+        return self.take(key, MISSING, "a number over 0", read)
+
     def flag(self, key, default=False):
         return self.take(key, default, "true or false", lambda v: {True: True, False: False}[v])
 
@@ -119,7 +127,7 @@
 def read_type(t, message_target):
     return i.TrafficType(
         t.text("Name", "any"), t.choice("Effect", "unsafe", EFFECTS), t.choice("KeyScope", "cell", SCOPES),
-        t.span("KeyTtl", 0), t.span("SetupTarget"), t.span("GuardTime"), t.number("Revenue", 1), message_target)
+        t.span("KeyTtl", 0), t.span("SetupTarget"), t.over_nothing("GuardTime"), t.number("Revenue", 1), message_target)
 
 
 def read_begin(settings, seed, path="settings"):
@@ -134,12 +142,14 @@
     probes, how, told = limits.flag("Probes"), report.choice("How", "none", HOW), report.plain("Names", str)
     if not types:
         raise Senseless(f"{c.at('TrafficTypes')}: names no traffic type")
+    if len({t.name for t in types}) < len(types):
+        raise Senseless(f"{c.at('TrafficTypes')}: names a traffic type twice")
     tenants = tuple(i.Tenant(t.text("Name", str(n)), t.number("Share", 0), t.number("AllowancePerS", 0),
                              quotas[n] if n < len(quotas) else 0.0) for n, t in enumerate(c.parts("Orgs")))
     return i.Begin(
         seed, c.whole("Me", 0), c.whole("Balancers", 1, least=1), c.whole("Zone", 0), c.span("Step", 1),
         types, tenants,
-        i.LegLimits(limits.whole("MostLegs", 1), limits.flag("MayDuplicate"), limits.flag("Cancel"),
+        i.LegLimits(limits.whole("MostLegs", 1, least=1), limits.flag("MayDuplicate"), limits.flag("Cancel"),
                     limits.flag("RetryAfter"), limits.span("MaxRetryAfter", 0)),
         i.ColdStart(rules.number("ColdFrom", 1), rules.span("RampTime", 0), rules.number("TipMultiple", 1),
                     rules.span("OverloadFor", 0)),
@@ -209,3 +219,25 @@
                       kind.flag("TellsDelay"), whole.choice("load_lines", "both", {"both": True, "loads": False}))
     known = whole.part("known", {"generation": 0, "reset": True, "instances": []}).values
     return place, room, names, hearing, begin, known
+
+
+# A node that runs gets another file
+
+def complete(was, now, path=""):
+    """A file that lost a key is cut off or half written, and a default in its place would be half a change: every key that the
+    file in force has stands in the new one too. Of a list's objects it is those keys that all of them have."""
+    if isinstance(was, dict) and not isinstance(now, dict) or isinstance(was, list) and not isinstance(now, list):
+        raise Senseless(f"{path or 'configuration'}: not {'an object' if isinstance(was, dict) else 'a list'}")
+    if isinstance(was, dict):
+        for key, value in was.items():
+            at = f"{path}.{key}" if path else key
+            if value is not None and now.get(key) is None:
+                raise Senseless(f"{at}: missing, and the configuration in force has it")
+            if value is not None and at != "known":
+                complete(value, now[key], at)
+    elif isinstance(was, list) and was and all(isinstance(one, dict) for one in was):
+        common = {key: None for key in was[0] if all(one.get(key) is not None for one in was)}
+        for n, one in enumerate(now):
+            for key in common:
+                if not isinstance(one, dict) or one.get(key) is None:
+                    raise Senseless(f"{path}[{n}].{key}: missing, and each one in force has it")
--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -128,9 +128,8 @@
     FILLED, LAST = 0.4, 8          # mean of the last readings from which a group fills its servers in order
     SILENT = 9.0                   # the load of one that does not answer
 
-    def __init__(self, probed, message_target, chance):
-        self.message_target = message_target
-        self.probed, self.chance, self.mean, self.heard = probed, chance, 0.0, 0
+    def __init__(self, chance):
+        self.chance, self.mean, self.heard = chance, 0.0, 0
         self.waiting = {}              # calls, by the server whose probe they wait for
 
     def bound(self):
@@ -230,9 +229,6 @@
     NEAR = 0.4                     # of the message target: one more connection makes a server slow
     NOTE_LIFE = 5 * SECOND // 2    # told once a second while it lasts: two words missed, and it is over
 
-    def __init__(self, slow_from):
-        self.slow_from = slow_from
-
     def good(self, host):
         host.trickle *= 2
         if host.trickle >= self.OPEN_AT:
@@ -284,8 +280,8 @@
     CALM, CALM_DOUBLES_IN, JAM = 5 * SECOND, 4 * SECOND, 0.3     # a smaller part of slow servers is no jam
     LEAST = Loads.MEAN             # grows at least as one of this size would
 
-    def __init__(self, loads, chance, nodes):
-        self.loads, self.chance, self.nodes, self.slow_at = loads, chance, nodes, -60 * SECOND
+    def __init__(self, loads, chance):
+        self.loads, self.chance, self.slow_at = loads, chance, -60 * SECOND
 
     def cut(self, host, now):
         """The connections too many, the ones that relieve the server most first."""
@@ -322,8 +318,8 @@
     DRAWN = 1.5                    # times a node's part of the budget: it seldom has a call in a window
     AT_FIRST = 4                   # set-ups in flight to a warm server before it answered any
 
-    def __init__(self, cold, nodes, chance):
-        self.cold, self.nodes, self.chance = cold, nodes, chance
+    def __init__(self, chance):
+        self.chance = chance
         self.usual = 0.0               # connections that this node has on a warm server
 
     def part(self, host, now):
@@ -392,29 +388,34 @@
     DEAREST_MOVE = 0.3             # of the result, for a move a call: jams cost 0.2 without moves
 
     def __init__(self, now, begin):
-        self.now, self.out = now, []
-        self.types, self.limits, self.tick = begin.types, begin.legs, begin.tick
-        self.zone, self.crossing, self.moving = begin.zone, begin.prices.crossing, begin.prices.moving
+        self.now, self.out = now, [io.Follow()] * begin.listing.ask
         self.chance = Chance(begin.seed)
         self.records, self.groups = Records(), Groups()
-        message_target = min((t.message_target for t in begin.types if t.message_target), default=SECOND)
-        self.readings = Readings(begin.loads_probed, message_target, self.chance)
+        self.readings = Readings(self.chance)
         self.rotation = Rotation(self.chance, self.near_first)
         self.membership = Membership(self.chance, begin.weights_move)
-        self.health = Health(message_target * (Health.EARLY if begin.loads_probed else 1))
-        self.loads, self.warm_up = Loads(), WarmUp(begin.cold, begin.nodes, self.chance)
-        self.ceilings = Ceilings(self.loads, self.chance, begin.nodes)
+        self.health, self.loads, self.warm_up = Health(), Loads(), WarmUp(self.chance)
+        self.ceilings = Ceilings(self.loads, self.chance)
+        self.tune(begin)
         self.way = Host("way to the servers", io.Entry(None))       # what all set-ups share, a store perhaps
         self.unanswered = set()        # servers whose set-ups timed out since one was answered
-        self.calls, self.nodes, self.shared = {}, begin.nodes, begin.groups_share_work and begin.nodes > 1
-        self.legs = self.load = self.slow_part = 0      # legs and load: on all servers that are up
+        self.calls, self.legs, self.load, self.slow_part = {}, 0, 0, 0      # legs and load: on all servers that are up
         self.looked_at, self.seen_off = -SECOND, deque()
         self.marked = {}               # servers that may be fresh, set aside, slow or under a ceiling
         self.takes = {io.Arrived: self.arrive, io.Listed: self.listed, io.Accepted: self.answered,
                       io.LegEnded: self.answered, io.LoadTold: self.told, io.DelayTold: self.told,
-                      io.Expired: self.expire, io.TimerFired: self.timer, io.Probed: self.probed}
-        if begin.listing.ask:
-            self.out.append(io.Follow())
+                      io.Expired: self.expire, io.TimerFired: self.timer, io.Probed: self.probed,
+                      io.Inherited: self.inherit, io.Retuned: lambda e: self.tune(e.begin)}
+
+    def tune(self, begin):
+        """The settings in force. A call keeps the type that it opened under."""
+        self.types, self.limits, self.tick, self.nodes = begin.types, begin.legs, begin.tick, begin.nodes
+        self.zone, self.crossing, self.moving = begin.zone, begin.prices.crossing, begin.prices.moving
+        self.shared = begin.groups_share_work and begin.nodes > 1
+        target = min((t.message_target for t in begin.types if t.message_target), default=SECOND)
+        self.readings.probed, self.readings.message_target = begin.loads_probed, target
+        self.health.slow_from = target * (Health.EARLY if begin.loads_probed else 1)
+        self.warm_up.cold, self.warm_up.nodes, self.ceilings.nodes = begin.cold, begin.nodes, begin.nodes
 
     def actions(self):
         out, self.out = self.out, []
@@ -422,9 +423,7 @@
 
     def handle(self, now, event):
         self.now = now
-        take = self.takes.get(type(event))
-        if take:
-            take(event)
+        self.takes.get(type(event), bool)(event)         # another event tells it nothing
         return self.actions()
 
     def avoided(self, now):
@@ -436,7 +435,7 @@
         """A call from arrival to its final answer: yields what is to be done, is resumed with the result."""
         if call.legs:                        # open already, when this node started
             yield None
-        while len(call.legs) < self.limits.most_legs and may_go_again(call, self.now):
+        while len(call.legs) < min(call.most_legs, self.limits.most_legs) and may_go_again(call, self.now):
             until = self.leg_until(call)
             host = self.choose(call) if until else None
             if host is None:
@@ -560,7 +559,8 @@
 
     def arrive(self, e):
         key = e.group if e.group is not None else e.key
-        call = Call(e.call, self.types[e.type], key, e.group, self.now + e.time_left, e.returned)
+        call = Call(e.call, self.types[e.type], key, e.group, self.now + e.time_left, e.returned,
+                    most_legs=self.limits.most_legs)
         self.calls[call.id], call.path, call.bound = call, self.path(call), self.readings.bound()
         self.groups.met(e.group)
         if e.held_by is not None:
@@ -756,6 +756,14 @@
         if not (leg.ending or leg.moved or leg.host.up or leg.host.sends_away):
             self.move(leg)
 
+    def inherit(self, e):
+        """Two processes of one node: keys stay where they are, and the cold budget is one."""
+        hosts = self.membership.hosts
+        for key, name in e.records:
+            self.records.put(key if name in hosts else None, hosts.get(name), self.now)
+        for host, at, legs in [(hosts[name], at, legs) for name, at, legs in e.sent if name in hosts]:
+            host.sent.add(at, legs)
+
     def timer(self, e):
         self.see_off() if e.token == "off" else self.out.append(io.Follow())
 
--- a/cottonspread/interface.py
+++ b/cottonspread/interface.py
@@ -198,6 +198,19 @@
     piled: float = 0.0               # seconds of work piled up
 
 
+@dataclass(frozen=True)
+class Retuned:
+    """Other settings from now on. Calls that are open keep the type that they opened under."""
+    begin: Begin
+
+
+@dataclass(frozen=True)
+class Inherited:
+    """What the process that this one replaces had kept: to the servers the two are one node."""
+    records: tuple                   # (key, host)
+    sent: tuple                      # (host, when, legs), the oldest first
+
+
 @dataclass(frozen=True)
 class PeerTold:
     peer: int
--- a/cottonspread/net/events.py
+++ b/cottonspread/net/events.py
@@ -91,6 +91,31 @@
     on: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Retuned:
+    """SIGHUP with a file that is in order."""
+    begin: io.Begin
+    names: object
+    hearing: object
+
+
+@dataclass(frozen=True, slots=True)
+class NotRetuned:
+    """SIGHUP with one that is not: nothing changes."""
+
+
+@dataclass(frozen=True, slots=True)
+class Inherited:
+    """From the process that this one replaces."""
+    handed: object
+
+
+@dataclass(frozen=True, slots=True)
+class HandOverAsked:
+    """By a successor of this process, which may hold `room` connections while both are there."""
+    give: object                     # called with what is handed over
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Only time has passed."""
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -72,7 +72,7 @@
         """`keep(version, instances, whole)`, if given, is told each list as JSON, in the discovery's thread."""
         self.place, self.room, self.clock = place, room, Clock()
         self.events, self.done = queue.Queue(QUEUE), threading.Event()
-        self.most = most_ends(room, place.operator)
+        self.most = self.all = most_ends(room, place.operator)
         self.workers = workers.Workers(Pool(), self.post, self.clock.now, self.done.set)
         self.lock, self.door = threading.Lock(), Door(min(t.setup_target for t in begin.types) // 4)
         version, listed, addresses = discovery.read_list(known, names, News.SAVED)
@@ -139,6 +139,40 @@
         self.wake, self.accepting = socket.socketpair(), threading.Event()
         workers.start_thread(self.accept_shared, stack=workers.WIDE)
 
+    def inherit(self, handed):
+        """Before `take`: what the process before this one hands over."""
+        self.limit(handed.room)
+        self.post(ev.Inherited(handed))
+
+    def limit(self, most):
+        """While two processes share the limits of one; None: alone again."""
+        self.most = self.reducer.most_ends = min(most or self.all, self.all)
+
+    def hand_over(self, wait=0.5):
+        """What a successor is to know, or None if the reducer is too late to tell."""
+        given = queue.SimpleQueue()
+        self.hasten(ev.HandOverAsked(given.put))
+        try:
+            handed = given.get(timeout=wait)
+        except queue.Empty:
+            return None
+        self.most = self.reducer.most_ends
+        return handed
+
+    def retune(self, place, room, names, hearing, begin):
+        """Another configuration from now on: list, calls and connections stay."""
+        was = self.reducer.begin
+        # What cannot change while it runs stays as it is, in all parts.
+        begin = replace(begin, listing=replace(begin.listing, ask=was.listing.ask), weights_move=was.weights_move)
+        zones = (names.zones, names.kinds) != (self.discovery.names.zones, self.discovery.names.kinds)
+        self.discovery.names = names
+        self.hasten(ev.Retuned(begin, names, hearing))
+        with self.lock:
+            self.door.target = min(t.setup_target for t in begin.types) // 4
+        if zones or place.discovery != self.place.discovery:             # what the list calls them is to be read anew
+            self.place = replace(self.place, discovery=place.discovery)
+            self.discovery.follow(place.discovery)
+
     def leave(self, handed):
         """Take no more, and stop. What is in the queue of the listener is another's: a successor's (`handed`), or the supervisor's."""
         if self.accepting:
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -11,6 +11,7 @@
 from cottonspread import interface as io
 from cottonspread.decide import Balancer
 from cottonspread.front.figures import Figures
+from cottonspread.front import handover
 from cottonspread.front.lateness import Lateness
 from cottonspread.front.reports import probed
 from cottonspread.interface import Ending
@@ -61,6 +62,7 @@
     began: int
     opening: lines.Opening = None
     type: io.TrafficType = None    # the one it opened under, whatever the settings become
+    most_legs: int = 1             # as they were then
     guard: int = 0
     legs: list = field(default_factory=list)
     answered: bool = False         # the final answer is given, or the client is gone
@@ -99,21 +101,21 @@
         self.servers, self.entries, self.conns, self.ends = {}, {}, {}, 0
         self.unopened = {}                   # clients without a sound first line, the oldest first
         self.by_id, self.ended_ids = {}, {}  # calls that are open, and ended ones, by the client's word for them
-        self.longest_wait = LONGEST_WAIT * max(t.guard_time for t in begin.types)
         self.timers, self.stamp = [], 0
         self.asking = set()                  # hosts with a probe under way whose end the module waits for
         self.probes = 0
-        self.figures = Figures(t.name for t in begin.types)
+        self.figures = Figures(())
         self.listed, self.stopping, self.stop_by, self.handed = False, 0, 0, False
         self.draining = 0                    # since when, as the operators asked; 0: it takes calls
         self.leaving = None                  # while clients are moved off
         self.usual = 0.0                     # mean of the loads told
-        targets = [t.message_target for t in begin.types if t.message_target]
-        self.slow_from = min(targets, default=SECOND) // 3
+        self.tune(begin)
         self.handlers = {ev.Came: self.came, ev.Connected: self.connected, ev.Got: self.got,
                          ev.Written: self.wrote, ev.Over: self.over, ev.Heard: self.heard,
                          ev.ListFailed: self.list_failed, ev.Asked: self.asked, ev.StopAsked: self.stop,
-                         ev.DrainAsked: self.drain, ev.Tick: lambda e: None}
+                         ev.DrainAsked: self.drain,
+                         ev.Retuned: self.retuned, ev.NotRetuned: self.not_retuned, ev.Inherited: self.inherit,
+                         ev.HandOverAsked: self.hand_over, ev.Tick: lambda e: None}
         self.after(SWEEP, self.sweep)
         self.after(LISTEN, self.listen)
         for action in self.module.actions():
@@ -121,6 +123,13 @@
         if not begin.listing.ask:
             self.out.append(ev.FollowList())
 
+    def tune(self, begin):
+        self.begin = begin
+        self.longest_wait = LONGEST_WAIT * max(t.guard_time for t in begin.types)
+        targets = [t.message_target for t in begin.types if t.message_target]
+        self.slow_from = min(targets, default=SECOND) // 3
+        self.figures.know(t.name for t in begin.types)
+
     def step(self, now, event, at=0):
         """Everything that `event` and the passing of time ask for. `at`: when it happened; 0: now."""
         self.now = max(now, self.now)
@@ -247,7 +256,7 @@
         if opening.id in self.by_id or opening.id in self.ended_ids:
             self.turn_out(conn, "id-in-use")
             return
-        conn.opening, conn.type = opening, self.begin.types[opening.type]
+        conn.opening, conn.type, conn.most_legs = opening, self.begin.types[opening.type], self.begin.legs.most_legs
         self.unopened.pop(conn, None)
         self.by_id[opening.id] = conn
         wait = opening.wait if opening.held_by is None else STANDING_WAIT
@@ -330,7 +339,7 @@
     def send(self, conn, name, until):
         leg = Leg(conn, len(conn.legs), self.server(name), until)
         out = [other for other in conn.legs if not other.ended]
-        if (conn.answered or conn.up or self.hurries() or until <= self.now or leg.number >= self.begin.legs.most_legs
+        if (conn.answered or conn.up or self.hurries() or until <= self.now or leg.number >= conn.most_legs
                 or out and not self.begin.legs.two_at_once):
             conn.legs.append(leg)
             self.end_leg(leg, Ending.MOOT)
@@ -749,6 +758,32 @@
         if self.begin.listing.ask:           # the others are not told, and keep the last list
             self.tell(io.Listed(io.News.FAILED))
 
+    # Other settings, and the next process
+
+    def retuned(self, e):
+        """All at once. Clients that stand and calls that are open keep the type, and the limit on legs, that they opened under."""
+        self.names, self.hearing = e.names, e.hearing
+        self.tune(e.begin)
+        for host in self.servers.values():
+            host.notes.slow_from = self.slow_from
+        self.figures.reconfig_ok += 1
+        self.tell(io.Retuned(e.begin))
+
+    def not_retuned(self, e):
+        self.figures.reconfig_failed += 1
+
+    def inherit(self, e):
+        self.ended_ids.update(dict.fromkeys(e.handed.ids))
+        self.tell(io.Inherited(e.handed.records, e.handed.sent))
+        if e.handed.draining:
+            self.drain(ev.DrainAsked(True))
+
+    def hand_over(self, e):
+        """The room that is free is shared with the successor until one of the two is alone."""
+        free = max(0, self.most_ends - self.ends)
+        self.most_ends -= free // 2
+        e.give(handover.taken(self.module, self.now, room=free // 2, draining=bool(self.draining), ids=tuple(self.by_id)))
+
     # The end, and drains
 
     def send_off(self, reason, first, last):
--- a/cottonspread/state.py
+++ b/cottonspread/state.py
@@ -33,6 +33,11 @@
             self.stamps[at], self.counts[at] = stamp, 0
         self.counts[at] += amount
 
+    def kept(self, now, span):
+        """(when, amount) of each bucket that `total` would count, the oldest first."""
+        oldest = (now - span) // self.width
+        return sorted((s * self.width, c) for c, s in zip(self.counts, self.stamps) if s >= oldest)
+
     def total(self, now, span):
         oldest = (now - span) // self.width
         return sum(c for c, s in zip(self.counts, self.stamps) if s >= oldest)
@@ -96,6 +101,7 @@
     returned: bool
     legs: list = field(default_factory=list)
     path: object = None
+    most_legs: int = 1
     bound: float = 0.0                            # a server asked for more is passed over, see `Readings`
     probes: int = 0
     asked: Host = None                            # whose probe it waited for: within the cold budget then
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -486,7 +486,7 @@
     finally:
         for number, what in kept.items():
             signal.signal(number, what)
-    assert rest == [b"UP ", ["kept", "why"], ["discovery"], 2, b"still here"]
+    assert rest == [b"UP ", ["kept", "why"], ["discovery", "types"], 2, b"still here"]
 
 
 def test_the_last_answers_go_out_before_the_node_is_done():
