--- a/cottonspread/config/platform.py
+++ b/cottonspread/config/platform.py
@@ -33,7 +33,7 @@
 
     def __init__(self, values, path):
         if not isinstance(values, dict):
-            raise Senseless(f"{path}: not an object")
+            raise Senseless(f"{path or 'configuration'}: not an object")
         self.values, self.path = {k: v for k, v in values.items() if v is not None}, path
 
     def at(self, key):
@@ -223,6 +223,9 @@
 
 # A node that runs gets another file
 
+KEYED = ["KeyScope", "KeyTtl"]         # of a traffic type; only one that is `keyed` needs them
+
+
 def complete(was, now, path=""):
     """A file that lost a key is cut off or half written, and a default in its place would be half a change: every key that the
     file in force has stands in the new one too. Of a list's objects it is those keys that all of them have."""
@@ -236,8 +239,14 @@
             if value is not None and at != "known":
                 complete(value, now[key], at)
     elif isinstance(was, list) and was and all(isinstance(one, dict) for one in was):
-        common = {key: None for key in was[0] if all(one.get(key) is not None for one in was)}
+        def in_all(key, among):
+            return among and all(one.get(key) is not None for one in among)
+
+        common = [key for key in was[0] if key not in KEYED and in_all(key, was)]
+        keyed = [key for key in KEYED if in_all(key, [one for one in was if one.get("Effect") == "keyed"])]
         for n, one in enumerate(now):
-            for key in common:
-                if not isinstance(one, dict) or one.get(key) is None:
-                    raise Senseless(f"{path}[{n}].{key}: missing, and each one in force has it")
+            if not isinstance(one, dict):
+                raise Senseless(f"{path}[{n}]: not an object")
+            for key in common + keyed * (one.get("Effect") == "keyed"):
+                if one.get(key) is None:
+                    raise Senseless(f"{path}[{n}].{key}: missing")
--- a/cottonspread/state.py
+++ b/cottonspread/state.py
@@ -36,7 +36,7 @@
     def kept(self, now, span):
         """(when, amount) of each bucket that `total` would count, the oldest first."""
         oldest = (now - span) // self.width
-        return sorted((s * self.width, c) for c, s in zip(self.counts, self.stamps) if s >= oldest)
+        return sorted((s * self.width, c) for c, s in zip(self.counts, self.stamps) if c and s >= oldest)
 
     def total(self, now, span):
         oldest = (now - span) // self.width
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -4,17 +4,19 @@
 type NAME WORD=VALUE ...      a traffic type; without one there is a single repeatable type
 TIME EVENT ARGS               TIME in ms; events: list changes|full|saved|failed HOST[:WORD=VALUE[,..]] ..,
                               call ID .., open ID HOST .., accept ID LEG, done ID LEG ENDING [closed],
-                              load ID N, delay ID MS, expire ID, timer TOKEN, probed HOST ENDING [LOAD [PILED]]
+                              tune WORD=VALUE .. | TYPE WORD=VALUE .. | .., inherit KEY=HOST .. HOST:LEGS@MS ..,
+              load ID N, delay ID MS, expire ID, timer TOKEN, probed HOST ENDING [LOAD [PILED]]
 > ACTION ARGS                 the actions that must follow, all of them, in this order (timers and logs aside);
                               on a line of their own or behind their event
 >? TEXT                       an action that must be somewhere among them, none of the others minded
 A capital name stands for a host: bound where it first comes, the same after; !A is any host but that one;
 a * stands for anything.
 """
+import re
 from pathlib import Path
 
 import pytest
-from notation import begin, entry, ms, pairs, play
+from notation import begin, entry, ms, pairs, play, traffic_type
 
 from cottonspread import interface as io
 from cottonspread.decide import Balancer
@@ -37,6 +39,14 @@
         return io.LegEnded(args[0], int(args[1]), io.Ending[args[2].upper()], "closed" in args)
     if verb == "probed":
         return io.Probed(args[0], io.Ending[args[1].upper()], 0, *map(float, args[2:]))
+    if verb == "tune":
+        site, *rest = [part.split() for part in " ".join(args).split("|")]
+        types[:] = [traffic_type(words[0], pairs(words[1:])) for words in rest]
+        return io.Retuned(begin(pairs(site), types))
+    if verb == "inherit":
+        sent = [re.fullmatch(r"(\w+):(\d+)@(\d+)", word) for word in args]
+        return io.Inherited(tuple(word.split("=") for word in args if "=" in word),
+                            tuple((m[1], ms(m[3]), int(m[2])) for m in sent if m))
     id = args[0]
     return {"accept": lambda: io.Accepted(id, int(args[1]), 0),
             "load": lambda: io.LoadTold(id, float(args[1])),
