--- a/cottonspread/fleet/plan.py
+++ b/cottonspread/fleet/plan.py
@@ -76,6 +76,7 @@
         name = f"{fleet.name}-{n}"
         own = {**whole, "name": name, "listen": stepped(fleet.listen, fleet.port_step * n, fleet.host_step * n),
                "settings": {**whole["settings"], "Me": fleet.first + n, "Balancers": fleet.nodes or fleet.first + fleet.instances}}
+        own.pop("operator", None)            # the supervisor's socket serves instead, and a successor runs beside each instance
         try:
             own["discovery"] = stepped(whole["discovery"], fleet.discovery_step * n) if fleet.discovery_step else whole["discovery"]
             if "seed" in whole:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -307,7 +307,7 @@
 
 
 @pytest.mark.parametrize("change, key", [
-    ({"listen": "here"}, "listen"), ({"name": None}, "name"), ({"seed": "xyz"}, "seed"),
+    ({"listen": "here"}, "listen"), ({"operator": "here"}, "operator"), ({"operator": 8081}, "operator"), ({"name": None}, "name"), ({"seed": "xyz"}, "seed"),
     ({"limits": {"sockets": "many"}}, "limits.sockets"), ({"settings": {}}, "settings.TrafficTypes"),
     ({"settings": {"TrafficTypes": [{"SetupTarget": 1}]}}, "settings.TrafficTypes[0].GuardTime"),
     ({"settings": {"TrafficTypes": [{"SetupTarget": -1, "GuardTime": 9}]}}, "settings.TrafficTypes[0].SetupTarget"),
@@ -332,9 +332,11 @@
     assert cli.main(["serve", "--config", str(tmp_path / "none.json")]) == 2
     taken = socket.create_server(("127.0.0.1", 0))
     file = tmp_path / "node.json"
-    file.write_text(json.dumps(json.loads(NODE) | {"listen": "127.0.0.1:%d" % taken.getsockname()[1]}))
-    assert cli.main(["serve", "--config", str(file)]) == 1
-    assert "in use" in capsys.readouterr().err.splitlines()[-1]
+    for key, other in (("listen", "operator"), ("operator", "listen")):
+        file.write_text(json.dumps(json.loads(NODE) | {key: "127.0.0.1:%d" % taken.getsockname()[1], other: "127.0.0.1:0"}))
+        assert cli.main(["serve", "--config", str(file)]) == 1
+        said = capsys.readouterr().err.splitlines()[-1]
+        assert "in use" in said and f"cottonspread: {key}: " in said
 
 
 def test_log_lines_are_pairs():
@@ -471,7 +473,7 @@
         finally:
             os.kill(os.getpid(), signal.SIGTERM)
 
-    config_of = json.loads(NODE) | {"listen": "127.0.0.1:0", "discovery": discovery_of(first)}
+    config_of = json.loads(NODE) | {"listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "discovery": discovery_of(first)}
     file = tmp_path / "node.json"
     file.write_text(json.dumps(config_of))
     monkeypatch.setattr(logfmt, "start", lambda node: lambda: None)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -194,7 +194,7 @@
     def __init__(self, folder, listener, discovery_at, **more):
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.operators = free.getsockname()
-        values = WHOLE | {"discovery": "%s:%d" % discovery_at, "listen": "%s:%d" % listener.getsockname()} | more
+        values = {key: value for key, value in WHOLE.items() if key != "operator"} | {"discovery": "%s:%d" % discovery_at, "listen": "%s:%d" % listener.getsockname()} | more
         (folder / "node.json").write_text(json.dumps(values))
         self.log = open(folder / f"{len(list(folder.glob('*.log')))}.log", "w+b")
         self.process = subprocess.Popen(
