--- /dev/null
+++ b/benchmarks/operating/calls.py
@@ -0,0 +1,105 @@
+"""How long operators' calls take while a node is loaded and other callers never finish.
+
+    python benchmarks/operating/calls.py [SECONDS] > benchmarks/operating/results/calls.json
+
+One node on one core; the example's stand-in servers, clients that set up and end as fast as they can, and eight callers who hold
+a place without a line, on the others. A call is timed from before it connects to the last byte of its answer. The figures fetched
+last are held against what the clients saw.
+"""
+import importlib.util
+import json
+import os
+import secrets
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent.parent
+CLIENTS, SILENT = 24, 8
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return sock.getsockname()
+
+
+def call(address, word):
+    began = time.perf_counter()
+    with socket.create_connection(address, timeout=10) as sock:
+        sock.sendall(word + b"\n")
+        with sock.makefile("rb") as file:
+            answer = file.read()
+    return time.perf_counter() - began, answer
+
+
+def main(seconds):
+    spec = importlib.util.spec_from_file_location("toy", ROOT / "examples" / "toy.py")
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    toy, discovery = module.Toy(3), socket.create_server(("127.0.0.1", 0))
+    threading.Thread(target=toy.accept, args=(discovery, toy.discover), daemon=True).start()
+    listen, operator = free_port(), free_port()
+    with tempfile.TemporaryDirectory() as folder:
+        file = Path(folder) / "node.json"
+        file.write_text(json.dumps(json.loads((ROOT / "examples" / "node.json").read_text()) | {
+            "discovery": "%s:%d" % discovery.getsockname(), "listen": "%s:%d" % listen, "operator": "%s:%d" % operator}))
+        node = subprocess.Popen([sys.executable, "-m", "cottonspread", "serve", "--config", str(file)], cwd=ROOT,
+                                stderr=subprocess.DEVNULL)
+        os.sched_setaffinity(node.pid, {0})
+        os.sched_setaffinity(0, set(range(1, os.cpu_count())))
+        try:
+            return measure(seconds, listen, operator)
+        finally:
+            node.terminate()
+            node.wait()
+
+
+def measure(seconds, listen, operator):
+    while True:
+        try:
+            if call(operator, b"health")[1].startswith(b"200"):
+                break
+        except OSError:
+            time.sleep(0.02)
+    seen, lock, end = {"UP": 0, "BUSY": 0, "other": 0}, threading.Lock(), time.monotonic() + seconds
+
+    def client():
+        while time.monotonic() < end:
+            with socket.create_connection(listen, timeout=10) as sock, sock.makefile("rb") as file:
+                sock.sendall(b"OPEN %s %s c=chat,d=2000,g=0a\r\n" % ((secrets.token_hex(8).encode(),) * 2))
+                word = (file.readline().split() or [b""])[0].decode()
+                with lock:
+                    seen[word if word in seen else "other"] += 1
+
+    def silent():
+        while time.monotonic() < end:
+            with socket.create_connection(operator, timeout=10) as sock:
+                sock.sendall(b"coun")
+                sock.recv(100)
+
+    threads = [threading.Thread(target=what) for what in [client] * CLIENTS + [silent] * SILENT]
+    for thread in threads:
+        thread.start()
+    took, bad = [], 0
+    while time.monotonic() < end:
+        for word in (b"health", b"counters"):
+            passed, answer = call(operator, word)
+            took.append(passed * 1000)
+            bad += not answer.startswith(b"200")
+        time.sleep(0.02)
+    for thread in threads:
+        thread.join()
+    time.sleep(0.5)
+    figures = dict(line.split(" ") for line in call(operator, b"counters")[1].decode().splitlines() if line.startswith("app_"))
+    took.sort()
+    return {"seconds": seconds, "clients": CLIENTS, "silent_callers": SILENT, "calls": len(took), "wrong": bad,
+            "ms": {"p50": round(took[len(took) // 2], 2), "p99": round(took[len(took) * 99 // 100], 2), "most": round(took[-1], 2)},
+            "seen_by_clients": seen, "figures": figures}
+
+
+if __name__ == "__main__":
+    print(json.dumps(main(float(sys.argv[1]) if len(sys.argv) > 1 else 15.0), indent=1))
