--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -227,6 +227,7 @@
     OPEN_AT = 8                    # trickle that counts as no limit any more
     EARLY = 0.7                    # of the message target: slow already, where many nodes fill one server
     NEAR = 0.4                     # of the message target: one more connection makes a server slow
+    SAME = 100                     # words that differ by a smaller part say the same
     NOTE_LIFE = 5 * SECOND // 2    # told once a second while it lasts: two words missed, and it is over
 
     def good(self, host):
@@ -533,7 +534,7 @@
                    for h in heard)           # one that hangs tells nothing of the others' load
         self.slow_part = slow / (len(heard) + 2)      # two in doubt: one server tells little of the others
         # Fresh ones and those set aside would pull the mean down: sound ones would all seem well over it.
-        self.apart = [h for h in up if h in self.fresh or not self.health.may_send(h, self.now)]
+        self.apart = [h for h in up if h in self.fresh or h.trickle]
 
     def near_first(self, host):
         """Of a group's order. Where loads are probed one order serves all zones: a server more that pays
@@ -721,12 +722,15 @@
         host.slow_from = host.slow_from if lasts and host.slow_from else self.now
         if self.slow_part >= Ceilings.JAM:
             self.ceilings.slow_at = self.now
-        if delay - (before if lasts else 0) > 2 * min(since, SECOND) or lasts and (
+        same = lasts and since >= SECOND // 2 and abs(delay - before) <= before // Health.SAME
+        host.same = host.same + 1 if same else 0
+        flat = host.same > (not self.readings.probed)
+        if flat or delay - (before if lasts else 0) > 2 * min(since, SECOND) or lasts and (
                 delay - before >= since or delay >= SECOND and self.now - host.slow_from >= 2 * SECOND):
             # More than any load piles up in that time, or all the time since (as a front sees that waits for
             # echoes), or no cut helps: it answers nothing. It keeps no call, no ceiling: it's not overloaded.
             self.health.bad(host, self.now)
-            host.hung = True
+            host.hung, host.ceiling = True, 0.0 if flat else host.ceiling
             leaving = [leg for leg in host.legs if leg.accepted and not leg.moved]
         elif host.hung:
             return                           # back, and working off what piled up
--- a/cottonspread/state.py
+++ b/cottonspread/state.py
@@ -64,6 +64,7 @@
     rest: int = 0
     delay: int = 0                                # what messages took, and when that was told
     delay_at: int = -10 * SECOND
+    same: int = 0                                 # health: words in a row that said the same
     slow_from: int = 0                            # health: slow in every word since then; 0: not slow
     hung: bool = False                            # health: seen to hang, and not yet quick again
     broke_at: int = -10 * SECOND                  # health: when a standing connection last broke
