--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -514,7 +514,8 @@
         ranked = self.rotation.ranked_for(call.group)
         few = ranked[:self.groups.servers(call.group, len(ranked), part)]
         if not ordered:                      # the rotation, too, keeps to the group's few servers
-            return self.rotation.next(lambda h: h in few and open_to_new(h), self.now)
+            return self.rotation.next(lambda h: h in few and open_to_new(h), self.now) or (
+                self.rotation.next(open_to_new, self.now))
         few = [h for h in ranked if h in self.fresh] + few
         return next((h for h in few if h.shut_until <= self.now and open_to_new(h)), None)
 
@@ -534,7 +535,9 @@
                    for h in heard)           # one that hangs tells nothing of the others' load
         self.slow_part = slow / (len(heard) + 2)      # two in doubt: one server tells little of the others
         # Fresh ones and those set aside would pull the mean down: sound ones would all seem well over it.
-        self.apart = [h for h in up if h in self.fresh or h.trickle]
+        # Nor do slow ones, where probes tell how full the others are: few stay on them, and the rest seems over.
+        self.apart = [h for h in up if h in self.fresh or h.trickle
+                      or self.readings.probed and self.health.slow(h, self.now, Health.NEAR)]
 
     def near_first(self, host):
         """Of a group's order. Where loads are probed one order serves all zones: a server more that pays
