--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -144,8 +144,9 @@
         host.asked, host.asked_at = e.load if e.ending is Ending.OK else self.SILENT, now
         if e.piled * SECOND >= self.message_target:      # one that hangs is asked for no more than before
             host.asked = max(host.asked, 1.0)
-        self.heard = min(self.heard + 1, self.LAST)
-        self.mean += (min(host.asked, 1) - self.mean) / self.heard
+        if e.ending is Ending.OK:            # one that does not answer tells nothing of how full the fleet is
+            self.heard = min(self.heard + 1, self.LAST)
+            self.mean += (min(host.asked, 1) - self.mean) / self.heard
 
     def filled(self):
         """Whether servers are asked for so much that what groups cost them tells."""
@@ -154,6 +155,10 @@
     def known(self, host, now):
         return now - host.asked_at <= self.LIFE
 
+    def full(self, host, now):
+        """Or silent."""
+        return host.asked >= self.HIGH and self.known(host, now)
+
     def crowded(self, host, call, now):
         return self.known(host, now) and host.asked >= call.bound
 
@@ -534,10 +539,10 @@
         slow = sum(self.health.slow(h, self.now) and not h.hung or self.now - h.cut_at < Ceilings.CALM
                    for h in heard)           # one that hangs tells nothing of the others' load
         self.slow_part = slow / (len(heard) + 2)      # two in doubt: one server tells little of the others
-        # Fresh ones and those set aside would pull the mean down: sound ones would all seem well over it.
-        # Nor do slow ones, where probes tell how full the others are: few stay on them, and the rest seems over.
-        self.apart = [h for h in up if h in self.fresh or h.trickle
-                      or self.readings.probed and self.health.slow(h, self.now, Health.NEAR)]
+        # Fresh ones and those set aside or tried would pull the mean down: sound ones would all seem well over it.
+        # Nor, where probes tell of all nodes' calls, do slow, silent and full ones: few calls of this node stay there.
+        self.apart = [h for h in self.rotation.order if h in self.fresh or h.trickle or self.readings.probed and (
+            self.readings.full(h, self.now) or self.health.slow(h, self.now, Health.NEAR))]
 
     def near_first(self, host):
         """Of a group's order. Where loads are probed one order serves all zones: a server more that pays
--- /dev/null
+++ b/tests/test_readings.py
@@ -0,0 +1,35 @@
+"""What the module makes of load reports, in parts too small for a scenario."""
+import pytest
+
+from cottonspread import interface as io
+from cottonspread.decide import Readings
+from cottonspread.state import SECOND, Chance, Host
+
+
+@pytest.fixture
+def readings():
+    one = Readings(Chance(1))
+    one.probed, one.message_target = True, SECOND // 20
+    return one
+
+
+def host(name="a"):
+    return Host(name, io.Entry(name))
+
+
+def test_a_silent_probe_is_no_word_on_how_full_the_fleet_is(readings):
+    """Taken for a full server, six out of reach made a node think that groups cost too much, and it rejected beside idle ones."""
+    for n in range(10):
+        readings.told(host(), io.Probed("a", io.Ending.TIMEOUT, 120_000), n)
+    assert not readings.filled()
+    for n in range(10):
+        readings.told(host(), io.Probed("a", io.Ending.OK, 1_000, 0.8), n)
+    assert readings.filled()
+
+
+def test_a_silent_server_counts_as_full_while_the_reading_lives(readings):
+    one = host()
+    readings.told(one, io.Probed("a", io.Ending.TIMEOUT, 120_000), SECOND)
+    assert readings.full(one, 2 * SECOND) and not readings.full(one, SECOND + Readings.LIFE + 1)
+    readings.told(one, io.Probed("a", io.Ending.OK, 1_000, 0.3), 2 * SECOND)
+    assert not readings.full(one, 2 * SECOND)
