--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -505,8 +505,10 @@
         recorded = self.records.find(call.key, self.now)
         if not self.health.may_send(self.way, self.now):
             return None
-        if recorded and ready(recorded) and light(recorded):
-            return recorded
+        # One that was probed for this call and has room is taken: else the rotation went on to the next, and probed that.
+        for host in (recorded, call.asked):
+            if host and ready(host) and light(host):
+                return host
         # Where none fits the call is rejected at once: filling the last free server is how a jam spreads.
         ordered = call.returned or self.slow_part or self.readings.filled()
         if not self.shared or call.group is None or not (ordered or self.readings.probed):
