--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -152,6 +152,9 @@
         """Whether servers are asked for so much that what groups cost them tells."""
         return self.mean >= self.FILLED
 
+    def room(self):
+        return self.probed and self.mean < self.LOW
+
     def known(self, host, now):
         return now - host.asked_at <= self.LIFE
 
@@ -520,11 +523,16 @@
         part = 1 if self.readings.probed else self.slow_part
         ranked = self.rotation.ranked_for(call.group)
         few = ranked[:self.groups.servers(call.group, len(ranked), part)]
-        if not ordered:                      # the rotation, too, keeps to the group's few servers
-            return self.rotation.next(lambda h: h in few and open_to_new(h), self.now) or (
-                self.rotation.next(open_to_new, self.now))
-        few = [h for h in ranked if h in self.fresh] + few
-        return next((h for h in few if h.shut_until <= self.now and open_to_new(h)), None)
+        if ordered:
+            few = [h for h in ranked if h in self.fresh] + few
+            host = next((h for h in few if h.shut_until <= self.now and open_to_new(h)), None)
+        else:                                # the rotation, too, keeps to the group's few servers
+            host = self.rotation.next(lambda h: h in few and open_to_new(h), self.now)
+        # While there is room in the fleet a group is not turned away for the cost of one more server.
+        if host is None and self.readings.room():
+            call.bound = Readings.LOW
+            host = self.rotation.next(open_to_new, self.now)
+        return host
 
     def look_at_marked(self):
         """Which servers are fresh, and which do not count in the mean; looked at four times a second."""
