--- a/cottonspread/config/platform.py
+++ b/cottonspread/config/platform.py
@@ -65,13 +65,12 @@
     def span(self, key, default=MISSING):
         return round(self.number(key, default) * 1000)
 
-    def over_nothing(self, key):
-        """A span that is not 0."""
+    def over_nothing(self, key, default=MISSING):
         def read(value):
-            if not 0 < micros(value):
+            if not 0 < float(value) < 1e15:
                 raise ValueError
-            return micros(value)
-        return self.take(key, MISSING, "a number over 0", read)
+            return float(value)
+        return self.take(key, default, "a number over 0", read)
 
     def flag(self, key, default=False):
         return self.take(key, default, "true or false", lambda v: {True: True, False: False}[v])
@@ -127,13 +126,13 @@
 def read_type(t, message_target):
     return i.TrafficType(
         t.text("Name", "any"), t.choice("Effect", "unsafe", EFFECTS), t.choice("KeyScope", "cell", SCOPES),
-        t.span("KeyTtl", 0), t.span("SetupTarget"), t.over_nothing("GuardTime"), t.number("Revenue", 1), message_target)
+        t.span("KeyTtl", 0), t.span("SetupTarget"), micros(t.over_nothing("GuardTime")), t.number("Revenue", 1), message_target)
 
 
 def read_begin(settings, seed, path="settings"):
     """The settings of a node, as JSON already parsed; refuses those that make no sense."""
     c = Keys(settings, path)
-    limits, rules, costs, kind = (c.part(k) for k in ("Limits", "Rules", "Costs", "FamilyInfo"))
+    limits, rules, costs, kind, goal = (c.part(k) for k in ("Limits", "Rules", "Costs", "FamilyInfo", "Goal"))
     targets = kind.plain("MessageAim", float)
     quotas = kind.plain("TenantQuotaConnections", float)
     types = tuple(read_type(t, micros(targets[n]) if n < len(targets) else 0)
@@ -158,7 +157,8 @@
         i.Prices(*(costs.number(k, 0) for k in ("CrossZone", "Moves", "Probe", "Peer"))),
         probes, limits.flag("PeerMessages"), kind.flag("Groups"),
         probes and how == "probe" and "x0" in told,
-        c.choice("Weights", "nominal", MOVING))
+        c.choice("Weights", "nominal", MOVING),
+        i.Nines(goal.number("NinesPart", 0), goal.over_nothing("NinesFull", 3)))
 
 
 # A real node
--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -408,7 +408,7 @@
         self.tune(begin)
         self.way = Host("way to the servers", io.Entry(None))       # what all set-ups share, a store perhaps
         self.unanswered = set()        # servers whose set-ups timed out since one was answered
-        self.calls, self.legs, self.load, self.slow_part = {}, 0, 0, 0      # legs and load: on all servers that are up
+        self.calls, self.legs, self.load, self.slow_part = {}, 0, 0, 0    # legs, load: on all that are up
         self.looked_at, self.seen_off = -SECOND, deque()
         self.marked = {}               # servers that may be fresh, set aside, slow or under a ceiling
         self.takes = {io.Arrived: self.arrive, io.Listed: self.listed, io.Accepted: self.answered,
@@ -508,7 +508,7 @@
         recorded = self.records.find(call.key, self.now)
         if not self.health.may_send(self.way, self.now):
             return None
-        # One that was probed for this call and has room is taken: else the rotation went on to the next, and probed that.
+        # One that was probed for this call and has room is taken: the rotation went on, and probed the next.
         for host in (recorded, call.asked):
             if host and ready(host) and light(host):
                 return host
@@ -549,10 +549,10 @@
         slow = sum(self.health.slow(h, self.now) and not h.hung or self.now - h.cut_at < Ceilings.CALM
                    for h in heard)           # one that hangs tells nothing of the others' load
         self.slow_part = slow / (len(heard) + 2)      # two in doubt: one server tells little of the others
-        # Fresh ones and those set aside or tried would pull the mean down: sound ones would all seem well over it.
-        # Nor, where probes tell of all nodes' calls, do slow, silent and full ones: few calls of this node stay there.
-        self.apart = [h for h in self.rotation.order if h in self.fresh or h.trickle or self.readings.probed and (
-            self.readings.full(h, self.now) or self.health.slow(h, self.now, Health.NEAR))]
+        # Fresh ones and those set aside or tried would pull the mean down: sound ones would all seem well
+        # over it. So would, where probes tell of all nodes' calls, slow, silent and full ones.
+        self.apart = [h for h in self.rotation.order if h in self.fresh or h.trickle or self.readings.probed
+                      and (self.readings.full(h, self.now) or self.health.slow(h, self.now, Health.NEAR))]
 
     def near_first(self, host):
         """Of a group's order. Where loads are probed one order serves all zones: a server more that pays
@@ -747,6 +747,8 @@
                 delay - before >= since or delay >= SECOND and self.now - host.slow_from >= 2 * SECOND):
             # More than any load piles up in that time, or all the time since (as a front sees that waits for
             # echoes), or no cut helps: it answers nothing. It keeps no call, no ceiling: it's not overloaded.
+            # The same word after word: a queue grows or drains, so it is the way there, long or lossy. A
+            # quarter was cut each second, and the node took itself for jammed.
             self.health.bad(host, self.now)
             host.hung, host.ceiling = True, 0.0 if flat else host.ceiling
             leaving = [leg for leg in host.legs if leg.accepted and not leg.moved]
@@ -762,8 +764,9 @@
         else:
             return
         if leaving and self.moving <= self.DEAREST_MOVE:
-            self.out.append(io.Log(f"{host.name}: messages take {delay // 1000} ms, "
-                                   f"{'hung' if host.hung else 'overloaded'}: {len(leaving)} asked to leave"))
+            why = "far" if flat else "hung" if host.hung else "overloaded"
+            self.out.append(io.Log(
+                f"{host.name}: messages take {delay // 1000} ms, {why}: {len(leaving)} asked to leave"))
             for leg in leaving:
                 self.move(leg)
 
--- a/cottonspread/drill/codec.py
+++ b/cottonspread/drill/codec.py
@@ -4,7 +4,7 @@
 from cottonspread import config
 from cottonspread import interface as i
 from cottonspread.config import micros
-from cottonspread.front.reports import probed
+from cottonspread.front.reports import probed, values
 
 ENDINGS = {0: i.Ending.OK, 5: i.Ending.ERROR, 11: i.Ending.FULL, 110: i.Ending.TIMEOUT,
            111: i.Ending.CONNECT_FAILED, 104: i.Ending.RESET, 125: i.Ending.CANCELLED, 114: i.Ending.MOOT}
@@ -60,11 +60,6 @@
     return None
 
 
-def report(text):
-    """A load report's values by name; empty where none is attached."""
-    return {name: float(value) for name, _, value in (pair.partition(":") for pair in (text or "").split(",") if pair)}
-
-
 def data(text):
     return b"" if text == "-" else base64.b64decode(text, validate=True)
 
@@ -79,7 +74,7 @@
     "status_note": status_note,
     "fired": lambda f: i.TimerFired(f["Cookie"]),
     "pong": lambda f: probed(f["Host"], ENDINGS[int(f["Disposition"])], micros(f.get("WaitTime", 0)),
-                             report(f.get("Feedback"))),
+                             values(f.get("Feedback"))),
     "peer": lambda f: i.PeerTold(int(f["Neighbour"]), data(f["Bytes"])),
 }
 
--- a/cottonspread/front/reports.py
+++ b/cottonspread/front/reports.py
@@ -2,6 +2,19 @@
 from cottonspread import interface as io
 
 
+def values(text):
+    """A load report, NAME:VALUE pairs set apart by commas, as values by name. One that is no finite number, negative or out of any
+    range is left out: it must not cost the probe's answer, for which calls wait."""
+    told = {}
+    for pair in (text or "").split(","):
+        name, _, value = pair.strip().partition(":")
+        try:
+            told[name] = float(value)
+        except ValueError:
+            continue
+    return {name: value for name, value in told.items() if 0 <= value < 1e15}
+
+
 def probed(host, ending, waited, report):
     """The end of a probe. `waited`: microseconds; `report`: values by name, `x0` load asked over what the host can do, `x1` seconds of
     work piled up; a value that is not there counts as not told."""
--- a/cottonspread/interface.py
+++ b/cottonspread/interface.py
@@ -93,6 +93,13 @@
     telling: float = 0.0
 
 
+@dataclass(frozen=True)
+class Nines:
+    """A part of the result: over spans of 5 s, the tenfold steps by which the unserved share lies below the whole."""
+    part: float = 0.0                # its weight; 0: it does not count
+    full: float = 3.0                # steps that earn all of it
+
+
 @dataclass(frozen=True)
 class Begin:
     """A node starts. Each part of the module takes from here only what it needs."""
@@ -112,6 +119,7 @@
     groups_share_work: bool = False
     loads_probed: bool = False       # a probe's answer tells the load asked of a host over what it can do
     weights_move: bool = False       # listed weights: nominal size over 1 + calls held a core, late
+    nines: Nines = field(default_factory=Nines)
 
 
 class Entry(NamedTuple):             # made for every server at every word of the list: the cheapest type
--- a/cottonspread/net/lines.py
+++ b/cottonspread/net/lines.py
@@ -5,6 +5,7 @@
 import time
 from dataclasses import dataclass
 
+from cottonspread.front.reports import values
 from cottonspread.interface import Ending
 
 PING, PONG, ERR, MOVE, BYE = b"PING", b"PONG\r\n", b"ERR\r\n", b"MOVE\r\n", b"BYE"
@@ -141,15 +142,8 @@
     """A host's answer to STATS, as (how the probe ended, the values of its load report by name). A host that answers neither
     `PONG` nor `ERR` (too many probes, or none allowed) tells nothing: FULL. Values that are no number are left out."""
     word, _, rest = line.strip().partition(b" ")
-    report = {}
-    for pair in rest.decode("latin-1").split(",") if word == b"PONG" else ():
-        name, _, value = pair.strip().partition(":")
-        try:
-            report[name] = float(value)
-        except ValueError:
-            continue
-    return {b"PONG": Ending.OK, b"ERR": Ending.ERROR}.get(word, Ending.FULL), {
-        name: value for name, value in report.items() if 0 <= value < 1e15}
+    return {b"PONG": Ending.OK, b"ERR": Ending.ERROR}.get(word, Ending.FULL), (
+        values(rest.decode("latin-1")) if word == b"PONG" else {})
 
 
 def read_load(line):
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -27,6 +27,17 @@
     assert out == ["by\tNode=3", "route\tCall=11\tUntil=1301.500\tHost=10.0.0.1:7000", "end\tserial=1"]
 
 
+def test_a_report_with_odd_values_is_still_the_probes_answer():
+    """The whole line was dropped for one value, and the call that waited for the probe was never answered."""
+    settings = CONFIG | {"Balancers": 9, "Limits": {"MostLegs": 2, "Probes": True}, "LoadReport": {"How": "probe", "Names": ["x0"]}}
+    begin = [BEGIN[0], "begin\tRngSeed=5\tConfig=" + json.dumps(settings), *BEGIN[2:]]
+    for odd in ("x0:nan,x1:-3,what:ever", "x0:inf", "x0", ":", "x0:0.2,x7:1e300", "x0:much"):
+        code, out, said = play(*batch(1, *begin, CALL), *batch(2, "instance\tNode=3",
+                                                              f"pong\tHost=10.0.0.1:7000\tDisposition=0\tFeedback={odd}"))
+        assert code == 0 and said == [] and out[1] == "sample\tHost=10.0.0.1:7000"
+        assert any(line.startswith("route\tCall=11") for line in out), odd
+
+
 def test_an_unreadable_line_is_named_and_the_batch_still_answered():
     code, out, said = play(*batch(1, *BEGIN), *batch(2, "instance\tNode=3", "work_item\tCall=x1\tService=0",
                                                      "work_item\tCall=4\tService=9\tExpiresIn=1", CALL))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -296,6 +296,12 @@
     assert (begin.loads_probed, begin.weights_move) == (probed, moving)
 
 
+def test_the_nines_reach_the_module_and_an_unknown_part_of_the_goal_is_skipped():
+    assert config.read_begin(WITH_TYPE, 1).nines == io.Nines(0, 3)
+    begin = config.read_begin(WITH_TYPE | {"Goal": {"NinesPart": 0.2, "NinesFull": 2, "Odd": "x"}}, 1)
+    assert begin.nines == io.Nines(0.2, 2)
+
+
 def test_check_says_which_shape_the_settings_have(tmp_path, capsys):
     file = tmp_path / "node.json"
     for settings, said in (({}, "are sizes, hosts' load not asked for"), (
@@ -316,6 +322,10 @@
     ({"settings": WITH_TYPE | {"LoadReport": {"How": "often"}}}, "settings.LoadReport.How"),
     ({"settings": WITH_TYPE | {"LoadReport": {"How": "probe", "Names": "x0"}}}, "settings.LoadReport.Names"),
     ({"settings": WITH_TYPE | {"Weights": "heavy"}}, "settings.Weights"),
+    ({"settings": WITH_TYPE | {"Goal": {"NinesPart": -1}}}, "settings.Goal.NinesPart"),
+    ({"settings": WITH_TYPE | {"Goal": {"NinesFull": 0}}}, "settings.Goal.NinesFull"),
+    ({"settings": WITH_TYPE | {"Goal": {"NinesFull": "many"}}}, "settings.Goal.NinesFull"),
+    ({"settings": WITH_TYPE | {"Goal": 3}}, "settings.Goal"),
     ({"settings": WITH_TYPE | {"Limits": {"Probes": "some"}}}, "settings.Limits.Probes"),
     ({"known": {"instances": []}}, "known")])
 def test_faulty_configuration_stops_the_start_and_names_its_key(change, key, tmp_path, capsys, monkeypatch):
