--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -32,8 +32,8 @@
     settings = CONFIG | {"Balancers": 9, "Limits": {"MostLegs": 2, "Probes": True}, "LoadReport": {"How": "probe", "Names": ["x0"]}}
     begin = [BEGIN[0], "begin\tRngSeed=5\tConfig=" + json.dumps(settings), *BEGIN[2:]]
     for odd in ("x0:nan,x1:-3,what:ever", "x0:inf", "x0", ":", "x0:0.2,x7:1e300", "x0:much"):
-        code, out, said = play(*batch(1, *begin, CALL), *batch(2, "instance\tNode=3",
-                                                              f"pong\tHost=10.0.0.1:7000\tDisposition=0\tFeedback={odd}"))
+        pong = f"pong\tHost=10.0.0.1:7000\tDisposition=0\tFeedback={odd}"
+        code, out, said = play(*batch(1, *begin, CALL), *[line for n in (2, 3, 4) for line in batch(n, BEGIN[0], pong)])
         assert code == 0 and said == [] and out[1] == "sample\tHost=10.0.0.1:7000"
         assert any(line.startswith("route\tCall=11") for line in out), odd
 
