--- a/cottonspread/lab/plan.py
+++ b/cottonspread/lab/plan.py
@@ -14,7 +14,7 @@
 HOST_FAULTS = ("hang", "slow", "jam", "reset", "refuse", "vanish", "half-dead", "cold", "drain", "join")
 AT_ONCE = ("jam", "reset")             # host faults with no end of their own
 LIST_FAULTS = ("list-cut", "list-garbage", "list-restart")
-NODE_FAULTS = ("freeze", "stop", "kill", "reload")
+NODE_FAULTS = ("freeze", "stop", "kill", "reload", "retune", "quiesce", "replace")
 FLEET_FAULTS = ("fleet-reload", "fleet-upgrade", "fleet-stop", "fleet-kill")   # of all nodes, under one supervisor
 FIRST_PORT = 9000                      # under the local ports that the kernel gives out
 
@@ -212,8 +212,9 @@
         need(fault.kind in HOST_FAULTS + LIST_FAULTS + NODE_FAULTS + FLEET_FAULTS, key + ".kind",
              "one of " + ", ".join(HOST_FAULTS + LIST_FAULTS + NODE_FAULTS + FLEET_FAULTS))
         need(fault.kind not in FLEET_FAULTS or x.nodes.fleet, key + ".kind", "only with nodes.fleet")
+        need(fault.kind not in ("retune", "quiesce", "replace") or not x.nodes.fleet, key + ".kind", "not with nodes.fleet")
         need(0 <= fault.at <= x.seconds, key + ".at", "within the run expected")
-        need(fault.kind in AT_ONCE + ("stop", "kill", "reload", "list-restart", "list-garbage", "join") + FLEET_FAULTS
+        need(fault.kind in AT_ONCE + ("stop", "kill", "reload", "retune", "replace", "list-restart", "list-garbage", "join") + FLEET_FAULTS
              or fault.seconds > 0, key + ".seconds", "over 0 expected")
         if fault.kind not in LIST_FAULTS + FLEET_FAULTS:
             known = names[fault.kind in NODE_FAULTS]
--- a/cottonspread/lab/run.py
+++ b/cottonspread/lab/run.py
@@ -106,6 +106,39 @@
         self.play, self.number, self.node = play, number, play.plan.nodes[number]
         self.process, self.probe, self.up, self.wanted, self.cpu = None, None, False, True, 0.0
         self.most_rss = self.most_threads = self.most_fds = 0
+        self.starts, self.retuned, self.leaving, self.listener = 0, 0, None, None
+
+    @property
+    def operator(self):
+        """Another address with each start, for two processes of a node may be there at the same time."""
+        return self.node.ip, 30000 + 100 * self.number + self.starts
+
+    def call(self, word):
+        with socket.create_connection(self.operator, timeout=1) as sock:
+            sock.sendall(word.encode() + b"\n")
+            return sock.recv(16).startswith(b"200")
+
+    def serves(self):
+        try:
+            return self.call("health")
+        except OSError:
+            return False
+
+    def inherited(self):
+        """The environment and the descriptors of a process that is to be replaced: the lab holds its socket then."""
+        if not any(f.kind == "replace" and self.node.name in f.on for f in self.play.plan.faults):
+            return {}, ()
+        if self.listener is None:
+            self.listener = socket.create_server((self.node.ip, self.node.port), backlog=1024)
+        folder = os.path.join(self.play.folder, self.node.name)
+        os.makedirs(folder, exist_ok=True)
+        return {"TMPDIR": folder, "PROXY_INHERITED_FD": str(self.listener.fileno())}, (self.listener.fileno(),)
+
+    def retune(self):
+        """One more traffic type, and other limits."""
+        self.retuned += 1
+        self.write_config()
+        self.signal(signal.SIGHUP)
 
     def config(self):
         plan, x = self.play.plan, self.play.plan.experiment
@@ -114,19 +147,33 @@
             "discovery": f"{self.node.ip}:{self.node.list_port}", "seed": "%x" % (plan.seed * 1000 + self.number),
             "limits": {"memory_mb": plan.variant.memory_mb or x.nodes.memory_mb,
                        "sockets": plan.variant.sockets or x.nodes.sockets},
-            "settings": settings(plan, self.number), "load_lines": "loads"}      # what the lab's hosts mean by LOAD
+            "settings": self.settings(), "load_lines": "loads"}      # what the lab's hosts mean by LOAD
 
-    def start(self):
-        plan, x = self.play.plan, self.play.plan.experiment
+    def settings(self):
+        out = settings(self.play.plan, self.number)
+        first = out["TrafficTypes"][0]
+        out["TrafficTypes"] += [first | {"Name": f"later-{n}"} for n in range(self.retuned)]
+        out["Limits"]["MostLegs"] += self.retuned % 2
+        return out
+
+    def write_config(self):
         path = os.path.join(self.play.folder, f"{self.node.name}.json")
-        with open(path, "w", encoding="utf-8") as file:
+        with open(path + ".new", "w", encoding="utf-8") as file:
             json.dump(self.config(), file, indent=1)
+        os.replace(path + ".new", path)
+        return path
+
+    def start(self):
+        plan, x = self.play.plan, self.play.plan.experiment
+        path, (environment, kept) = self.write_config(), self.inherited()
+        self.starts += 1
         command = plan.variant.command or x.nodes.command or [sys.executable, "-m", "cottonspread", "serve"]
         checkout = plan.variant.checkout or x.nodes.checkout or ROOT
         with open(os.path.join(self.play.folder, f"{self.node.name}.log"), "ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable if word == "python" else word for word in command], cwd=checkout, stdin=subprocess.DEVNULL,
-                stdout=log, stderr=log, env={**os.environ, "PROXY_CONFIG": path, "PYTHONPATH": checkout},
+                stdout=log, stderr=log, pass_fds=kept, env={**os.environ, **environment, "PROXY_CONFIG": path, "PYTHONPATH": checkout,
+                                                            "PROXY_OPERATOR": "%s:%d" % self.operator},
                 preexec_fn=lambda: prepare_child(self.play.node_cores(self.number)))
         self.probe, self.up = psutil.Process(self.process.pid), False
         self.play.note("started", self)
@@ -328,6 +375,19 @@
             self.note("reload", node)
             node.signal(signal.SIGHUP)
             return
+        if one.kind == "retune":
+            self.note("retune", node)
+            node.retune()
+            return
+        if one.kind == "quiesce":
+            self.quiesce(node, span)
+            return
+        if one.kind == "replace":
+            self.note("replacing", node)
+            node.leaving = node.process
+            node.start()
+            self.at(now() + 20_000, self.replace, node, 0)
+            return
         if self.fleet:                       # its supervisor brings it back; meanwhile connections wait
             self.fleet.node_fault(node, one)
             return
@@ -339,6 +399,30 @@
         if span:
             self.at(now() + span, self.start_anew, node)
 
+    def quiesce(self, node, span):
+        self.note("quiesce", node, ok=node.call("quiesce"))
+        node.up = False
+        self.at(now() + 300_000, self.front, "down", node)     # asked ten times a second, and noticed 0.2 s after the first no
+        self.at(now() + span, self.resume, node)
+
+    def resume(self, node):
+        self.note("resume", node, ok=node.call("resume"))
+        self.at(now() + 50_000, self.take_in, node, 0)
+
+    def replace(self, node, tries):
+        """SIGTERM for the old process once the new one says yes."""
+        if node.serves():
+            node.leaving.send_signal(signal.SIGTERM)
+            self.at(now() + 50_000, self.replaced, node)
+        elif tries < 300:
+            self.at(now() + 20_000, self.replace, node, tries + 1)
+
+    def replaced(self, node):
+        if node.leaving.poll() is None:
+            self.at(now() + 50_000, self.replaced, node)
+        else:
+            self.note("replaced", node, code=node.leaving.returncode)
+
     def thaw(self, node):
         node.signal(signal.SIGCONT)
         self.note("thaw", node)
--- a/tests/lab/test_lab_runs.py
+++ b/tests/lab/test_lab_runs.py
@@ -96,6 +96,19 @@
     assert not result.audit["offences"], said
 
 
+def test_a_node_is_drained_retuned_and_replaced_under_load_without_an_offence(tmp_path):
+    process = begin(tmp_path, rate=60, seconds=10.0, faults=[
+        {"at": 0.5, "kind": "retune", "on": ["n0"]}, {"at": 1.0, "kind": "replace", "on": ["n0"]},
+        {"at": 6.0, "kind": "quiesce", "seconds": 3.2, "on": ["n0"]}], type={"guard_ms": 2000, "target_ms": 500, "life_s": 4.0},
+        traits={"cores": 4.0})
+    result, said = end(tmp_path, process)
+    notes = {line["k"]: line for line in record.read(str(tmp_path / "out" / "0-only"), "nodes")}
+    assert notes["replaced"]["code"] == 0 and notes["quiesce"]["ok"] and notes["resume"]["ok"], said
+    log = (tmp_path / "out" / "0-only" / "n0.log").read_text()
+    assert "event=takes handed=True" in log and "types=farm-view,later-0" in log and "reason=moved-draining" in log
+    assert result.offered > 500 and not result.audit["offences"], said
+
+
 def descendants(process):
     return psutil.Process(process.pid).children(recursive=True)
 
