--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -155,6 +155,10 @@
     def room(self):
         return self.probed and self.mean < self.LOW
 
+    def easy(self, host, now):
+        """It has room: neither its listed weight nor this node's count of calls there is the measure."""
+        return self.probed and self.known(host, now) and host.asked < self.LOW
+
     def known(self, host, now):
         return now - host.asked_at <= self.LIFE
 
@@ -486,7 +490,8 @@
                     and self.warm_up.may_send(host, self.now, host is call.asked))
 
         def light(host):
-            return not well_over(len(host.legs), mean * max(1, host.size / mean_size)) and not (
+            over = well_over(len(host.legs), mean * max(1, host.size / mean_size))
+            return not (over and not self.readings.easy(host, self.now)) and not (
                 self.readings.crowded(host, call, self.now))
 
         # Nothing is heard of a server that holds nothing of this node. Unless fresh it goes by the others, or
@@ -496,7 +501,8 @@
         def open_to_new(host):               # heavy connections gather on a server of few: by load as well
             # Over the mean it is passed by, and not shut: with few connections each was over it in turn, and
             # calls were rejected though every server was idle.
-            if not light(host) or well_over(host.load / Loads.MEAN, mean_load * host.size / mean_size):
+            heavy = well_over(host.load / Loads.MEAN, mean_load * host.size / mean_size)
+            if not light(host) or heavy and not self.readings.easy(host, self.now):
                 return False
             heard = host.legs or blind or host in self.fresh or self.readings.known(host, self.now)
             if heard and ready(host):
