--- a/cottonspread/cli/instance.py
+++ b/cottonspread/cli/instance.py
@@ -15,9 +15,8 @@
 import time
 
 from cottonspread import __version__, config
-from cottonspread.cli.known import known_list
+from cottonspread.cli.known import Known
 from cottonspread.fleet import control
-from cottonspread.lists import saved
 from cottonspread.net import logfmt
 from cottonspread.net.node import Node
 
@@ -33,25 +32,18 @@
         self.start, self.live = json.loads(told["start"]), told["live"]
         self.state, self.node, self.lines = "starting", None, []
         own = self.start["instance"]
-        self.list_wait, self.orphan, self.began = own["list_wait_s"], own["orphan_s"], time.monotonic()
+        self.orphan = own["orphan_s"]
         self.lock = control.Lock(os.path.join(told["folder"], f"{self.name}.lock"))
-        self.list_told, self.alone_since, self.beat_at, self.take_by = False, time.monotonic(), 0.0, 0.0
+        self.alone_since, self.beat_at, self.take_by = time.monotonic(), 0.0, 0.0
         path = os.path.join(told["folder"], f"{self.name}.list.json")
         parts = self.read(json.loads(self.live))
-        self.saved = saved.Saved(path, parts[4].weights_move) if own["save_list"] else None
-        if self.saved:
-            parts[-1] = known_list(saved.read(path), parts)
-        self.node = Node(*parts, keep=self.keep)
+        self.known = Known(parts, path if own["save_list"] else None, own["list_wait_s"])
+        self.node = Node(*parts, keep=self.known.keep)
 
     def read(self, live):
         """The parts of the node's configuration."""
         return list(config.read_node(json.dumps(self.start["config"] | {"discovery": live["discovery"]}), {}))
 
-    def keep(self, version, instances, whole):
-        if self.saved:
-            self.saved.told(version, instances, whole)
-        self.list_told = True
-
     def run(self):
         self.selector = selectors.DefaultSelector()
         self.control = control.listening(self.told["socket"])
@@ -76,10 +68,8 @@
 
     def look(self):
         now = time.monotonic()
-        if self.state == "waiting":
-            listed = self.node.status()["listed"]
-            if listed and (self.list_told or now - self.began >= self.list_wait) and self.node.ping():
-                self.turn("prepared")
+        if self.state == "waiting" and self.known.ready(self.node):
+            self.turn("prepared")
         if self.take_by:
             self.try_take(now)
         if self.lines:
--- a/cottonspread/cli/node.py
+++ b/cottonspread/cli/node.py
@@ -8,7 +8,6 @@
 import time
 
 from cottonspread import __version__, config
-from cottonspread.cli.succession import Succession, inherited
 from cottonspread.fleet import notify
 from cottonspread.net import discovery, logfmt
 from cottonspread.net import events as ev
@@ -50,23 +49,26 @@
     asked = queue.SimpleQueue()              # by signals, which may come while one is being dealt with
     signal.signal(signal.SIGHUP, lambda *_: asked.put(reload))
     force = InForce(path)
-    parts, listener = list(force.parts), inherited(os.environ)
+    parts, listener = list(force.parts), None
+    if os.environ.get("PROXY_INHERITED_FD"):
+        from cottonspread.cli import succession              # what a node that owns its listener need not load
+        listener = succession.inherited(os.environ)
     own = operator(operators)
     write_out = logfmt.start(parts[0].name, own[0].level.upper(), own[0].format) if own else logfmt.start(parts[0].name)
     manager, told = notify.Manager(), False
     try:
-        succession = Succession(parts) if listener else None
-        node = Node(*parts, keep=succession and succession.keep)
+        follows = succession.Succession(parts) if listener else None
+        node = Node(*parts, keep=follows and follows.known.keep)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: asked.put(stop))
         node.start(listener)
         while not node.join(0):
-            if succession:
-                succession.look(node)
+            if follows:
+                follows.look(node)
             if manager.address:
                 told = report(manager, node, told)
             try:
-                asked.get(timeout=0.1 if not succession or succession.state == "serving" else 0.02)(node, force)
+                asked.get(timeout=0.1 if not follows or follows.state == "serving" else 0.02)(node, force)
             except queue.Empty:
                 pass
         return 0
@@ -85,12 +87,11 @@
 
 
 class InForce:
-    """The configuration that the node runs under, as it was read."""
+    """The configuration that the node runs under: `values` as the file in force has them, `parts` as the node started with them."""
 
     def __init__(self, path):
         self.path = path
         self.values, self.parts = self.read()
-        self.started = self.parts            # what cannot change while it runs is as it was then
 
     def read(self):
         text = text_of(self.path)
@@ -126,13 +127,13 @@
         log.exception("fault", extra={"pairs": {"while": "reload"}})
         return
     place, room, _, _, begin, _ = parts
-    was, had, _, _, old, _ = force.started
+    was, had, _, _, old, _ = force.parts         # what cannot change while it runs is as it was then
     node.retune(*parts[:-1])
     kept = [key for key, same in (
         ("name", place.name == was.name), ("listen", place.listen == was.listen), ("operator", place.operator == was.operator),
         ("limits", room == had), ("settings.MembershipMode", begin.listing.ask == old.listing.ask),
         ("settings.Weights", begin.weights_move == old.weights_move)) if not same]
-    force.values, force.parts = values, parts
+    force.values = values
     log.info("reload", extra={"pairs": {"discovery": "%s:%d" % place.discovery, "types": ",".join(t.name for t in begin.types)} | (
         {"at_next_start": ",".join(kept)} if kept else {})})
 
--- a/cottonspread/cli/succession.py
+++ b/cottonspread/cli/succession.py
@@ -11,7 +11,7 @@
 import time
 from urllib.parse import quote
 
-from cottonspread.cli.known import known_list
+from cottonspread.cli.known import Known
 from cottonspread.config import Senseless
 from cottonspread.fleet import control
 from cottonspread.front import handover
@@ -19,7 +19,7 @@
 
 log = logging.getLogger("cottonspread.succession")
 
-LIST_WAIT = 2.0                    # for a list told by discovery, before the known one is trusted
+LIST_WAIT = 2.0                    # see `Known`
 ANSWER_WAIT = 1.0
 
 
@@ -41,17 +41,12 @@
 
 class Succession:
     def __init__(self, parts, folder=None):
-        folder = folder or os.environ.get("TMPDIR") or tempfile.gettempdir()
+        folder = folder or tempfile.gettempdir()           # TMPDIR, where it is set
         base = os.path.join(folder, "cottonspread-" + quote(parts[0].name, safe=""))
         self.wanted, self.handed, self.mark = base + ".wanted", base + ".handed", f"{os.getpid()} {time.time_ns()}"
         self.lock = control.Lock(base + ".lock")
-        self.saved = saved.Saved(base + ".list", parts[4].weights_move)
-        self.began, self.asked_at, self.list_told, self.alone, self.state = time.monotonic(), 0.0, False, False, "waiting"
-        parts[-1] = known_list(saved.read(base + ".list"), parts)
-
-    def keep(self, *told):
-        self.saved.told(*told)
-        self.list_told = True
+        self.known = Known(parts, base + ".list", LIST_WAIT)
+        self.asked_at, self.alone, self.state = 0.0, False, "waiting"
 
     def look(self, node):
         """Some ten times a second and more often before it serves."""
@@ -59,7 +54,7 @@
             return
         now = time.monotonic()
         if self.state == "waiting":
-            if node.reducer.listed and (self.list_told or now - self.began >= LIST_WAIT) and node.ping():
+            if self.known.ready(node):
                 self.alone = self.lock.take()
                 if self.alone:
                     self.take(node, None)
--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -401,7 +401,7 @@
     DEAREST_MOVE = 0.3             # of the result, for a move a call: jams cost 0.2 without moves
 
     def __init__(self, now, begin):
-        self.now, self.out = now, [io.Follow()] * begin.listing.ask
+        self.now, self.out = now, []
         self.chance = Chance(begin.seed)
         self.records, self.groups = Records(), Groups()
         self.readings = Readings(self.chance)
@@ -419,6 +419,8 @@
                       io.LegEnded: self.answered, io.LoadTold: self.told, io.DelayTold: self.told,
                       io.Expired: self.expire, io.TimerFired: self.timer, io.Probed: self.probed,
                       io.Inherited: self.inherit, io.Retuned: lambda e: self.tune(e.begin)}
+        if begin.listing.ask:
+            self.out.append(io.Follow())
 
     def tune(self, begin):
         """The settings in force. A call keeps the type that it opened under."""
@@ -436,7 +438,9 @@
 
     def handle(self, now, event):
         self.now = now
-        self.takes.get(type(event), bool)(event)         # another event tells it nothing
+        take = self.takes.get(type(event))
+        if take:
+            take(event)
         return self.actions()
 
     def avoided(self, now):
@@ -791,9 +795,11 @@
         """Two processes of one node: keys stay where they are, and the cold budget is one."""
         hosts = self.membership.hosts
         for key, name in e.records:
-            self.records.put(key if name in hosts else None, hosts.get(name), self.now)
-        for host, at, legs in [(hosts[name], at, legs) for name, at, legs in e.sent if name in hosts]:
-            host.sent.add(at, legs)
+            if name in hosts:
+                self.records.put(key, hosts[name], self.now)
+        for name, at, legs in e.sent:
+            if name in hosts:
+                hosts[name].sent.add(at, legs)
 
     def timer(self, e):
         self.see_off() if e.token == "off" else self.out.append(io.Follow())
--- a/cottonspread/front/figures.py
+++ b/cottonspread/front/figures.py
@@ -13,7 +13,7 @@
 
 class Figures:
     def __init__(self, types):
-        self.answers, self.at_door, self.types = {}, {}, ()
+        self.answers, self.at_door = {}, {}
         self.backend_calls = self.hosts_listed = self.hosts_down = self.reconfig_ok = self.reconfig_failed = 0
         self.know(types)
 
@@ -23,7 +23,6 @@
             for answer in ANSWERS:
                 self.answers.setdefault((answer, name), 0)
             self.at_door.setdefault(name, 0)
-        self.types = tuple(types)
 
     def answered(self, answer, name):
         self.answers[answer, name] += 1
--- a/cottonspread/lab/run.py
+++ b/cottonspread/lab/run.py
@@ -111,7 +111,7 @@
     @property
     def operator(self):
         """Another address with each start, for two processes of a node may be there at the same time."""
-        return self.node.ip, 30000 + 100 * self.number + self.starts
+        return self.node.ip, 20000 + 10 * self.number + self.starts % 10
 
     def call(self, word):
         with socket.create_connection(self.operator, timeout=1) as sock:
--- a/cottonspread/net/admin.py
+++ b/cottonspread/net/admin.py
@@ -25,7 +25,11 @@
 class Admin:
     def __init__(self, address, answer):
         """`answer(word)`: what is said to a call, as bytes; it may wait for nothing. OSError if the address is not to be had."""
-        self.listener = socket.create_server(address, backlog=BACKLOG)
+        try:
+            self.listener = socket.create_server(address, backlog=BACKLOG)
+        except OSError as fault:
+            fault.filename = "operator: %s:%d" % address     # which of the node's two addresses it is
+            raise
         self.listener.setblocking(False)
         self.give, self.callers, self.ended = answer, {}, False
         self.selector = selectors.DefaultSelector()
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -31,15 +31,6 @@
 BASE_MB, END_KB = 24, 32           # measured, with a third to spare: docs/design.md
 
 
-def place_for(address, answer):
-    """The operators' address, if there is to be one."""
-    try:
-        return admin.Admin(address, answer) if address else None
-    except OSError as fault:
-        fault.filename = "operator: %s:%d" % address         # which of the node's two addresses it is
-        raise
-
-
 class Clock:
     """Unix time in microseconds that never goes back."""
 
@@ -56,6 +47,11 @@
     return max(2, min(room.sockets - spare, (room.memory_mb - BASE_MB) * 1024 // END_KB))
 
 
+def door_target(begin):
+    """How long first lines may lie here: see `Door`."""
+    return min(t.setup_target for t in begin.types) // 4
+
+
 def grow_table(sockets):
     """The kernel's table of descriptors at its full size before there are threads: each time that it grows later, whoever
     opens the next one, the reducer among them, waits 10 to 25 ms for every core to pass by."""
@@ -74,7 +70,7 @@
         self.events, self.done = queue.Queue(QUEUE), threading.Event()
         self.most = self.all = most_ends(room, place.operator)
         self.workers = workers.Workers(Pool(), self.post, self.clock.now, self.done.set)
-        self.lock, self.door = threading.Lock(), Door(min(t.setup_target for t in begin.types) // 4)
+        self.lock, self.door = threading.Lock(), Door(door_target(begin))
         version, listed, addresses = discovery.read_list(known, names, News.SAVED)
         self.discovery = discovery.Discovery(place.discovery, names, self.post, version, begin.listing.ask, keep)
         self.reducer = Reducer(self.clock.now(), begin, names, hearing, self.most)
@@ -90,7 +86,7 @@
         """`listener`: a socket that another process keeps too and that listens already; nothing is taken from it before `take`."""
         self.shared = listener is not None
         self.listener = listener or socket.create_server(self.place.listen, backlog=BACKLOG)
-        self.admin = place_for(self.place.operator, self.called)
+        self.admin = admin.Admin(self.place.operator, self.called) if self.place.operator else None
         # What came before it was accepted is stamped too: a client's time runs from when its line was here.
         self.listener.setsockopt(socket.SOL_SOCKET, lines.SO_TIMESTAMPNS, 1)
         grow_table(self.room.sockets)
@@ -127,9 +123,9 @@
         except queue.Full:                   # it is awake
             pass
 
-    def follow(self, address):
-        """Another discovery from now on; the list, calls and connections stay."""
-        if address != self.place.discovery:
+    def follow(self, address, anew=False):
+        """Another discovery from now on, or the whole list of this one anew; the list, calls and connections stay."""
+        if anew or address != self.place.discovery:
             self.place = replace(self.place, discovery=address)
             self.discovery.follow(address)
 
@@ -164,14 +160,12 @@
         was = self.reducer.begin
         # What cannot change while it runs stays as it is, in all parts.
         begin = replace(begin, listing=replace(begin.listing, ask=was.listing.ask), weights_move=was.weights_move)
-        zones = (names.zones, names.kinds) != (self.discovery.names.zones, self.discovery.names.kinds)
+        renamed = (names.zones, names.kinds) != (self.discovery.names.zones, self.discovery.names.kinds)
         self.discovery.names = names
         self.hasten(ev.Retuned(begin, names, hearing))
         with self.lock:
-            self.door.target = min(t.setup_target for t in begin.types) // 4
-        if zones or place.discovery != self.place.discovery:             # what the list calls them is to be read anew
-            self.place = replace(self.place, discovery=place.discovery)
-            self.discovery.follow(place.discovery)
+            self.door.target = door_target(begin)
+        self.follow(place.discovery, renamed)
 
     def leave(self, handed):
         """Take no more, and stop. What is in the queue of the listener is another's: a successor's (`handed`), or the supervisor's."""
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -326,7 +326,7 @@
         """A last line for the client, then the end of its connection."""
         conn.reason = conn.reason or reason
         conn.answered = True
-        if conn.type and not conn.counted and not conn.up:
+        if conn.type and not conn.counted:
             conn.counted = True
             self.figures.answered("busy" if line.startswith(b"BUSY") else "failure", conn.type.name)
         self.closed_id(conn)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -9,10 +9,10 @@
 from cottonspread import config
 from cottonspread.front.figures import ANSWERS, Figures
 from cottonspread.net import admin, lines
+from cottonspread.net import events as ev
 from cottonspread.net.node import Node, most_ends
-from cottonspread.net.workers import WIDE, start_thread
 
-from test_net import NODE, WAIT, Client, service, toy          # noqa: F401 (fixtures)
+from test_net import NODE, WAIT, Client, discovery_of, service, toy          # noqa: F401 (fixtures)
 
 
 def call(address, said, end=False):
@@ -118,10 +118,8 @@
 
 @pytest.fixture
 def operated(monkeypatch, toy):  # noqa: F811
-    servers, listener = toy.Toy(2), socket.create_server(("127.0.0.1", 0))
-    threading.Thread(target=servers.accept, args=(listener, servers.discover), daemon=True).start()
     parts = list(config.read_node(NODE, {}))
-    parts[0] = config.Place("n1", ("127.0.0.1", 0), listener.getsockname(), ("127.0.0.1", 0))
+    parts[0] = config.Place("n1", ("127.0.0.1", 0), discovery_of(toy.Toy(2)), ("127.0.0.1", 0))
     node = Node(*parts)
     node.start()
     yield node, node.listener.getsockname(), node.admin.listener.getsockname()
@@ -164,7 +162,6 @@
         held.set()
         go.wait(WAIT)
 
-    from cottonspread.net import events as ev
     monkeypatch.setitem(node.reducer.handlers, ev.Tick, stuck)
     node.post(ev.Tick())
     assert held.wait(WAIT)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -379,14 +379,19 @@
     return module
 
 
+def discovery_of(servers):
+    """Where the toy servers' discovery listens."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    threading.Thread(target=servers.accept, args=(listener, servers.discover), daemon=True).start()
+    return listener.getsockname()
+
+
 @pytest.fixture
 def service(monkeypatch, toy):
     """A node, with the example's toy servers and discovery."""
     servers = toy.Toy(2)
-    listener = socket.create_server(("127.0.0.1", 0))
-    threading.Thread(target=servers.accept, args=(listener, servers.discover), daemon=True).start()
     place, room, names, hearing, begin, known = config.read_node(NODE, {})
-    place = config.Place("n1", ("127.0.0.1", 0), listener.getsockname())
+    place = config.Place("n1", ("127.0.0.1", 0), discovery_of(servers))
     node = Node(place, room, names, hearing, begin, known)
     listed = threading.Event()
     heard = node.reducer.heard
@@ -452,11 +457,6 @@
     """It ended the process; and a watch at the old address kept the node from the new one for seconds."""
     first, second, said, rest = toy.Toy(1), toy.Toy(2), queue.Queue(), []
 
-    def discovery_of(servers):
-        listener = socket.create_server(("127.0.0.1", 0))
-        threading.Thread(target=servers.accept, args=(listener, servers.discover), daemon=True).start()
-        return "%s:%d" % listener.getsockname()
-
     class Said(logging.Handler):
         def emit(self, record):
             said.put((record.getMessage(), getattr(record, "pairs", {})))
@@ -473,7 +473,7 @@
                 pass
             stands = Client((address[0], int(address[1])), b"OPEN 01 02 c=chat,d=2000,g=0a")
             rest.append(stands.hear()[:3])
-            for text in ("{", json.dumps(config_of | {"discovery": discovery_of(second)})):
+            for text in ("{", json.dumps(config_of | {"discovery": "%s:%d" % discovery_of(second)})):
                 file.write_text(text)
                 os.kill(os.getpid(), signal.SIGHUP)
                 rest.append(sorted(wait_for("reload")))
@@ -483,7 +483,7 @@
         finally:
             os.kill(os.getpid(), signal.SIGTERM)
 
-    config_of = json.loads(NODE) | {"listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "discovery": discovery_of(first)}
+    config_of = json.loads(NODE) | {"listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "discovery": "%s:%d" % discovery_of(first)}
     file = tmp_path / "node.json"
     file.write_text(json.dumps(config_of))
     monkeypatch.setattr(logfmt, "start", lambda node: lambda: None)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -19,8 +19,8 @@
 from cottonspread.front import handover
 from cottonspread.net import events as ev
 
-from test_admin import call, until
-from test_net import NODE, WAIT, Client, toy          # noqa: F401 (fixture)
+from test_admin import call
+from test_net import NODE, WAIT, Client, discovery_of, toy          # noqa: F401 (fixture)
 
 ROOT = Path(__file__).parent.parent
 WHOLE = json.loads(NODE)
@@ -229,12 +229,11 @@
 
 @pytest.fixture
 def platform(tmp_path, toy):  # noqa: F811
-    servers, discovery = toy.Toy(2), socket.create_server(("127.0.0.1", 0))
-    threading.Thread(target=servers.accept, args=(discovery, servers.discover), daemon=True).start()
+    discovery = discovery_of(toy.Toy(2))
     listener, begun = socket.create_server(("127.0.0.1", 0), backlog=200), []
 
     def begin(**more):
-        begun.append(Process(tmp_path, listener, discovery.getsockname(), **more))
+        begun.append(Process(tmp_path, listener, discovery, **more))
         return begun[-1]
 
     yield begin, listener.getsockname()
