--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -90,13 +90,14 @@
         # What came before it was accepted is stamped too: a client's time runs from when its line was here.
         self.listener.setsockopt(socket.SOL_SOCKET, lines.SO_TIMESTAMPNS, 1)
         grow_table(self.room.sockets)
+        # Before there are threads: said after, the list's first word could stand in the log before it.
+        log.info("listening", extra={"pairs": {"address": "%s:%d" % self.listener.getsockname()[:2],
+                                               "most_ends": self.most}})
         self.workers.start()
         if self.admin:
             workers.start_thread(self.admin.run, stack=workers.WIDE)
         for target in (self.loop, self.discovery.run) if self.shared else (self.loop, self.discovery.run, self.accept):
             workers.start_thread(target, stack=workers.WIDE)
-        log.info("listening", extra={"pairs": {"address": "%s:%d" % self.listener.getsockname()[:2],
-                                               "most_ends": self.most}})
 
     def serves(self):
         """Whether connections are taken from the listener, and there is a server to send them to."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import threading
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -15,7 +16,7 @@
 from cottonspread import cli, config
 from cottonspread import interface as io
 from cottonspread.lists import saved
-from cottonspread.net import discovery, lines, logfmt
+from cottonspread.net import discovery, lines, logfmt, workers
 from cottonspread.net import events as ev
 from cottonspread.net.http import BadAnswer, Http
 from cottonspread.net.node import Node, grow_table
@@ -453,31 +454,46 @@
     assert "event=fault" in said.getvalue() and "decisions broken" in said.getvalue()
 
 
+def test_the_log_says_listening_before_a_thread_can_say_anything(monkeypatch):
+    """The list's first word stood before it now and then, and whoever waited for the two in turn waited for ever."""
+    said, logger = [], logging.getLogger("cottonspread.node")
+    monkeypatch.setattr(workers, "start_thread", lambda target, *args, **more: said.append("a thread"))
+    monkeypatch.setattr(logger, "info", lambda event, **more: said.append(event))
+    place, *rest = config.read_node(NODE, {})
+    node = Node(replace(place, listen=("127.0.0.1", 0), operator=None), *rest)
+    node.start()
+    node.listener.close()
+    assert said[0] == "listening" and set(said[1:]) == {"a thread"}
+
+
 def test_sighup_follows_the_new_discovery_and_a_faulty_file_changes_nothing(toy, tmp_path, monkeypatch):
     """It ended the process; and a watch at the old address kept the node from the new one for seconds."""
-    first, second, said, rest = toy.Toy(1), toy.Toy(2), queue.Queue(), []
+    first, second, said, rest, early = toy.Toy(1), toy.Toy(2), queue.Queue(), [], []
 
     class Said(logging.Handler):
         def emit(self, record):
             said.put((record.getMessage(), getattr(record, "pairs", {})))
 
-    def wait_for(event):
-        while (got := said.get(timeout=WAIT))[0] != event:
-            pass
-        return got[1]
+    def wait_for(event, **pairs):
+        """The first such line that was not waited for yet: what threads say may come in any order."""
+        while True:
+            for line in early:
+                if line[0] == event and pairs.items() <= line[1].items():
+                    early.remove(line)
+                    return line[1]
+            early.append(said.get(timeout=WAIT))
 
     def operate():
         try:
             address = wait_for("listening")["address"].split(":")
-            while wait_for("list")["news"] != "full":
-                pass
+            wait_for("list", news="full")
             stands = Client((address[0], int(address[1])), b"OPEN 01 02 c=chat,d=2000,g=0a")
             rest.append(stands.hear()[:3])
             for text in ("{", json.dumps(config_of | {"discovery": "%s:%d" % discovery_of(second)})):
                 file.write_text(text)
                 os.kill(os.getpid(), signal.SIGHUP)
                 rest.append(sorted(wait_for("reload")))
-            rest.append(wait_for("list")["entries"])
+            rest.append(wait_for("list", news="full")["entries"])
             stands.say(b"still here")
             rest.append(stands.hear())
         finally:
