--- a/cottonspread/cli/node.py
+++ b/cottonspread/cli/node.py
@@ -60,7 +60,7 @@
         follows = succession.Succession(parts) if listener else None
         node = Node(*parts, keep=follows and follows.known.keep)
         for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: asked.put(stop))
+            signal.signal(number, lambda *_: asked.put(follows.stop if follows else stop))
         node.start(listener)
         while not node.join(0):
             if follows:
@@ -82,8 +82,8 @@
 
 
 def stop(node, force):
-    """SIGTERM. What lies in the queue of a listener that the platform holds is its next process's."""
-    node.leave(True) if node.shared else node.stop()
+    """SIGTERM, where the listener is the node's own."""
+    node.stop()
 
 
 class InForce:
--- a/cottonspread/cli/succession.py
+++ b/cottonspread/cli/succession.py
@@ -2,8 +2,10 @@
 
 The files are in the folder that both share (TMPDIR). A successor that could serve writes WANTED with a mark of its own; whoever
 serves answers with HANDED, which bears the mark; then the successor takes connections. Without an answer within a second it
-starts from nothing: a predecessor that hangs must not keep its successor from serving.
+starts from nothing: a predecessor that hangs must not keep its successor from serving. At its end the predecessor passes on, by the
+socket HEIR, the connections that stand.
 """
+import contextlib
 import logging
 import os
 import socket
@@ -16,6 +18,7 @@
 from cottonspread.fleet import control
 from cottonspread.front import handover
 from cottonspread.lists import saved
+from cottonspread.net import passing, workers
 
 log = logging.getLogger("cottonspread.succession")
 
@@ -39,11 +42,25 @@
     return listener
 
 
+@contextlib.contextmanager
+def reachable(path):
+    """A name for this path that fits into the address of a socket."""
+    if len(os.fsencode(path)) <= control.LONGEST_PATH:
+        yield path
+        return
+    folder = os.open(os.path.dirname(path), os.O_PATH | os.O_DIRECTORY)
+    try:
+        yield f"/proc/self/fd/{folder}/{os.path.basename(path)}"
+    finally:
+        os.close(folder)
+
+
 class Succession:
     def __init__(self, parts, folder=None):
         folder = folder or tempfile.gettempdir()           # TMPDIR, where it is set
         base = os.path.join(folder, "cottonspread-" + quote(parts[0].name, safe=""))
         self.wanted, self.handed, self.mark = base + ".wanted", base + ".handed", f"{os.getpid()} {time.time_ns()}"
+        self.heir_path, self.heir, self.heir_mark = base + ".heir", None, None
         self.lock = control.Lock(base + ".lock")
         self.known = Known(parts, base + ".list", LIST_WAIT)
         self.asked_at, self.alone, self.state = 0.0, False, "waiting"
@@ -60,6 +77,7 @@
                     self.take(node, None)
                 else:
                     self.state, self.asked_at = "asking", now
+                    self.await_connections(node)
                     self.write(self.wanted, self.mark)
         elif self.state == "asking":
             answer, over = self.answer(), now - self.asked_at >= ANSWER_WAIT
@@ -71,6 +89,9 @@
             if not self.alone and self.lock.take():          # the predecessor has ended
                 self.alone = True
                 node.limit(None)
+                if self.heir:
+                    self.heir.shutdown(socket.SHUT_RDWR)     # wakes its thread
+                    self.heir = None
             self.hand_over(node)
 
     def take(self, node, handed):
@@ -80,6 +101,47 @@
         node.take()
         log.info("takes", extra={"pairs": {"handed": bool(handed), "alone": self.alone}})
 
+    def await_connections(self, node):
+        """Standing ones of the predecessor, which comes with them when it ends. Without, they are moved as at any end."""
+        try:
+            with reachable(self.heir_path) as path:
+                self.heir = control.listening(path)
+        except OSError as fault:
+            log.warning("hand-over", extra={"pairs": {"file": self.heir_path, "why": fault}})
+            return
+        workers.start_thread(self.take_over, self.heir, node, stack=workers.WIDE)
+
+    def take_over(self, heir, node):
+        mark = self.mark.encode() + b"\n"
+        while True:
+            try:
+                sock, _ = heir.accept()
+            except OSError:                  # nobody comes any more
+                break
+            with sock:
+                try:
+                    sock.settimeout(ANSWER_WAIT)
+                    if sock.recv(len(mark), socket.MSG_WAITALL) == mark:
+                        sock.settimeout(None)
+                        passing.take_over(sock, node.adopt)
+                except OSError as fault:
+                    log.warning("hand-over", extra={"pairs": {"why": fault}})
+        heir.close()
+
+    def stop(self, node, force):
+        """SIGTERM. What lies in the queue of the listener is the next process's, and so are the connections that stand."""
+        sock = None
+        if self.heir_mark:
+            try:
+                with reachable(self.heir_path) as path:
+                    sock = control.connect(path, ANSWER_WAIT)
+                sock.sendall(self.heir_mark.encode() + b"\n")
+                sock.settimeout(None)
+            except OSError as fault:         # it has ended, or is of a version that takes none
+                log.warning("hand-over", extra={"pairs": {"why": fault}})
+                sock = None
+        node.leave(True, sock)
+
     def answer(self):
         try:
             with open(self.handed, encoding="utf-8") as file:
@@ -104,6 +166,7 @@
         handed = node.hand_over()
         if handed:
             self.remove(self.wanted)
+            self.heir_mark = mark
             self.write(self.handed, handover.pack(handed, mark))
             log.info("hands-over", extra={"pairs": {"records": len(handed.records), "calls": len(handed.ids), "room": handed.room}})
 
--- a/cottonspread/front/handover.py
+++ b/cottonspread/front/handover.py
@@ -4,12 +4,27 @@
 a call that is open in one is in use for the other. Times are the clock's, which all processes of a machine share.
 """
 import json
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 
 VERSION = 1
 MOST_RECORDS = 5000                # the latest; each is a line of some 60 bytes that counts as memory
 
 
+@dataclass(frozen=True)
+class Standing:
+    """An open connection, passed on between two lines."""
+    id: str
+    type: str
+    host: str
+    began: int
+    setup: int
+    key: str = None
+    group: str = None
+    tenant: int = 0
+    load: float = 0.0              # as last told; 0: not told
+    waiting: tuple = ()            # when lines without an echo were sent
+
+
 @dataclass(frozen=True)
 class HandOver:
     room: int                      # connections that the successor may hold while both are there
@@ -32,6 +47,23 @@
     return json.dumps({"version": VERSION, "mark": mark, **asdict(handed)})
 
 
+def pack_standing(standing):
+    return json.dumps({"version": VERSION, **asdict(standing)}).encode() + b"\n"
+
+
+def unpack_standing(line):
+    """ValueError if it cannot be read."""
+    said = json.loads(line)
+    if not isinstance(said, dict) or said.pop("version", None) != VERSION:
+        raise ValueError("no connection of this version")
+    try:
+        one = Standing(**said)
+        return replace(one, waiting=tuple(map(int, one.waiting)), began=int(one.began), setup=int(one.setup),
+                       tenant=int(one.tenant), load=float(one.load))
+    except TypeError as fault:
+        raise ValueError(f"{type(fault).__name__}: {fault}") from fault
+
+
 def unpack(text, mark):
     """None if this is not the answer to `mark`; ValueError if it cannot be read."""
     said = json.loads(text)
--- a/cottonspread/net/events.py
+++ b/cottonspread/net/events.py
@@ -81,8 +81,27 @@
 
 @dataclass(frozen=True, slots=True)
 class StopAsked:
-    """SIGTERM. `handed`: a successor takes what comes from now on; what was taken before is answered as ever."""
+    """SIGTERM. `handed`: a successor takes what comes from now on; what was taken before is answered as ever. `heir`: it takes
+    standing connections too."""
     handed: bool = False
+    heir: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Passed:
+    """What became of a `Pass`: the successor has the connection, or not; then it is read here as before. `again`: it was just being read."""
+    conn: object
+    taken: bool
+    again: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Adopted:
+    """A standing connection from the process before this one, which has let go of it once `give` is called with True."""
+    client: End
+    host: End
+    standing: object
+    give: object
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,6 +187,15 @@
     end: End
 
 
+@dataclass(frozen=True, slots=True)
+class Pass:
+    """Pass a connection on which nothing is under way to the successor; `Passed` comes."""
+    conn: object
+    client: End
+    host: End
+    standing: object
+
+
 @dataclass(frozen=True, slots=True)
 class FollowList:
     pass
--- a/cottonspread/net/lines.py
+++ b/cottonspread/net/lines.py
@@ -1,7 +1,9 @@
 """The protocol's lines: gathered from a socket, parsed, written. Its own words stay in this file."""
+import contextlib
 import re
 import socket
 import struct
+import threading
 import time
 from dataclasses import dataclass
 
@@ -32,19 +34,25 @@
     return 0
 
 
+class LetGo(Exception):
+    """The socket is another process's now."""
+
+
 class Gatherer:
-    """Whole lines from a socket. Holds a buffer only while there is something in it."""
+    """Whole lines from a socket. Holds a buffer only while there is something in it. While it holds none it only peeks, and then its
+    socket can be let go: nothing that came is lost to whoever reads there next."""
 
     def __init__(self, sock, pool, half_line_wait):
         self.sock, self.pool, self.wait = sock, pool, half_line_wait
         self.buffer, self.filled, self.since, self.age = None, 0, 0.0, 0
+        self.lock, self.idle, self.gone = threading.Lock(), False, False
 
     def lines(self):
-        """All whole lines that are there, at least one, as they came; b"" at the end of the connection."""
+        """All whole lines that are there, at least one, as they came; b"" at the end of the connection. LetGo: see `let_go`."""
         while True:
             try:
                 if self.buffer is None:
-                    if not self.sock.recv(1, 0x2):              # MSG_PEEK: an idle connection holds no buffer
+                    if not self.peek():
                         return b""
                     self.buffer, self.since = self.pool.take(), time.monotonic()
                 got, stamps, _, _ = self.sock.recvmsg_into([memoryview(self.buffer)[self.filled:]], STAMP_ROOM)
@@ -69,12 +77,42 @@
             if self.filled == len(self.buffer):
                 raise BadLine("long-line")
 
+    def peek(self):
+        """Wait until there is something. b"": the end."""
+        with self.lock:
+            self.idle = True
+        try:
+            return self.sock.recv(1, socket.MSG_PEEK)
+        finally:
+            with self.lock:
+                self.idle = False
+                if self.gone:
+                    raise LetGo
+
+    def take_back(self):
+        """After `let_go`. True if whoever waited here has left meanwhile."""
+        with self.lock:
+            self.gone = False
+            return not self.idle
+
     def drop(self):
         if self.buffer is not None:
             self.pool.give(self.buffer)
             self.buffer, self.filled = None, 0
 
 
+def let_go(gatherers):
+    """Whether all of them are idle, and from now on leave their sockets alone. For one thread at a time."""
+    with contextlib.ExitStack() as locks:
+        for one in gatherers:
+            locks.enter_context(one.lock)
+        if not all(one.idle for one in gatherers):
+            return False
+        for one in gatherers:
+            one.gone = True
+        return True
+
+
 @dataclass(frozen=True)
 class Opening:
     """A client's first line."""
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -14,7 +14,7 @@
 
 from cottonspread.front.lateness import Door
 from cottonspread.interface import News
-from cottonspread.net import admin, discovery, lines, workers
+from cottonspread.net import admin, discovery, lines, passing, workers
 from cottonspread.net import events as ev
 from cottonspread.net.pool import Pool
 from cottonspread.net.reducer import Reducer
@@ -78,6 +78,7 @@
         self.listener, self.ending, self.shared, self.steps, self.ended = None, False, False, 0, Counter()
         self.wake, self.accepting, self.finished = None, None, False
         self.admin, self.urgent = None, queue.SimpleQueue()  # `urgent`: events that no full queue may hold up
+        self.giver = None                    # passes standing connections on
 
     def post(self, event):
         self.events.put((self.clock.now(), event))
@@ -168,13 +169,32 @@
             self.door.target = door_target(begin)
         self.follow(place.discovery, renamed)
 
-    def leave(self, handed):
-        """Take no more, and stop. What is in the queue of the listener is another's: a successor's (`handed`), or the supervisor's."""
+    def adopt(self, standing, client, host):
+        """A standing connection of the process before this one, with its two sockets. Whether it is taken."""
+        ends = ev.End(True), ev.End(False)
+        for end, sock in zip(ends, (client, host)):
+            if not self.workers.begin(end, sock):
+                for left in (client, host):
+                    left.close()
+                return False
+        given = queue.SimpleQueue()
+        self.post(ev.Adopted(*ends, standing, given.put))
+        taken = given.get()                  # however late: the reducer alone knows whether it has it
+        if taken:                            # its room comes with it
+            self.limit(self.most + 2)
+        return taken
+
+    def leave(self, handed, heir=None):
+        """Take no more, and stop. What is in the queue of the listener is another's: a successor's (`handed`), or the supervisor's.
+        `heir`: a connection to a successor that takes standing ones too."""
         if self.accepting:
             self.ending = True
             self.wake[1].send(b"x")
             self.accepting.wait()
-        self.post(ev.StopAsked(handed))
+        if heir:
+            self.giver = passing.Giver(heir, self.post)
+            workers.start_thread(self.giver.run, stack=workers.WIDE)
+        self.post(ev.StopAsked(handed, heir is not None))
 
     def ping(self, wait=1.0):
         """Whether a PING is answered: by the reducer and the workers as a client's is, on a pair of sockets of its own."""
@@ -246,6 +266,8 @@
             log.log(logging.getLevelName(effect.level.upper()), effect.event, extra={"pairs": effect.pairs})
         elif isinstance(effect, ev.FollowList):
             self.discovery.wanted.set()
+        elif isinstance(effect, ev.Pass):
+            self.giver.orders.put(effect)
         elif isinstance(effect, ev.Stop):
             self.finish()
         else:
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -108,6 +108,8 @@
         self.listed, self.stopping, self.stop_by, self.handed = False, 0, 0, False
         self.draining = 0                    # since when, as the operators asked; 0: it takes calls
         self.leaving = None                  # while clients are moved off
+        self.heir, self.passing = False, None          # a successor takes standing connections; the one on its way there
+        self.to_pass, self.busy = deque(), []          # those that wait for it, and those on which something was under way
         self.usual = 0.0                     # mean of the loads told
         self.tune(begin)
         self.handlers = {ev.Came: self.came, ev.Connected: self.connected, ev.Got: self.got,
@@ -115,7 +117,8 @@
                          ev.ListFailed: self.list_failed, ev.Asked: self.asked, ev.StopAsked: self.stop,
                          ev.DrainAsked: self.drain,
                          ev.Retuned: self.retuned, ev.NotRetuned: self.not_retuned, ev.Inherited: self.inherit,
-                         ev.HandOverAsked: self.hand_over, ev.Tick: lambda e: None}
+                         ev.HandOverAsked: self.hand_over, ev.Passed: self.passed, ev.Adopted: self.adopt,
+                         ev.Tick: lambda e: None}
         self.after(SWEEP, self.sweep)
         self.after(LISTEN, self.listen)
         for action in self.module.actions():
@@ -421,6 +424,8 @@
             conn.setup = self.now - conn.began
             if self.leaving:
                 self.at(self.leaving.first, self.move_off, self.leaving, conn)
+            if self.heir:
+                self.busy.append(conn)
             if conn.opening.held_by is None:
                 self.tell(io.Accepted(conn, leg.number, 0))
             self.pass_on(leg, data, len(first) + 1)
@@ -544,7 +549,7 @@
         if not conn.up or conn.reason or conn.asked:
             return
         conn.asked = reason
-        if not conn.client.writing:
+        if not conn.client.writing and conn is not self.passing:
             self.move_now(conn)
 
     def move_now(self, conn):
@@ -709,6 +714,9 @@
                     self.sweep_end(leg.end)
         self.figures.hosts_down = self.module.avoided(self.now)
         if self.stopping:
+            self.to_pass.extend(self.busy)
+            self.busy.clear()
+            self.pass_next()
             self.stop_when_done()
 
     def sweep_end(self, end):
@@ -784,6 +792,71 @@
         self.most_ends -= free // 2
         e.give(handover.taken(self.module, self.now, room=free // 2, draining=bool(self.draining), ids=tuple(self.by_id)))
 
+    def pass_next(self):
+        """One after the other to the successor: between two lines, with nothing under way on either side."""
+        while self.to_pass and self.passing is None:
+            conn = self.to_pass.popleft()
+            leg, ends = conn.legs[-1], (conn.client, conn.legs[-1].end)
+            if conn.reason or conn.asked:
+                continue
+            if leg.farewell or any(end.writing or not end.reading for end in ends):
+                self.busy.append(conn)
+                continue
+            opening, self.passing = conn.opening, conn
+            self.out.append(ev.Pass(conn, *ends, handover.Standing(
+                opening.id, conn.type.name, leg.host.name, conn.began, conn.setup, opening.key, opening.group, opening.tenant,
+                leg.heard.load, tuple(leg.heard.waiting))))
+
+    def passed(self, e):
+        conn, self.passing = e.conn, None
+        if e.taken:
+            leg = conn.legs[-1]
+            conn.answered, conn.reason, leg.ended = True, "handed-over", True
+            leg.host.legs.pop(leg, None)
+            self.tell(io.LegEnded(conn, leg.number, Ending.OK, True))
+            self.most_ends -= 2              # its room goes with it
+            for end in (leg.end, conn.client):
+                end.reading, end.over = False, True
+                self.free(end)
+        elif conn.asked:                     # meanwhile
+            self.move_now(conn)
+        elif e.again:
+            self.busy.append(conn)
+        self.pass_next()
+
+    def adopt(self, e):
+        """It goes on here as if it had been opened here, under the type of the same name; it was counted where it was opened."""
+        one = e.standing
+        number = self.names.types.get(one.type)
+        if number is None or one.id in self.by_id or self.stopping:
+            for end in (e.client, e.host):
+                end.freed = True
+                self.out.append(ev.Free(end))
+            e.give(False)
+            return
+        opening = lines.Opening(b"", one.id, number, 0, one.key, one.group, one.tenant, one.load, held_by=one.host)
+        conn = Conn(e.client, one.began, opening, self.begin.types[number], up=True, setup=one.setup, counted=True)
+        leg = Leg(conn, 0, self.server(one.host), 0, e.host, written=True, up=True, heard=Heard(load=one.load))
+        leg.heard.waiting.extend(one.waiting)
+        conn.legs.append(leg)
+        e.client.conn = e.host.conn = conn
+        e.host.leg, e.host.connected = leg, True
+        if not leg.host.legs:
+            leg.host.notes.met_at = self.now
+        leg.host.legs[leg] = self.conns[conn] = None
+        self.ended_ids.pop(one.id, None)     # the predecessor told it with the others that were open
+        self.by_id[one.id] = conn
+        self.ends += 2
+        self.tell(io.Arrived(conn, number, 0, one.key, one.group, one.tenant, one.load, held_by=one.host))
+        if one.load:
+            self.tell_load(leg, one.load)
+        for end in (e.client, e.host):
+            self.read(end)
+        if self.leaving:
+            self.at(self.leaving.first, self.move_off, self.leaving, conn)
+        self.out.append(ev.Say("adopted", {"call": one.id, "type": one.type, "host": one.host}))
+        e.give(True)
+
     # The end, and drains
 
     def send_off(self, reason, first, last):
@@ -821,6 +894,9 @@
         # rolling restart the node before this one is just coming back: who was moved at once found none to take it.
         last = self.stop_by - SECOND // 2
         self.send_off("moved-stopping", max(self.now + COMING, self.now + (last - self.now) * 3 // 5), last)
+        if e.heir:                           # who could not be passed on by then is moved
+            self.heir, self.to_pass = True, deque(conn for conn in self.conns if conn.up and not conn.reason)
+            self.pass_next()
 
     def hurries(self):
         return self.leaving and self.now >= self.leaving.hurry_at
--- a/cottonspread/net/workers.py
+++ b/cottonspread/net/workers.py
@@ -57,7 +57,8 @@
             except Exception:                # our own fault: in plain sight, and the connection ends
                 log.exception("fault", extra={"pairs": {"while": type(order).__name__}})
                 said = ev.Over(self.end, "fault") if isinstance(order, ev.Read) else ev.Connected(self.end, False)
-            self.post(said)
+            if said is not None:
+                self.post(said)
 
     def connect(self, order):
         sock = self.sock
@@ -76,6 +77,8 @@
             data = self.gatherer.lines()
             return ev.Got(self.end, data, self.gatherer.filled > 0, self.clock() - self.gatherer.age) if data else (
                 ev.Over(self.end, "end"))
+        except lines.LetGo:
+            return None
         except lines.BadLine as fault:
             return ev.Over(self.end, str(fault))
         except OSError:
@@ -174,6 +177,8 @@
                 if isinstance(effect, ev.Write):
                     self.write(worker.sock, effect)
                 elif isinstance(effect, ev.Free):     # behind the others: no order may meet a number used again
+                    if worker.gatherer is not None and worker.gatherer.gone:
+                        worker.sock.close()           # its thread looks up only when something comes to the new owner
                     worker.orders.put(effect)
                 elif isinstance(effect, ev.Finish):
                     worker.sock.shutdown(socket.SHUT_WR)
