--- a/cottonspread/lab/load.py
+++ b/cottonspread/lab/load.py
@@ -14,6 +14,7 @@
 from cottonspread.lab import plan as plans
 from cottonspread.lab import wire
 from cottonspread.lab.loop import IN, OUT
+from cottonspread.lab.players import comes_back
 from cottonspread.lab.process import Part
 from cottonspread.lab.wire import now
 
@@ -284,22 +285,10 @@
             "end": now() - start, "how": how, "lines": call.line, "echoes": call.echoes, "slowest": call.slowest,
             "unanswered": now() - call.asked[0] if call.asked and how not in ("left", "broke-off", "cut") else 0})
         call.asked = []
-        if how in ("left", "bye", "cut"):
-            return
-        rejoin = round(self.load.rejoin_ms * 1000 * (0.5 + self.backs[call.first]))
-        if call.up:
-            if how != "broke-off":
-                self.later(call, rejoin, True)
-            return
-        kind = self.types[call.kind]
-        refused = call.answers and call.answers[0][1] == "BUSY" or how == "refused"
-        if call.tries >= self.load.retries or kind.effect == "once-only" and not refused:
-            return
-        wait = round(self.load.backoff_ms * 1000 * 2 ** call.tries * (0.5 + self.backs[call.first]))
-        advice = call.answers[0][2] if call.answers and call.answers[0][1] == "BUSY" else 0
-        if advice and self.draws[call.first] % 1000 < 1000 * self.load.honour:
-            wait = max(wait, advice * 1000) if call.tries else advice * 1000
-        self.later(call, wait, False)
+        after = comes_back(self.load, self.types[call.kind], how, call.up, call.answers[0][1:] if call.answers else None, call.tries,
+                           self.draws[call.first] % 1000 < 1000 * self.load.honour, self.backs[call.first])
+        if after:
+            self.later(call, *after)
 
     # What the runner gets
 
--- /dev/null
+++ b/cottonspread/lab/players.py
@@ -0,0 +1,17 @@
+"""What a client does once its connection has ended. Pure; for clients on sockets and simulated ones."""
+
+
+def comes_back(load, kind, how, up, answer, tries, honours, part):
+    """None, or (microseconds until it comes again, whether it is one that was up: else it is a retry). `answer`: its final one as
+    ("BUSY", ms) or the like, None without; `tries` before this; `honours`: it heeds advice; `part`: its own draw from 0 to 1."""
+    if how in ("left", "bye", "cut"):
+        return None
+    if up:
+        return None if how == "broke-off" else (round(load.rejoin_ms * 1000 * (0.5 + part)), True)
+    word, value = answer or ("", 0)
+    if tries >= load.retries or kind.effect == "once-only" and not (word == "BUSY" or how == "refused"):
+        return None
+    wait = round(load.backoff_ms * 1000 * 2 ** tries * (0.5 + part))
+    if word == "BUSY" and value and honours:
+        wait = max(wait, value * 1000) if tries else value * 1000
+    return wait, False
--- a/cottonspread/net/discovery.py
+++ b/cottonspread/net/discovery.py
@@ -70,27 +70,34 @@
             self.wanted.wait()
             if self.stopped:
                 break
-            if self.http is not self.target:
-                self.move()
-            try:
-                self.once()
-                self.failures = 0
-            except Exception as fault:
-                if self.http is not self.target:
-                    continue
-                self.failures += 1
-                if not isinstance(fault, (OSError, ValueError)):       # our own: in plain sight, and the list lives on
-                    log.exception("fault")
-                # What cannot be read would come again: the whole list mends it.
-                self.whole |= isinstance(fault, BadList)
-                if self.failures in (1, 10, 100):
-                    log.warning("discovery-fails", extra={"pairs": {"why": fault, "times": self.failures}})
-                if self.ask:                 # the module is told and asks again in its own time
-                    self.wanted.clear()
-                self.post(events.ListFailed())
-                time.sleep(min(self.PAUSE * 2 ** min(self.failures, 10), self.LONGEST_PAUSE))
+            pause = self.turn()
+            if pause:
+                time.sleep(pause)
         self.http.close()
 
+    def turn(self):
+        """One call. How many seconds to wait before the next."""
+        if self.http is not self.target:
+            self.move()
+        try:
+            self.once()
+            self.failures = 0
+            return 0
+        except Exception as fault:
+            if self.http is not self.target:
+                return 0
+            self.failures += 1
+            if not isinstance(fault, (OSError, ValueError)):           # our own: in plain sight, and the list lives on
+                log.exception("fault")
+            # What cannot be read would come again: the whole list mends it.
+            self.whole |= isinstance(fault, BadList)
+            if self.failures in (1, 10, 100):
+                log.warning("discovery-fails", extra={"pairs": {"why": fault, "times": self.failures}})
+            if self.ask:                     # the module is told and asks again in its own time
+                self.wanted.clear()
+            self.post(events.ListFailed())
+            return min(self.PAUSE * 2 ** min(self.failures, 10), self.LONGEST_PAUSE)
+
     def once(self):
         if self.whole:
             path, wait = "/api/targets", 2.0
