Nodes that an overbooked list turned away ask again spread over AskEvery, and watch a known list at once

Other nodes placed calls on servers that drain: 10 to 19 legs a second sent away by four servers, 40 to 50 refused by servers that are gone. Ruled out: discovery down (six watches lived through); the agent silent (503 in under a millisecond). Lines: Membership.wait_to_ask (0.5 to 4 s whatever the list can take), Discovery.__init__ (whole list first, then the watch: two calls a start). Change: the wait is drawn over AskEvery, the time in which the settings want each node to ask once, then over twice that; in ask mode a list that is known is watched from its version on. A process that takes over from another asks for all of it as before (tests/fleet: it has to be told itself).

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -172,8 +172,8 @@
 class Membership:
     """The servers that the list names, and the asking where it must be asked."""
 
-    def __init__(self, chance, weights_move):
-        self.chance, self.hosts, self.failures = chance, {}, 0
+    def __init__(self, chance, weights_move, every):
+        self.chance, self.hosts, self.failures, self.every = chance, {}, 0, every
         self.weights_move, self.nominal = weights_move, {}
 
     def read(self, listed):
@@ -223,10 +223,10 @@
                 self.hosts.pop(host.name, None)
 
     def wait_to_ask(self):
-        """Spaced and spread by chance: nodes asking in step would all be answered late."""
+        """Spread over the time in which each node is to ask once, then over twice that: a list that is overbooked
+        answers nobody in time while nodes that it turned away ask again sooner than it can take all of them."""
         self.failures += 1
-        base = min(SECOND << min(self.failures, 3), 8 * SECOND) // 4
-        return base + self.chance.below(base)
+        return self.chance.below(max(self.every, SECOND) << (self.failures > 1))
 
 
 class Health:
@@ -405,7 +405,7 @@
         self.records, self.groups = Records(), Groups()
         self.readings = Readings(self.chance)
         self.rotation = Rotation(self.chance)
-        self.membership = Membership(self.chance, begin.weights_move)
+        self.membership = Membership(self.chance, begin.weights_move, begin.listing.ask_every)
         self.health, self.loads, self.warm_up = Health(), Loads(), WarmUp(self.chance)
         self.ceilings = Ceilings(self.loads, self.chance)
         self.tune(begin)
--- a/cottonspread/net/discovery.py
+++ b/cottonspread/net/discovery.py
@@ -46,9 +46,11 @@
     PAUSE, LONGEST_PAUSE = 0.05, 1.0
     LOWER = 3                      # whole lists in a row with a lower version: discovery itself began anew
 
-    def __init__(self, address, names, post, version, ask=False, keep=None):
+    def __init__(self, address, names, post, version, ask=False, keep=None, known=False):
         self.http, self.names, self.post = Http(address, 1.0), names, post
-        self.version, self.whole, self.lower, self.failures = version, True, 0, 0
+        # Where each call counts, a list that is known is watched from its version on: to ask for all of it first is a second call,
+        # and in a release most of a fleet asked for both, of a discovery that had room for neither.
+        self.version, self.whole, self.lower, self.failures = version, not known, 0, 0
         self.ask, self.wanted, self.stopped = ask, threading.Event(), False
         self.keep = keep                     # is given each list as JSON, once it has been posted
         self.target = self.http              # what is to be followed from now on
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -77,7 +77,9 @@
         self.workers = workers.Workers(Pool(), self.post, self.clock.now, self.done.set)
         self.lock, self.door = threading.Lock(), Door(door_target(begin))
         version, listed, addresses = discovery.read_list(known, names, News.SAVED)
-        self.discovery = discovery.Discovery(place.discovery, names, self.post, version, begin.listing.ask, keep)
+        # A process that takes over from another waits for a list told to itself.
+        known = begin.listing.ask and keep is None and bool(listed.entries)
+        self.discovery = discovery.Discovery(place.discovery, names, self.post, version, begin.listing.ask, keep, known)
         self.reducer = Reducer(self.clock.now(), begin, names, hearing, self.most)
         self.post(ev.Heard(listed, addresses))
         self.listener, self.ending, self.shared, self.steps, self.ended = None, False, False, 0, Counter()
--- a/tests/test_many_nodes.py
+++ b/tests/test_many_nodes.py
@@ -46,3 +46,22 @@
         assert max(stands.values()) <= NODES * 2 / 3, (group, stands)         # and not one server alone takes all of them
         servers |= stands.keys()
     assert len(servers) >= 6
+
+
+def test_nodes_turned_away_by_an_overbooked_list_ask_no_faster_than_it_can_take_them_all():
+    """Each is to ask once in ten seconds. Forty that failed asked 10 to 13 times a second, for good; the list, that took two calls more than
+    it could answer in time, answered one of them a second."""
+    nodes, asked = Nodes(list="ask"), Counter()
+    due = [(nodes.now, n) for n in range(NODES)]
+    while due:
+        now, n = min(due)
+        due.remove((now, n))
+        if now > 60 * SECOND:
+            continue
+        asked[now // SECOND] += 1
+        timer = next(a for a in nodes.all[n].handle(now, io.Listed(io.News.FAILED)) if isinstance(a, io.Timer))
+        due.append((now + timer.after, n))
+        assert 0 < timer.after <= 40 * SECOND        # with no call for longer it would count as told
+    later = [asked[s] for s in range(20, 60)]
+    assert sum(later) / len(later) <= 4.5, later
+    assert max(later) <= 12, later
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -266,6 +266,19 @@
     assert told[3].listed.entries[0].state is io.State.GONE and not told[3].addresses
 
 
+@pytest.mark.parametrize("known, first", ((True, "/api/targets?since=41&"), (False, "/api/targets")))
+def test_a_known_list_is_watched_from_its_version_on_and_not_asked_for_anew(known, first, monkeypatch):
+    """One call in place of two: a fleet that began anew had neither answered."""
+    heard, paths = queue.Queue(), []
+    answers = Answers(listing(42, not known))
+    one = discovery.Discovery(answers.address, config.Names({}, {"here": 0}, {}, {}), heard.put, 41, ask=True, known=known)
+    get = one.http.get
+    monkeypatch.setattr(one.http, "get", lambda path, wait: paths.append(path) or get(path, wait))
+    one.turn()
+    assert heard.get(timeout=WAIT).listed.news is (io.News.CHANGES if known else io.News.FULL)
+    assert len(paths) == 1 and paths[0].startswith(first) and (known or paths[0] == first)
+
+
 def test_a_new_address_is_believed_at_once_whatever_its_version(monkeypatch):
     """A lower one was asked three times, and each word of it came with a failure."""
     heard, failed = queue.Queue(), []
