Cold servers are drawn for at three times a node's part of their budget

Cause: WarmUp.may_send draws only where a call gets so far, and most go by the record or find no window; DRAWN = 1.5 was found where nodes see more.

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -327,7 +327,7 @@
 class WarmUp:
     """A fresh server's cap, within this node's part of the cold budget."""
 
-    DRAWN = 1.5                    # times a node's part of the budget: it seldom has a call in a window
+    DRAWN = 3.0                    # times a node's part of the budget: it seldom has a call to send there
     AT_FIRST = 4                   # set-ups in flight to a warm server before it answered any
 
     def __init__(self, chance):
--- a/tests/test_many_nodes.py
+++ b/tests/test_many_nodes.py
@@ -65,3 +65,17 @@
     later = [asked[s] for s in range(20, 60)]
     assert sum(later) / len(later) <= 4.5, later
     assert max(later) <= 12, later
+
+
+def test_all_nodes_together_use_the_cold_budget_and_do_not_pass_it():
+    """Six in ten servers replaced: for ten seconds the successors got a call or two each, while nodes rejected."""
+    nodes, sent = Nodes([f"s{n}:started=1000" for n in range(6)] + ["w0", "w1", "w2", "w3", "w4", "w5"]), {}
+    for tick in range(200):                  # three calls of each node in ten seconds, of five groups
+        nodes.now = SECOND + tick * SECOND // 20
+        for n in [n for n in range(NODES) if (tick + 5 * n) % 67 == 0]:
+            host = nodes.call(n, f"g{(tick + n) % 5}", returned=True)
+            sent.setdefault(host, []).append(nodes.now)
+    cold = [sent.get(f"s{n}", []) for n in range(6)]
+    assert sum(map(len, cold)) >= 40, {host: len(times) for host, times in sent.items()}        # of 119
+    for times in cold:
+        assert max((sum(at <= t < at + 2 * SECOND for t in times) for at in times), default=0) <= 7, times
