--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -529,7 +529,12 @@
         # together by its record: forty nodes' rotations put every group on every server. So all rotations
         # keep to the group's few servers, the same at all nodes. Crossings cost less than one server more.
         ranked = self.rotation.ranked_for(call.group)
-        few = ranked[:self.groups.servers(call.group, len(ranked))]
+        few, wanted = [], self.groups.servers(call.group, len(ranked))
+        for host in ranked:                  # one set aside or tried is out of reach, perhaps with its zone
+            few.append(host)
+            wanted -= not host.trickle
+            if not wanted:
+                break
         # Servers replaced in a release stay empty while the others jam, so fresh ones come first.
         ordered = call.returned or self.slow_part or self.readings.filled()
         fresh = [h for h in ranked if h in self.fresh] if ordered else ()
--- a/tests/test_many_nodes.py
+++ b/tests/test_many_nodes.py
@@ -79,3 +79,13 @@
     assert sum(map(len, cold)) >= 40, {host: len(times) for host, times in sent.items()}        # of 119
     for times in cold:
         assert max((sum(at <= t < at + 2 * SECOND for t in times) for at in times), default=0) <= 7, times
+
+
+def test_a_group_whose_few_servers_are_out_of_reach_goes_on_to_the_next_of_its_order():
+    """A zone cut off held all three servers of a group: its calls were rejected beside nine sound ones, and a traffic type fell under the gate."""
+    nodes = Nodes(legs=2)
+    node, order = nodes.all[0], [host.name for host in nodes.all[0].rotation.ranked_for("g")]
+    for n, name in enumerate(order[:3]):
+        node.handle(nodes.now, io.Arrived(f"b{n}", 0, 2 * SECOND, f"b{n}", "other", held_by=name))
+        node.handle(nodes.now, io.LegEnded(f"b{n}", 0, io.Ending.CONNECT_FAILED, True))
+    assert nodes.call(0, "g") in order[3:6]
