--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -930,5 +930,11 @@
 
     def stop_when_done(self):
         if not self.stopped and (self.now >= self.stop_by or self.now - self.stopping > COMING and not self.conns):
+            # A node that stood still comes to all its timers at once, and to this one perhaps first: nobody is cut off without MOVE.
+            if self.leaving:
+                self.hurry(self.leaving)
+                self.tell_module()           # the answers go out before the end is asked for
+            for conn in list(self.conns):
+                self.move(conn, "moved-stopping")
             self.stopped = True
             self.out += [ev.Say("stopped", {"left": len(self.conns)}), ev.Stop()]
