Among a group's few servers a node takes those of its own zone first

Change: the two steps of the rotation that ungrouped calls have, near ones and then any, hold within the group's few as well.

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -223,8 +223,8 @@
                 self.hosts.pop(host.name, None)
 
     def wait_to_ask(self):
-        """Spread over the time in which each node is to ask once, then over twice that: a list that is overbooked
-        answers nobody in time while nodes that it turned away ask again sooner than it can take all of them."""
+        """Spread over the time in which each node is to ask once, then over twice that: an overbooked list
+        answers nobody in time while nodes that it turned away ask again sooner than it takes all of them."""
         self.failures += 1
         return self.chance.below(max(self.every, SECOND) << (self.failures > 1))
 
@@ -527,7 +527,7 @@
             return near or self.rotation.next(open_to_new, self.now)
         # Each server that holds any of a group pays for it, and a node sees too few calls to keep a group
         # together by its record: forty nodes' rotations put every group on every server. So all rotations
-        # keep to the group's few servers, the same at all nodes. Crossings cost less than one server more.
+        # keep to the group's few servers, the same at all nodes, near ones first among them.
         ranked = self.rotation.ranked_for(call.group)
         few, wanted = [], self.groups.servers(call.group, len(ranked))
         for host in ranked:                  # one set aside or tried is out of reach, perhaps with its zone
@@ -539,6 +539,8 @@
         ordered = call.returned or self.slow_part or self.readings.filled()
         fresh = [h for h in ranked if h in self.fresh] if ordered else ()
         host = next((h for h in fresh if h.shut_until <= self.now and open_to_new(h)), None)
+        near = [h for h in few if not self.far(h)]
+        host = host or self.rotation.next(lambda h: h in near and open_to_new(h), self.now)
         host = host or self.rotation.next(lambda h: h in few and open_to_new(h), self.now)
         # While there is room in the fleet a group is not turned away for the cost of one more server.
         if host is None and self.readings.room():
--- a/tests/test_many_nodes.py
+++ b/tests/test_many_nodes.py
@@ -89,3 +89,14 @@
         node.handle(nodes.now, io.Arrived(f"b{n}", 0, 2 * SECOND, f"b{n}", "other", held_by=name))
         node.handle(nodes.now, io.LegEnded(f"b{n}", 0, io.Ending.CONNECT_FAILED, True))
     assert nodes.call(0, "g") in order[3:6]
+
+
+def test_a_node_takes_the_group_s_server_of_its_own_zone_where_there_is_one():
+    """Half of a fleet's connections crossed zones for nothing; each earned nothing while a zone was cut off, and had its price before."""
+    nodes = Nodes()
+    orders = {g: [host.name for host in nodes.all[0].rotation.ranked_for(g)] for g in ("g1", "g2", "g3", "g4", "g5", "g6", "g7")}
+    group, few = next((g, order[:3]) for g, order in orders.items() if len({int(name[1:]) % 4 for name in order[:3]}) == 3)
+    zones = {int(name[1:]) % 4: name for name in few}    # three servers in three of the four zones
+    for n in range(NODES):
+        stands = nodes.call(n, group)
+        assert stands == zones[n % 4] if n % 4 in zones else stands in few
