Reread: one in-turn step, one way to stand, one place that tells a list call; AskEvery reloads

Now one piece serves both: in_turn (near ones first) for grouped and ungrouped calls in Balancer.choose; Reducer.stand for a connection that comes up and one that is adopted; Discovery.call for the node's calls of the list and the simulated ones; may_watch for the node and the simulated node. Membership.every is set in Balancer.tune like the other settings: a reload with another AskEvery was not heard (test_another_time_for_asking_binds_from_the_reload_on).

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -172,8 +172,8 @@
 class Membership:
     """The servers that the list names, and the asking where it must be asked."""
 
-    def __init__(self, chance, weights_move, every):
-        self.chance, self.hosts, self.failures, self.every = chance, {}, 0, every
+    def __init__(self, chance, weights_move):
+        self.chance, self.hosts, self.failures = chance, {}, 0
         self.weights_move, self.nominal = weights_move, {}
 
     def read(self, listed):
@@ -405,7 +405,7 @@
         self.records, self.groups = Records(), Groups()
         self.readings = Readings(self.chance)
         self.rotation = Rotation(self.chance)
-        self.membership = Membership(self.chance, begin.weights_move, begin.listing.ask_every)
+        self.membership = Membership(self.chance, begin.weights_move)
         self.health, self.loads, self.warm_up = Health(), Loads(), WarmUp(self.chance)
         self.ceilings = Ceilings(self.loads, self.chance)
         self.tune(begin)
@@ -428,6 +428,7 @@
         self.shared = begin.groups_share_work and begin.nodes > 1
         target = min((t.message_target for t in begin.types if t.message_target), default=SECOND)
         self.readings.probed, self.readings.message_target = begin.loads_probed, target
+        self.membership.every = begin.listing.ask_every
         self.health.slow_from = target * (Health.EARLY if begin.loads_probed else 1)
         self.warm_up.cold, self.warm_up.nodes, self.ceilings.nodes = begin.cold, begin.nodes, begin.nodes
 
@@ -521,10 +522,14 @@
         for host in (recorded, call.asked):
             if host and ready(host) and light(host):
                 return host
+
+        def in_turn(fits):                   # near ones first
+            near = self.rotation.next(lambda h: not self.far(h) and fits(h), self.now)
+            return near or self.rotation.next(fits, self.now)
+
         # Where none fits the call is rejected at once: filling the last free server is how a jam spreads.
         if not self.shared or call.group is None:
-            near = self.rotation.next(lambda h: not self.far(h) and open_to_new(h), self.now)
-            return near or self.rotation.next(open_to_new, self.now)
+            return in_turn(open_to_new)
         # Each server that holds any of a group pays for it, and a node sees too few calls to keep a group
         # together by its record: forty nodes' rotations put every group on every server. So all rotations
         # keep to the group's few servers, the same at all nodes, near ones first among them.
@@ -539,9 +544,7 @@
         ordered = call.returned or self.slow_part or self.readings.filled()
         fresh = [h for h in ranked if h in self.fresh] if ordered else ()
         host = next((h for h in fresh if h.shut_until <= self.now and open_to_new(h)), None)
-        near = [h for h in few if not self.far(h)]
-        host = host or self.rotation.next(lambda h: h in near and open_to_new(h), self.now)
-        host = host or self.rotation.next(lambda h: h in few and open_to_new(h), self.now)
+        host = host or in_turn(lambda h: h in few and open_to_new(h))
         # While there is room in the fleet a group is not turned away for the cost of one more server.
         if host is None and self.readings.room():
             call.bound = Readings.LOW
--- a/cottonspread/lab/sim/agent.py
+++ b/cottonspread/lab/sim/agent.py
@@ -66,7 +66,7 @@
         """The next call."""
         self.call += 1
         found, self.answer = self.process.discovery, None
-        wait = 2.0 if found.whole else found.WATCH_MS / 1000 + found.SPARE
+        _, wait = found.call()
         self.due = self.world.now + (0 if found.whole else found.WATCH_MS * 1000)
         self.world.after(round(wait * SECOND), self.fail, self.call, TimeoutError("the answer takes too long"))
         self.world.at(self.due, self.look, self.call)
--- a/cottonspread/lab/sim/node.py
+++ b/cottonspread/lab/sim/node.py
@@ -16,7 +16,7 @@
 from cottonspread.lab.sim.world import EPOCH, SECOND
 from cottonspread.net import discovery, lines
 from cottonspread.net import events as ev
-from cottonspread.net.node import SPARE_ENDS, changeable, door_target, most_ends
+from cottonspread.net.node import SPARE_ENDS, changeable, door_target, may_watch, most_ends
 from cottonspread.net.pool import SIZE
 from cottonspread.net.reducer import Reducer
 from cottonspread.net.workers import HALF_LINE_WAIT
@@ -222,7 +222,7 @@
         version, listed, addresses = discovery.read_list(known, names, News.SAVED)
         self.door = Door(door_target(begin))
         self.discovery = discovery.Discovery(place.discovery, names, self.post, version, begin.listing.ask, node.keep,
-                                             begin.listing.ask and not shared and bool(listed.entries))
+                                             may_watch(begin, listed, shared))
         self.reducer = Reducer(self.clock(), begin, names, hearing, self.most, *node.fleet.policy)
         self.caller = node.agent.serve(self)
         self.post(ev.Heard(listed, addresses))
--- a/cottonspread/net/discovery.py
+++ b/cottonspread/net/discovery.py
@@ -100,13 +100,14 @@
             self.post(events.ListFailed())
             return min(self.PAUSE * 2 ** min(self.failures, 10), self.LONGEST_PAUSE)
 
-    def once(self):
+    def call(self):
+        """What the next call asks for, and how many seconds it may take."""
         if self.whole:
-            path, wait = "/api/targets", 2.0
-        else:
-            path = f"/api/targets?since={self.version}&timeout_ms={self.WATCH_MS}"
-            wait = self.WATCH_MS / 1000 + self.SPARE
-        body = self.http.get(path, wait)
+            return "/api/targets", 2.0
+        return f"/api/targets?since={self.version}&timeout_ms={self.WATCH_MS}", self.WATCH_MS / 1000 + self.SPARE
+
+    def once(self):
+        body = self.http.get(*self.call())
         try:
             said = json.loads(body)
         except (ValueError, RecursionError) as fault:
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -52,6 +52,11 @@
     return min(t.setup_target for t in begin.types) // 4
 
 
+def may_watch(begin, listed, follows):
+    """Whether a known list is watched at once: a process that `follows` another waits for a list told to itself."""
+    return begin.listing.ask and not follows and bool(listed.entries)
+
+
 def changeable(begin, was):
     """Settings that a node which runs takes over: what cannot change then stays as it was, in all parts."""
     return replace(begin, listing=replace(begin.listing, ask=was.listing.ask), weights_move=was.weights_move)
@@ -77,9 +82,8 @@
         self.workers = workers.Workers(Pool(), self.post, self.clock.now, self.done.set)
         self.lock, self.door = threading.Lock(), Door(door_target(begin))
         version, listed, addresses = discovery.read_list(known, names, News.SAVED)
-        # A process that takes over from another waits for a list told to itself.
-        known = begin.listing.ask and keep is None and bool(listed.entries)
-        self.discovery = discovery.Discovery(place.discovery, names, self.post, version, begin.listing.ask, keep, known)
+        self.discovery = discovery.Discovery(place.discovery, names, self.post, version, begin.listing.ask, keep,
+                                             may_watch(begin, listed, keep is not None))
         self.reducer = Reducer(self.clock.now(), begin, names, hearing, self.most)
         self.post(ev.Heard(listed, addresses))
         self.listener, self.ending, self.shared, self.steps, self.ended = None, False, False, 0, Counter()
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -408,6 +408,14 @@
         if closed and not conn.answered and not conn.up:         # one open before the start, not found again
             self.finish(conn, "held-by-lost", lines.ERR)
 
+    def stand(self, leg):
+        """Its connection is up: its host is listened to, and it is moved with the others where they are moved off."""
+        if not leg.host.legs:
+            leg.host.notes.met_at = self.now
+        leg.host.legs[leg] = None
+        if self.leaving:
+            self.at(self.leaving.first, self.move_off, self.leaving, leg.conn)
+
     def leave_host(self, leg):
         host = leg.host
         host.legs.pop(leg, None)
@@ -426,12 +434,8 @@
             self.figures.answered("success", conn.type.name)
             # Its host may have been called gone meanwhile, and taken back: watched under another's name it would be silent unheard.
             leg.host = self.server(leg.host.name)
-            if not leg.host.legs:
-                leg.host.notes.met_at = self.now
-            leg.host.legs[leg] = None
             conn.setup = self.now - conn.began
-            if self.leaving:
-                self.at(self.leaving.first, self.move_off, self.leaving, conn)
+            self.stand(leg)
             if self.heir:
                 self.busy.append(conn)
             if conn.opening.held_by is None:
@@ -851,9 +855,8 @@
         conn.legs.append(leg)
         e.client.conn = e.host.conn = conn
         e.host.leg, e.host.connected = leg, True
-        if not leg.host.legs:
-            leg.host.notes.met_at = self.now
-        leg.host.legs[leg] = self.conns[conn] = None
+        self.conns[conn] = None
+        self.stand(leg)
         self.ended_ids.pop(one.id, None)     # the predecessor told it with the others that were open
         self.by_id[one.id] = conn
         self.ends += 2
@@ -862,8 +865,6 @@
             self.tell_load(leg, one.load)
         for end in (e.client, e.host):
             self.read(end)
-        if self.leaving:
-            self.at(self.leaving.first, self.move_off, self.leaving, conn)
         self.out.append(ev.Say("adopted", {"call": one.id, "type": one.type, "host": one.host}))
         e.give(True)
 
--- a/tests/test_many_nodes.py
+++ b/tests/test_many_nodes.py
@@ -1,5 +1,6 @@
 """What only many nodes show: balancers with seeds of their own, each told of the same servers, none of the others."""
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 from notation import begin, entry, traffic_type
@@ -100,3 +101,12 @@
     for n in range(NODES):
         stands = nodes.call(n, group)
         assert stands == zones[n % 4] if n % 4 in zones else stands in few
+
+
+def test_another_time_for_asking_binds_from_the_reload_on():
+    """The wait kept to the settings of the start."""
+    site, types = {"list": "ask"}, (traffic_type("t", {}),)
+    node = Balancer(0, begin(site, types))
+    node.handle(0, io.Retuned(replace(begin(site, types), listing=io.ListRules(True, 2 * SECOND))))
+    waits = [action.after for _ in range(50) for action in node.handle(0, io.Listed(io.News.FAILED)) if isinstance(action, io.Timer)]
+    assert len(waits) == 50 and max(waits) <= 4 * SECOND
