A group stands at one server of its order in each zone, and few groups on a cold server

Cause: each node's rotation takes turns among a group's few servers (decide.py, choose), so a restarted fleet puts each group on all of them; and each call drew at every fresh server in turn (WarmUp.may_send), so every cold server got calls of any group. Change: the nodes of a zone fill a group's few servers in one order; where more than two servers are fresh a node shares its cold budget of all of them out over its calls of the window, and a group keeps to its part of them.

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -10,7 +10,7 @@
 
 from cottonspread import interface as io
 from cottonspread.interface import Effect, Ending, News, State
-from cottonspread.state import SECOND, Call, Chance, Host, Leg
+from cottonspread.state import SECOND, Call, Chance, Host, Leg, Ring
 
 NEVER_RAN = {Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT}
 
@@ -113,9 +113,12 @@
             self.calls = Counter({g: n // 2 for g, n in self.calls.items() if n > 1})
             self.total = sum(self.calls.values())
 
+    def part(self, group):
+        return self.calls[group] / (self.total + self.DOUBT)
+
     def servers(self, group, listed):
         """Its part of the servers, and two more."""
-        return min(listed, 2 + round(listed * self.calls[group] / (self.total + self.DOUBT)))
+        return min(listed, 2 + round(listed * self.part(group)))
 
 
 class Readings:
@@ -328,6 +331,7 @@
     """A fresh server's cap, within this node's part of the cold budget."""
 
     DRAWN = 3.0                    # times a node's part of the budget: it seldom has a call to send there
+    SHARED = 1.5                   # the same where many are fresh and share it: as many go there as at 3
     AT_FIRST = 4                   # set-ups in flight to a warm server before it answered any
 
     def __init__(self, chance):
@@ -341,6 +345,20 @@
             return 1.0
         return cold.share + (1 - cold.share) * max(0, now - started) / cold.warm_after
 
+    def budget(self, host, now):
+        """This node's part of what a cold server may be sent in a window, in legs."""
+        part_of_time = self.cold.window / self.cold.warm_after
+        return max(1 / self.nodes, self.cold.multiple * self.part(host, now) * self.usual * part_of_time)
+
+    def draw(self, fresh, part, calls, now):
+        """The one of many fresh servers that a call of a group is for, or None. What this node may send to
+        all of them is shared out over its calls of a window, and a group keeps to its part of them: drawn for
+        at each in turn, every cold server paid for one group more with nearly every call."""
+        budget = self.SHARED * self.budget(fresh[0], now) * len(fresh)
+        few = min(len(fresh), max(2, round(len(fresh) * part)))
+        goes = self.chance.below(10000) * max(1, calls) < 10000 * budget
+        return fresh[self.chance.below(few)] if goes else None
+
     def may_send(self, host, now, drawn=False):
         """What others carry is the guide to what a fresh one could: it fills up in its warm-up time."""
         part, window = self.part(host, now), self.cold.window
@@ -350,7 +368,7 @@
             return False
         if part >= 1 or len(host.legs) >= 1 + part * self.usual:
             return part >= 1
-        budget = max(1 / self.nodes, self.cold.multiple * part * self.usual * window / self.cold.warm_after)
+        budget = self.budget(host, now)
         if budget >= 1:
             return host.sent.total(now, window) < budget
         # A draw that the call's own probe came after is still good: else no cold server ever got a call.
@@ -403,6 +421,7 @@
         self.now, self.out = now, []
         self.chance = Chance(begin.seed)
         self.records, self.groups = Records(), Groups()
+        self.arrived = Ring(SECOND // 4, 64)   # calls, over up to 16 s
         self.readings = Readings(self.chance)
         self.rotation = Rotation(self.chance)
         self.membership = Membership(self.chance, begin.weights_move)
@@ -491,7 +510,7 @@
                     and (host not in self.marked or self.health.may_send(host, self.now)
                          and not self.health.slow(host, self.now, Health.NEAR)
                          and self.ceilings.room(host, call, self.now))
-                    and self.warm_up.may_send(host, self.now, host is call.asked))
+                    and self.warm_up.may_send(host, self.now, host in (call.asked, call.drawn)))
 
         def light(host):
             over = well_over(len(host.legs), mean * max(1, host.size / mean_size))
@@ -531,8 +550,8 @@
         if not self.shared or call.group is None:
             return in_turn(open_to_new)
         # Each server that holds any of a group pays for it, and a node sees too few calls to keep a group
-        # together by its record: forty nodes' rotations put every group on every server. So all rotations
-        # keep to the group's few servers, the same at all nodes, near ones first among them.
+        # together by its record. So all nodes keep to the group's few servers, and those of a zone fill them
+        # in one order, near ones first: by turns it stood on all of them, and after each restart on others.
         ranked = self.rotation.ranked_for(call.group)
         few, wanted = [], self.groups.servers(call.group, len(ranked))
         for host in ranked:                  # one set aside or tried is out of reach, perhaps with its zone
@@ -540,11 +559,20 @@
             wanted -= not host.trickle
             if not wanted:
                 break
+
+        def first(hosts):
+            return next((h for h in hosts if h.shut_until <= self.now and open_to_new(h)), None)
+
         # Servers replaced in a release stay empty while the others jam, so fresh ones come first.
         ordered = call.returned or self.slow_part or self.readings.filled()
         fresh = [h for h in ranked if h in self.fresh] if ordered else ()
-        host = next((h for h in fresh if h.shut_until <= self.now and open_to_new(h)), None)
-        host = host or in_turn(lambda h: h in few and open_to_new(h))
+        if len(fresh) > 2 and self.warm_up.budget(fresh[0], self.now) < 1:
+            calls = self.arrived.total(self.now, self.warm_up.cold.window)
+            call.drawn = call.drawn or self.warm_up.draw(fresh, self.groups.part(call.group), calls, self.now)
+            fresh = [h for h in fresh if h is call.drawn]
+        host = first(fresh)
+        turn = self.zone % max(1, len(few))
+        host = host or first(sorted(few[turn:] + few[:turn], key=self.far))
         # While there is room in the fleet a group is not turned away for the cost of one more server.
         if host is None and self.readings.room():
             call.bound = Readings.LOW
@@ -594,6 +622,7 @@
                     most_legs=self.limits.most_legs)
         self.calls[call.id], call.path, call.bound = call, self.path(call), self.readings.bound()
         self.groups.met(e.group)
+        self.arrived.add(self.now)
         if e.held_by is not None:
             unlisted = Host(e.held_by, io.Entry(e.held_by, state=State.GONE))      # nothing new goes there
             host = self.membership.hosts.setdefault(e.held_by, unlisted)
--- a/cottonspread/state.py
+++ b/cottonspread/state.py
@@ -106,4 +106,5 @@
     bound: float = 0.0                            # a server asked for more is passed over, see `Readings`
     probes: int = 0
     asked: Host = None                            # whose probe it waited for: within the cold budget then
+    drawn: Host = None                            # the fresh server that it is for, within the cold budget
     ended: bool = False
