An entry of the list that cannot be read costs its own news; 4,096 instances a machine

One entry with a weight that is no number, no address or an unknown lifecycle had the whole list turned down, each time it came (net/discovery.py, read_list: one try around all entries). Now such a server stays as it was told last, that it drains or is gone is taken in all the same, and one log line (list-entry) names the first. A doubled id takes the later word, said the same way. Operator's file: at most 256 instances, 64 changed and 256 started at once, and with host_step 254 addresses; now 4,096 each, and addresses run on past .254. Tests: test_an_entry_that_cannot_be_read_costs_its_own_news_alone (ten faults), test_a_list_with_a_doubled_id..., test_a_thousand_instances_are_planned..., test_addresses_that_do_not_exist_are_told_with_their_key.

--- a/cottonspread/config/operator.py
+++ b/cottonspread/config/operator.py
@@ -17,6 +17,19 @@
 from cottonspread.config.platform import Senseless
 
 
+MOST = 4096                        # instances of a machine; a figure far over it is a slip, and is told
+
+
+def host_on(host, steps):
+    """An IPv4 address some steps on, without those that end in 0 or 255; ValueError if it ends before."""
+    a, b, c, d = map(int, host.split("."))
+    number = ((a * 256 + b) * 256 + c) * 254 + d - 1 + steps
+    if not 1 <= d <= 254 or number >= 224 * 256 * 256 * 254:
+        raise ValueError(f"{steps} on from {host} there is no address of a machine")
+    front, d = divmod(number, 254)
+    return f"{front >> 16}.{front >> 8 & 255}.{front & 255}.{d + 1}"
+
+
 def key(kind, what, **bounds):
     return Meta(description=what, extra={"reload": kind}, **bounds)
 
@@ -35,18 +48,18 @@
 class Fleet(msgspec.Struct, frozen=True, kw_only=True):
     name: Annotated[str, key("new", "instances are called NAME-0, NAME-1, ...", pattern="^[A-Za-z0-9][A-Za-z0-9_-]{0,40}$")]
     config: Annotated[str, key("restart", "the platform's JSON file, the template of all instances", min_length=1)]
-    instances: Annotated[int, key("live", "how many", ge=1, le=256)]
+    instances: Annotated[int, key("live", "how many", ge=1, le=MOST)]
     listen: Annotated[str, key("restart", "HOST:PORT of instance 0; a free port for each cannot be asked for",
                                pattern=r"^\d+\.\d+\.\d+\.\d+:[1-9]\d{0,4}$")]
     port_step: Annotated[int, key("restart", "added to the port from one instance to the next", ge=0, le=1000)] = 1
-    host_step: Annotated[int, key("restart", "added to the last number of the address", ge=0, le=100)] = 0
+    host_step: Annotated[int, key("restart", "added to the last number of the address, 1 to 254 and on in the number before", ge=0, le=MOST)] = 0
     discovery_step: Annotated[int, key("restart", "added to the port of discovery from one instance to the next", ge=0, le=1000)] = 0
     first: Annotated[int, key("restart", "settings.Me of instance 0, where other machines have nodes of the same balancer", ge=0)] = 0
     nodes: Annotated[int, key("restart", "settings.Balancers, all machines together; 0: as many as instances", ge=0)] = 0
     state: Annotated[str, key("new", "the folder for state, sockets and locks", min_length=1)] = "state"
     logs: Annotated[str, key("new", "the folder for the instances' logs; empty: log/ in the state folder")] = ""
-    at_once: Annotated[int, key("live", "how many instances a rollout changes at the same time", ge=1, le=64)] = 1
-    start_at_once: Annotated[int, key("live", "how many start at the same time", ge=1, le=256)] = 8
+    at_once: Annotated[int, key("live", "how many instances a rollout changes at the same time", ge=1, le=MOST)] = 1
+    start_at_once: Annotated[int, key("live", "how many start at the same time", ge=1, le=MOST)] = 8
     stop_at_once: Annotated[int, key("live", "how many stop at the same time; 0: all", ge=0)] = 0
     start_s: Annotated[float, key("live", "an instance that is not ready after so long has not started", ge=0.1, le=600)] = 10.0
     stop_s: Annotated[float, key("live", "an instance that has not stopped after so long is ended", ge=0.1, le=600)] = 8.0
@@ -122,12 +135,16 @@
 
 def across(fleet):
     """Faults of keys that do not go together."""
-    octet, port = int(fleet.listen.rpartition(":")[0].rpartition(".")[2]), int(fleet.listen.rpartition(":")[2])
+    host, _, port = fleet.listen.rpartition(":")
+    port = int(port)
     last = fleet.instances - 1
     if port + fleet.port_step * last > 65535:
         yield "port_step", f"instance {last} would listen on port {port + fleet.port_step * last}; the last is 65535"
-    if octet + fleet.host_step * last > 254:
-        yield "host_step", f"instance {last} would have address ...{octet + fleet.host_step * last}; the last is 254"
+    if fleet.host_step:
+        try:
+            host_on(host, fleet.host_step * last)
+        except ValueError as fault:
+            yield "host_step", str(fault)
     if last and not fleet.port_step and not fleet.host_step:
         yield "port_step", "with host_step 0 too, all instances would listen on one address"
     if fleet.nodes and fleet.first + fleet.instances > fleet.nodes:
--- a/cottonspread/fleet/plan.py
+++ b/cottonspread/fleet/plan.py
@@ -41,8 +41,7 @@
     """HOST:PORT some steps on."""
     host, _, number = address.rpartition(":")
     if octet:
-        head, _, last = host.rpartition(".")
-        host = f"{head}.{int(last) + octet}"
+        host = op.host_on(host, octet)
     return f"{host}:{int(number) + port}"
 
 
--- a/cottonspread/net/discovery.py
+++ b/cottonspread/net/discovery.py
@@ -17,26 +17,57 @@
     """An answer that is no list of servers."""
 
 
-def read_list(said, names, news=None):
-    """An answer as JSON: (version, Listed, addresses by server)."""
+def read_entry(one, names, state):
+    host, _, port = str(one.get("hostPort")).rpartition(":")
+    address = None
+    if state is not io.State.GONE:           # what is gone needs no address
+        if not host or not 0 < int(port) < 65536:
+            raise ValueError(f"hostPort: {one.get('hostPort')!r}")
+        address = host, int(port)
+    weight = float(one.get("weight", 1))
+    if not 0 <= weight < 1e15:
+        raise ValueError(f"weight: {weight}")
+    # A server in a zone that the settings don't name is far from every node.
+    return io.Entry(str(one["instanceId"]), names.zones.get(one.get("zone"), -1), names.kinds.get(one.get("machineType"), -1), weight,
+                    int(one.get("cell", 0)), round(float(one.get("startedAtMs", 0)) * 1000), state), address
+
+
+FAULTS = KeyError, TypeError, ValueError, AttributeError, OverflowError
+
+
+def read_list(said, names, news=None, before={}):
+    """An answer as JSON: (version, Listed, addresses by server, {server: why its entry could not be read}).
+
+    An entry that cannot be read costs its own news alone: its server stays as it was told `before` (entry and address by
+    server), but that it drains or is gone is taken in, for nothing may go there. One never told before is not there yet."""
     try:
-        version, entries, addresses = int(said["generation"]), [], {}
+        version, instances = int(said["generation"]), said["instances"]
         news = news or (io.News.FULL if said["reset"] else io.News.CHANGES)
-        for one in said["instances"]:
-            name, state = str(one["instanceId"]), STATES[one["lifecycle"]]
-            host, _, port = str(one.get("hostPort")).rpartition(":")
-            if state is not io.State.GONE:   # what is gone needs no address
-                if not host or not 0 < int(port) < 65536:
-                    raise ValueError(f"address of {name}")
-                addresses[name] = host, int(port)
-            # A server in a zone that the settings don't name is far from every node.
-            entries.append(io.Entry(
-                name, names.zones.get(one.get("zone"), -1), names.kinds.get(one.get("machineType"), -1),
-                float(one.get("weight", 1)), int(one.get("cell", 0)),
-                round(float(one.get("startedAtMs", 0)) * 1000), state))
-    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as fault:
+        if not isinstance(instances, list):
+            raise TypeError("instances: not a list")
+    except FAULTS as fault:
         raise BadList(f"{type(fault).__name__}: {fault}") from fault
-    return version, io.Listed(news, version, tuple(entries)), addresses
+    entries, addresses, unread = {}, {}, {}
+    for one in instances:
+        name, state = None, None
+        try:
+            name, state = str(one["instanceId"]), STATES.get(one.get("lifecycle"))
+            if state is None:
+                raise ValueError(f"lifecycle: {one.get('lifecycle')!r}")
+            if name in entries:              # the later word holds
+                unread[name + " again"] = "listed twice"
+            entry, address = read_entry(one, names, state)
+        except FAULTS as fault:
+            unread[str(name)[:64]] = f"{type(fault).__name__}: {fault}"[:200]
+            entry, address = before.get(name, (None, None))
+            if entry is None:
+                continue
+            entry = entry._replace(state=state or entry.state)
+        entries[name] = entry
+        addresses.pop(name, None)
+        if entry.state is not io.State.GONE:
+            addresses[name] = address
+    return version, io.Listed(news, version, tuple(entries.values())), addresses, unread
 
 
 class Discovery:
@@ -52,6 +83,7 @@
         # and in a release most of a fleet asked for both, of a discovery that had room for neither.
         self.version, self.whole, self.lower, self.failures = version, not known, 0, 0
         self.ask, self.wanted, self.stopped = ask, threading.Event(), False
+        self.told, self.unread = {}, {}      # the last word on each server; entries that could not be read
         self.keep = keep                     # is given each list as JSON, once it has been posted
         self.target = self.http              # what is to be followed from now on
 
@@ -112,7 +144,7 @@
             said = json.loads(body)
         except (ValueError, RecursionError) as fault:
             raise BadList(f"no JSON: {fault}") from fault
-        version, listed, addresses = read_list(said, self.names)
+        version, listed, addresses, unread = read_list(said, self.names, before=self.told)
         full = listed.news is io.News.FULL
         if version < self.version:
             # An old answer must not bring back what is gone; only discovery begun anew says it again and again.
@@ -124,9 +156,22 @@
         elif self.whole and not full:
             raise BadList("changes where the whole list was asked")
         self.version, self.whole, self.lower = version, False, 0
+        self.take(listed, addresses, unread)
         self.post(events.Heard(listed, addresses))
         if self.keep:
-            self.keep(version, said["instances"], full)
+            self.keep(version, [one for one in said["instances"] if isinstance(one, dict) and str(one.get("instanceId")) not in unread], full)
+
+    def take(self, listed, addresses, unread):
+        """What could not be read is said once, not at each list: the same entry comes again with every whole one."""
+        self.told = self.told if listed.news is io.News.CHANGES else {}
+        for entry in listed.entries:
+            self.told[entry.host] = entry, addresses.get(entry.host)
+            if entry.state is io.State.GONE:
+                del self.told[entry.host]
+        if unread and unread != self.unread:
+            name, why = next(iter(unread.items()))
+            log.warning("list-entry", extra={"pairs": {"entries": len(unread), "first": name, "why": why}})
+        self.unread = unread
 
     def stop(self):
         self.stopped = True
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -81,9 +81,10 @@
         self.most = self.all = most_ends(room, place.operator)
         self.workers = workers.Workers(Pool(), self.post, self.clock.now, self.done.set)
         self.lock, self.door = threading.Lock(), Door(door_target(begin))
-        version, listed, addresses = discovery.read_list(known, names, News.SAVED)
+        version, listed, addresses, unread = discovery.read_list(known, names, News.SAVED)
         self.discovery = discovery.Discovery(place.discovery, names, self.post, version, begin.listing.ask, keep,
                                              may_watch(begin, listed, keep is not None))
+        self.discovery.take(listed, addresses, unread)
         self.reducer = Reducer(self.clock.now(), begin, names, hearing, self.most)
         self.post(ev.Heard(listed, addresses))
         self.listener, self.ending, self.shared, self.steps, self.ended = None, False, False, 0, Counter()
--- a/tests/fleet/test_operator.py
+++ b/tests/fleet/test_operator.py
@@ -55,6 +55,26 @@
     assert "3 instances: f-0 on 127.0.0.1:9000, " in capsys.readouterr().out
 
 
+def test_a_thousand_instances_are_planned_on_addresses_that_run_on_past_254(tmp_path, capsys):
+    """256 instances were the most, and with an address for each 254."""
+    many = GOOD.replace("= 3", "= 1024").replace("127.0.0.1:9000", "127.10.0.1:9000") + "port_step = 0\nhost_step = 1\nat_once = 1024\nstart_at_once = 1024\n"
+    plan = plans.read(fleet(tmp_path, many), ("py", ""))
+    addresses = [s.address for s in plan.specs.values()]
+    assert len(set(addresses)) == 1024 and {port for _, port in addresses} == {9000}
+    assert [addresses[n][0] for n in (0, 253, 254, 1023)] == ["127.10.0.1", "127.10.0.254", "127.10.1.1", "127.10.4.8"]
+    assert cli.main(["check", "--operator", str(tmp_path / "o.toml")]) == 0
+    assert "1024 instances: f-0 on 127.10.0.1:9000, " in capsys.readouterr().out
+
+
+@pytest.mark.parametrize("text, key", [
+    (GOOD.replace("= 3", "= 4097"), "fleet.instances: 4097"),
+    (GOOD.replace("127.0.0.1", "223.255.255.253") + "host_step = 1\n", "fleet.host_step: 2 on from 223.255.255.253"),
+    (GOOD.replace("127.0.0.1", "10.0.0.255") + "host_step = 1\n", "fleet.host_step: 2 on from 10.0.0.255")])
+def test_addresses_that_do_not_exist_are_told_with_their_key(tmp_path, text, key):
+    with pytest.raises(op.Faults, match=key):
+        plans.read(fleet(tmp_path, text), ("py", ""))
+
+
 @pytest.mark.parametrize("node, said", [
     ('{"settings": ', "no JSON"), ("[]", "settings: expected an object"), ({**NODE, "discovery": 3}, "discovery: expected HOST:PORT"),
     ({**NODE, "settings": {"TrafficTypes": []}}, "names no traffic type (instance f-0)"), ({**NODE, "seed": "xyz"}, "xyz")])
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -246,6 +246,44 @@
          "lifecycle": state, "startedAtMs": 7}]}).encode(), b"Connection: close\r\n")
 
 
+def instance(name, **other):
+    return {"instanceId": name, "hostPort": "10.1.0.18:8080", "zone": "here", "machineType": "m9", "lifecycle": "Ready", "startedAtMs": 7} | other
+
+
+@pytest.mark.parametrize("bad", ({"weight": "heavy"}, {"weight": float("nan")}, {"weight": -1}, {"hostPort": "10.1.0.18"}, {"hostPort": None},
+                                 {"hostPort": "a:99999"}, {"lifecycle": "Sleepy"}, {"cell": "x"}, {"startedAtMs": []}, {"zone": ["a"]}))
+def test_an_entry_that_cannot_be_read_costs_its_own_news_alone(bad):
+    """One such entry among sixty, and the whole list was turned down, for good."""
+    names = config.Names({}, {"here": 0}, {}, {})
+
+    def read(*instances, before={}):
+        version, listed, addresses, unread = discovery.read_list({"generation": 3, "reset": True, "instances": list(instances)}, names, before=before)
+        return {entry.host: entry for entry in listed.entries}, addresses, unread
+
+    first, addresses, unread = read(instance("a"), instance("b", weight=2))
+    assert not unread and first["b"].weight == 2
+    before = {name: (entry, addresses[name]) for name, entry in first.items()}
+    now, addresses, unread = read(instance("a", startedAtMs=9), instance("b", **bad), instance("c", **bad), before=before)
+    assert now["a"].started == 9000 and now["b"] == first["b"] and "c" not in now     # never told before: not there yet
+    assert unread.keys() == {"b", "c"} and addresses.keys() == {"a", "b"}
+    if "lifecycle" not in bad:               # that nothing may go there any more is heard all the same
+        for word, state in (("Terminating", io.State.DRAINING), ("Gone", io.State.GONE)):
+            now, addresses, unread = read(instance("a"), instance("b", **bad | {"lifecycle": word}), before=before)
+            assert now["b"].state is state and ("b" in addresses) is (state is io.State.DRAINING)
+
+
+def test_a_list_with_a_doubled_id_takes_the_later_word_and_one_without_servers_is_a_list():
+    names = config.Names({}, {"here": 0}, {}, {})
+    said = {"generation": 3, "reset": True, "instances": [instance("a"), instance("a", lifecycle="Terminating"), instance("b"), 7, {"weight": 1}]}
+    version, listed, addresses, unread = discovery.read_list(said, names)
+    assert [(e.host, e.state) for e in listed.entries] == [("a", io.State.DRAINING), ("b", io.State.UP)]
+    assert unread.keys() == {"a again", "None"} and addresses["a"] == addresses["b"] == ("10.1.0.18", 8080)
+    assert discovery.read_list(said | {"instances": []}, names)[1:] == (io.Listed(io.News.FULL, 3, ()), {}, {})
+    for broken in ({"instances": None}, {"generation": "x"}, {"reset": None} | {"generation": []}):
+        with pytest.raises(discovery.BadList):
+            discovery.read_list(said | broken, names)
+
+
 def test_the_last_good_list_outlives_garbage_and_older_versions(monkeypatch):
     names, heard, failed = config.Names({}, {"here": 0}, {}, {}), queue.Queue(), []
     answers = Answers(listing(41), listing(43, False, "Terminating"),
