Orders kept and probes under way are bounded by room, not by 500 keys and 64 hosts

Rotation.RANKED counted keys, whose orders hold every server: 8 MB at 2,000 servers; now 200,000 servers in all orders (2 MB; 3,333 keys at 60 servers, 100 at 2,000).

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -52,7 +52,7 @@
 
 class Rotation:
     """Servers in turn, from a random start."""
-    RANKED = 500                   # keys whose order is kept: ranking the fleet for each call costs too much
+    RANKED = 200_000               # servers in the orders kept, 2 MB: ranking the fleet for each call costs too much
 
     def __init__(self, chance):
         self.chance, self.order, self.at = chance, [], 0
@@ -85,7 +85,7 @@
     def ranked_for(self, key):
         """The servers in the key's own order, on which all nodes agree."""
         if key not in self.ranked:
-            if len(self.ranked) >= self.RANKED:
+            if len(self.ranked) * len(self.order) >= self.RANKED:
                 self.ranked.clear()
             start = crc32(str(key).encode())     # multiplied, for checksums of like texts keep their order
             self.ranked[key] = sorted(self.order, key=lambda h: (
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -37,7 +37,7 @@
 STANDING_WAIT = 40 * SECOND        # for a connection that was open before the start
 PROBE_WAIT = SECOND // 4           # a host that takes longer to tell its load is no place for a new call
 NOT_LISTED = io.Entry(None, state=io.State.GONE)
-MOST_PROBES = 64                   # under way; each has a thread and a descriptor
+PROBES_PART = 4                    # one part in so many of all ends, at most, is probes: each has a thread and a descriptor
 
 
 @dataclass(eq=False)
@@ -537,7 +537,7 @@
         host = self.server(name)
         if host.address is None:
             self.tell(io.Probed(name, Ending.CONNECT_FAILED))
-        elif self.probes >= MOST_PROBES or self.ends + 2 > self.most_ends or self.hurries():
+        elif self.probes * PROBES_PART >= self.most_ends or self.ends + 2 > self.most_ends or self.hurries():
             self.tell(io.Probed(name, Ending.FULL))
         else:
             self.asking.add(name)
