--- /dev/null
+++ b/benchmarks/sizes/instances.py
@@ -0,0 +1,77 @@
+"""How long a supervisor's commands take with many instances.
+
+    python benchmarks/sizes/instances.py [INSTANCES] > benchmarks/sizes/results/instances.json
+
+The example's stand-in servers and discovery, the example's configuration, one supervisor; each instance on its own address. Ready is when
+`fleet status` says so of all.
+"""
+import importlib.util
+import json
+import os
+import re
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent.parent
+COTTONSPREAD = [sys.executable, "-m", "cottonspread", "fleet"]
+
+
+def memory(pid):
+    return int(re.search(r"VmHWM:\s+(\d+)", Path(f"/proc/{pid}/status").read_text())[1]) / 1024
+
+
+def main(instances):
+    spec = importlib.util.spec_from_file_location("toy", ROOT / "examples" / "toy.py")
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    toy, discovery = module.Toy(3), socket.create_server(("127.0.0.1", 0), backlog=1024)
+    threading.Thread(target=toy.accept, args=(discovery, toy.discover), daemon=True).start()
+    with tempfile.TemporaryDirectory() as folder:
+        (Path(folder) / "node.json").write_text(json.dumps(json.loads((ROOT / "examples" / "node.json").read_text()) | {
+            "discovery": "%s:%d" % discovery.getsockname(), "operator": None}))
+        file = Path(folder) / "o.toml"
+        text = (f'[fleet]\nname = "f"\nconfig = "node.json"\ninstances = {instances}\nlisten = "127.20.0.1:8080"\nport_step = 0\nhost_step = 1\n'
+                f'at_once = 64\nstart_at_once = 16\nstart_s = 60.0\nwatch_s = 1.0\n')
+        file.write_text(text)
+
+        def run(word, *more, want=0):
+            at = time.perf_counter()
+            done = subprocess.run([*COTTONSPREAD, word, "--operator", str(file), *more], cwd=ROOT, capture_output=True, text=True, timeout=600)
+            if done.returncode != want:
+                raise RuntimeError(f"{word}: {done.returncode}: {done.stdout[-500:]} {done.stderr[-500:]}")
+            return time.perf_counter() - at, done.stdout
+
+        at = time.perf_counter()
+        supervisor = subprocess.Popen([*COTTONSPREAD, "run", "--operator", str(file)], cwd=ROOT, stderr=subprocess.DEVNULL)
+        try:
+            while True:
+                time.sleep(1)
+                if supervisor.poll() is not None:
+                    raise RuntimeError(f"the supervisor exited with {supervisor.returncode}")
+                try:
+                    run("status")
+                    break
+                except RuntimeError:         # not there yet, or not all ready
+                    pass
+            found = {"instances": instances, "all_ready_s": round(time.perf_counter() - at, 1)}
+            found["status_s"] = round(run("status")[0], 2)
+            file.write_text(text + '[log]\nlevel = "warning"\n')
+            found["reload_s"] = round(run("reload")[0], 1)
+            found["supervisor_mb"] = round(memory(supervisor.pid), 1)
+            found["stop_s"] = round(run("stop")[0], 1)
+            found["exit"] = supervisor.wait(60)
+        finally:
+            if supervisor.poll() is None:
+                supervisor.terminate()
+                supervisor.wait(60)
+    return found
+
+
+if __name__ == "__main__":
+    threading.excepthook = lambda fault: None            # the list's connections break as the instances end
+    print(json.dumps(main(int(sys.argv[1]) if len(sys.argv) > 1 else 240) | {"cores": len(os.sched_getaffinity(0))}, indent=1))
