--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -52,7 +52,7 @@
 
 class Rotation:
     """Servers in turn, from a random start."""
-    RANKED = 200_000               # servers in the orders kept, 2 MB: ranking the fleet for each call costs too much
+    RANKED = 200_000               # servers in all orders kept, 2 MB: ranking for each call costs too much
 
     def __init__(self, chance):
         self.chance, self.order, self.at = chance, [], 0
@@ -331,7 +331,7 @@
     """A fresh server's cap, within this node's part of the cold budget."""
 
     DRAWN = 3.0                    # times a node's part of the budget: it seldom has a call to send there
-    SHARED = 1.5                   # the same where many are fresh and share it: as many go there as at 3
+    SHARED = 1.8                   # the same where many are fresh and share it: as many go there as at 3 each
     AT_FIRST = 4                   # set-ups in flight to a warm server before it answered any
 
     def __init__(self, chance):
@@ -510,7 +510,7 @@
                     and (host not in self.marked or self.health.may_send(host, self.now)
                          and not self.health.slow(host, self.now, Health.NEAR)
                          and self.ceilings.room(host, call, self.now))
-                    and self.warm_up.may_send(host, self.now, host in (call.asked, call.drawn)))
+                    and self.warm_up.may_send(host, self.now, host is call.asked or call.drawn))
 
         def light(host):
             over = well_over(len(host.legs), mean * max(1, host.size / mean_size))
@@ -564,12 +564,13 @@
             return next((h for h in hosts if h.shut_until <= self.now and open_to_new(h)), None)
 
         # Servers replaced in a release stay empty while the others jam, so fresh ones come first.
-        ordered = call.returned or self.slow_part or self.readings.filled()
-        fresh = [h for h in ranked if h in self.fresh] if ordered else ()
+        fresh = [h for h in ranked if h in self.fresh]
         if len(fresh) > 2 and self.warm_up.budget(fresh[0], self.now) < 1:
             calls = self.arrived.total(self.now, self.warm_up.cold.window)
             call.drawn = call.drawn or self.warm_up.draw(fresh, self.groups.part(call.group), calls, self.now)
             fresh = [h for h in fresh if h is call.drawn]
+        elif not (call.returned or self.slow_part or self.readings.filled()):
+            fresh = []
         host = first(fresh)
         turn = self.zone % max(1, len(few))
         host = host or first(sorted(few[turn:] + few[:turn], key=self.far))
