Turns among a group's few servers are back; the shared cold budget stays

Cause: Balancer.choose asked the first of the order whatever its size, where the rotation takes turns by size, and what a full server sheds came back to it.

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -550,8 +550,8 @@
         if not self.shared or call.group is None:
             return in_turn(open_to_new)
         # Each server that holds any of a group pays for it, and a node sees too few calls to keep a group
-        # together by its record. So all nodes keep to the group's few servers, and those of a zone fill them
-        # in one order, near ones first: by turns it stood on all of them, and after each restart on others.
+        # together by its record: forty nodes' rotations put every group on every server. So all rotations
+        # keep to the group's few servers, the same at all nodes, near ones first among them.
         ranked = self.rotation.ranked_for(call.group)
         few, wanted = [], self.groups.servers(call.group, len(ranked))
         for host in ranked:                  # one set aside or tried is out of reach, perhaps with its zone
@@ -559,10 +559,6 @@
             wanted -= not host.trickle
             if not wanted:
                 break
-
-        def first(hosts):
-            return next((h for h in hosts if h.shut_until <= self.now and open_to_new(h)), None)
-
         # Servers replaced in a release stay empty while the others jam, so fresh ones come first.
         fresh = [h for h in ranked if h in self.fresh]
         if len(fresh) > 2 and self.warm_up.budget(fresh[0], self.now) < 1:
@@ -571,9 +567,8 @@
             fresh = [h for h in fresh if h is call.drawn]
         elif not (call.returned or self.slow_part or self.readings.filled()):
             fresh = []
-        host = first(fresh)
-        turn = self.zone % max(1, len(few))
-        host = host or first(sorted(few[turn:] + few[:turn], key=self.far))
+        host = next((h for h in fresh if h.shut_until <= self.now and open_to_new(h)), None)
+        host = host or in_turn(lambda h: h in few and open_to_new(h))
         # While there is room in the fleet a group is not turned away for the cost of one more server.
         if host is None and self.readings.room():
             call.bound = Readings.LOW
