Reread: one place raises descriptors, a budget is reckoned once a call, no look for fresh servers where none is

supervisor.room and fleet logs raised the limit on descriptors each for itself: control.raise_descriptors. WarmUp.budget took a server and reckoned its part again where may_send had it: it takes the part, and draw takes the budget. choose walked the whole order for fresh servers at every call of a group, also when there are none. The simulated node starts its Discovery as the real one does (take). benchmarks/sizes: one reading of memory; two arguments that nobody gave are gone. Mended too: an unread entry's id was cut to 64 letters, so that a longer one was not known when the list is kept on disk; it is cut in the log line alone (test_a_list_with_a_doubled_id...).

--- a/benchmarks/sizes/instances.py
+++ b/benchmarks/sizes/instances.py
@@ -8,7 +8,6 @@
 import importlib.util
 import json
 import os
-import re
 import socket
 import subprocess
 import sys
@@ -17,14 +16,12 @@
 import time
 from pathlib import Path
 
+from lists import memory
+
 ROOT = Path(__file__).parent.parent.parent
 COTTONSPREAD = [sys.executable, "-m", "cottonspread", "fleet"]
 
 
-def memory(pid):
-    return int(re.search(r"VmHWM:\s+(\d+)", Path(f"/proc/{pid}/status").read_text())[1]) / 1024
-
-
 def main(instances):
     spec = importlib.util.spec_from_file_location("toy", ROOT / "examples" / "toy.py")
     module = importlib.util.module_from_spec(spec)
@@ -39,12 +36,12 @@
                 f'at_once = 64\nstart_at_once = 16\nstart_s = 60.0\nwatch_s = 1.0\n')
         file.write_text(text)
 
-        def run(word, *more, want=0):
+        def run(word):
             at = time.perf_counter()
-            done = subprocess.run([*COTTONSPREAD, word, "--operator", str(file), *more], cwd=ROOT, capture_output=True, text=True, timeout=600)
-            if done.returncode != want:
+            done = subprocess.run([*COTTONSPREAD, word, "--operator", str(file)], cwd=ROOT, capture_output=True, text=True, timeout=600)
+            if done.returncode:
                 raise RuntimeError(f"{word}: {done.returncode}: {done.stdout[-500:]} {done.stderr[-500:]}")
-            return time.perf_counter() - at, done.stdout
+            return time.perf_counter() - at
 
         at = time.perf_counter()
         supervisor = subprocess.Popen([*COTTONSPREAD, "run", "--operator", str(file)], cwd=ROOT, stderr=subprocess.DEVNULL)
@@ -59,11 +56,11 @@
                 except RuntimeError:         # not there yet, or not all ready
                     pass
             found = {"instances": instances, "all_ready_s": round(time.perf_counter() - at, 1)}
-            found["status_s"] = round(run("status")[0], 2)
+            found["status_s"] = round(run("status"), 2)
             file.write_text(text + '[log]\nlevel = "warning"\n')
-            found["reload_s"] = round(run("reload")[0], 1)
+            found["reload_s"] = round(run("reload"), 1)
             found["supervisor_mb"] = round(memory(supervisor.pid), 1)
-            found["stop_s"] = round(run("stop")[0], 1)
+            found["stop_s"] = round(run("stop"), 1)
             found["exit"] = supervisor.wait(60)
         finally:
             if supervisor.poll() is None:
--- a/benchmarks/sizes/lists.py
+++ b/benchmarks/sizes/lists.py
@@ -97,6 +97,11 @@
     return (int(words[11]) + int(words[12])) / os.sysconf("SC_CLK_TCK")
 
 
+def memory(pid):
+    """MB at most, as the kernel says."""
+    return int(re.search(r"VmHWM:\s+(\d+)", Path(f"/proc/{pid}/status").read_text())[1]) / 1024
+
+
 def measure(servers, form):
     with socket.create_server(("127.0.0.1", 0)) as taken:
         listen = taken.getsockname()
@@ -130,7 +135,7 @@
                 if not answer.startswith(b"UP "):
                     raise RuntimeError(f"{servers} {form}: call {n} was answered {answer!r}")
             cpu = (processor(node.pid) - before) / CALLS
-            memory = int(re.search(r"VmHWM:\s+(\d+)", Path(f"/proc/{node.pid}/status").read_text())[1]) / 1024
+            most = memory(node.pid)
             at = time.perf_counter()
             node.send_signal(signal.SIGTERM)
             code = node.wait(20)
@@ -145,7 +150,7 @@
     words.sort()
     return {"servers": servers, "form": form, "first_pong_ms": round(started * 1000), "change_ms": round(words[len(words) // 2] * 1000, 1),
             "change_cpu_ms": round(lists * 1000, 1), "call_p50_ms": round(calls[CALLS // 2] * 1000, 2), "call_p99_ms": round(calls[CALLS * 99 // 100] * 1000, 2),
-            "call_cpu_ms": round(cpu * 1000, 2), "memory_mb": round(memory, 1), "end_ms": round(ended * 1000)}
+            "call_cpu_ms": round(cpu * 1000, 2), "memory_mb": round(most, 1), "end_ms": round(ended * 1000)}
 
 
 if __name__ == "__main__":
--- a/cottonspread/cli/fleet.py
+++ b/cottonspread/cli/fleet.py
@@ -2,7 +2,6 @@
 import heapq
 import json
 import os
-import resource
 import sys
 import time
 
@@ -84,12 +83,11 @@
 
 def logs(given):
     """The last lines of all instances, or of one, in the order of their times; `--follow` goes on."""
+    from cottonspread.fleet import control
     where = folders(given)[1]
     names = [f"{given.name}.log"] if given.name else sorted(f for f in os.listdir(where) if f.endswith(".log"))
     try:
-        # A file for each instance: a thousand are over the usual limit on descriptors.
-        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-        resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, max(soft, len(names) + 32)), hard))
+        control.raise_descriptors(len(names) + 32)           # a thousand files are over the usual limit
         files = [open(os.path.join(where, name), encoding="utf-8", errors="replace") for name in names]
     except OSError as fault:
         raise config.Senseless(f"logs: {fault}") from fault
--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -345,18 +345,17 @@
             return 1.0
         return cold.share + (1 - cold.share) * max(0, now - started) / cold.warm_after
 
-    def budget(self, host, now):
-        """This node's part of what a cold server may be sent in a window, in legs."""
-        part_of_time = self.cold.window / self.cold.warm_after
-        return max(1 / self.nodes, self.cold.multiple * self.part(host, now) * self.usual * part_of_time)
+    def budget(self, part):
+        """This node's part of what a server that can do such a part may be sent in a window, in legs."""
+        cold = self.cold
+        return max(1 / self.nodes, cold.multiple * part * self.usual * cold.window / cold.warm_after)
 
-    def draw(self, fresh, part, calls, now):
+    def draw(self, fresh, budget, part, calls):
         """The one of many fresh servers that a call of a group is for, or None. What this node may send to
         all of them is shared out over its calls of a window, and a group keeps to its part of them: drawn for
         at each in turn, every cold server paid for one group more with nearly every call."""
-        budget = self.SHARED * self.budget(fresh[0], now) * len(fresh)
         few = min(len(fresh), max(2, round(len(fresh) * part)))
-        goes = self.chance.below(10000) * max(1, calls) < 10000 * budget
+        goes = self.chance.below(10000) * max(1, calls) < 10000 * self.SHARED * budget * len(fresh)
         return fresh[self.chance.below(few)] if goes else None
 
     def may_send(self, host, now, drawn=False):
@@ -368,7 +367,7 @@
             return False
         if part >= 1 or len(host.legs) >= 1 + part * self.usual:
             return part >= 1
-        budget = self.budget(host, now)
+        budget = self.budget(part)
         if budget >= 1:
             return host.sent.total(now, window) < budget
         # A draw that the call's own probe came after is still good: else no cold server ever got a call.
@@ -560,10 +559,11 @@
             if not wanted:
                 break
         # Servers replaced in a release stay empty while the others jam, so fresh ones come first.
-        fresh = [h for h in ranked if h in self.fresh]
-        if len(fresh) > 2 and self.warm_up.budget(fresh[0], self.now) < 1:
+        fresh = [h for h in ranked if h in self.fresh] if self.fresh else []
+        budget = self.warm_up.budget(self.warm_up.part(fresh[0], self.now)) if len(fresh) > 2 else 1
+        if budget < 1:
             calls = self.arrived.total(self.now, self.warm_up.cold.window)
-            call.drawn = call.drawn or self.warm_up.draw(fresh, self.groups.part(call.group), calls, self.now)
+            call.drawn = call.drawn or self.warm_up.draw(fresh, budget, self.groups.part(call.group), calls)
             fresh = [h for h in fresh if h is call.drawn]
         elif not (call.returned or self.slow_part or self.readings.filled()):
             fresh = []
--- a/cottonspread/fleet/control.py
+++ b/cottonspread/fleet/control.py
@@ -2,6 +2,7 @@
 import fcntl
 import json
 import os
+import resource
 import socket
 
 LONGEST_PATH = 100                 # of a socket: the kernel takes 107 bytes
@@ -84,6 +85,13 @@
     return sock
 
 
+def raise_descriptors(need):
+    """This process's limit on descriptors goes up to `need`, if it may; the limit that it cannot pass."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, max(soft, need)), hard))
+    return hard
+
+
 class Lock:
     """A file that one process holds at a time. The kernel lets go of it when the holder is gone, however it ended."""
 
--- a/cottonspread/fleet/supervisor.py
+++ b/cottonspread/fleet/supervisor.py
@@ -7,7 +7,6 @@
 import json
 import logging
 import os
-import resource
 import selectors
 import signal
 import socket
@@ -90,10 +89,9 @@
     def room(self, instances):
         """Each instance costs a listener, a control socket and a pidfd, twice while it is changed; its process has its own limit."""
         need = 5 * instances + MOST_AT_DOOR + 32
-        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        hard = control.raise_descriptors(need)
         if hard < need:
             raise op.Faults([f"{self.path}: fleet.instances: {instances} need {need} descriptors; the limit is {hard} (ulimit -n)"])
-        resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, need), hard))
 
     def kept(self):
         try:
--- a/cottonspread/lab/sim/node.py
+++ b/cottonspread/lab/sim/node.py
@@ -219,10 +219,11 @@
         self.dead, self.numbers, self.steps, self.ended, self.began, self.finished = "", 0, 0, Counter(), world.now, False
         self.live, self.probes, self.most_queue = {}, {}, 0
         self.contract, self.addresses, self.heir, self.takes = Contract(), node.fleet.addresses, None, not shared
-        version, listed, addresses, _ = discovery.read_list(known, names, News.SAVED)
+        version, listed, addresses, unread = discovery.read_list(known, names, News.SAVED)
         self.door = Door(door_target(begin))
         self.discovery = discovery.Discovery(place.discovery, names, self.post, version, begin.listing.ask, node.keep,
                                              may_watch(begin, listed, shared))
+        self.discovery.take(listed, addresses, unread)
         self.reducer = Reducer(self.clock(), begin, names, hearing, self.most, *node.fleet.policy)
         self.caller = node.agent.serve(self)
         self.post(ev.Heard(listed, addresses))
--- a/cottonspread/net/discovery.py
+++ b/cottonspread/net/discovery.py
@@ -58,7 +58,7 @@
                 unread[name + " again"] = "listed twice"
             entry, address = read_entry(one, names, state)
         except FAULTS as fault:
-            unread[str(name)[:64]] = f"{type(fault).__name__}: {fault}"[:200]
+            unread[str(name)] = f"{type(fault).__name__}: {fault}"
             entry, address = before.get(name, (None, None))
             if entry is None:
                 continue
@@ -170,7 +170,7 @@
                 del self.told[entry.host]
         if unread and unread != self.unread:
             name, why = next(iter(unread.items()))
-            log.warning("list-entry", extra={"pairs": {"entries": len(unread), "first": name, "why": why}})
+            log.warning("list-entry", extra={"pairs": {"entries": len(unread), "first": name[:64], "why": why[:200]}})
         self.unread = unread
 
     def stop(self):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -278,6 +278,8 @@
     version, listed, addresses, unread = discovery.read_list(said, names)
     assert [(e.host, e.state) for e in listed.entries] == [("a", io.State.DRAINING), ("b", io.State.UP)]
     assert unread.keys() == {"a again", "None"} and addresses["a"] == addresses["b"] == ("10.1.0.18", 8080)
+    long = "b" * 100                         # named whole, or what is kept on disk would not know it
+    assert discovery.read_list(said | {"instances": [instance(long, weight="x")]}, names)[3].keys() == {long}
     assert discovery.read_list(said | {"instances": []}, names)[1:] == (io.Listed(io.News.FULL, 3, ()), {}, {})
     for broken in ({"instances": None}, {"generation": "x"}, {"reset": None} | {"generation": []}):
         with pytest.raises(discovery.BadList):
