An attempt's first byte goes out after one last look: client, server, time for repeats

Seen by reading: connected() wrote the first line whatever had come between the dial and its coming up (a server told to drain, gone or replaced under its name; the end of the time in which repeats are known), and a client's end that lay behind other events in the queue kept nobody from sending. A leg whose connection never came up counted as one that may have run: a call that must not run twice was answered ERR, not BUSY. Mended in Reducer.connected/too_late/end_leg, Workers.must_not_begin (the kernel is asked whether the client is still there) and decide.remembered_until (Send.by).

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -392,7 +392,14 @@
         return False                         # no server takes it: the fault is the call's, perhaps ill will
     if not ran or call.type.effect is not Effect.REFERENCED:
         return not ran or call.type.effect is Effect.REPEATABLE
-    return now <= ran[0].sent + call.type.remembered_for
+    return now < remembered_until(call)
+
+
+def remembered_until(call):
+    """How long a repeat is known as one, from when the first leg that may have run was decided on; 0: no
+    matter. A leg decided on in time may come up late, so the front keeps to it as well."""
+    ran = may_have_run(call)
+    return ran[0].sent + call.type.remembered_for if ran and call.type.effect is Effect.REFERENCED else 0
 
 
 def may_go_to(call, host):
@@ -481,7 +488,7 @@
                 yield io.Probe(host.name)
                 continue                     # chosen again, with what the probe told
             self.records.put(call.key, host, self.now)
-            result = yield io.Send(call.id, host.name, until)
+            result = yield io.Send(call.id, host.name, until, remembered_until(call))
             if isinstance(result, io.Accepted):
                 result = yield None          # it stands; its end closes the call
             if result.ending is Ending.MOOT:
--- a/cottonspread/interface.py
+++ b/cottonspread/interface.py
@@ -232,6 +232,7 @@
     call: object
     host: object
     until: int                       # time of the clock
+    by: int = 0                      # its first byte may go out until then; 0: while the call is open
 
 
 @dataclass(frozen=True)
--- a/cottonspread/lab/sim/node.py
+++ b/cottonspread/lab/sim/node.py
@@ -365,6 +365,9 @@
         promises = self.node.fleet.promises
         match effect:
             case ev.Write(end=end, data=data):
+                if effect.attempt and (why := self.must_not_begin(effect)):
+                    self.post(ev.Written(end, False, why=why))
+                    return
                 promises.writes(self, end, data)
                 worker.write(data)
             case ev.Finish(end=end):
@@ -378,6 +381,13 @@
                 end.worker = None
                 worker.free()
 
+    def must_not_begin(self, effect):
+        """As the writer looks: see `Workers.must_not_begin`."""
+        client = effect.end.conn.client.worker
+        if client is None or client.side.ended or client.side.broke:
+            return "client-gone"
+        return "too-late" if effect.by and self.clock() >= effect.by else ""
+
     def said(self, effect):
         if effect.event == "closed":
             self.ended[effect.pairs["reason"]] += 1
--- a/cottonspread/net/events.py
+++ b/cottonspread/net/events.py
@@ -49,6 +49,7 @@
     end: End
     ok: bool
     at: int = 0                    # when the kernel took it; 0: not known
+    why: str = ""                  # an attempt of which nothing was sent: "client-gone" or "too-late"
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,6 +167,14 @@
 class Write:
     end: End
     data: bytes
+    attempt: bool = False          # the first line of an attempt: it goes out only while its client is there
+    by: int = 0                    # and not later than this; 0: whenever
+
+
+@dataclass(frozen=True, slots=True)
+class Drain:
+    """Read to the other side's end and drop what comes: `Over` follows. For an end that was closed from here."""
+    end: End
 
 
 @dataclass(frozen=True, slots=True)
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -47,7 +47,10 @@
     number: int
     host: "Server"
     until: int
+    by: int = 0                    # its first byte may go out until then; 0: while the call is open
+    address: tuple = None          # where it was dialled
     end: ev.End = None
+    begun: bool = False            # its first line has been given to the workers
     written: bool = False          # its first line's last byte is out
     up: bool = False
     ended: bool = False
@@ -182,7 +185,7 @@
     def do(self, action):
         match action:
             case io.Send():
-                self.send(action.call, action.host, action.until)
+                self.send(action.call, action.host, action.until, action.by)
             case io.Reject():
                 self.answer(action.call, lines.busy(action.come_back), "rejected")
             case io.Release():
@@ -281,7 +284,7 @@
         self.tell(io.Arrived(conn, opening.type, left, opening.key, opening.group, opening.tenant, opening.load,
                              opening.returned, opening.held_by))
         if host is not None:
-            self.open_leg(conn, host, conn.guard, STANDING_WAIT // 4)
+            self.open_leg(Leg(conn, len(conn.legs), host, conn.guard), STANDING_WAIT // 4)
 
     def turns_away(self, conn):
         """The reason code, or "". Stopping: the client could as well have come to the successor, if there is one. Drained: the
@@ -339,8 +342,8 @@
 
     # Legs
 
-    def send(self, conn, name, until):
-        leg = Leg(conn, len(conn.legs), self.server(name), until)
+    def send(self, conn, name, until, by):
+        leg = Leg(conn, len(conn.legs), self.server(name), until, by)
         out = [other for other in conn.legs if not other.ended]
         if (conn.answered or conn.up or self.hurries() or until <= self.now or leg.number >= conn.most_legs
                 or out and not self.begin.legs.two_at_once):
@@ -351,10 +354,10 @@
             conn.legs.append(leg)
             self.end_leg(leg, Ending.CONNECT_FAILED)
             return
-        self.open_leg(conn, leg.host, until, min(self.hearing.connect_wait, until - self.now))
+        self.open_leg(leg, min(self.hearing.connect_wait, until - self.now))
 
-    def open_leg(self, conn, host, until, wait):
-        leg = Leg(conn, len(conn.legs), host, until)
+    def open_leg(self, leg, wait):
+        conn, host, until, leg.address = leg.conn, leg.host, leg.until, leg.host.address
         conn.legs.append(leg)
         leg.end = ev.End(False, conn, leg)
         self.ends += 1
@@ -389,15 +392,40 @@
         elif leg.ended:
             e.end.over = True                # given up while it came up: nothing was sent
             self.free(e.end)
+        elif why := self.too_late(leg):
+            e.end.over = True
+            self.free(e.end)
+            self.not_begun(leg, why)
         else:
-            opening = leg.conn.opening
+            opening, leg.begun = leg.conn.opening, True
             line = opening.line if not opening.wait else lines.onward(opening.line, leg.until - self.now)
-            self.write(leg.end, line)
+            leg.end.writing = self.now or 1
+            self.out.append(ev.Write(leg.end, line, attempt=True, by=leg.by))
+
+    def too_late(self, leg):
+        """The one look before an attempt's first line goes out: why it must not, or "". What a connection was dialled for may have
+        passed while it came up: its host drains, is gone or is another by now, or its repeats are not known as such any more."""
+        if leg.conn.opening.held_by is not None:         # it stands there already
+            return ""
+        entry, server = self.entries.get(leg.host.name), self.servers.get(leg.host.name)
+        if entry is None or entry.state is not io.State.UP or server is None or server.address != leg.address:
+            return "host-drains"
+        return "too-late" if leg.by and self.now >= leg.by else ""
+
+    def not_begun(self, leg, why):
+        """Its connection came up and nothing was sent on it, so the call may go elsewhere; too late, it may go nowhere."""
+        if not leg.ended:
+            self.out.append(ev.Say("not-sent", {"host": leg.host.name, "why": why}))
+        self.end_leg(leg, Ending.CONNECT_FAILED if why == "host-drains" else Ending.MOOT)
 
     def end_leg(self, leg, ending, broken=False):
         """What comes late from an ended leg is dropped."""
         if leg.ended:
             return
+        # A leg that was given up before its line went to the workers cannot have run: a call that must not run twice was answered
+        # as failed, though it had never been sent.
+        if not leg.begun and leg.conn.opening.held_by is None:
+            ending = {Ending.TIMEOUT: Ending.CONNECT_FAILED, Ending.CANCELLED: Ending.MOOT}.get(ending, ending)
         leg.ended = True
         self.leave_host(leg)
         conn = leg.conn
@@ -638,6 +666,10 @@
         elif not e.ok:
             if end.client:
                 self.client_over(conn, "reset")
+            elif e.why == "client-gone":     # its own end comes as well, perhaps behind much else
+                self.client_over(conn, "end")
+            elif e.why:
+                self.not_begun(end.leg, e.why)
             elif not end.leg.written:
                 self.end_leg(end.leg, Ending.CONNECT_FAILED)
             else:
@@ -850,7 +882,7 @@
             return
         opening = lines.Opening(b"", one.id, number, 0, one.key, one.group, one.tenant, one.load, held_by=one.host)
         conn = Conn(e.client, one.began, opening, self.begin.types[number], up=True, setup=one.setup, counted=True)
-        leg = Leg(conn, 0, self.server(one.host), 0, e.host, written=True, up=True, heard=Heard(load=one.load))
+        leg = Leg(conn, 0, self.server(one.host), 0, end=e.host, begun=True, written=True, up=True, heard=Heard(load=one.load))
         leg.heard.waiting.extend(one.waiting)
         conn.legs.append(leg)
         e.client.conn = e.host.conn = conn
--- a/cottonspread/net/workers.py
+++ b/cottonspread/net/workers.py
@@ -7,6 +7,7 @@
 import errno
 import logging
 import queue
+import select
 import socket
 import struct
 import threading
@@ -32,6 +33,19 @@
     sock.setsockopt(socket.SOL_SOCKET, lines.SO_TIMESTAMPNS, 1)
 
 
+def gone(sock):
+    """Whether the other side has ended its sending or broken, whatever still lies here unread. Asked of the kernel, without waiting."""
+    look = select.poll()
+    look.register(sock, select.POLLIN | select.POLLRDHUP)
+    ready = dict(look.poll(0)).get(sock.fileno(), 0)
+    if ready & (select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL):
+        return True
+    try:
+        return bool(ready & select.POLLIN) and not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:                  # its reader was first
+        return False
+
+
 def start_thread(target, *args, stack=STACK):
     """Raises RuntimeError if there is none to be had."""
     threading.stack_size(stack)
@@ -175,7 +189,11 @@
                 continue
             try:
                 if isinstance(effect, ev.Write):
-                    self.write(worker.sock, effect)
+                    why = self.must_not_begin(effect) if effect.attempt else ""
+                    if why:
+                        self.post(ev.Written(effect.end, False, why=why))
+                    else:
+                        self.write(worker.sock, effect)
                 elif isinstance(effect, ev.Free):     # behind the others: no order may meet a number used again
                     if worker.gatherer is not None and worker.gatherer.gone:
                         worker.sock.close()           # its thread looks up only when something comes to the new owner
@@ -191,6 +209,17 @@
                 if isinstance(effect, ev.Write):
                     self.post(ev.Written(effect.end, False))
 
+    def must_not_begin(self, effect):
+        """What the reducer could not know yet when it ordered an attempt's first line: its client has left, which lies in the queue
+        behind much else on a busy node, or its time has passed meanwhile. The reason, or ""."""
+        client = effect.end.conn.client.worker
+        try:
+            if client is None or gone(client.sock):
+                return "client-gone"
+        except OSError:                      # given back just now
+            return "client-gone"
+        return "too-late" if effect.by and self.clock() >= effect.by else ""
+
     def write(self, sock, effect):
         try:
             sent = sock.send(effect.data, socket.MSG_DONTWAIT)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -3,7 +3,7 @@
 Settings as in tests/test_scenarios.py; TIME EVENT ARGS with these events:
   list changes|full|saved HOST[:WORD=VALUE]    discovery has spoken       down     discovery fails
   came C                  a client connects    got END TEXT [| TEXT]      whole lines come; half: and part of one more
-  up H, fail H            a connect's result   wrote END [broken]         a write held by `hold END` is done
+  up H, fail H            a connect's result   wrote END [broken|WHY]     a write held by `hold END` is done (not begun: WHY)
   over END [how]          nothing more comes   stop [handed] [heir], tick SIGTERM (a successor takes new ones, and standing ones); time passes
   passed C taken|left|again                    what became of a connection passed on (again: it was just being read)
   adopt C H ID TYPE HOST [KEY [LOAD]]          a standing connection of the process before this one
@@ -114,11 +114,11 @@
             elif isinstance(effect, ev.Write) and end in self.writing and self.names[end] not in self.held:
                 self.written(end, True)
 
-    def written(self, end, ok):
+    def written(self, end, ok, why=""):
         self.writing.discard(end)
         if ok and not end.client:
             self.whole.add(end)
-        self.step(ev.Written(end, ok))
+        self.step(ev.Written(end, ok, why=why))
 
     def recount(self):
         """The figures from what went over the connections, without the node's own count."""
@@ -147,7 +147,8 @@
             case "list":
                 listed = io.Listed(io.News.SAVED if args[0] == "saved" else io.News[args[0].upper()], 1,
                                    tuple(entry(word) for word in args[1:]))
-                self.step(ev.Heard(listed, {e.host: (e.host, 80) for e in listed.entries}))
+                ports = {word.partition(":")[0]: pairs(word.partition(":")[2].split(",")).get("port", 80) for word in args[1:]}
+                self.step(ev.Heard(listed, {e.host: (e.host, int(ports[e.host])) for e in listed.entries}))
             case "down":
                 self.step(ev.ListFailed())
             case "came":
@@ -163,7 +164,7 @@
                 self.held.add(args[0])
             case "wrote":
                 self.held.discard(args[0])
-                self.written(end, "broken" not in args)
+                self.written(end, len(args) == 1, "".join(args[1:]).replace("broken", ""))
             case "passed":
                 effect, self.away = self.away, None
                 assert effect.client is end
