The list is heard of within 6 s whatever failed: shorter watches, one bound on waits, a pause cut short

Seen by reading: a watch silent from its first byte ran 5.5 s, then a pause and a connection: 6 s were over with a late node. Where the list is asked for, the module waited up to 20 s after a failed call (AskEvery 10 s, twice that), which the terms now in force end: what the list has counts as told 6 s after it could be reached, whatever failed. SIGHUP during a pause waited for its end. A 503 was asked again at once on a kept connection. The known list was believed before the agent was asked, though what it has counts from the first moment of a process. Now 3 s a watch, 4.5 s at most from a failed call's begin to the next, 0.5 s for a connection.

--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -175,6 +175,8 @@
 class Membership:
     """The servers that the list names, and the asking where it must be asked."""
 
+    LONGEST_WAY = 9 * SECOND // 2  # from a call that fails to the next: after 6 s a change counts as told
+
     def __init__(self, chance, weights_move):
         self.chance, self.hosts, self.failures = chance, {}, 0
         self.weights_move, self.nominal = weights_move, {}
@@ -225,11 +227,13 @@
             if host.entry.state is State.GONE and not host.legs:
                 self.hosts.pop(host.name, None)
 
-    def wait_to_ask(self):
-        """Spread over the time in which each node is to ask once, then over twice that: an overbooked list
-        answers nobody in time while nodes that it turned away ask again sooner than it takes all of them."""
+    def wait_to_ask(self, took):
+        """Spread over the time in which each node is to ask once, as far as a change that the list has by now
+        allows, then late in it: an overbooked list answers nobody in time while nodes ask again at once."""
         self.failures += 1
-        return self.chance.below(max(self.every, SECOND) << (self.failures > 1))
+        most = max(SECOND, min(self.every, self.LONGEST_WAY - took))
+        least = max(0, most * 3 // 4 - took) if self.failures > 1 else 0
+        return least + self.chance.below(most - least)
 
 
 class Health:
@@ -840,7 +844,7 @@
 
     def listed(self, e):
         if e.news is News.FAILED:
-            self.out.append(io.Timer(self.membership.wait_to_ask(), "ask"))
+            self.out.append(io.Timer(self.membership.wait_to_ask(e.took), "ask"))
             return
         self.membership.failures = 0
         lost, started, new = self.membership.read(e)
--- a/cottonspread/interface.py
+++ b/cottonspread/interface.py
@@ -144,6 +144,7 @@
     news: News
     version: int = 0
     entries: tuple = ()
+    took: int = 0                    # of one that failed: how long it was waited for
 
 
 @dataclass(frozen=True)
--- a/cottonspread/net/discovery.py
+++ b/cottonspread/net/discovery.py
@@ -71,26 +71,49 @@
 
 
 class Discovery:
-    """Follows the list and posts what it tells; a call that fails or hangs costs a pause and no entry."""
-    WATCH_MS = 4000                # a watch that hangs is given up this and the spare after it was begun
-    SPARE = 1.5
+    """Follows the list and posts what it tells; a call that fails or hangs costs a pause and no entry.
+
+    A change counts as told 6 s after discovery had it and could be reached, whatever failed in between. The longest way to it: a call
+    that went silent just before runs out (WATCH_MS + SPARE, 3 s), the pause after it (1 s at most, where the list is asked for as long
+    as the module says, 1.5 s at most), a connection that is not answered at first (CONNECT, 0.5 s), the answer: 5 s, and 1 s is left
+    for a node that is late itself."""
+    WATCH_MS = 2000                # a watch that hangs is given up this and the spare after it was begun
+    SPARE = 1.0
+    WHOLE = 2.0                    # seconds for the whole list
+    FIRST = 1.0                    # the same at the start, where a known list waits for it
+    CONNECT = 0.5
     PAUSE, LONGEST_PAUSE = 0.05, 1.0
     LOWER = 3                      # whole lists in a row with a lower version: discovery itself began anew
 
     def __init__(self, address, names, post, version, ask=False, keep=None, known=False):
-        self.http, self.names, self.post = Http(address, 1.0), names, post
+        self.http, self.names, self.post = Http(address, self.CONNECT), names, post
         # Where each call counts, a list that is known is watched from its version on: to ask for all of it first is a second call,
         # and in a release most of a fleet asked for both, of a discovery that had room for neither.
         self.version, self.whole, self.lower, self.failures = version, not known, 0, 0
-        self.ask, self.wanted, self.stopped = ask, threading.Event(), False
+        self.ask, self.wanted, self.stopped, self.waiting = ask, threading.Event(), False, None
+        self.hurry = threading.Event()       # the pause that is on, or the next, is cut short
         self.told, self.unread = {}, {}      # the last word on each server; entries that could not be read
         self.keep = keep                     # is given each list as JSON, once it has been posted
         self.target = self.http              # what is to be followed from now on
 
     def follow(self, address):
         """From another thread: what the new address tells counts at once, so no watch at the old one is waited for."""
-        self.target = Http(address, 1.0)
+        self.target = Http(address, self.CONNECT)
         self.http.give_up()
+        self.hurry.set()
+
+    def begin(self, listed, addresses, unread, trusted):
+        """The list that a process begins with. Unless it is `trusted`, discovery is asked first, for what it has counts from the first
+        moment; once it has failed to answer, the known list is what there is."""
+        self.take(listed, addresses, unread)
+        self.waiting = events.Heard(listed, addresses)
+        if trusted:
+            self.trust()
+
+    def trust(self):
+        waiting, self.waiting = self.waiting, None
+        if waiting:
+            self.post(waiting)
 
     def move(self):
         """The list is kept until the new address has told the whole of it, whatever version that begins with."""
@@ -106,21 +129,24 @@
                 break
             pause = self.turn()
             if pause:
-                time.sleep(pause)
+                self.hurry.wait(pause)
         self.http.close()
 
     def turn(self):
         """One call. How many seconds to wait before the next."""
         if self.http is not self.target:
             self.move()
+        self.hurry.clear()
+        began = time.monotonic()
         try:
             self.once()
             self.failures = 0
             return 0
         except Exception as fault:
-            if self.http is not self.target:
+            if self.http is not self.target or self.stopped:
                 return 0
             self.failures += 1
+            self.trust()
             if not isinstance(fault, (OSError, ValueError)):           # our own: in plain sight, and the list lives on
                 log.exception("fault")
             # What cannot be read would come again: the whole list mends it.
@@ -129,13 +155,13 @@
                 log.warning("discovery-fails", extra={"pairs": {"why": fault, "times": self.failures}})
             if self.ask:                     # the module is told and asks again in its own time
                 self.wanted.clear()
-            self.post(events.ListFailed())
+            self.post(events.ListFailed(round((time.monotonic() - began) * 1_000_000)))
             return min(self.PAUSE * 2 ** min(self.failures, 10), self.LONGEST_PAUSE)
 
     def call(self):
         """What the next call asks for, and how many seconds it may take."""
         if self.whole:
-            return "/api/targets", 2.0
+            return "/api/targets", self.FIRST if self.waiting else self.WHOLE
         return f"/api/targets?since={self.version}&timeout_ms={self.WATCH_MS}", self.WATCH_MS / 1000 + self.SPARE
 
     def once(self):
@@ -155,7 +181,7 @@
             return                           # nothing new
         elif self.whole and not full:
             raise BadList("changes where the whole list was asked")
-        self.version, self.whole, self.lower = version, False, 0
+        self.version, self.whole, self.lower, self.waiting = version, False, 0, None
         self.take(listed, addresses, unread)
         self.post(events.Heard(listed, addresses))
         if self.keep:
@@ -176,3 +202,5 @@
     def stop(self):
         self.stopped = True
         self.wanted.set()
+        self.hurry.set()
+        self.http.give_up()
--- a/cottonspread/net/http.py
+++ b/cottonspread/net/http.py
@@ -9,6 +9,10 @@
     """What came back is no HTTP answer that can be used."""
 
 
+class BadStatus(BadAnswer):
+    """A whole answer that says no: to ask again at once would only be turned down again."""
+
+
 class Http:
     """Keeps its connection from one call to the next where the other side allows it."""
 
@@ -36,6 +40,8 @@
         try:
             try:
                 return self.call(path, wait)
+            except BadStatus:
+                raise
             except (ConnectionError, BadAnswer):
                 # Only a kept connection may have been closed in the meantime, which tells nothing.
                 if not kept or self.sock is None or self.rest or self.given_up:
@@ -63,7 +69,7 @@
         if not keep:
             self.close()
         if status != 200:
-            raise BadAnswer(f"status {status}")
+            raise BadStatus(f"status {status}")
         return body
 
     def more(self):
