One way to end a client's connection, and an end of the process that leaves nobody unheard

Seen by reading: a client turned out was cut at once, over bytes that might come just then (a reset, and the last line with it); one turned away at the door was read once and closed; a first line over 4 KiB had no answer; closing the listener reset whoever was in its queue; a connection accepted and not yet known to the reducer at the end went unanswered; a first line that crossed the end of a resting connection was answered as failed; SIGTERM stood behind all events in the queue, and one during the start killed the process; the end was noticed up to 0.1 s late. Now every client is ended by a half-close and read to its end (Drain, at a bounded pace; Closer at the door), for a second and never with the last descriptors; the accepting thread turns away who is left in the queue; SIGTERM goes first and is taken from the first moment.

--- a/cottonspread/cli/node.py
+++ b/cottonspread/cli/node.py
@@ -46,21 +46,24 @@
 
 
 def serve(path, operators=None):
+    def ask_to_stop(node, force):
+        follows.stop(node, force) if follows else node.stop()
+
     asked = queue.SimpleQueue()              # by signals, which may come while one is being dealt with
     signal.signal(signal.SIGHUP, lambda *_: asked.put(reload))
+    for number in (signal.SIGTERM, signal.SIGINT):           # from the first moment: one that came during the start killed it
+        signal.signal(number, lambda *_: asked.put(ask_to_stop))
     force = InForce(path)
     parts, listener = list(force.parts), None
     if os.environ.get("PROXY_INHERITED_FD"):
         from cottonspread.cli import succession              # what a node that owns its listener need not load
         listener = succession.inherited(os.environ)
-    own = operator(operators)
+    follows, own = None, operator(operators)
     write_out = logfmt.start(parts[0].name, own[0].level.upper(), own[0].format) if own else logfmt.start(parts[0].name)
     manager, told = notify.Manager(), False
     try:
         follows = succession.Succession(parts) if listener else None
-        node = Node(*parts, keep=follows and follows.known.keep)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: asked.put(follows.stop if follows else stop))
+        node = Node(*parts, keep=follows and follows.known.keep, ended=lambda: asked.put(lambda node, force: None))
         node.start(listener)
         while not node.join(0):
             if follows:
@@ -81,11 +84,6 @@
         write_out()
 
 
-def stop(node, force):
-    """SIGTERM, where the listener is the node's own."""
-    node.stop()
-
-
 class InForce:
     """The configuration that the node runs under: `values` as the file in force has them, `parts` as the node started with them."""
 
--- a/cottonspread/lab/sim/node.py
+++ b/cottonspread/lab/sim/node.py
@@ -36,7 +36,7 @@
 
     def __init__(self, process, end, side=None):
         self.process, self.end, self.side, self.number = process, end, side, process.next_number()
-        self.reading, self.cut, self.broken = False, False, False
+        self.reading, self.cut, self.broken, self.draining = False, False, False, False
         self.decided = side is not None      # whether it came up is known
         self.gone = self.borrowed = False    # its socket is another process's; or is that one's still
         self.buffer, self.since, self.rest = bytearray(), 0, b""     # `rest` of a write that waits for room
@@ -50,6 +50,11 @@
         self.reading = True
         self.look()
 
+    def drain(self):
+        """What comes is dropped, up to the other side's end."""
+        self.draining = True
+        self.read()
+
     def arrived(self, side):
         self.process.world.after(self.process.draws.below(HOP), self.look)
 
@@ -58,7 +63,9 @@
         side, process = self.side, self.process
         if not self.reading or self.gone or process.dead or process.world.now < process.frozen:
             return
-        while True:
+        while self.draining and side.inbox:
+            side.take()
+        while not self.draining:
             took = side.take(SIZE - len(self.buffer)) if side.inbox else b""
             if not took:
                 break
@@ -78,8 +85,8 @@
         if side.broke:
             self.over("reset")
         elif side.ended or self.cut:
-            self.over("half-line" if self.buffer else "end")
-        elif self.buffer:
+            self.over("half-line" if self.buffer and not self.draining else "end")
+        elif self.buffer and not self.draining:
             process.world.at(self.since + HALF_LINE_WAIT * SECOND, self.too_old, self.since)
 
     def too_old(self, since):
@@ -223,10 +230,9 @@
         self.door = Door(door_target(begin))
         self.discovery = discovery.Discovery(place.discovery, names, self.post, version, begin.listing.ask, node.keep,
                                              may_watch(begin, listed, shared))
-        self.discovery.take(listed, addresses, unread)
         self.reducer = Reducer(self.clock(), begin, names, hearing, self.most, *node.fleet.policy)
         self.caller = node.agent.serve(self)
-        self.post(ev.Heard(listed, addresses))
+        self.discovery.begin(listed, addresses, unread, trusted=begin.listing.ask or node.keep is not None)
         self.wake()
 
     def next_number(self):
@@ -328,6 +334,8 @@
         match effect:
             case ev.Read(end=end):
                 world.after(self.draws.below(HOP), self.alive, end.worker.read)
+            case ev.Drain(end=end):
+                world.after(self.draws.below(HOP), self.alive, end.worker.drain)
             case ev.Connect():
                 worker = Worker(self, effect.end)
                 self.live[worker] = None
--- a/cottonspread/lab/sim/seam.py
+++ b/cottonspread/lab/sim/seam.py
@@ -36,7 +36,7 @@
             case ev.Connect(end=end):
                 self.need(end not in self.ends and not end.client, who, "an end connected twice, or a client's", effect)
                 self.ends[end] = EndState(True)
-            case ev.Read(end=end):
+            case ev.Read(end=end) | ev.Drain(end=end):
                 state = self.known(who, end, effect)
                 self.need(not state.reading and not state.connecting, who, "two reads at a time, or one before it is up", effect)
                 state.reading = True
@@ -79,7 +79,7 @@
             case ev.Over(end=end):
                 state = self.known(who, end, event)
                 self.need(state.reading, who, "an end that nobody asked for", event)
-                state.reading, state.over = False, True
+                state.reading, state.over = False, not event.how.endswith("-line")
             case ev.Written(end=end):
                 state = self.known(who, end, event)
                 self.need(state.writing, who, "a write that nobody ordered", event)
--- a/cottonspread/net/events.py
+++ b/cottonspread/net/events.py
@@ -77,7 +77,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ListFailed:
-    pass
+    took: int = 0                  # microseconds that the call was out
 
 
 @dataclass(frozen=True, slots=True)
@@ -190,6 +190,11 @@
     broken: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Quit:
+    """The process is about to end: what lies unread on any socket is taken, behind all that was written."""
+
+
 @dataclass(frozen=True, slots=True)
 class Free:
     """Give the socket back: nothing is out on this end any more."""
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -16,6 +16,7 @@
 from cottonspread.interface import News
 from cottonspread.net import admin, discovery, lines, passing, workers
 from cottonspread.net import events as ev
+from cottonspread.net.closing import Closer
 from cottonspread.net.pool import Pool
 from cottonspread.net.reducer import Reducer
 
@@ -24,6 +25,7 @@
 QUEUE = 4096                       # events; workers wait when it is full
 BACKLOG = 1024
 ROOM_WAITS = 25                    # times 2 ms that a client waits for a descriptor to be given back
+LOOK = 0.1                         # seconds between two looks of the accepting thread whether the node ends
 # How a call ends that was lost or turned away: what an upgrade may not bring more of (docs/on-call.md)
 BADLY = {"fault", "overdue", "released", "rejected", "no-room", "no-room-at-all", "node-late", "held-by-lost", "stuck", "unknown"}
 NO_CALL = {"ping", "no-first-line", "not-ready"}
@@ -74,21 +76,22 @@
 class Node:
     """`start` returns once the node listens; `stop` asks it to end its work; `join` waits until it has."""
 
-    def __init__(self, place, room, names, hearing, begin, known, keep=None):
-        """`keep(version, instances, whole)`, if given, is told each list as JSON, in the discovery's thread."""
+    def __init__(self, place, room, names, hearing, begin, known, keep=None, ended=lambda: None):
+        """`keep(version, instances, whole)`, if given, is told each list as JSON, in the discovery's thread; `ended()` is called once,
+        when all is done."""
         self.place, self.room, self.clock = place, room, Clock()
         self.events, self.done = queue.Queue(QUEUE), threading.Event()
         self.most = self.all = most_ends(room, place.operator)
-        self.workers = workers.Workers(Pool(), self.post, self.clock.now, self.done.set)
+        self.workers = workers.Workers(Pool(), self.post, self.clock.now, lambda: (self.done.set(), ended()))
         self.lock, self.door = threading.Lock(), Door(door_target(begin))
         version, listed, addresses, unread = discovery.read_list(known, names, News.SAVED)
         self.discovery = discovery.Discovery(place.discovery, names, self.post, version, begin.listing.ask, keep,
                                              may_watch(begin, listed, keep is not None))
-        self.discovery.take(listed, addresses, unread)
         self.reducer = Reducer(self.clock.now(), begin, names, hearing, self.most)
-        self.post(ev.Heard(listed, addresses))
+        self.discovery.begin(listed, addresses, unread, trusted=begin.listing.ask or keep is not None)
         self.listener, self.ending, self.shared, self.steps, self.ended = None, False, False, 0, Counter()
-        self.wake, self.accepting, self.finished = None, None, False
+        self.closed, self.closer = threading.Event(), Closer(lambda: max(SPARE_ENDS // 4, self.most - len(self.workers.live)))
+        self.wake, self.accepting, self.finished, self.full_until = None, None, False, 0
         self.admin, self.urgent = None, queue.SimpleQueue()  # `urgent`: events that no full queue may hold up
         self.giver = None                    # passes standing connections on
 
@@ -107,6 +110,7 @@
         log.info("listening", extra={"pairs": {"address": "%s:%d" % self.listener.getsockname()[:2],
                                                "most_ends": self.most}})
         self.workers.start()
+        workers.start_thread(self.closer.run)
         if self.admin:
             workers.start_thread(self.admin.run, stack=workers.WIDE)
         for target in (self.loop, self.discovery.run) if self.shared else (self.loop, self.discovery.run, self.accept):
@@ -232,7 +236,8 @@
                 "bad": sum(n for reason, n in ended.items() if reason in BADLY)}
 
     def stop(self):
-        self.post(ev.StopAsked())
+        """Before all that waits: the platform's time runs from here, whatever lies in the queue."""
+        self.hasten(ev.StopAsked())
 
     def join(self, wait=None):
         return self.done.wait(wait)
@@ -292,24 +297,45 @@
             if self.wake:
                 self.wake[1].send(b"x")
         else:
-            try:
-                self.listener.shutdown(socket.SHUT_RDWR)      # wakes `accept`
-            except OSError:
-                pass
-            self.listener.close()
+            self.closed.wait(2 * LOOK)       # nobody is left in its queue
+        self.turn_away_last()
         self.workers.writes.put(None)        # the last answers go out before the process may end
 
     def accept(self):
+        """Until the end, and then whoever is still in the queue: closed over them it would reset connections on which a whole
+        first line may lie. A shutdown of the listener, which would wake this thread, does that too; so it looks now and then."""
+        self.listener.settimeout(LOOK)
         while not self.ending:
             try:
                 sock, _ = self.listener.accept()
+                self.accepted(sock)
+            except TimeoutError:
+                pass
             except OSError as fault:
-                if self.ending:
-                    return
                 log.warning("accept", extra={"pairs": {"why": errno.errorcode.get(fault.errno, str(fault))}})
                 time.sleep(0.05)             # no descriptors: some will be given back
-                continue
-            self.accepted(sock)
+        self.listener.settimeout(0)
+        try:
+            while True:
+                self.turn_away(self.listener.accept()[0], "stopping", self.reducer.come_back())
+        except OSError:                      # nobody is left
+            pass
+        self.listener.close()
+        self.closed.set()
+
+    def turn_away_last(self):
+        """After the last step: who was accepted and is not known to the reducer, then what lies unread on any socket. The process
+        closes them all as it ends, and over unread bytes a close is a reset that takes the last line with it."""
+        while True:
+            try:
+                event = self.events.get_nowait()[1]
+            except queue.Empty:
+                break
+            if isinstance(event, ev.Came) and event.end.worker is not None:
+                self.workers.carry_out(ev.Write(event.end, lines.busy(self.reducer.come_back())))
+                self.workers.carry_out(ev.Finish(event.end))
+        self.workers.carry_out(ev.Quit())
+        self.closer.stop()
 
     def accept_shared(self):
         poll = select.poll()
@@ -344,10 +370,13 @@
             return
         end = ev.End(True)
         # What has come and is not yet in the reducer's count: hundreds at once would pass the limit.
-        waits = ROOM_WAITS
+        # Each waits for itself, and one after the other they kept usual clients in the queue: after one that waited in vain, none does.
+        waits = ROOM_WAITS if self.clock.now() >= self.full_until else 1
         while waits and len(self.workers.live) >= self.most + SPARE_ENDS // 2:
             waits -= 1
             time.sleep(0.002)                # the reducer turns out who says nothing
+        if not waits:
+            self.full_until = self.clock.now() + ROOM_WAITS * 2000
         if not waits or not self.workers.begin(end, sock):
             self.turn_away(sock, "no-room-at-all", 0)
             return
@@ -362,8 +391,8 @@
             pass
         try:
             self.reducer.figures.turned_away(lines.type_named(sock.recv(4096, socket.MSG_DONTWAIT)))
-        except OSError:                      # unread, it would make the end a reset
+        except OSError:                      # it has not come yet
             pass
-        sock.close()
+        self.closer.take(sock)
         self.ended[reason] += 1
         log.info("closed", extra={"pairs": {"reason": reason}})
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -7,6 +7,7 @@
 import heapq
 from collections import deque
 from dataclasses import dataclass, field
+from itertools import islice
 
 from cottonspread import interface as io
 from cottonspread.decide import Balancer
@@ -26,6 +27,7 @@
 WAITING_PART = 5                   # one part in so many of all ends, at most, is clients without a first line
 LONGEST_WAIT = 10                  # times the longest guard time: a client that says it waits longer is wrong
 LINGER = SECOND                    # what the other side gets to end its half of a closed connection
+LINGERING_FROM = 10                # nobody is waited for so once all ends but one part in so many are taken
 HANG = SECOND // 2                 # no pause of a sound host is so long
 ENDED_IDS = 2000                   # ids of ended calls that are remembered
 STUCK = 3 * SECOND                 # a peer that takes nothing for so long is given up
@@ -33,6 +35,7 @@
 # line may be two seconds later.
 SILENT = 9 * SECOND // 2
 COMING = SECOND // 2               # new connections go on coming for so long after SIGTERM, or after a PING that was not answered yes
+LAST_LOOK = SECOND * 2 // 5        # after the last answers; of the 0.7 s until SIGKILL 0.3 s are left for the end itself
 DRAINED = 3 * SECOND               # a drained node holds no client by then: its front gives it 4 s
 STANDING_WAIT = 40 * SECOND        # for a connection that was open before the start
 PROBE_WAIT = SECOND // 4           # a host that takes longer to tell its load is no place for a new call
@@ -75,7 +78,6 @@
     setup: int = 0
     pings: int = 0
     counted: bool = False          # its final answer, among the figures
-    rude: bool = False             # no usual client: it is cut off, and what it still sends is not read
 
 
 @dataclass(eq=False)
@@ -103,6 +105,7 @@
         self.own = Lateness()
         self.servers, self.entries, self.conns, self.ends = {}, {}, {}, 0
         self.unopened = {}                   # clients without a sound first line, the oldest first
+        self.lingering = {}                  # clients that were told the end and have not gone yet, the oldest first
         self.by_id, self.ended_ids = {}, {}  # calls that are open, and ended ones, by the client's word for them
         self.timers, self.stamp = [], 0
         self.asking = set()                  # hosts with a probe under way whose end the module waits for
@@ -216,20 +219,22 @@
         # client's line comes on the heels of its connection, so the oldest of those without one goes.
         while len(self.unopened) >= max(2, self.most_ends // WAITING_PART):
             self.turn_out(next(iter(self.unopened)), "no-first-line")
+        # Who was told the end and does not go keeps a descriptor for a moment, and never the last ones.
+        room = self.most_ends * (LINGERING_FROM - 1) // LINGERING_FROM - self.ends
+        for end in list(islice(self.lingering, max(0, 1 - room))):
+            self.cut(end)
         self.unopened[conn] = None
         self.read(e.end)
 
     def turn_out(self, conn, reason):
-        """The end of one that is no usual client."""
+        """The end of one that is no usual client. Who said nothing may be saying it just now: to come again is harmless."""
         self.unopened.pop(conn, None)
-        conn.rude = True
-        self.finish(conn, conn.reason or reason, lines.ERR)
+        harmless = reason in ("no-first-line", "ping", "stopping")
+        self.finish(conn, conn.reason or reason, lines.busy(self.come_back()) if harmless else lines.ERR)
 
     def got(self, e):
         e.end.reading = False
-        if e.end.client and e.end.conn.rude:
-            self.over(ev.Over(e.end, "end"))
-        elif e.end.closing or e.end.finish:
+        if e.end.closing or e.end.finish:
             self.read(e.end)                 # read to its end, and dropped
         elif not e.end.client:
             self.host_lines(e.end.leg, e.data)
@@ -600,17 +605,26 @@
 
     def over(self, e):
         end, conn = e.end, e.end.conn
-        end.reading, end.over = False, True
+        end.reading, end.over = False, not e.how.endswith("-line")           # after what is no line more may come
         if not end.closing and not end.finish:
             if end.client:
                 self.client_over(conn, e.how)
             else:
                 self.host_over(end.leg, e.how)
-        if not end.writing:
+        if not end.over:
+            self.read(end)
+        elif not end.writing:
             self.free(end)
 
     def client_over(self, conn, how):
         broken = how == "reset"
+        if how.endswith("-line"):            # it is still there: what it sent is answered, and it is not cut off over unread bytes
+            self.leave(conn, "client-" + how if conn.up else how)
+            if conn.up:
+                self.close(conn.client)
+            else:
+                self.turn_out(conn, how)
+            return
         if conn.up:
             conn.reason = conn.reason or ("client-end" if how == "end" else "client-" + how)
             conn.answered = True
@@ -639,7 +653,7 @@
     def read(self, end):
         if not end.reading and not end.over:
             end.reading = True
-            self.out.append(ev.Read(end))
+            self.out.append(ev.Drain(end) if end.closing else ev.Read(end))
 
     def write(self, end, data):
         if not end.freed:
@@ -696,16 +710,16 @@
         if end.over:
             self.free(end)
             return
-        if end.client and end.conn.rude:     # one that sent on at full speed kept the reader busy until cut off
-            self.out.append(ev.Cut(end))
-        else:
-            self.out.append(ev.Finish(end))
+        self.out.append(ev.Finish(end))
+        if end.client:
+            self.lingering[end] = None
         self.read(end)
 
     def cut(self, end, broken=False):
         if end.freed:
             return
         end.closing = end.closing or self.now
+        self.lingering.pop(end, None)
         if end.worker is not None:
             self.out.append(ev.Cut(end, broken))
         # Its end is noticed by reading: one that was waiting for the other side to take its lines was never
@@ -719,6 +733,7 @@
         if end.freed:
             return
         end.freed = True
+        self.lingering.pop(end, None)
         self.ends -= 1
         self.out.append(ev.Free(end))
         if end.client:
@@ -751,7 +766,7 @@
         late = self.own.most(self.now)
         for conn in list(self.conns):
             self.sweep_end(conn.client)
-            if conn.opening is None and not conn.reason and self.now - conn.began - late > FIRST_WAIT:
+            if conn.opening is None and not conn.reason and self.now - conn.began - late > (COMING if self.stopping else FIRST_WAIT):
                 self.turn_out(conn, "ping" if conn.pings else "no-first-line")
             for leg in conn.legs:
                 if leg.end is not None:
@@ -810,7 +825,7 @@
 
     def list_failed(self, e):
         if self.begin.listing.ask:           # the others are not told, and keep the last list
-            self.tell(io.Listed(io.News.FAILED))
+            self.tell(io.Listed(io.News.FAILED, took=e.took))
 
     # Other settings, and the next process
 
@@ -931,11 +946,12 @@
     def stop(self, e):
         if self.stopping:
             return
+        # The platform's time runs from when it asked, whatever this node was late by.
         longest = min(max(t.guard_time for t in self.begin.types), 3 * SECOND)
-        self.stopping, self.stop_by, self.handed = self.now, self.now + longest + SECOND // 2, e.handed
+        self.stopping, self.stop_by, self.handed = self.now, self.happened + longest + LAST_LOOK, e.handed
         # New connections go on coming here for a while: who is moved now would come back to this node. And in a
         # rolling restart the node before this one is just coming back: who was moved at once found none to take it.
-        last = self.stop_by - SECOND // 2
+        last = self.happened + longest
         first = max(self.now + COMING, self.now + (last - self.now) * 3 // 5)
         if self.draining:                    # who stands here was to be moved by then: nobody is held for longer
             first = max(self.now, self.draining + COMING)
@@ -968,6 +984,8 @@
                 self.hurry(self.leaving)
                 self.tell_module()           # the answers go out before the end is asked for
             for conn in list(self.conns):
+                if conn.opening is None and not conn.reason:         # its first line may come just now, and nobody would read it
+                    self.turn_out(conn, "stopping")
                 self.move(conn, "moved-stopping")
             self.stopped = True
             self.out += [ev.Say("stopped", {"left": len(self.conns)}), ev.Stop()]
--- a/cottonspread/net/workers.py
+++ b/cottonspread/net/workers.py
@@ -23,6 +23,7 @@
 WIDE = 1024 * 1024                 # of the few others: JSON nested a thousand deep needs over 128 KiB, or the node dies
 HALF_LINE_WAIT = 5                 # seconds; a read that waits looks as often whether half a line is too old
 RCVTIMEO = struct.pack("ll", HALF_LINE_WAIT, 0)
+DRAINED_AT_ONCE, DRAIN_PAUSE = 64 * 1024, 0.05           # bytes and seconds: what a closed connection's reader takes in one go
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -67,10 +68,11 @@
                 self.free()
                 return
             try:
-                said = self.read() if isinstance(order, ev.Read) else self.connect(order)
+                said = (self.read() if isinstance(order, ev.Read) else self.drain() if isinstance(order, ev.Drain)
+                        else self.connect(order))
             except Exception:                # our own fault: in plain sight, and the connection ends
                 log.exception("fault", extra={"pairs": {"while": type(order).__name__}})
-                said = ev.Over(self.end, "fault") if isinstance(order, ev.Read) else ev.Connected(self.end, False)
+                said = ev.Connected(self.end, False) if isinstance(order, ev.Connect) else ev.Over(self.end, "fault")
             if said is not None:
                 self.post(said)
 
@@ -98,6 +100,38 @@
         except OSError:
             return ev.Over(self.end, "reset")
 
+    def drain(self):
+        """To the other side's end, at a bounded pace: who sends on at full speed keeps no reader busy. Bytes left unread would make
+        the close a reset, which takes the last line with it. The reducer cuts it off in the end."""
+        if self.gatherer is not None:
+            self.gatherer.drop()
+        try:
+            taken = 0
+            while got := self.read_away():
+                taken += got
+                if taken >= DRAINED_AT_ONCE:
+                    taken = 0
+                    time.sleep(DRAIN_PAUSE)
+        except OSError:
+            pass
+        return ev.Over(self.end, "end")
+
+    def empty(self):
+        """From another thread, as the process ends: what lies here unread is dropped."""
+        try:
+            while self.sock.recv(8192, socket.MSG_DONTWAIT):
+                pass
+        except OSError:                      # all is read, or it has ended
+            pass
+
+    def read_away(self):
+        """Some bytes, dropped; 0 at the end of the connection."""
+        while True:
+            try:
+                return len(self.sock.recv(8192))
+            except BlockingIOError:          # the socket's own time-out has passed
+                pass
+
     def free(self):
         if self.gatherer is not None:
             self.gatherer.drop()
@@ -169,7 +203,7 @@
                 self.writes.put(ev.Connected(effect.end, False, "no-thread"))
                 return
             effect.end.worker.orders.put(effect)
-        elif isinstance(effect, ev.Read):
+        elif isinstance(effect, (ev.Read, ev.Drain)):
             if effect.end.worker is not None:
                 effect.end.worker.orders.put(effect)
         else:
@@ -184,6 +218,10 @@
             if isinstance(effect, (ev.Connected, ev.Asked)):
                 self.post(effect)
                 continue
+            if isinstance(effect, ev.Quit):
+                for worker in list(self.live):
+                    worker.empty()
+                continue
             worker = effect.end.worker
             if worker is None:               # freed already
                 continue
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -72,7 +72,7 @@
                     name = f"h{1 + sum(n[0] == 'h' for n in self.ends)}"
                     self.named(end, name)
                     self.out.append(["connect", name, effect.address[0]])
-                case ev.Read():
+                case ev.Read() | ev.Drain():
                     assert end not in self.reading, f"two reads on {name}"
                     self.reading.add(end)
                 case ev.Write():
