Crossing tests of attempts on loopback; an answer that goes on after its end, or lacks its receipt, is none

BUSY with more behind it was taken for never run, and a call that must not run twice went out again; UP without a receipt was passed on as served.

--- a/cottonspread/net/lines.py
+++ b/cottonspread/net/lines.py
@@ -170,10 +170,13 @@
     return b"BUSY %d\r\n" % (come_back // 1000) if come_back else b"BUSY\r\n"
 
 
-def read_answer(line):
-    """A host's first line: None if the connection is up, else how the leg ended."""
-    word = line.split(None, 1)[0] if line.strip() else b""
-    return None if word == b"UP" else ENDINGS.get(word, Ending.ERROR)
+def read_answer(line, rest=b""):
+    """A host's first line: None if the connection is up, else how the attempt ended. `rest`: what came with it. A host that says it
+    turned the call away, or ended it, and goes on speaking has said nothing that can be relied on."""
+    words = line.split()
+    if not words or words[0] == b"UP":
+        return None if len(words) > 1 else Ending.ERROR      # a receipt belongs to it
+    return Ending.ERROR if rest else ENDINGS.get(words[0], Ending.ERROR)
 
 
 def read_report(line):
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -460,7 +460,7 @@
             self.pass_on(leg, data)
             return
         first, _, rest = data.partition(b"\n")
-        ending = lines.read_answer(first)
+        ending = lines.read_answer(first, rest)
         conn = leg.conn
         if ending is None:
             leg.up = conn.up = conn.counted = True
--- /dev/null
+++ b/tests/crossings/standins.py
@@ -0,0 +1,226 @@
+"""Stand-ins for the crossing tests: a list, hosts and clients on loopback that wait for the test's word, never for a time."""
+import json
+import queue
+import select
+import socket
+import struct
+import threading
+from contextlib import contextmanager
+
+from cottonspread import config
+from cottonspread.net.node import Node
+
+WAIT = 10                              # seconds after which a test has failed
+RESET = struct.pack("ii", 1, 0)
+
+
+class Agent:
+    """The list. Calls are answered from the book, or by the next of `scripted`, functions of a `Call`."""
+
+    def __init__(self, *names, version=1):
+        self.changed, self.version, self.entries, self.news = threading.Condition(), version, {}, []
+        self.scripted, self.calls = queue.SimpleQueue(), queue.SimpleQueue()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = self.listener.getsockname()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def list(self, *hosts, lifecycle="Ready"):
+        for host in hosts:
+            self.entries[host.name] = host.entry | {"lifecycle": lifecycle}
+        return self
+
+    def change(self, host, lifecycle):
+        with self.changed:
+            self.version += 1
+            self.entries[host.name] = host.entry | {"lifecycle": lifecycle}
+            self.news.append((self.version, host.name))
+            self.changed.notify_all()
+
+    def whole(self):
+        return {"generation": self.version, "reset": True, "instances": [e for e in self.entries.values() if e["lifecycle"] != "Gone"]}
+
+    def answer(self, path):
+        with self.changed:
+            if "since=" not in path:
+                return self.whole()
+            since = int(path.split("since=")[1].split("&")[0])
+            self.changed.wait_for(lambda: self.version != since, int(path.split("timeout_ms=")[1]) / 1000)
+            if since > self.version:
+                return self.whole()
+            names = {name for version, name in self.news if version > since}
+            return {"generation": self.version, "reset": False, "instances": [self.entries[name] for name in names]}
+
+    def serve(self, sock):
+        try:
+            with sock, sock.makefile("rb") as file:
+                while line := file.readline():
+                    while file.readline().strip():
+                        pass
+                    call = Call(sock, line.split()[1].decode())
+                    self.calls.put(call)
+                    try:
+                        script = self.scripted.get_nowait()
+                    except queue.Empty:
+                        call.say(ok(self.answer(call.path)))
+                    else:
+                        script(call)
+        except (OSError, ValueError):            # the node was first
+            pass
+
+
+def ok(said, extra=b""):
+    body = json.dumps(said).encode()
+    return b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s" % (extra, len(body), body)
+
+
+class Call:
+    def __init__(self, sock, path):
+        self.sock, self.path = sock, path
+
+    def say(self, data):
+        self.sock.sendall(data)
+
+    def reset(self):
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        self.sock.close()
+
+    def hold(self):
+        """Until the node has given it up."""
+        while self.sock.recv(4096):
+            pass
+
+
+class Host:
+    """One server. Each connection waits in `came` until the test takes it."""
+
+    def __init__(self, name):
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self.listener.settimeout(WAIT)
+        self.name, self.entry = name, {
+            "instanceId": name, "hostPort": "%s:%d" % self.listener.getsockname(), "zone": "here", "machineType": "toy", "cell": 0,
+            "weight": 1.0, "startedAtMs": 0}
+
+    def take(self):
+        sock, _ = self.listener.accept()
+        return Peer(sock)
+
+    def waits(self):
+        """Whether somebody is there whom the test has not taken."""
+        return bool(select.select([self.listener], [], [], 0)[0])
+
+    def close(self):
+        self.listener.close()
+
+
+class Peer:
+    """One side of a connection, as the test has it."""
+
+    def __init__(self, sock):
+        sock.settimeout(WAIT)
+        self.sock, self.file = sock, sock.makefile("rb")
+
+    def say(self, *lines):
+        self.sock.sendall(b"".join(line + b"\r\n" for line in lines))
+
+    def hear(self):
+        """The next line; b"" at the end of the connection."""
+        return self.file.readline().rstrip(b"\r\n")
+
+    def rest(self):
+        """All that comes, to the end."""
+        return self.file.read()
+
+    def end(self):
+        """Half of it: nothing more is sent from here."""
+        self.sock.shutdown(socket.SHUT_WR)
+
+    def close(self, how="close"):
+        if how == "half":
+            self.end()
+            return
+        if how == "reset":
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        self.file.close()
+        self.sock.close()
+
+    def broken(self):
+        """Whether a reset has come: on loopback it is here when the send that brought it returns."""
+        look = select.poll()
+        look.register(self.sock, 0)
+        return any(ready & select.POLLERR for _, ready in look.poll(0))
+
+
+def client(node, *lines):
+    peer = Peer(socket.create_connection(node.listener.getsockname(), timeout=WAIT))
+    if lines:
+        peer.say(*lines)
+    return peer
+
+
+def opening(n, kind="plain", wait=2000, **more):
+    return b"OPEN %08x k%d c=%s,d=%d" % (n, n, kind.encode(), wait) + b"".join(b",%s=%s" % (k.encode(), str(v).encode()) for k, v in more.items())
+
+
+TYPES = [{"Name": name, "Effect": effect, "KeyScope": "all", "KeyTtl": 400, "SetupTarget": 1500, "GuardTime": 2000, "Revenue": 1}
+         for name, effect in (("plain", "safe"), ("once", "unsafe"), ("marked", "keyed"))]
+
+
+def settings(agent, known=(), sockets=512, **more):
+    return json.dumps({
+        "name": "n1", "listen": "127.0.0.1:0", "discovery": "%s:%d" % agent.address, "seed": "7",
+        "limits": {"memory_mb": 192, "sockets": sockets}, "known": {"generation": 0, "reset": True, "instances": list(known)},
+        "settings": {"TrafficTypes": TYPES, "Zones": ["here"], "Kinds": ["toy"], "Limits": {"MostLegs": 3, "ConnectTimeout": 1000},
+                     "Rules": {"DrainGrace": 500}} | more})
+
+
+class Seen:
+    """What a node's reducer was told, in order: the test waits for a kind of event to have been dealt with."""
+
+    def __init__(self, node):
+        self.told, self.new = [], threading.Condition()
+        step = node.step
+
+        def watched(event, at=0):
+            effects = step(event, at)
+            with self.new:
+                self.told.append(event)
+                self.new.notify_all()
+            return effects
+
+        node.step = watched
+
+    def wait(self, kind, test=lambda event: True):
+        with self.new:
+            assert self.new.wait_for(lambda: any(isinstance(e, kind) and test(e) for e in self.told), WAIT), f"no {kind.__name__}"
+
+
+@contextmanager
+def running(agent, before=lambda node: None, **more):
+    """A node that knows the list, unless `known` was given: then the test waits for what it wants."""
+    node = Node(*config.read_node(settings(agent, **more), {}))
+    node.seen = Seen(node)
+    before(node)
+    node.start()
+    try:
+        yield node
+    finally:
+        node.stop()
+        assert node.join(WAIT)
+
+
+def until(true, what):
+    """For what no event tells: looked at until it holds."""
+    gate = threading.Event()
+    for _ in range(WAIT * 200):
+        if true():
+            return
+        gate.wait(0.005)
+    raise AssertionError(what)
--- /dev/null
+++ b/tests/crossings/test_attempts.py
@@ -0,0 +1,222 @@
+"""Attempts against whatever may come between the decision and the first byte: the client leaves, the host drains, time passes."""
+import threading
+
+import pytest
+from standins import Agent, Host, client, opening, running, until
+
+from cottonspread.net import events as ev
+from cottonspread.net import workers
+
+
+@pytest.fixture
+def hosts():
+    made = [Host("s-1"), Host("s-2")]
+    yield made
+    for host in made:
+        host.close()
+
+
+@pytest.fixture
+def agent(hosts):
+    return Agent().list(*hosts)
+
+
+def listed(node, version=None):
+    node.seen.wait(ev.Heard, lambda e: e.listed.entries and version in (None, e.listed.version))
+
+
+class Gate:
+    """Holds whoever comes until the test opens it. `here`: somebody waits."""
+
+    def __init__(self):
+        self.here, self.open = threading.Event(), threading.Event()
+
+    def wait(self):
+        self.here.set()
+        assert self.open.wait(10)
+
+
+@pytest.mark.parametrize("how", ("close", "reset", "half"))
+def test_nothing_is_sent_for_a_client_that_left_while_its_connection_came_up(hosts, agent, how, monkeypatch):
+    """Its end lay in the queue behind much else: here the reducer never hears of it in time."""
+    gate, connect, kept = Gate(), workers.Worker.connect, threading.Event()
+
+    def held(worker, order):
+        said = connect(worker, order)
+        gate.wait()
+        return said
+
+    def before(node):
+        post = node.workers.post
+
+        def late(event):
+            if isinstance(event, ev.Over) and event.end.client:
+                kept.wait(10)
+            post(event)
+
+        node.workers.post = late
+
+    monkeypatch.setattr(workers.Worker, "connect", held)
+    with running(agent, before) as node:
+        listed(node)
+        one = client(node, opening(1))
+        assert gate.here.wait(10)
+        one.close(how)
+        until(lambda: any(workers.gone(w.sock) for w in list(node.workers.live) if w.end.client), "the client's end is not here")
+        gate.open.set()
+        first = next(host for host in hosts if host.waits())
+        assert first.take().rest() == b"", "sent for nobody"
+        node.seen.wait(ev.Written, lambda e: e.why == "client-gone")
+        kept.set()
+        until(lambda: node.ended["left-in-setup"] == 1, "not ended")
+        assert not any(host.waits() for host in hosts)
+
+
+def test_a_burst_of_clients_that_leave_at_once_sends_nothing(hosts, agent):
+    """Hundreds came, said their line and left while the node was busy with something else."""
+    gate, told = Gate(), threading.Semaphore(0)
+
+    def before(node):
+        node.reducer.handlers[ev.NotRetuned] = lambda e: gate.wait()
+        post = node.workers.post
+
+        def counted(event):
+            if isinstance(event, ev.Got):
+                told.release()
+            post(event)
+
+        node.workers.post = counted
+
+    with running(agent, before, sockets=1024) as node:
+        listed(node)
+        node.hasten(ev.NotRetuned())
+        assert gate.here.wait(10)
+        many = [client(node, opening(n)) for n in range(150)]
+        until(lambda: len(node.workers.live) == len(many), "not all accepted")
+        for one in many:
+            one.close()
+        gate.open.set()
+        until(lambda: sum(node.ended.values()) == len(many), "not all ended")
+        for host in hosts:
+            while host.waits():
+                assert host.take().rest() == b""
+        assert node.ended["left-in-setup"] >= 8 and node.ended.keys() <= {"left-in-setup", "rejected"}      # as many as set-ups are let go at once
+
+
+def test_nothing_is_sent_to_a_host_that_was_told_to_drain_while_the_connection_came_up(hosts, agent, monkeypatch):
+    gate, connect = Gate(), workers.Worker.connect
+
+    def held(worker, order):
+        said = connect(worker, order)
+        if not gate.here.is_set():           # the first alone
+            gate.wait()
+        return said
+
+    monkeypatch.setattr(workers.Worker, "connect", held)
+    with running(agent) as node:
+        listed(node)
+        one = client(node, opening(1))
+        assert gate.here.wait(10)
+        first, other = sorted(hosts, key=lambda h: not h.waits())
+        agent.change(first, "Terminating")
+        listed(node, 2)
+        gate.open.set()
+        assert first.take().rest() == b""
+        peer = other.take()
+        assert peer.hear().startswith(b"OPEN 00000001 ")
+        peer.say(b"UP r")
+        assert one.hear() == b"UP r"
+        peer.close()
+
+
+def test_a_marked_call_is_not_sent_again_once_its_repeats_are_forgotten(hosts, agent, monkeypatch):
+    """Decided on in time, its second connection comes up after it. The window for repeats is 400 ms."""
+    gate, connect, seen = Gate(), workers.Worker.connect, []
+
+    def held(worker, order):
+        said = connect(worker, order)
+        seen.append(order)
+        if len(seen) == 2:
+            gate.wait()
+        return said
+
+    monkeypatch.setattr(workers.Worker, "connect", held)
+    with running(agent) as node:
+        listed(node)
+        one = client(node, opening(1, "marked"))
+        first = next(h for h in hosts if until(lambda: any(h.waits() for h in hosts), "nobody came") is None and h.waits())
+        peer = first.take()
+        began = node.clock.now()
+        assert peer.hear().startswith(b"OPEN ")
+        peer.close("reset")
+        assert gate.here.wait(10)
+        until(lambda: node.clock.now() - began > 450_000, "time stands still")
+        gate.open.set()
+        other = next(h for h in hosts if h is not first)
+        assert other.take().rest() == b""
+        assert one.hear().startswith(b"BUSY")            # repeats are known to all hosts: to come again is harmless
+
+
+@pytest.mark.parametrize("answer, ran", [
+    (b"BUSY\r\n", False), (b"", True), (b"UP", True), (b"ERR\r\n", True), (b"BUSY\r\nUP r\r\n", True), (b"\x00\xff\r\n", True), (b"UPON r\r\n", True),
+    (b"UP\r\n", True), (b"x" * 5000, True)])
+def test_a_call_that_must_not_run_twice_goes_again_only_where_it_is_known_not_to_have_run(hosts, agent, answer, ran):
+    with running(agent) as node:
+        listed(node)
+        one = client(node, opening(1, "once"))
+        until(lambda: any(h.waits() for h in hosts), "nobody came")
+        first, other = sorted(hosts, key=lambda h: not h.waits())
+        peer = first.take()
+        assert peer.hear().startswith(b"OPEN ")
+        peer.sock.sendall(answer)
+        peer.end()
+        if ran:
+            assert one.hear() == b"ERR" and one.hear() == b""
+            assert not other.waits()
+        else:
+            second = other.take()
+            assert second.hear().startswith(b"OPEN ")
+            second.say(b"UP r")
+            assert one.hear() == b"UP r"
+            second.close()
+        peer.close()
+
+
+def test_a_refused_connection_is_known_not_to_have_run(hosts, agent):
+    hosts[0].close()
+    with running(agent) as node:
+        listed(node)
+        for n in range(3):                   # in turn the dead one comes first for one of them
+            one = client(node, opening(n, "once"))
+            peer = hosts[1].take()
+            assert peer.hear().startswith(b"OPEN ")
+            peer.say(b"UP r")
+            assert one.hear() == b"UP r"
+            one.close()
+            assert peer.rest() == b""
+        assert node.reducer.figures.answers["success", "once"] == 3
+
+
+def test_an_answer_that_lies_in_the_queue_at_the_deadline_gives_one_final_answer(hosts, agent):
+    """The time-out and the answer meet: whichever comes first, the client hears one word, and the host's connection ends with it."""
+    gate = Gate()
+
+    def before(node):
+        node.reducer.handlers[ev.NotRetuned] = lambda e: gate.wait()
+
+    with running(agent, before) as node:
+        listed(node)
+        one = client(node, opening(1, "once", wait=300))
+        until(lambda: any(h.waits() for h in hosts), "nobody came")
+        peer = next(h for h in hosts if h.waits()).take()
+        assert peer.hear().startswith(b"OPEN ")
+        node.hasten(ev.NotRetuned())
+        assert gate.here.wait(10)
+        began = node.clock.now()
+        peer.say(b"UP r")
+        until(lambda: node.clock.now() - began > 400_000, "time stands still")
+        gate.open.set()
+        said = one.hear()
+        assert said in (b"UP r", b"ERR", b"BUSY")
+        if said != b"UP r":
+            assert one.hear() == b"" and peer.rest() == b""
