--- a/cottonspread/net/workers.py
+++ b/cottonspread/net/workers.py
@@ -24,6 +24,7 @@
 HALF_LINE_WAIT = 5                 # seconds; a read that waits looks as often whether half a line is too old
 RCVTIMEO = struct.pack("ll", HALF_LINE_WAIT, 0)
 DRAINED_AT_ONCE, DRAIN_PAUSE = 64 * 1024, 0.05           # bytes and seconds: what a closed connection's reader takes in one go
+DRAINED_AT_MOST, CUT_WAIT = 1024 * 1024, 2000            # bytes in all, and then milliseconds until the reducer's cut
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -102,16 +103,21 @@
 
     def drain(self):
         """To the other side's end, at a bounded pace: who sends on at full speed keeps no reader busy. Bytes left unread would make
-        the close a reset, which takes the last line with it. The reducer cuts it off in the end."""
+        the close a reset, which takes the last line with it; who sends more than DRAINED_AT_MOST is no client that hears it, and to such
+        a one the reset tells that nobody listens. The reducer cuts it off in the end."""
         if self.gatherer is not None:
             self.gatherer.drop()
         try:
-            taken = 0
-            while got := self.read_away():
-                taken += got
-                if taken >= DRAINED_AT_ONCE:
-                    taken = 0
+            at_once, rest = 0, DRAINED_AT_MOST
+            while rest > 0 and (got := self.read_away()):
+                at_once, rest = at_once + got, rest - got
+                if at_once >= DRAINED_AT_ONCE:
+                    at_once = 0
                     time.sleep(DRAIN_PAUSE)
+            if rest <= 0:
+                look = select.poll()         # until it is cut off from here, or breaks
+                look.register(self.sock, select.POLLRDHUP)
+                look.poll(CUT_WAIT)
         except OSError:
             pass
         return ev.Over(self.end, "end")
--- a/tests/crossings/standins.py
+++ b/tests/crossings/standins.py
@@ -8,6 +8,7 @@
 from contextlib import contextmanager
 
 from cottonspread import config
+from cottonspread.net import events as ev
 from cottonspread.net.node import Node
 
 WAIT = 10                              # seconds after which a test has failed
@@ -158,6 +159,21 @@
         return any(ready & select.POLLERR for _, ready in look.poll(0))
 
 
+class Gate:
+    """Holds whoever comes until the test opens it. `here`: somebody waits."""
+
+    def __init__(self):
+        self.here, self.open = threading.Event(), threading.Event()
+
+    def wait(self):
+        self.here.set()
+        assert self.open.wait(WAIT)
+
+
+def listed(node, version=None):
+    node.seen.wait(ev.Heard, lambda e: e.listed.entries and version in (None, e.listed.version))
+
+
 def client(node, *lines):
     peer = Peer(socket.create_connection(node.listener.getsockname(), timeout=WAIT))
     if lines:
--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -2,40 +2,12 @@
 import threading
 
 import pytest
-from standins import Agent, Host, client, opening, running, until
+from standins import Gate, client, listed, opening, running, until
 
 from cottonspread.net import events as ev
 from cottonspread.net import workers
 
 
-@pytest.fixture
-def hosts():
-    made = [Host("s-1"), Host("s-2")]
-    yield made
-    for host in made:
-        host.close()
-
-
-@pytest.fixture
-def agent(hosts):
-    return Agent().list(*hosts)
-
-
-def listed(node, version=None):
-    node.seen.wait(ev.Heard, lambda e: e.listed.entries and version in (None, e.listed.version))
-
-
-class Gate:
-    """Holds whoever comes until the test opens it. `here`: somebody waits."""
-
-    def __init__(self):
-        self.here, self.open = threading.Event(), threading.Event()
-
-    def wait(self):
-        self.here.set()
-        assert self.open.wait(10)
-
-
 @pytest.mark.parametrize("how", ("close", "reset", "half"))
 def test_nothing_is_sent_for_a_client_that_left_while_its_connection_came_up(hosts, agent, how, monkeypatch):
     """Its end lay in the queue behind much else: here the reducer never hears of it in time."""
