--- a/cottonspread/cli/node.py
+++ b/cottonspread/cli/node.py
@@ -147,7 +147,7 @@
     print(f"{place.name}: listens on {place.listen[0]}:{place.listen[1]}, "
           f"discovery at {place.discovery[0]}:{place.discovery[1]}, "
           + ("operators at %s:%d" % place.operator if place.operator else "no address for operators"))
-    print(f"{len(names.types)} traffic types, node {begin.me} of {begin.nodes}, "
+    print(f"{len(names.types)} traffic types, node {begin.me} of {begin.nodes or 'an untold number'}, "
           f"{len(known['instances'])} servers known, room for {most_ends(room, place.operator)} connections")
     print(f"weights listed {'move with load' if begin.weights_move else 'are sizes'}, "
           f"hosts' load {'told to probes' if begin.loads_probed else 'not asked for'}")
--- a/cottonspread/config/platform.py
+++ b/cottonspread/config/platform.py
@@ -150,7 +150,7 @@
     tenants = tuple(i.Tenant(t.text("Name", str(n)), t.number("Share", 0), t.number("AllowancePerS", 0),
                              quotas[n] if n < len(quotas) else 0.0) for n, t in enumerate(c.parts("Orgs")))
     return i.Begin(
-        seed, c.whole("Me", 0), c.whole("Balancers", 1, least=1), c.whole("Zone", 0), c.span("Step", 1),
+        seed, c.whole("Me", 0), c.whole("Balancers", least=1) if "Balancers" in c.values else 0, c.whole("Zone", 0), c.span("Step", 1),
         types, tenants,
         i.LegLimits(limits.whole("MostLegs", 1, least=1), limits.flag("MayDuplicate"), limits.flag("Cancel"),
                     limits.flag("RetryAfter"), limits.span("MaxRetryAfter", 0)),
--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -336,6 +336,7 @@
 
     DRAWN = 3.0                    # times a node's part of the budget: it seldom has a call to send there
     SHARED = 1.8                   # the same where many are fresh and share it: as many go there as at 3 each
+    UNTOLD = 30                    # nodes that a node reckons with which is not told how many there are
     AT_FIRST = 4                   # set-ups in flight to a warm server before it answered any
 
     def __init__(self, chance):
@@ -452,14 +453,15 @@
 
     def tune(self, begin):
         """The settings in force. A call keeps the type that it opened under."""
-        self.types, self.limits, self.tick, self.nodes = begin.types, begin.legs, begin.tick, begin.nodes
+        self.types, self.limits, self.tick = begin.types, begin.legs, begin.tick
+        self.nodes = begin.nodes or WarmUp.UNTOLD
         self.zone, self.crossing, self.moving = begin.zone, begin.prices.crossing, begin.prices.moving
-        self.shared = begin.groups_share_work and begin.nodes > 1
+        self.shared = begin.groups_share_work and self.nodes > 1
         target = min((t.message_target for t in begin.types if t.message_target), default=SECOND)
         self.readings.probed, self.readings.message_target = begin.loads_probed, target
         self.membership.every = begin.listing.ask_every
         self.health.slow_from = target * (Health.EARLY if begin.loads_probed else 1)
-        self.warm_up.cold, self.warm_up.nodes, self.ceilings.nodes = begin.cold, begin.nodes, begin.nodes
+        self.warm_up.cold, self.warm_up.nodes, self.ceilings.nodes = begin.cold, self.nodes, self.nodes
 
     def actions(self):
         out, self.out = self.out, []
--- a/cottonspread/interface.py
+++ b/cottonspread/interface.py
@@ -105,7 +105,7 @@
     """A node starts. Each part of the module takes from here only what it needs."""
     seed: int
     me: int
-    nodes: int
+    nodes: int                       # 0: not told
     zone: int
     tick: int
     types: tuple
--- a/tests/test_many_nodes.py
+++ b/tests/test_many_nodes.py
@@ -7,7 +7,7 @@
 
 from cottonspread import interface as io
 from cottonspread.decide import Balancer
-from cottonspread.state import SECOND
+from cottonspread.state import SECOND, Chance
 
 NODES = 40
 SERVERS = [f"s{n}:zone={n % 4}" for n in range(12)]
@@ -123,3 +123,53 @@
     node.handle(0, io.Retuned(replace(begin(site, types), listing=io.ListRules(True, 2 * SECOND))))
     waits = [action.after for _ in range(50) for action in node.handle(0, io.Listed(io.News.FAILED)) if isinstance(action, io.Timer)]
     assert len(waits) == 50 and max(waits) <= 4 * SECOND
+
+
+WARM, WINDOW, MULTIPLE, COLD = 20 * SECOND, 2 * SECOND, 2.5, 0.12           # as `notation.begin` has them
+
+
+def most_over(count, told, seed, unequal, restarts):
+    """Cold servers under calls of all nodes together: by how many calls the worst window of any passes its budget of N and what
+    2 x root of N + 2 put down to chance. N: multiple x the part that it can do then x what a warm one carries in the end, as its guide."""
+    site = {"nodes": told, "moving": 0.03}
+    types, chance = (traffic_type("t", {}),), Chance(seed)
+    servers = [f"w{n}" for n in range(8)] + [f"s{n}:started=1000" for n in range(4)]
+
+    def node(n, again=0):
+        one = Balancer(now, begin(site | {"seed": 1 + n + 1000 * again + 100_000 * seed}, types))
+        one.handle(now, io.Listed(io.News.FULL, 1, tuple(entry(word) for word in servers)))
+        return one
+
+    now = SECOND
+    nodes, sent, standing, calls = [node(n) for n in range(count)], {}, {}, 0
+    for tick in range(400):                  # 20 s, 60 calls a second of all nodes together
+        now = SECOND + tick * SECOND // 20
+        if restarts and tick % 40 == 20:
+            for n in range(tick // 40 % 5, count, 5):
+                nodes[n] = node(n, tick)
+        for _ in range(3):
+            n = min(chance.below(count), chance.below(count)) if unequal else chance.below(count)
+            calls += 1
+            id = f"c{calls}"
+            for action in nodes[n].handle(now, io.Arrived(id, 0, 2 * SECOND, id, f"g{calls % 30}", returned=calls % 3 == 0)):
+                if isinstance(action, io.Send):
+                    nodes[n].handle(now, io.Accepted(id, 0, 0))
+                    sent.setdefault(action.host, []).append(now)
+                    standing[action.host] = standing.get(action.host, 0) + 1
+    over, carried = [], sum(len(times) for name, times in sent.items() if name[0] == "w") / 8
+    for host in [f"s{n}" for n in range(4)]:
+        for at in sent.get(host, []):
+            part = COLD + (1 - COLD) * max(0, at - SECOND) / WARM
+            allowed = MULTIPLE * part * carried
+            over.append(sum(at <= t < at + WINDOW for t in sent[host]) - allowed - 2 * allowed ** 0.5 - 2)
+    return max(over), sum(len(sent.get(f"s{n}", [])) for n in range(4))
+
+
+@pytest.mark.parametrize("unequal, restarts", ((False, False), (True, False), (False, True), (True, True)))
+@pytest.mark.parametrize("count, told", ((20, 20), (30, 30), (200, 200), (30, 20), (30, 0), (200, 0)))
+def test_what_all_processes_send_a_cold_server_stays_within_its_budget_and_chance(count, told, unequal, restarts):
+    """Also where shares are unequal, processes begin anew in the ramp, and are more than they were told, or were not told (0)."""
+    for seed in (1, 2, 3):
+        over, cold = most_over(count, told, seed, unequal, restarts)
+        assert over <= 0, (seed, over, cold)
+        assert cold >= 4, "none is warmed up at all"
