--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -500,7 +500,7 @@
             if result.ending is Ending.MOOT:
                 break                        # there is no time or no leg left for it
         if may_reject(call):
-            yield io.Reject(call.id, self.advice())
+            yield io.Reject(call.id, self.retry_after())
         else:
             yield io.Release(call.id)
 
@@ -621,8 +621,8 @@
         # A server that takes calls and answers none costs one leg and not the call.
         return min(last, self.now + call.type.setup_target)
 
-    def advice(self):
-        half = self.limits.longest_advice // 2 if self.limits.may_advise else 0
+    def retry_after(self):
+        half = self.limits.longest_retry_after // 2 if self.limits.may_retry_after else 0
         return half + self.chance.below(half + 1)
 
     def arrive(self, e):
--- a/cottonspread/drill/codec.py
+++ b/cottonspread/drill/codec.py
@@ -105,8 +105,8 @@
         case i.Send():
             return f"route\tCall={a.call}\tUntil={millis(a.until)}\tHost={a.host}"
         case i.Reject():
-            advice = f"\tComeBack={millis(a.come_back)}" if a.come_back else ""
-            return f"bounce\tCall={a.call}{advice}"
+            told = f"\tComeBack={millis(a.retry_after)}" if a.retry_after else ""
+            return f"bounce\tCall={a.call}{told}"
         case i.Release():
             return f"end_failed\tCall={a.call}"
         case i.Cancel():
--- a/cottonspread/interface.py
+++ b/cottonspread/interface.py
@@ -66,8 +66,8 @@
     most_legs: int = 1
     two_at_once: bool = False
     may_cancel: bool = False
-    may_advise: bool = False         # a reject may say when to come back
-    longest_advice: int = 0
+    may_retry_after: bool = False         # a reject may say when to come back
+    longest_retry_after: int = 0
 
 
 @dataclass(frozen=True)
@@ -239,7 +239,7 @@
 @dataclass(frozen=True)
 class Reject:
     call: object
-    come_back: int = 0               # 0: no advice
+    retry_after: int = 0               # 0: nothing is said
 
 
 @dataclass(frozen=True)
--- a/cottonspread/lab/plan.py
+++ b/cottonspread/lab/plan.py
@@ -280,7 +280,7 @@
     group: np.ndarray
     tenant: np.ndarray
     life: np.ndarray                   # microseconds from UP to when the client leaves
-    draw: np.ndarray                   # uint32: which node, honours advice or not, and the like
+    draw: np.ndarray                   # uint32: which node, honours a retry-after or not, and the like
 
     def digest(self):
         """The same seed gives the same intended schedule, byte for byte."""
--- a/cottonspread/lab/sim/node.py
+++ b/cottonspread/lab/sim/node.py
@@ -409,7 +409,7 @@
 
     def accepted(self, side):
         if not self.door.admits(self.clock()):
-            self.turn_away(side, "node-late", self.reducer.come_back())
+            self.turn_away(side, "node-late", self.reducer.retry_after())
         elif len(self.live) >= self.most + SPARE_ENDS // 2:
             self.turn_away(side, "no-room-at-all", 0)
         else:
@@ -419,8 +419,8 @@
             self.node.fleet.promises.accepted(self, side)
             self.post(ev.Came(end))
 
-    def turn_away(self, side, reason, come_back):
-        line = lines.busy(come_back)
+    def turn_away(self, side, reason, retry_after):
+        line = lines.busy(retry_after)
         try:
             side.send(line)
         except BrokenPipeError:
--- a/cottonspread/net/lines.py
+++ b/cottonspread/net/lines.py
@@ -166,8 +166,8 @@
     return re.sub(rb"(?<=[ ,])d=\d+", b"d=%d" % max(1, wait // 1000), line, count=1)
 
 
-def busy(come_back):
-    return b"BUSY %d\r\n" % (come_back // 1000) if come_back else b"BUSY\r\n"
+def busy(retry_after):
+    return b"BUSY %d\r\n" % (retry_after // 1000) if retry_after else b"BUSY\r\n"
 
 
 def read_answer(line, rest=b""):
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -317,7 +317,7 @@
         self.listener.settimeout(0)
         try:
             while True:
-                self.turn_away(self.listener.accept()[0], "stopping", self.reducer.come_back())
+                self.turn_away(self.listener.accept()[0], "stopping", self.reducer.retry_after())
         except OSError:                      # nobody is left
             pass
         self.listener.close()
@@ -332,7 +332,7 @@
             except queue.Empty:
                 break
             if isinstance(event, ev.Came) and event.end.worker is not None:
-                self.workers.carry_out(ev.Write(event.end, lines.busy(self.reducer.come_back())))
+                self.workers.carry_out(ev.Write(event.end, lines.busy(self.reducer.retry_after())))
                 self.workers.carry_out(ev.Finish(event.end))
         self.workers.carry_out(ev.Quit())
         self.closer.stop()
@@ -361,7 +361,7 @@
         with self.lock:
             admitted = self.door.admits(self.clock.now())
         if not admitted:
-            self.turn_away(sock, "node-late", self.reducer.come_back())
+            self.turn_away(sock, "node-late", self.reducer.retry_after())
             return
         try:
             workers.prepare(sock)
@@ -382,10 +382,10 @@
             return
         self.post(ev.Came(end))
 
-    def turn_away(self, sock, reason, come_back):
+    def turn_away(self, sock, reason, retry_after):
         """No room or no time for its call. Of its first line only the type is read, for the figures."""
         try:
-            sock.send(lines.busy(come_back), socket.MSG_DONTWAIT)
+            sock.send(lines.busy(retry_after), socket.MSG_DONTWAIT)
             sock.shutdown(socket.SHUT_WR)
         except OSError:
             pass
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -190,7 +190,7 @@
             case io.Send():
                 self.send(action.call, action.host, action.until, action.by)
             case io.Reject():
-                self.answer(action.call, lines.busy(action.come_back), "rejected")
+                self.answer(action.call, lines.busy(action.retry_after), "rejected")
             case io.Release():
                 self.answer(action.call, lines.ERR, "released")
             case io.Cancel():
@@ -230,7 +230,7 @@
         """The end of one that is no usual client. Who said nothing may be saying it just now: to come again is harmless."""
         self.unopened.pop(conn, None)
         harmless = reason in ("no-first-line", "ping", "stopping")
-        self.finish(conn, conn.reason or reason, lines.busy(self.come_back()) if harmless else lines.ERR)
+        self.finish(conn, conn.reason or reason, lines.busy(self.retry_after()) if harmless else lines.ERR)
 
     def got(self, e):
         e.end.reading = False
@@ -278,7 +278,7 @@
         # Two descriptors for every call, and some left to answer with: at the edge a call is turned away.
         turned = self.turns_away(conn)
         if turned or self.ends + 1 > self.most_ends:
-            self.finish(conn, turned or "no-room", lines.busy(self.come_back()))
+            self.finish(conn, turned or "no-room", lines.busy(self.retry_after()))
             return
         host = self.servers.get(opening.held_by)
         if opening.held_by is not None and (host is None or host.address is None):
@@ -298,8 +298,8 @@
             return "stopping"
         return "draining" if self.draining and self.now - self.draining > COMING else ""
 
-    def come_back(self):
-        return self.begin.legs.longest_advice // 2 if self.begin.legs.may_advise else 0
+    def retry_after(self):
+        return self.begin.legs.longest_retry_after // 2 if self.begin.legs.may_retry_after else 0
 
     def client_lines(self, conn, data):
         if not conn.up:                      # see `first_line`
--- a/tests/notation.py
+++ b/tests/notation.py
@@ -24,7 +24,7 @@
     return io.Begin(
         int(o.get("seed", 7)), 0, int(o.get("nodes", 1)), int(o.get("zone", 0)), ms(2), tuple(types),
         tuple(io.Tenant(str(n), 1, 0, float(q)) for n, q in enumerate(o.get("quota", "").split(",")) if q),
-        io.LegLimits(int(o.get("legs", 4)), False, True, "advice" in o, ms(o.get("advice", 0))),
+        io.LegLimits(int(o.get("legs", 4)), False, True, "retry_after" in o, ms(o.get("retry_after", 0))),
         io.ColdStart(float(o.get("cold", 0.12)), ms(o.get("warm", 20000)), 2.5, ms(2000)),
         io.ListRules(o.get("list") == "ask", ms(10000), ms(400)),
         io.Prices(float(o.get("crossing", 0)), float(o.get("moving", 0.03))),
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -261,7 +261,7 @@
     def one_of(choices):
         return choices[chance.below(len(choices))]
 
-    world = World({"moving": "0.03", "advice": "1000"}, [traffic_type(name, {"effect": effect}) for name, effect in (
+    world = World({"moving": "0.03", "retry_after": "1000"}, [traffic_type(name, {"effect": effect}) for name, effect in (
         ("again", "may_run_again"), ("once", "must_never_run_twice"))])
     now = 0
     world.act(0, "list", ["full", "a", "b", "c"])
