--- a/cottonspread/decide.py
+++ b/cottonspread/decide.py
@@ -331,7 +331,7 @@
         return host.load + self.loads.adds(call, host) <= limit * 2 ** min(calm, 9)
 
 
-class WarmUp:
+class SlowStart:
     """A fresh server's cap, within this node's part of the cold budget."""
 
     DRAWN = 3.0                    # times a node's part of the budget: it seldom has a call to send there
@@ -436,7 +436,7 @@
         self.readings = Readings(self.chance)
         self.rotation = Rotation(self.chance)
         self.membership = Membership(self.chance, begin.weights_move)
-        self.health, self.loads, self.warm_up = Health(), Loads(), WarmUp(self.chance)
+        self.health, self.loads, self.slow_start = Health(), Loads(), SlowStart(self.chance)
         self.ceilings = Ceilings(self.loads, self.chance)
         self.tune(begin)
         self.way = Host("way to the servers", io.Entry(None))       # what all set-ups share, a store perhaps
@@ -454,14 +454,14 @@
     def tune(self, begin):
         """The settings in force. A call keeps the type that it opened under."""
         self.types, self.limits, self.tick = begin.types, begin.legs, begin.tick
-        self.nodes = begin.nodes or WarmUp.UNTOLD
+        self.nodes = begin.nodes or SlowStart.UNTOLD
         self.zone, self.crossing, self.moving = begin.zone, begin.prices.crossing, begin.prices.moving
         self.shared = begin.groups_share_work and self.nodes > 1
         target = min((t.message_target for t in begin.types if t.message_target), default=SECOND)
         self.readings.probed, self.readings.message_target = begin.loads_probed, target
         self.membership.every = begin.listing.ask_every
         self.health.slow_from = target * (Health.EARLY if begin.loads_probed else 1)
-        self.warm_up.cold, self.warm_up.nodes, self.ceilings.nodes = begin.cold, self.nodes, self.nodes
+        self.slow_start.cold, self.slow_start.nodes, self.ceilings.nodes = begin.cold, self.nodes, self.nodes
 
     def actions(self):
         out, self.out = self.out, []
@@ -514,7 +514,7 @@
         mean_load = (self.load - sum(h.load for h in apart)) / count / Loads.MEAN
         mean_size = (self.rotation.size - sum(h.size for h in apart)) / count or 1
         if bearing:
-            self.warm_up.usual = mean
+            self.slow_start.usual = mean
 
         def ready(host):
             return (host.up and may_go_to(call, host)
@@ -522,7 +522,7 @@
                     and (host not in self.marked or self.health.may_send(host, self.now)
                          and not self.health.slow(host, self.now, Health.NEAR)
                          and self.ceilings.room(host, call, self.now))
-                    and self.warm_up.may_send(host, self.now, host is call.asked or call.drawn))
+                    and self.slow_start.may_send(host, self.now, host is call.asked or call.drawn))
 
         def light(host):
             over = well_over(len(host.legs), mean * max(1, host.size / mean_size))
@@ -573,10 +573,11 @@
                 break
         # Servers replaced in a release stay empty while the others jam, so fresh ones come first.
         fresh = [h for h in ranked if h in self.fresh] if self.fresh else []
-        budget = self.warm_up.budget(self.warm_up.part(fresh[0], self.now)) if len(fresh) > 2 else 1
+        budget = self.slow_start.budget(self.slow_start.part(fresh[0], self.now)) if len(fresh) > 2 else 1
         if budget < 1:
-            calls = self.arrived.total(self.now, self.warm_up.cold.window)
-            call.drawn = call.drawn or self.warm_up.draw(fresh, budget, self.groups.part(call.group), calls)
+            calls = self.arrived.total(self.now, self.slow_start.cold.window)
+            part = self.groups.part(call.group)
+            call.drawn = call.drawn or self.slow_start.draw(fresh, budget, part, calls)
             fresh = [h for h in fresh if h is call.drawn]
         elif not (call.returned or self.slow_part or self.readings.filled()):
             fresh = []
@@ -595,10 +596,10 @@
         self.looked_at = self.now
         for leg in [leg for host in self.rotation.order for leg in host.legs] if self.loads.heard else ():
             self.weigh_anew(leg)             # the mean moves with every word
-        self.marked = {h: None for h in self.marked if self.warm_up.part(h, self.now) < 1
+        self.marked = {h: None for h in self.marked if self.slow_start.part(h, self.now) < 1
                        or h.trickle or h.ceiling or self.health.slow(h, self.now, Health.NEAR)}
         up = [h for h in self.marked if h.up]
-        self.fresh = {h for h in up if self.warm_up.part(h, self.now) < 1}
+        self.fresh = {h for h in up if self.slow_start.part(h, self.now) < 1}
         heard = [h for h in self.rotation.order if h.legs or self.now - h.cut_at < Ceilings.CALM]
         slow = sum(self.health.slow(h, self.now) and not h.hung or self.now - h.cut_at < Ceilings.CALM
                    for h in heard)           # one that hangs tells nothing of the others' load
@@ -868,4 +869,4 @@
         up = self.membership.up()
         self.rotation.keep(up)
         self.legs, self.load, self.looked_at = sum(len(h.legs) for h in up), sum(h.load for h in up), -SECOND
-        self.marked.update((h, None) for h in up if self.warm_up.part(h, self.now) < 1)
+        self.marked.update((h, None) for h in up if self.slow_start.part(h, self.now) < 1)
