--- a/cottonspread/net/events.py
+++ b/cottonspread/net/events.py
@@ -192,7 +192,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Quit:
-    """The process is about to end: what lies unread on any socket is taken, behind all that was written."""
+    """The process is about to end and closes all sockets: what lies unread on them is taken, behind all that was written. Over unread
+    bytes a close is a reset, which takes the last line with it."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -296,9 +296,13 @@
         if self.shared:                      # others listen there too
             if self.wake:
                 self.wake[1].send(b"x")
-        else:
-            self.closed.wait(2 * LOOK)       # nobody is left in its queue
-        self.turn_away_last()
+        else:                                # until nobody is left in its queue; who accepts may wait for room in ours
+            until = time.monotonic() + 2 * LOOK
+            while not self.closed.wait(LOOK / 10) and time.monotonic() < until:
+                self.turn_away_unknown()
+        self.turn_away_unknown()
+        self.workers.carry_out(ev.Quit())
+        self.closer.stop()
         self.workers.writes.put(None)        # the last answers go out before the process may end
 
     def accept(self):
@@ -323,9 +327,8 @@
         self.listener.close()
         self.closed.set()
 
-    def turn_away_last(self):
-        """After the last step: who was accepted and is not known to the reducer, then what lies unread on any socket. The process
-        closes them all as it ends, and over unread bytes a close is a reset that takes the last line with it."""
+    def turn_away_unknown(self):
+        """After the last step: who was accepted and is not known to the reducer."""
         while True:
             try:
                 event = self.events.get_nowait()[1]
@@ -334,8 +337,6 @@
             if isinstance(event, ev.Came) and event.end.worker is not None:
                 self.workers.carry_out(ev.Write(event.end, lines.busy(self.reducer.retry_after())))
                 self.workers.carry_out(ev.Finish(event.end))
-        self.workers.carry_out(ev.Quit())
-        self.closer.stop()
 
     def accept_shared(self):
         poll = select.poll()
