--- /dev/null
+++ b/tests/crossings/test_handover.py
@@ -0,0 +1,60 @@
+"""A standing connection on its way from one process to the next, and one side dies at each step. Beside `tests/test_succession.py`."""
+import socket
+
+import pytest
+from standins import WAIT
+
+from cottonspread.front import handover
+from cottonspread.net import passing
+
+STANDING = handover.pack_standing(handover.Standing("id", "plain", "s-1", 1, 2))
+
+
+def on_its_way(message, fds=2):
+    """What the successor does with a message whose sender is dead by then: ((client, host) as it took them or None, their other sides)."""
+    ours, theirs = socket.socketpair()
+    ends = [socket.socketpair() for _ in range(2)]
+    socket.send_fds(theirs, [message], [end.fileno() for end, _ in ends][:fds])
+    theirs.close()
+    for end, _ in ends:
+        end.close()                          # the dead one's copies
+    taken = []
+    with ours:
+        try:
+            passing.take_over(ours, lambda standing, client, host: taken.append((standing, client, host)) or True)
+        except OSError:                      # nobody hears the answer
+            pass
+    return taken, [other for _, other in ends]
+
+
+def test_one_that_was_sent_whole_is_the_successors_though_the_sender_died():
+    taken, others = on_its_way(STANDING)
+    (standing, *mine), = taken
+    assert standing.id == "id"
+    for one, other in zip(mine, others):
+        other.settimeout(WAIT)
+        one.sendall(b"M 1\r\n")
+        assert other.recv(10) == b"M 1\r\n"
+        one.close()
+        other.close()
+
+
+@pytest.mark.parametrize("cut", (1, len(STANDING) // 2, len(STANDING) - 2))
+@pytest.mark.parametrize("fds", (2, 1))
+def test_one_that_was_cut_off_is_nobodys_and_ends(cut, fds):
+    """The sender died in the middle of it: the sockets that came are closed, and both sides see the end."""
+    taken, others = on_its_way(STANDING[:cut], fds)
+    assert not taken
+    for other in others:
+        other.settimeout(WAIT)
+        assert other.recv(10) == b""
+        other.close()
+
+
+def test_a_whole_message_without_both_sockets_is_turned_down():
+    taken, others = on_its_way(STANDING, 1)
+    assert not taken
+    for other in others:
+        other.settimeout(WAIT)
+        assert other.recv(10) == b""
+        other.close()
