--- a/tests/crossings/standins.py
+++ b/tests/crossings/standins.py
@@ -242,3 +242,11 @@
             return
         gate.wait(0.005)
     raise AssertionError(what)
+
+
+def serve(hosts):
+    """The next attempt, wherever it goes."""
+    until(lambda: any(h.waits() for h in hosts), "nobody came")
+    peer = next(h for h in hosts if h.waits()).take()
+    peer.line = peer.hear()
+    return peer
--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -2,7 +2,7 @@
 import threading
 
 import pytest
-from standins import Gate, client, listed, opening, running, until
+from standins import Gate, client, listed, opening, running, serve, until
 
 from cottonspread.net import events as ev
 from cottonspread.net import workers
@@ -179,9 +179,8 @@
     with running(agent, before) as node:
         listed(node)
         one = client(node, opening(1, "once", wait=300))
-        until(lambda: any(h.waits() for h in hosts), "nobody came")
-        peer = next(h for h in hosts if h.waits()).take()
-        assert peer.hear().startswith(b"OPEN ")
+        peer = serve(hosts)
+        assert peer.line.startswith(b"OPEN ")
         node.hasten(ev.NotRetuned())
         assert gate.here.wait(10)
         began = node.clock.now()
--- a/tests/crossings/test_closing.py
+++ b/tests/crossings/test_closing.py
@@ -3,7 +3,7 @@
 import threading
 
 import pytest
-from standins import Gate, Peer, client, listed, opening, running, until
+from standins import Gate, Peer, client, listed, opening, running, serve, until
 
 from cottonspread.net import closing, reducer
 from cottonspread.net import events as ev
@@ -69,8 +69,7 @@
         one = client(node, opening(1))
         until(lambda: any(h.waits() for h in hosts), "nobody came")
         host = next(h for h in hosts if h.waits())
-        peer = host.take()
-        peer.hear()
+        peer = serve([host])
         peer.say(b"UP r")
         assert one.hear() == b"UP r"
         agent.change(host, "Terminating")
@@ -82,9 +81,7 @@
     with running(agent) as node:
         listed(node)
         one = client(node, opening(1))
-        until(lambda: any(h.waits() for h in hosts), "nobody came")
-        peer = next(h for h in hosts if h.waits()).take()
-        peer.hear()
+        peer = serve(hosts)
         peer.say(b"UP r", b"M 1 ab")
         assert (one.hear(), one.hear()) == (b"UP r", b"M 1 ab")
         one.say(b"x" * 5000)
@@ -135,9 +132,7 @@
     with running(agent) as node:
         listed(node)
         one = client(node, opening(1, "once"))
-        until(lambda: any(h.waits() for h in hosts), "nobody came")
-        peer = next(h for h in hosts if h.waits()).take()
-        peer.hear()
+        peer = serve(hosts)
         peer.say(b"ERR")
         assert one.hear() == b"ERR"
         peer.sock.sendall(b"UP r\r\n" * 10)
@@ -150,9 +145,7 @@
     with running(agent) as node:
         listed(node)
         one = client(node, opening(1, "once"))
-        until(lambda: any(h.waits() for h in hosts), "nobody came")
-        peer = next(h for h in hosts if h.waits()).take()
-        peer.hear()
+        peer = serve(hosts)
         peer.sock.sendall(answer)
         try:
             while True:
@@ -204,9 +197,7 @@
     with running(agent) as node:
         listed(node)
         one = client(node, opening(1))
-        until(lambda: any(h.waits() for h in hosts), "nobody came")
-        peer = next(h for h in hosts if h.waits()).take()
-        peer.hear()
+        peer = serve(hosts)
         peer.say(b"UP r")
         assert one.hear() == b"UP r"
         peer.close("reset")
--- a/tests/crossings/test_shutdown.py
+++ b/tests/crossings/test_shutdown.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 import pytest
-from standins import TYPES, WAIT, Gate, Peer, client, listed, opening, running, settings, until
+from standins import TYPES, WAIT, Gate, Peer, client, listed, opening, running, serve, settings, until
 
 from cottonspread import cli
 from cottonspread.cli import node as command
@@ -26,14 +26,6 @@
     assert peer.hear() == b"" and not peer.broken()
 
 
-def serve(hosts):
-    """The next attempt, wherever it goes."""
-    until(lambda: any(h.waits() for h in hosts), "nobody came")
-    peer = next(h for h in hosts if h.waits()).take()
-    peer.line = peer.hear()
-    return peer
-
-
 def at_the_end(monkeypatch, node, what):
     """`what` happens after the reducer's last step, before anything is closed."""
     finish = node.finish
