--- a/cottonspread/interface.py
+++ b/cottonspread/interface.py
@@ -66,7 +66,7 @@
     most_legs: int = 1
     two_at_once: bool = False
     may_cancel: bool = False
-    may_retry_after: bool = False         # a reject may say when to come back
+    may_retry_after: bool = False    # a reject may say when to come back
     longest_retry_after: int = 0
 
 
@@ -239,7 +239,7 @@
 @dataclass(frozen=True)
 class Reject:
     call: object
-    retry_after: int = 0               # 0: nothing is said
+    retry_after: int = 0             # 0: nothing is said
 
 
 @dataclass(frozen=True)
--- a/tests/crossings/standins.py
+++ b/tests/crossings/standins.py
@@ -1,4 +1,5 @@
 """Stand-ins for the crossing tests: a list, hosts and clients on loopback that wait for the test's word, never for a time."""
+import itertools
 import json
 import queue
 import select
@@ -9,6 +10,7 @@
 
 from cottonspread import config
 from cottonspread.net import events as ev
+from cottonspread.net import workers
 from cottonspread.net.node import Node
 
 WAIT = 10                              # seconds after which a test has failed
@@ -170,6 +172,20 @@
         assert self.open.wait(WAIT)
 
 
+def hold_connects(monkeypatch, which=lambda nth: True):
+    """The node hears of a connection to a host, of those that `which(nth)` names, once the gate that is returned opens."""
+    gate, connect, numbers = Gate(), workers.Worker.connect, itertools.count(1)
+
+    def held(worker, order):
+        said = connect(worker, order)
+        if which(next(numbers)):
+            gate.wait()
+        return said
+
+    monkeypatch.setattr(workers.Worker, "connect", held)
+    return gate
+
+
 def listed(node, version=None):
     node.seen.wait(ev.Heard, lambda e: e.listed.entries and version in (None, e.listed.version))
 
@@ -250,3 +266,12 @@
     peer = next(h for h in hosts if h.waits()).take()
     peer.line = peer.hear()
     return peer
+
+
+def standing(node, hosts):
+    """A connection that is up: its client's side and its host's."""
+    one = client(node, opening(1))
+    peer = serve(hosts)
+    peer.say(b"UP r")
+    assert one.hear() == b"UP r"
+    return one, peer
--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -2,7 +2,7 @@
 import threading
 
 import pytest
-from standins import Gate, client, listed, opening, running, serve, until
+from standins import Gate, client, hold_connects, listed, opening, running, serve, until
 
 from cottonspread.net import events as ev
 from cottonspread.net import workers
@@ -11,12 +11,7 @@
 @pytest.mark.parametrize("how", ("close", "reset", "half"))
 def test_nothing_is_sent_for_a_client_that_left_while_its_connection_came_up(hosts, agent, how, monkeypatch):
     """Its end lay in the queue behind much else: here the reducer never hears of it in time."""
-    gate, connect, kept = Gate(), workers.Worker.connect, threading.Event()
-
-    def held(worker, order):
-        said = connect(worker, order)
-        gate.wait()
-        return said
+    gate, kept = hold_connects(monkeypatch), threading.Event()
 
     def before(node):
         post = node.workers.post
@@ -28,7 +23,6 @@
 
         node.workers.post = late
 
-    monkeypatch.setattr(workers.Worker, "connect", held)
     with running(agent, before) as node:
         listed(node)
         one = client(node, opening(1))
@@ -76,15 +70,7 @@
 
 
 def test_nothing_is_sent_to_a_host_that_was_told_to_drain_while_the_connection_came_up(hosts, agent, monkeypatch):
-    gate, connect = Gate(), workers.Worker.connect
-
-    def held(worker, order):
-        said = connect(worker, order)
-        if not gate.here.is_set():           # the first alone
-            gate.wait()
-        return said
-
-    monkeypatch.setattr(workers.Worker, "connect", held)
+    gate = hold_connects(monkeypatch, lambda nth: nth == 1)
     with running(agent) as node:
         listed(node)
         one = client(node, opening(1))
@@ -103,16 +89,7 @@
 
 def test_a_marked_call_is_not_sent_again_once_its_repeats_are_forgotten(hosts, agent, monkeypatch):
     """Decided on in time, its second connection comes up after it. The window for repeats is 400 ms."""
-    gate, connect, seen = Gate(), workers.Worker.connect, []
-
-    def held(worker, order):
-        said = connect(worker, order)
-        seen.append(order)
-        if len(seen) == 2:
-            gate.wait()
-        return said
-
-    monkeypatch.setattr(workers.Worker, "connect", held)
+    gate = hold_connects(monkeypatch, lambda nth: nth == 2)
     with running(agent) as node:
         listed(node)
         one = client(node, opening(1, "marked"))
--- a/tests/crossings/test_closing.py
+++ b/tests/crossings/test_closing.py
@@ -3,7 +3,7 @@
 import threading
 
 import pytest
-from standins import Gate, Peer, client, listed, opening, running, serve, until
+from standins import Gate, Peer, client, listed, opening, running, serve, standing, until
 
 from cottonspread.net import closing, reducer
 from cottonspread.net import events as ev
@@ -196,10 +196,7 @@
     """When one side breaks, so does the other: a host that resets is no host that ended."""
     with running(agent) as node:
         listed(node)
-        one = client(node, opening(1))
-        peer = serve(hosts)
-        peer.say(b"UP r")
-        assert one.hear() == b"UP r"
+        one, peer = standing(node, hosts)
         peer.close("reset")
         with pytest.raises(ConnectionResetError):
             one.hear()
--- a/tests/crossings/test_shutdown.py
+++ b/tests/crossings/test_shutdown.py
@@ -10,12 +10,11 @@
 from pathlib import Path
 
 import pytest
-from standins import TYPES, WAIT, Gate, Peer, client, listed, opening, running, serve, settings, until
+from standins import TYPES, WAIT, Gate, Peer, client, hold_connects, listed, opening, running, serve, settings, standing, until
 
 from cottonspread import cli
 from cottonspread.cli import node as command
 from cottonspread.net import events as ev
-from cottonspread.net import workers
 
 ROOT = Path(__file__).parent.parent.parent
 GUARD = max(t["GuardTime"] for t in TYPES)
@@ -131,14 +130,7 @@
 
 
 def test_a_call_whose_connection_does_not_come_up_is_turned_away_at_the_end_as_never_sent(hosts, agent, monkeypatch):
-    gate, connect = Gate(), workers.Worker.connect
-
-    def held(worker, order):
-        said = connect(worker, order)
-        gate.wait()
-        return said
-
-    monkeypatch.setattr(workers.Worker, "connect", held)
+    gate = hold_connects(monkeypatch)
     with running(agent) as node:
         listed(node)
         one = client(node, opening(1, "once"))
@@ -153,10 +145,7 @@
 def test_an_answer_held_by_a_slow_peer_does_not_keep_the_process_past_its_time(hosts, agent):
     with running(agent) as node:
         listed(node)
-        one = client(node, opening(1))
-        peer = serve(hosts)
-        peer.say(b"UP r")
-        assert one.hear() == b"UP r"
+        one, peer = standing(node, hosts)
 
         def flood():
             try:
@@ -208,10 +197,7 @@
 def test_twice_with_a_reload_and_a_drain_in_between_it_ends_as_once(hosts, agent):
     with running(agent) as node:
         listed(node)
-        one = client(node, opening(1))
-        peer = serve(hosts)
-        peer.say(b"UP r")
-        assert one.hear() == b"UP r"
+        one, peer = standing(node, hosts)
         began = node.clock.now()
         node.stop()
         node.seen.wait(ev.StopAsked)
