--- a/benchmarks/crossings/list_clock.py
+++ b/benchmarks/crossings/list_clock.py
@@ -3,6 +3,7 @@
     python benchmarks/crossings/list_clock.py OUT.json
 
 The change comes, and the list can be reached, in the moment after the fault has struck: the longest way there is."""
+
 import json
 import sys
 import threading
@@ -34,14 +35,25 @@
             struck.acquire()
         began = time.monotonic()
         agent.change(hosts[0], "Terminating")
-        while not any(getattr(getattr(e, "listed", None), "version", 0) == agent.version for e in list(node.seen.told)):
+        while not any(
+            getattr(getattr(e, "listed", None), "version", 0) == agent.version for e in list(node.seen.told)
+        ):
             time.sleep(0.001)
         return time.monotonic() - began
 
 
 def main(given):
-    told = [{"fault": fault.__name__, "times": times, "list": "asked" if asked else "pushed", "s": round(measured(fault, times, asked), 3)}
-            for asked in (False, True) for fault in FAULTS for times in (1, 3)]
+    told = [
+        {
+            "fault": fault.__name__,
+            "times": times,
+            "list": "asked" if asked else "pushed",
+            "s": round(measured(fault, times, asked), 3),
+        }
+        for asked in (False, True)
+        for fault in FAULTS
+        for times in (1, 3)
+    ]
     for one in told:
         print(*one.values())
     print("longest", max(one["s"] for one in told))
--- a/benchmarks/crossings/mutants.py
+++ b/benchmarks/crossings/mutants.py
@@ -3,6 +3,7 @@
     python benchmarks/crossings/mutants.py OUT.json
 
 Works in a copy of the tree, which is removed. Exit code 1 if a mutant is not noticed, or its line is not there any more."""
+
 import json
 import shutil
 import subprocess
@@ -14,50 +15,277 @@
 ROOT = Path(__file__).parent.parent.parent
 AT_ONCE, WAIT = 4, 90
 
-ATTEMPTS, CLOSING, SHUTDOWN, LIST, FLOODS = (f"tests/crossings/test_{name}.py" for name in ("attempts", "closing", "shutdown", "list", "floods"))
+ATTEMPTS, CLOSING, SHUTDOWN, LIST, FLOODS = (
+    f"tests/crossings/test_{name}.py" for name in ("attempts", "closing", "shutdown", "list", "floods")
+)
 SCENARIO = "tests/test_reducer.py::test_scenario"
 
 # (what is taken out, file, the line as it stands, the line in its place, tests of which one must fail)
 MUTANTS = [
-    ("the look for the client before the first byte", "net/workers.py", 'why = self.must_not_begin(effect) if effect.attempt else ""', 'why = ""',
-     [f"{ATTEMPTS}::test_nothing_is_sent_for_a_client_that_left_while_its_connection_came_up"]),
-    ("the look at the host before the first byte", "net/reducer.py", "if entry is None or entry.state is not io.State.UP or server is None or server.address != leg.address:", "if False:",
-     [f"{ATTEMPTS}::test_nothing_is_sent_to_a_host_that_was_told_to_drain_while_the_connection_came_up", f"{SCENARIO}[drain]", f"{SCENARIO}[late_connect]"]),
-    ("the address in that look", "net/reducer.py", "server is None or server.address != leg.address:", "server is None:", [f"{SCENARIO}[late_connect]"]),
-    ("the window for repeats in that look", "decide.py", "result = yield io.Send(call.id, host.name, until, remembered_until(call))", "result = yield io.Send(call.id, host.name, until)",
-     [f"{ATTEMPTS}::test_a_marked_call_is_not_sent_again_once_its_repeats_are_forgotten", f"{SCENARIO}[late_connect]"]),
-    ("an attempt not begun never ran", "net/reducer.py", "if not leg.begun and leg.conn.opening.held_by is None:", "if False:",
-     [f"{SCENARIO}[never_begun]", f"{SHUTDOWN}::test_a_call_whose_connection_does_not_come_up_is_turned_away_at_the_end_as_never_sent"]),
-    ("given up while it came up", "net/reducer.py", "        elif leg.ended:\n            e.end.over = True", "        elif False:\n            e.end.over = True", [f"{SCENARIO}[late_connect]"]),
-    ("a refusal with more behind it", "net/lines.py", "return Ending.ERROR if rest else ENDINGS", "return ENDINGS", [f"{ATTEMPTS}::test_a_call_that_must_not_run_twice_goes_again_only_where_it_is_known_not_to_have_run"]),
-    ("the receipt", "net/lines.py", "return None if len(words) > 1 else Ending.ERROR", "return None if words else Ending.ERROR", [f"{ATTEMPTS}::test_a_call_that_must_not_run_twice_goes_again_only_where_it_is_known_not_to_have_run"]),
-    ("a client's half-close", "net/reducer.py", "        self.out.append(ev.Finish(end))\n        if end.client:", "        self.out.append(ev.Cut(end))\n        if end.client:",
-     [f"{CLOSING}::test_what_is_no_first_line_is_answered_and_read_to_its_end", f"{CLOSING}::test_a_client_that_is_moved_may_still_be_sending"]),
-    ("reading on after the end", "net/reducer.py", "        if e.end.closing or e.end.finish:\n            self.read(e.end) ", "        if False:\n            self.read(e.end) ", [f"{SCENARIO}[close_crosses_line]"]),
-    ("the closer at the door", "net/node.py", "        self.closer.take(sock)\n", "        sock.close()\n", [f"{CLOSING}::test_a_client_turned_away_at_the_door_may_send_its_line_just_then"]),
-    ("BUSY for who said nothing", "net/reducer.py", 'harmless = reason in ("no-first-line", "ping", "stopping")', "harmless = False", [f"{CLOSING}::test_a_request_that_crosses_the_end_of_a_resting_connection_is_answered_and_not_sent_on"]),
-    ("an answer to a line too long", "net/reducer.py", 'if how.endswith("-line"):            # it is still there', 'if False:            # it is still there', [f"{CLOSING}::test_what_is_no_first_line_is_answered_and_read_to_its_end"]),
-    ("the bound on what is read after the end", "net/workers.py", "DRAINED_AT_MOST, CUT_WAIT = 1024 * 1024, 2000", "DRAINED_AT_MOST, CUT_WAIT = 1 << 60, 2000", [f"{CLOSING}::test_one_that_sends_at_full_speed_and_stays_is_given_up_and_holds_nobody_up"]),
-    ("room made by who lingers", "net/reducer.py", "for end in list(islice(self.lingering, max(0, 1 - room))):", "for end in ():", [f"{SCENARIO}[lingering_makes_room]"]),
-    ("a reset told as one", "net/reducer.py", '        if how == "reset":\n            self.cut(conn.client, broken=True)', '        if how == "reset":\n            self.close(conn.client)', [f"{CLOSING}::test_peers_are_told_a_reset_as_a_reset"]),
-    ("the bound on a line", "net/lines.py", '                raise BadLine("long-line")', "                self.filled = 0", [f"{CLOSING}::test_an_answer_that_never_ends_is_given_up"]),
-    ("the listener's queue at the end", "net/node.py", 'self.turn_away(self.listener.accept()[0], "stopping", self.reducer.retry_after())', "break", [f"{SHUTDOWN}::test_a_connection_in_the_listeners_queue_at_the_end_is_turned_away"]),
-    ("who is accepted and not known at the end", "net/node.py", "if isinstance(event, ev.Came) and event.end.worker is not None:", "if False:", [f"{SHUTDOWN}::test_a_connection_that_the_reducer_does_not_know_at_the_end_is_turned_away"]),
-    ("SIGTERM before the queue", "net/node.py", "        self.hasten(ev.StopAsked())", "        self.post(ev.StopAsked())", [f"{SHUTDOWN}::test_sigterm_goes_before_all_that_waits"]),
-    ("SIGTERM from the first moment", "cli/node.py", "        signal.signal(number, lambda *_: asked.put(ask_to_stop))", "        pass", [f"{SHUTDOWN}::test_a_signal_during_the_start_is_no_end_by_force"]),
-    ("BUSY after SIGTERM", "net/reducer.py", '            return "stopping"\n', '            return ""\n', [f"{SHUTDOWN}::test_what_is_read_after_the_stop_is_not_sent_on_and_what_was_read_before_is_answered"]),
-    ("the last moment for answers", "net/reducer.py", "                self.end_leg(leg, Ending.TIMEOUT)      # and no other", "                pass      # and no other", [f"{SCENARIO}[stop_long_call]"]),
-    ("a stop is one stop", "net/reducer.py", "        if self.stopping:\n            return\n        # The platform", "        # The platform", [f"{SCENARIO}[stop_twice]"]),
-    ("short watches", "net/discovery.py", "    WATCH_MS = 2000 ", "    WATCH_MS = 5000 ", [f"{LIST}::test_the_longest_way_of_a_change_lies_under_6_s_with_room_for_a_late_node", f"{LIST}::test_a_change_after_a_call_that_failed_is_heard_of_in_its_time"]),
-    ("asking before believing", "net/discovery.py", "        if trusted:\n", "        if True:\n", [f"{LIST}::test_a_new_process_asks_before_it_believes_what_it_knew"]),
-    ("believing once discovery has failed", "net/discovery.py", "            self.failures += 1\n            self.trust()", "            self.failures += 1", [f"{LIST}::test_a_new_process_serves_from_what_it_knew_while_discovery_is_down"]),
-    ("a pause cut short", "net/discovery.py", "        self.http.give_up()\n        self.hurry.set()\n\n    def begin", "        self.http.give_up()\n\n    def begin", [f"{LIST}::test_sighup_moves_the_list_at_once_whatever_the_call_to_the_old_one_does"]),
-    ("a 503 is no closed connection", "net/http.py", "            except BadStatus:\n                raise\n", "", [f"{LIST}::test_a_503_on_a_kept_connection_is_one_call_and_not_two"]),
-    ("an older version is no news", "net/discovery.py", "        if version < self.version:\n", "        if False:\n", [f"{LIST}::test_a_change_after_a_call_that_failed_is_heard_of_in_its_time"]),
-    ("the bound on waits for an asked list", "decide.py", "most = max(SECOND, min(self.every, self.LONGEST_WAY - took))", "most = max(SECOND, self.every)", ["tests/test_many_nodes.py::test_nodes_turned_away_by_an_overbooked_list_ask_as_seldom_as_the_terms_let_them"]),
-    ("a number of nodes that is not told", "decide.py", "    UNTOLD = 30 ", "    UNTOLD = 1 ", ["tests/test_many_nodes.py::test_what_all_processes_send_a_cold_server_stays_within_its_budget_and_chance"]),
-    ("the bound on clients that say nothing", "net/reducer.py", "while len(self.unopened) >= max(2, self.most_ends // WAITING_PART):", "while False:", [f"{FLOODS}::test_idle_clients_that_fill_the_descriptors_keep_nobody_out"]),
-    ("an object is no list", "config/platform.py", "return Keys(self.values.get(key, {} if default is MISSING else default), self.at(key))", "return Keys(dict(self.values.get(key, {} if default is MISSING else default)), self.at(key))", [f"{FLOODS}::test_settings_that_make_no_sense_stop_the_start_and_change_nothing_at_sighup"]),
+    (
+        "the look for the client before the first byte",
+        "net/workers.py",
+        'why = self.must_not_begin(effect) if effect.attempt else ""',
+        'why = ""',
+        [f"{ATTEMPTS}::test_nothing_is_sent_for_a_client_that_left_while_its_connection_came_up"],
+    ),
+    (
+        "the look at the host before the first byte",
+        "net/reducer.py",
+        "if entry is None or entry.state is not io.State.UP or server is None or server.address != leg.address:",
+        "if False:",
+        [
+            f"{ATTEMPTS}::test_nothing_is_sent_to_a_host_that_was_told_to_drain_while_the_connection_came_up",
+            f"{SCENARIO}[drain]",
+            f"{SCENARIO}[late_connect]",
+        ],
+    ),
+    (
+        "the address in that look",
+        "net/reducer.py",
+        "server is None or server.address != leg.address:",
+        "server is None:",
+        [f"{SCENARIO}[late_connect]"],
+    ),
+    (
+        "the window for repeats in that look",
+        "decide.py",
+        "result = yield io.Send(call.id, host.name, until, remembered_until(call))",
+        "result = yield io.Send(call.id, host.name, until)",
+        [
+            f"{ATTEMPTS}::test_a_marked_call_is_not_sent_again_once_its_repeats_are_forgotten",
+            f"{SCENARIO}[late_connect]",
+        ],
+    ),
+    (
+        "an attempt not begun never ran",
+        "net/reducer.py",
+        "if not leg.begun and leg.conn.opening.held_by is None:",
+        "if False:",
+        [
+            f"{SCENARIO}[never_begun]",
+            f"{SHUTDOWN}::test_a_call_whose_connection_does_not_come_up_is_turned_away_at_the_end_as_never_sent",
+        ],
+    ),
+    (
+        "given up while it came up",
+        "net/reducer.py",
+        "        elif leg.ended:\n            e.end.over = True",
+        "        elif False:\n            e.end.over = True",
+        [f"{SCENARIO}[late_connect]"],
+    ),
+    (
+        "a refusal with more behind it",
+        "net/lines.py",
+        "return Ending.ERROR if rest else ENDINGS",
+        "return ENDINGS",
+        [
+            f"{ATTEMPTS}::test_a_call_that_must_not_run_twice_goes_again_only_where_it_is_known_not_to_have_run"
+        ],
+    ),
+    (
+        "the receipt",
+        "net/lines.py",
+        "return None if len(words) > 1 else Ending.ERROR",
+        "return None if words else Ending.ERROR",
+        [
+            f"{ATTEMPTS}::test_a_call_that_must_not_run_twice_goes_again_only_where_it_is_known_not_to_have_run"
+        ],
+    ),
+    (
+        "a client's half-close",
+        "net/reducer.py",
+        "        self.out.append(ev.Finish(end))\n        if end.client:",
+        "        self.out.append(ev.Cut(end))\n        if end.client:",
+        [
+            f"{CLOSING}::test_what_is_no_first_line_is_answered_and_read_to_its_end",
+            f"{CLOSING}::test_a_client_that_is_moved_may_still_be_sending",
+        ],
+    ),
+    (
+        "reading on after the end",
+        "net/reducer.py",
+        "        if e.end.closing or e.end.finish:\n            self.read(e.end) ",
+        "        if False:\n            self.read(e.end) ",
+        [f"{SCENARIO}[close_crosses_line]"],
+    ),
+    (
+        "the closer at the door",
+        "net/node.py",
+        "        self.closer.take(sock)\n",
+        "        sock.close()\n",
+        [f"{CLOSING}::test_a_client_turned_away_at_the_door_may_send_its_line_just_then"],
+    ),
+    (
+        "BUSY for who said nothing",
+        "net/reducer.py",
+        'harmless = reason in ("no-first-line", "ping", "stopping")',
+        "harmless = False",
+        [
+            f"{CLOSING}::test_a_request_that_crosses_the_end_of_a_resting_connection_is_answered_and_not_sent_on"
+        ],
+    ),
+    (
+        "an answer to a line too long",
+        "net/reducer.py",
+        'if how.endswith("-line"):            # it is still there',
+        "if False:            # it is still there",
+        [f"{CLOSING}::test_what_is_no_first_line_is_answered_and_read_to_its_end"],
+    ),
+    (
+        "the bound on what is read after the end",
+        "net/workers.py",
+        "DRAINED_AT_MOST, CUT_WAIT = 1024 * 1024, 2000",
+        "DRAINED_AT_MOST, CUT_WAIT = 1 << 60, 2000",
+        [f"{CLOSING}::test_one_that_sends_at_full_speed_and_stays_is_given_up_and_holds_nobody_up"],
+    ),
+    (
+        "room made by who lingers",
+        "net/reducer.py",
+        "for end in list(islice(self.lingering, max(0, 1 - room))):",
+        "for end in ():",
+        [f"{SCENARIO}[lingering_makes_room]"],
+    ),
+    (
+        "a reset told as one",
+        "net/reducer.py",
+        '        if how == "reset":\n            self.cut(conn.client, broken=True)',
+        '        if how == "reset":\n            self.close(conn.client)',
+        [f"{CLOSING}::test_peers_are_told_a_reset_as_a_reset"],
+    ),
+    (
+        "the bound on a line",
+        "net/lines.py",
+        '                raise BadLine("long-line")',
+        "                self.filled = 0",
+        [f"{CLOSING}::test_an_answer_that_never_ends_is_given_up"],
+    ),
+    (
+        "the listener's queue at the end",
+        "net/node.py",
+        'self.turn_away(self.listener.accept()[0], "stopping", self.reducer.retry_after())',
+        "break",
+        [f"{SHUTDOWN}::test_a_connection_in_the_listeners_queue_at_the_end_is_turned_away"],
+    ),
+    (
+        "who is accepted and not known at the end",
+        "net/node.py",
+        "if isinstance(event, ev.Came) and event.end.worker is not None:",
+        "if False:",
+        [f"{SHUTDOWN}::test_a_connection_that_the_reducer_does_not_know_at_the_end_is_turned_away"],
+    ),
+    (
+        "SIGTERM before the queue",
+        "net/node.py",
+        "        self.hasten(ev.StopAsked())",
+        "        self.post(ev.StopAsked())",
+        [f"{SHUTDOWN}::test_sigterm_goes_before_all_that_waits"],
+    ),
+    (
+        "SIGTERM from the first moment",
+        "cli/node.py",
+        "        signal.signal(number, lambda *_: asked.put(ask_to_stop))",
+        "        pass",
+        [f"{SHUTDOWN}::test_a_signal_during_the_start_is_no_end_by_force"],
+    ),
+    (
+        "BUSY after SIGTERM",
+        "net/reducer.py",
+        '            return "stopping"\n',
+        '            return ""\n',
+        [f"{SHUTDOWN}::test_what_is_read_after_the_stop_is_not_sent_on_and_what_was_read_before_is_answered"],
+    ),
+    (
+        "the last moment for answers",
+        "net/reducer.py",
+        "                self.end_leg(leg, Ending.TIMEOUT)      # and no other",
+        "                pass      # and no other",
+        [f"{SCENARIO}[stop_long_call]"],
+    ),
+    (
+        "a stop is one stop",
+        "net/reducer.py",
+        "        if self.stopping:\n            return\n        # The platform",
+        "        # The platform",
+        [f"{SCENARIO}[stop_twice]"],
+    ),
+    (
+        "short watches",
+        "net/discovery.py",
+        "    WATCH_MS = 2000 ",
+        "    WATCH_MS = 5000 ",
+        [
+            f"{LIST}::test_the_longest_way_of_a_change_lies_under_6_s_with_room_for_a_late_node",
+            f"{LIST}::test_a_change_after_a_call_that_failed_is_heard_of_in_its_time",
+        ],
+    ),
+    (
+        "asking before believing",
+        "net/discovery.py",
+        "        if trusted:\n",
+        "        if True:\n",
+        [f"{LIST}::test_a_new_process_asks_before_it_believes_what_it_knew"],
+    ),
+    (
+        "believing once discovery has failed",
+        "net/discovery.py",
+        "            self.failures += 1\n            self.trust()",
+        "            self.failures += 1",
+        [f"{LIST}::test_a_new_process_serves_from_what_it_knew_while_discovery_is_down"],
+    ),
+    (
+        "a pause cut short",
+        "net/discovery.py",
+        "        self.http.give_up()\n        self.hurry.set()\n\n    def begin",
+        "        self.http.give_up()\n\n    def begin",
+        [f"{LIST}::test_sighup_moves_the_list_at_once_whatever_the_call_to_the_old_one_does"],
+    ),
+    (
+        "a 503 is no closed connection",
+        "net/http.py",
+        "            except BadStatus:\n                raise\n",
+        "",
+        [f"{LIST}::test_a_503_on_a_kept_connection_is_one_call_and_not_two"],
+    ),
+    (
+        "an older version is no news",
+        "net/discovery.py",
+        "        if version < self.version:\n",
+        "        if False:\n",
+        [f"{LIST}::test_a_change_after_a_call_that_failed_is_heard_of_in_its_time"],
+    ),
+    (
+        "the bound on waits for an asked list",
+        "decide.py",
+        "most = max(SECOND, min(self.every, self.LONGEST_WAY - took))",
+        "most = max(SECOND, self.every)",
+        [
+            "tests/test_many_nodes.py::test_nodes_turned_away_by_an_overbooked_list_ask_as_seldom_as_the_terms_let_them"
+        ],
+    ),
+    (
+        "a number of nodes that is not told",
+        "decide.py",
+        "    UNTOLD = 30 ",
+        "    UNTOLD = 1 ",
+        [
+            "tests/test_many_nodes.py::test_what_all_processes_send_a_cold_server_stays_within_its_budget_and_chance"
+        ],
+    ),
+    (
+        "the bound on clients that say nothing",
+        "net/reducer.py",
+        "while len(self.unopened) >= max(2, self.most_ends // WAITING_PART):",
+        "while False:",
+        [f"{FLOODS}::test_idle_clients_that_fill_the_descriptors_keep_nobody_out"],
+    ),
+    (
+        "an object is no list",
+        "config/platform.py",
+        "return Keys(self.values.get(key, {} if default is MISSING else default), self.at(key))",
+        "return Keys(dict(self.values.get(key, {} if default is MISSING else default)), self.at(key))",
+        [f"{FLOODS}::test_settings_that_make_no_sense_stop_the_start_and_change_nothing_at_sighup"],
+    ),
 ]
 
 
@@ -69,14 +297,30 @@
         path = copy / "cottonspread" / file
         text = path.read_text()
         if text.count(line) != 1:
-            return {"mutant": what, "file": file, "noticed": False, "why": f"its line stands there {text.count(line)} times"}
+            return {
+                "mutant": what,
+                "file": file,
+                "noticed": False,
+                "why": f"its line stands there {text.count(line)} times",
+            }
         path.write_text(text.replace(line, other))
         try:
-            done = subprocess.run([sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", *tests], cwd=copy, capture_output=True, text=True, timeout=WAIT)
+            done = subprocess.run(
+                [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", *tests],
+                cwd=copy,
+                capture_output=True,
+                text=True,
+                timeout=WAIT,
+            )
         except subprocess.TimeoutExpired:
             return {"mutant": what, "file": file, "noticed": True, "why": f"hung for {WAIT} s"}
         last = done.stdout.strip().splitlines()[-1] if done.stdout.strip() else done.stderr[-200:]
-        return {"mutant": what, "file": file, "noticed": done.returncode == 1 and "failed" in last, "why": last}
+        return {
+            "mutant": what,
+            "file": file,
+            "noticed": done.returncode == 1 and "failed" in last,
+            "why": last,
+        }
 
 
 def main(given):
@@ -84,7 +328,10 @@
         told = []
         for one in pool.map(play, MUTANTS):
             told.append(one)
-            print(f"{'noticed' if one['noticed'] else 'NOT NOTICED'}: {one['mutant']} ({one['file']}): {one['why']}", flush=True)
+            print(
+                f"{'noticed' if one['noticed'] else 'NOT NOTICED'}: {one['mutant']} ({one['file']}): {one['why']}",
+                flush=True,
+            )
     if given:
         Path(given[0]).write_text(json.dumps(told, indent=1) + "\n")
     return 0 if all(one["noticed"] for one in told) else 1
--- a/benchmarks/fleet/forty.py
+++ b/benchmarks/fleet/forty.py
@@ -1,7 +1,8 @@
 """Forty instances on one machine: plays benchmarks/fleet/forty.toml and writes what the operators asked for to results/forty.json.
 
-    PYTHONPATH=. python benchmarks/fleet/forty.py [--out FOLDER]          # four minutes; wants the cores alone
+PYTHONPATH=. python benchmarks/fleet/forty.py [--out FOLDER]          # four minutes; wants the cores alone
 """
+
 import argparse
 import json
 import re
@@ -24,8 +25,24 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--out", default="found/forty")
     out = parser.parse_args().out
-    if subprocess.run([sys.executable, "-m", "cottonspread", "lab", "run", str(HERE / "forty.toml"), "--out", out, "--quiet", "--again",
-                       "0"]).returncode == 2:
+    if (
+        subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "cottonspread",
+                "lab",
+                "run",
+                str(HERE / "forty.toml"),
+                "--out",
+                out,
+                "--quiet",
+                "--again",
+                "0",
+            ]
+        ).returncode
+        == 2
+    ):
         raise SystemExit(2)
     folder = str(Path(out) / "0-only")
     result = results.read(folder)
@@ -39,26 +56,50 @@
         for c in some:
             kind = c["answers"][0][1] if c["answers"] else c["how"]
             kinds[kind] = kinds.get(kind, 0) + 1
-        return {"calls": len(some), "ends": kinds, "set_up_p99_ms": p99(
-            [c["answers"][0][0] - c["intended"] for c in some if c["answers"] and c["answers"][0][1] == "UP"])}
+        return {
+            "calls": len(some),
+            "ends": kinds,
+            "set_up_p99_ms": p99(
+                [
+                    c["answers"][0][0] - c["intended"]
+                    for c in some
+                    if c["answers"] and c["answers"][0][1] == "UP"
+                ]
+            ),
+        }
 
     log = (Path(folder) / "fleet.log").read_text()
     told = {"calm, 2 to 9 s": window(2_000_000, 9_000_000)}
     for n in notes:
         if n["k"].endswith("-done"):
             began = n["t"] - round(n["s"] * 1e6)
-            told[f"{n['k'][:-5]} at {began // 1_000_000} s"] = {"s": n["s"], "code": n["code"], "said": n["said"]} | window(began, n["t"])
+            told[f"{n['k'][:-5]} at {began // 1_000_000} s"] = {
+                "s": n["s"],
+                "code": n["code"],
+                "said": n["said"],
+            } | window(began, n["t"])
     ready = [float(s) for s in re.findall(r"event=ready instances=40 s=([0-9.]+)", log)]
     back = [n for n in notes if n["k"] == "killed"]
     ids = re.findall(r"event=ended instance=n-(\d+) generation=\d+ how=\"signal 9\"", log)
     returned = [int(ms) for ms in re.findall(r"event=returned instance=n-\d+ generation=\d+ ms=(\d+)", log)]
     memory = [node["rss_mb"] for line in result.timeline for node in line["nodes"].values() if node["rss_mb"]]
-    told |= {"seconds to start forty until all are ready": ready, "memory of an instance, MB": {
-                 "median": statistics.median(memory), "most": max(memory)},
-             "killed": len(back), "ended by signal 9": len(ids), "ms from kill -9 to its return": returned, "adopted": log.count("event=adopted"),
-             "rules": {"offences": result.audit["offences"], "calls": result.audit["calls"], "legs": result.audit["legs"],
-                       "excused": result.audit["excused"]},
-             "answers": result.answers, "usable": result.usable, "reasons": result.reasons}
+    told |= {
+        "seconds to start forty until all are ready": ready,
+        "memory of an instance, MB": {"median": statistics.median(memory), "most": max(memory)},
+        "killed": len(back),
+        "ended by signal 9": len(ids),
+        "ms from kill -9 to its return": returned,
+        "adopted": log.count("event=adopted"),
+        "rules": {
+            "offences": result.audit["offences"],
+            "calls": result.audit["calls"],
+            "legs": result.audit["legs"],
+            "excused": result.audit["excused"],
+        },
+        "answers": result.answers,
+        "usable": result.usable,
+        "reasons": result.reasons,
+    }
     (HERE / "results" / "forty.json").write_text(json.dumps(told, indent=1) + "\n")
     print(json.dumps(told, indent=1))
 
--- a/benchmarks/lab/engines.py
+++ b/benchmarks/lab/engines.py
@@ -3,6 +3,7 @@
 `engines.py [RATE] [SECONDS]`: each engine alone on a core, in turn, three times; prints how late its calls went out and the CPU for each.
 uvloop is a part of this comparison alone: `pip install uvloop` beside requirements-dev.txt, else it is left out.
 """
+
 import asyncio
 import multiprocessing
 import os
@@ -38,7 +39,9 @@
                 left[0] -= 1
                 if not left[0]:
                     loop.stop()
+
         loop.watch(sock, read)
+
     quiet_collector()
     loop.at(at[0], call, 0)
     loop.run()
@@ -76,6 +79,7 @@
                 await asyncio.sleep(wait)
             tasks.append(loop.create_task(call(loop, n)))
         await asyncio.gather(*tasks)
+
     quiet_collector()
     runner(main())
     return late
@@ -84,21 +88,33 @@
 def measured(name, address, rate, seconds, core, out):
     os.sched_setaffinity(0, {core})
     start = now() + 200_000
-    at = (start + np.sort(np.random.default_rng(4).uniform(0, seconds * 1e6, int(rate * seconds)))).astype(int).tolist()
+    at = (
+        (start + np.sort(np.random.default_rng(4).uniform(0, seconds * 1e6, int(rate * seconds))))
+        .astype(int)
+        .tolist()
+    )
     if name == "epoll":
         late = epoll(address, at)
     elif name == "asyncio":
         late = on_asyncio(address, at, asyncio.run)
     else:
         import uvloop
+
         late = on_asyncio(address, at, uvloop.run)
     used = resource.getrusage(resource.RUSAGE_SELF)
-    out.put((name, *(round(float(v)) for v in np.percentile(late, (50, 99, 99.9))), max(late),
-             round((used.ru_utime + used.ru_stime) / len(at) * 1e6)))
+    out.put(
+        (
+            name,
+            *(round(float(v)) for v in np.percentile(late, (50, 99, 99.9))),
+            max(late),
+            round((used.ru_utime + used.ru_stime) / len(at) * 1e6),
+        )
+    )
 
 
 def accept(address, core):
     from cottonspread.lab import acceptor
+
     os.sched_setaffinity(0, {core})
     acceptor.run(address)
 
@@ -110,7 +126,8 @@
     time.sleep(1)
     names = ["epoll", "asyncio"]
     try:
-        import uvloop                                                   # noqa: F401
+        import uvloop  # noqa: F401
+
         names.append("uvloop")
     except ImportError:
         pass
@@ -118,7 +135,9 @@
     for _ in range(3):
         for name in names:
             out = multiprocessing.Queue()
-            one = multiprocessing.Process(target=measured, args=(name, address, rate, seconds, cores[-1], out))
+            one = multiprocessing.Process(
+                target=measured, args=(name, address, rate, seconds, cores[-1], out)
+            )
             one.start()
             print(*out.get(timeout=60), flush=True)
             one.join()
--- a/benchmarks/operating/calls.py
+++ b/benchmarks/operating/calls.py
@@ -6,6 +6,7 @@
 a place without a line, on the others. A call is timed from before it connects to the last byte of its answer. The figures fetched
 last are held against what the clients saw.
 """
+
 import importlib.util
 import json
 import os
@@ -45,10 +46,21 @@
     listen, operator = free_port(), free_port()
     with tempfile.TemporaryDirectory() as folder:
         file = Path(folder) / "node.json"
-        file.write_text(json.dumps(json.loads((ROOT / "examples" / "node.json").read_text()) | {
-            "discovery": "%s:%d" % discovery.getsockname(), "listen": "%s:%d" % listen, "operator": "%s:%d" % operator}))
-        node = subprocess.Popen([sys.executable, "-m", "cottonspread", "serve", "--config", str(file)], cwd=ROOT,
-                                stderr=subprocess.DEVNULL)
+        file.write_text(
+            json.dumps(
+                json.loads((ROOT / "examples" / "node.json").read_text())
+                | {
+                    "discovery": "%s:%d" % discovery.getsockname(),
+                    "listen": "%s:%d" % listen,
+                    "operator": "%s:%d" % operator,
+                }
+            )
+        )
+        node = subprocess.Popen(
+            [sys.executable, "-m", "cottonspread", "serve", "--config", str(file)],
+            cwd=ROOT,
+            stderr=subprocess.DEVNULL,
+        )
         os.sched_setaffinity(node.pid, {0})
         os.sched_setaffinity(0, set(range(1, os.cpu_count())))
         try:
@@ -94,11 +106,26 @@
     for thread in threads:
         thread.join()
     time.sleep(0.5)
-    figures = dict(line.split(" ") for line in call(operator, b"counters")[1].decode().splitlines() if line.startswith("app_"))
+    figures = dict(
+        line.split(" ")
+        for line in call(operator, b"counters")[1].decode().splitlines()
+        if line.startswith("app_")
+    )
     took.sort()
-    return {"seconds": seconds, "clients": CLIENTS, "silent_callers": SILENT, "calls": len(took), "wrong": bad,
-            "ms": {"p50": round(took[len(took) // 2], 2), "p99": round(took[len(took) * 99 // 100], 2), "most": round(took[-1], 2)},
-            "seen_by_clients": seen, "figures": figures}
+    return {
+        "seconds": seconds,
+        "clients": CLIENTS,
+        "silent_callers": SILENT,
+        "calls": len(took),
+        "wrong": bad,
+        "ms": {
+            "p50": round(took[len(took) // 2], 2),
+            "p99": round(took[len(took) * 99 // 100], 2),
+            "most": round(took[-1], 2),
+        },
+        "seen_by_clients": seen,
+        "figures": figures,
+    }
 
 
 if __name__ == "__main__":
--- a/benchmarks/sizes/instances.py
+++ b/benchmarks/sizes/instances.py
@@ -5,6 +5,7 @@
 The example's stand-in servers and discovery, the example's configuration, one supervisor; each instance on its own address. Ready is when
 `fleet status` says so of all.
 """
+
 import importlib.util
 import json
 import os
@@ -29,22 +30,36 @@
     toy, discovery = module.Toy(3), socket.create_server(("127.0.0.1", 0), backlog=1024)
     threading.Thread(target=toy.accept, args=(discovery, toy.discover), daemon=True).start()
     with tempfile.TemporaryDirectory() as folder:
-        (Path(folder) / "node.json").write_text(json.dumps(json.loads((ROOT / "examples" / "node.json").read_text()) | {
-            "discovery": "%s:%d" % discovery.getsockname(), "operator": None}))
+        (Path(folder) / "node.json").write_text(
+            json.dumps(
+                json.loads((ROOT / "examples" / "node.json").read_text())
+                | {"discovery": "%s:%d" % discovery.getsockname(), "operator": None}
+            )
+        )
         file = Path(folder) / "o.toml"
-        text = (f'[fleet]\nname = "f"\nconfig = "node.json"\ninstances = {instances}\nlisten = "127.20.0.1:8080"\nport_step = 0\nhost_step = 1\n'
-                f'at_once = 64\nstart_at_once = 16\nstart_s = 60.0\nwatch_s = 1.0\n')
+        text = (
+            f'[fleet]\nname = "f"\nconfig = "node.json"\ninstances = {instances}\nlisten = "127.20.0.1:8080"\nport_step = 0\nhost_step = 1\n'
+            f"at_once = 64\nstart_at_once = 16\nstart_s = 60.0\nwatch_s = 1.0\n"
+        )
         file.write_text(text)
 
         def run(word):
             at = time.perf_counter()
-            done = subprocess.run([*COTTONSPREAD, word, "--operator", str(file)], cwd=ROOT, capture_output=True, text=True, timeout=600)
+            done = subprocess.run(
+                [*COTTONSPREAD, word, "--operator", str(file)],
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                timeout=600,
+            )
             if done.returncode:
                 raise RuntimeError(f"{word}: {done.returncode}: {done.stdout[-500:]} {done.stderr[-500:]}")
             return time.perf_counter() - at
 
         at = time.perf_counter()
-        supervisor = subprocess.Popen([*COTTONSPREAD, "run", "--operator", str(file)], cwd=ROOT, stderr=subprocess.DEVNULL)
+        supervisor = subprocess.Popen(
+            [*COTTONSPREAD, "run", "--operator", str(file)], cwd=ROOT, stderr=subprocess.DEVNULL
+        )
         try:
             while True:
                 time.sleep(1)
@@ -53,7 +68,7 @@
                 try:
                     run("status")
                     break
-                except RuntimeError:         # not there yet, or not all ready
+                except RuntimeError:  # not there yet, or not all ready
                     pass
             found = {"instances": instances, "all_ready_s": round(time.perf_counter() - at, 1)}
             found["status_s"] = round(run("status"), 2)
@@ -70,5 +85,10 @@
 
 
 if __name__ == "__main__":
-    threading.excepthook = lambda fault: None            # the list's connections break as the instances end
-    print(json.dumps(main(int(sys.argv[1]) if len(sys.argv) > 1 else 240) | {"cores": len(os.sched_getaffinity(0))}, indent=1))
+    threading.excepthook = lambda fault: None  # the list's connections break as the instances end
+    print(
+        json.dumps(
+            main(int(sys.argv[1]) if len(sys.argv) > 1 else 240) | {"cores": len(os.sched_getaffinity(0))},
+            indent=1,
+        )
+    )
--- a/benchmarks/sizes/lists.py
+++ b/benchmarks/sizes/lists.py
@@ -7,6 +7,7 @@
 group, so that its order of servers is made), the end on SIGTERM; the memory is what the kernel says at most. `compact`, `indented` and
 `pieces` (the body in parts of 1,400 bytes) are forms in which the whole list comes.
 """
+
 import contextlib
 import json
 import os
@@ -30,6 +31,7 @@
         while True:
             sock, _ = listener.accept()
             threading.Thread(target=one, args=(sock,), daemon=True).start()
+
     threading.Thread(target=accept, daemon=True).start()
 
 
@@ -45,8 +47,19 @@
     """The list: whole at first, then one change at a time, when `change` is called."""
 
     def __init__(self, servers, address, form):
-        self.servers = [{"instanceId": f"s-{n:08x}", "hostPort": address, "zone": "here", "machineType": "toy", "cell": n // 8,
-                         "lifecycle": "Ready", "weight": 1.0, "startedAtMs": 0} for n in range(servers)]
+        self.servers = [
+            {
+                "instanceId": f"s-{n:08x}",
+                "hostPort": address,
+                "zone": "here",
+                "machineType": "toy",
+                "cell": n // 8,
+                "lifecycle": "Ready",
+                "weight": 1.0,
+                "startedAtMs": 0,
+            }
+            for n in range(servers)
+        ]
         self.form, self.version, self.news = form, 1, threading.Condition()
 
     def change(self):
@@ -56,7 +69,7 @@
             self.news.notify_all()
 
     def one(self, sock):
-        with contextlib.suppress(ConnectionError), sock, sock.makefile("rb") as file:        # the node has ended
+        with contextlib.suppress(ConnectionError), sock, sock.makefile("rb") as file:  # the node has ended
             while line := file.readline():
                 while file.readline().strip():
                     pass
@@ -71,7 +84,7 @@
                 sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
                 step = 1400 if self.form == "pieces" else len(body)
                 for at in range(0, len(body), step):
-                    sock.sendall(body[at:at + step])
+                    sock.sendall(body[at : at + step])
 
 
 def ask(address, line, wait=5):
@@ -105,17 +118,30 @@
 def measure(servers, form):
     with socket.create_server(("127.0.0.1", 0)) as taken:
         listen = taken.getsockname()
-    hosts, discovery = socket.create_server(("127.0.0.1", 0), backlog=512), socket.create_server(("127.0.0.1", 0))
+    hosts, discovery = (
+        socket.create_server(("127.0.0.1", 0), backlog=512),
+        socket.create_server(("127.0.0.1", 0)),
+    )
     listing = Listing(servers, "%s:%d" % hosts.getsockname(), form)
     serve(hosts, host)
     serve(discovery, listing.one)
     with tempfile.TemporaryDirectory() as folder:
         file, log = Path(folder) / "node.json", Path(folder) / "log"
-        file.write_text(json.dumps(json.loads((ROOT / "examples" / "node.json").read_text()) | {
-            "discovery": "%s:%d" % discovery.getsockname(), "listen": "%s:%d" % listen, "operator": None}))
+        file.write_text(
+            json.dumps(
+                json.loads((ROOT / "examples" / "node.json").read_text())
+                | {
+                    "discovery": "%s:%d" % discovery.getsockname(),
+                    "listen": "%s:%d" % listen,
+                    "operator": None,
+                }
+            )
+        )
         began = time.perf_counter()
         with log.open("wb") as out:
-            node = subprocess.Popen([sys.executable, "-m", "cottonspread", "serve", "--config", str(file)], cwd=ROOT, stderr=out)
+            node = subprocess.Popen(
+                [sys.executable, "-m", "cottonspread", "serve", "--config", str(file)], cwd=ROOT, stderr=out
+            )
         os.sched_setaffinity(node.pid, {0})
         try:
             started = first_pong(listen, began)
@@ -130,7 +156,9 @@
             calls, before = [], processor(node.pid)
             for n in range(CALLS):
                 at = time.perf_counter()
-                answer = ask(listen, b"OPEN %s k%d c=chat,d=2000,g=g%d" % (secrets.token_hex(8).encode(), n, n))
+                answer = ask(
+                    listen, b"OPEN %s k%d c=chat,d=2000,g=g%d" % (secrets.token_hex(8).encode(), n, n)
+                )
                 calls.append(time.perf_counter() - at)
                 if not answer.startswith(b"UP "):
                     raise RuntimeError(f"{servers} {form}: call {n} was answered {answer!r}")
@@ -148,13 +176,24 @@
             node.wait()
     calls.sort()
     words.sort()
-    return {"servers": servers, "form": form, "first_pong_ms": round(started * 1000), "change_ms": round(words[len(words) // 2] * 1000, 1),
-            "change_cpu_ms": round(lists * 1000, 1), "call_p50_ms": round(calls[CALLS // 2] * 1000, 2), "call_p99_ms": round(calls[CALLS * 99 // 100] * 1000, 2),
-            "call_cpu_ms": round(cpu * 1000, 2), "memory_mb": round(most, 1), "end_ms": round(ended * 1000)}
+    return {
+        "servers": servers,
+        "form": form,
+        "first_pong_ms": round(started * 1000),
+        "change_ms": round(words[len(words) // 2] * 1000, 1),
+        "change_cpu_ms": round(lists * 1000, 1),
+        "call_p50_ms": round(calls[CALLS // 2] * 1000, 2),
+        "call_p99_ms": round(calls[CALLS * 99 // 100] * 1000, 2),
+        "call_cpu_ms": round(cpu * 1000, 2),
+        "memory_mb": round(most, 1),
+        "end_ms": round(ended * 1000),
+    }
 
 
 if __name__ == "__main__":
     os.sched_setaffinity(0, set(range(1, os.cpu_count())))
     lengths = [int(word) for word in sys.argv[1:]] or [60, 1024, 2000]
-    found = [measure(lengths[0], "compact")] + [measure(n, form) for n in lengths[1:] for form in ("compact", "indented", "pieces")]
+    found = [measure(lengths[0], "compact")] + [
+        measure(n, form) for n in lengths[1:] for form in ("compact", "indented", "pieces")
+    ]
     print(json.dumps({"command": " ".join(["python", *sys.argv]), "plays": found}, indent=1))
--- a/cottonspread/__main__.py
+++ b/cottonspread/__main__.py
@@ -1,4 +1,5 @@
 """The main program."""
+
 from cottonspread.cli import main
 
 raise SystemExit(main())
--- a/cottonspread/cli/__init__.py
+++ b/cottonspread/cli/__init__.py
@@ -1,4 +1,5 @@
 """The command line: a file for each group of sub-commands, each imported only when it is asked for."""
+
 import argparse
 import sys
 
@@ -7,7 +8,9 @@
 
 
 def main(arguments=None):
-    parser = argparse.ArgumentParser(prog="cottonspread", description="A balancer for long-lived connections.")
+    parser = argparse.ArgumentParser(
+        prog="cottonspread", description="A balancer for long-lived connections."
+    )
     commands = parser.add_subparsers(dest="command", required=True)
     for group in (node, fleet, lab):
         group.add(commands)
--- a/cottonspread/cli/fleet.py
+++ b/cottonspread/cli/fleet.py
@@ -1,4 +1,5 @@
 """`fleet` and `config`: many instances on one machine; what is in force. (`instance` is what the supervisor starts.)"""
+
 import heapq
 import json
 import os
@@ -9,19 +10,33 @@
 from cottonspread.cli import node
 
 HERE = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-COLUMNS = ("instance", "address", "pid", "state", "since_s", "connections", "calls", "list", "generation", "restarts", "why")
+COLUMNS = (
+    "instance",
+    "address",
+    "pid",
+    "state",
+    "since_s",
+    "connections",
+    "calls",
+    "list",
+    "generation",
+    "restarts",
+    "why",
+)
 
 
 def folders(given):
     """(state folder, log folder) of the fleet that the file describes."""
     from cottonspread.config import operator as op
     from cottonspread.fleet import plan
+
     return plan.folders(given.operator, op.read_fleet(given.operator)[2])
 
 
 def run(given):
     from cottonspread.fleet.supervisor import Supervisor
     from cottonspread.net import logfmt
+
     supervisor = Supervisor(given.operator, (sys.executable, HERE), node.read_text)
     write_out = logfmt.start("fleet", supervisor.logging.level.upper(), supervisor.logging.format)
     try:
@@ -34,6 +49,7 @@
 def asked(given, said, wait):
     """The supervisor's answer. A command that is long under way is answered at its end."""
     from cottonspread.fleet import control
+
     path = os.path.join(folders(given)[0], "fleet.sock")
     try:
         sock = control.connect(path)
@@ -41,7 +57,9 @@
         sock.sendall(json.dumps(said).encode() + b"\n")
         answer = sock.makefile("rb").readline()
     except TimeoutError:
-        raise config.Senseless(f"fleet: no answer after {wait:g} s; `fleet status` tells how far it is") from None
+        raise config.Senseless(
+            f"fleet: no answer after {wait:g} s; `fleet status` tells how far it is"
+        ) from None
     except OSError as fault:
         raise config.Senseless(f"fleet: no supervisor answers at {path}: {fault}") from fault
     if not answer:
@@ -52,7 +70,10 @@
 def command(given):
     said = {"do": given.what, "name": getattr(given, "name", None)}
     if given.what == "upgrade" and (given.python or given.checkout):
-        python, checkout = given.python or sys.executable, os.path.abspath(given.checkout) if given.checkout else ""
+        python, checkout = (
+            given.python or sys.executable,
+            os.path.abspath(given.checkout) if given.checkout else "",
+        )
         if not os.access(python, os.X_OK):
             raise config.Senseless(f"--python: {python}: not a program that can be run")
         if checkout and not os.path.isdir(os.path.join(checkout, "cottonspread")):
@@ -74,24 +95,36 @@
     if given.json:
         print(json.dumps(answer, indent=1))
         return 0
-    print_table([COLUMNS, *(["" if row[c] is None else str(row[c]) for c in COLUMNS] for row in answer["instances"])])
+    print_table(
+        [COLUMNS, *(["" if row[c] is None else str(row[c]) for c in COLUMNS] for row in answer["instances"])]
+    )
     r = answer["rollout"]
-    print(f"{answer['fleet']}: supervisor {answer['pid']}, {'ready' if answer['ready'] else 'not all ready'}" + (
-        f"; {r['of']}: {r['to_do']} to do, {r['under_way']} under way" + (f", going back: {r['going_back']}" if r["going_back"] else "") if r else ""))
+    print(
+        f"{answer['fleet']}: supervisor {answer['pid']}, {'ready' if answer['ready'] else 'not all ready'}"
+        + (
+            f"; {r['of']}: {r['to_do']} to do, {r['under_way']} under way"
+            + (f", going back: {r['going_back']}" if r["going_back"] else "")
+            if r
+            else ""
+        )
+    )
     return 0 if answer["ready"] else 3
 
 
 def logs(given):
     """The last lines of all instances, or of one, in the order of their times; `--follow` goes on."""
     from cottonspread.fleet import control
+
     where = folders(given)[1]
-    names = [f"{given.name}.log"] if given.name else sorted(f for f in os.listdir(where) if f.endswith(".log"))
+    names = (
+        [f"{given.name}.log"] if given.name else sorted(f for f in os.listdir(where) if f.endswith(".log"))
+    )
     try:
-        control.raise_descriptors(len(names) + 32)           # a thousand files are over the usual limit
+        control.raise_descriptors(len(names) + 32)  # a thousand files are over the usual limit
         files = [open(os.path.join(where, name), encoding="utf-8", errors="replace") for name in names]
     except OSError as fault:
         raise config.Senseless(f"logs: {fault}") from fault
-    for line in list(heapq.merge(*(file.readlines() for file in files)))[-given.lines:] if files else ():
+    for line in list(heapq.merge(*(file.readlines() for file in files)))[-given.lines :] if files else ():
         sys.stdout.write(line)
     while given.follow:
         for file in files:
@@ -103,11 +136,17 @@
 
 def show(given):
     from cottonspread.config import operator as op
+
     if given.operator:
         *parts, whole = op.read(given.operator)
     else:
         *parts, whole = op.read_text("")
-    print_table([(key, json.dumps(value), where, kind) for key, value, where, kind in op.in_force(parts, whole, given.operator)])
+    print_table(
+        [
+            (key, json.dumps(value), where, kind)
+            for key, value, where, kind in op.in_force(parts, whole, given.operator)
+        ]
+    )
     return 0
 
 
@@ -117,26 +156,55 @@
 
     def word(name, what, run, *more):
         one = words.add_parser(name, help=what)
-        one.add_argument("--operator", metavar="FILE", default="deploy/operator.toml", help="default: %(default)s")
+        one.add_argument(
+            "--operator", metavar="FILE", default="deploy/operator.toml", help="default: %(default)s"
+        )
         for flags, kinds in more:
             one.add_argument(*flags, **kinds)
         one.set_defaults(run=run)
 
-    wait = ("--wait",), {"type": float, "default": 600.0, "metavar": "S", "help": "for its end; default: %(default)s"}
+    wait = (
+        ("--wait",),
+        {"type": float, "default": 600.0, "metavar": "S", "help": "for its end; default: %(default)s"},
+    )
     instance = ("name",), {"metavar": "NAME", "help": "the instance"}
     word("run", "start all instances and keep them up, in the foreground", run)
-    word("status", "what each instance does; exit code 3 unless all are ready", status, (("--json",), {"action": "store_true"}))
+    word(
+        "status",
+        "what each instance does; exit code 3 unless all are ready",
+        status,
+        (("--json",), {"action": "store_true"}),
+    )
     word("reload", "read the files anew and change the instances one after the other", command, wait)
-    word("upgrade", "restart the instances onto another program, one after the other; without arguments onto the supervisor's own", command,
-         (("--python",), {"help": "the interpreter, of another virtual environment"}), (("--checkout",), {"help": "a folder with cottonspread in it"}), wait)
+    word(
+        "upgrade",
+        "restart the instances onto another program, one after the other; without arguments onto the supervisor's own",
+        command,
+        (("--python",), {"help": "the interpreter, of another virtual environment"}),
+        (("--checkout",), {"help": "a folder with cottonspread in it"}),
+        wait,
+    )
     word("drain", "let one instance finish, and keep it down", command, instance, wait)
     word("restart", "replace one instance, or bring it back", command, instance, wait)
     word("stop", "let all finish; a second one hurries", command, wait)
-    word("logs", "the last log lines", logs, (("name",), {"metavar": "NAME", "nargs": "?", "help": "of this instance alone"}),
-         (("-n", "--lines"), {"type": int, "default": 40}), (("-f", "--follow"), {"action": "store_true"}))
-    shown = commands.add_parser("config", help="what is in force").add_subparsers(dest="what", required=True).add_parser(
-        "show", help="each key of the operator's file: its value, where it is from, what a reload does with it")
+    word(
+        "logs",
+        "the last log lines",
+        logs,
+        (("name",), {"metavar": "NAME", "nargs": "?", "help": "of this instance alone"}),
+        (("-n", "--lines"), {"type": int, "default": 40}),
+        (("-f", "--follow"), {"action": "store_true"}),
+    )
+    shown = (
+        commands.add_parser("config", help="what is in force")
+        .add_subparsers(dest="what", required=True)
+        .add_parser(
+            "show",
+            help="each key of the operator's file: its value, where it is from, what a reload does with it",
+        )
+    )
     shown.add_argument("--operator", metavar="FILE")
     shown.set_defaults(run=show)
     from cottonspread.cli import instance as one
+
     one.add(commands)
--- a/cottonspread/cli/instance.py
+++ b/cottonspread/cli/instance.py
@@ -4,6 +4,7 @@
 It prepares itself (threads, a list, a PING answered) before it takes any connection. When no supervisor has been connected for
 `orphan_s`, it stops itself: nothing serves unseen for ever.
 """
+
 import json
 import logging
 import os
@@ -22,8 +23,8 @@
 
 log = logging.getLogger("cottonspread.instance")
 
-BEAT = 0.5                         # seconds between two signs of life
-LOOK = 0.05                        # while it prepares itself
+BEAT = 0.5  # seconds between two signs of life
+LOOK = 0.05  # while it prepares itself
 
 
 class Instance:
@@ -57,7 +58,9 @@
         self.turn("waiting")
         try:
             while not self.node.join(0):
-                for key, mask in self.selector.select(LOOK if self.state in ("waiting", "prepared", "leaving") else BEAT / 2):
+                for key, mask in self.selector.select(
+                    LOOK if self.state in ("waiting", "prepared", "leaving") else BEAT / 2
+                ):
                     self.welcome() if key.data is None else self.hear(key.data)
                 if asked.is_set() and self.state != "leaving":
                     self.leave(False)
@@ -87,7 +90,13 @@
 
     def tell(self):
         self.beat_at = time.monotonic()
-        status = {"state": self.state, "live": self.live, "pid": os.getpid(), "version": __version__, **self.node.status()}
+        status = {
+            "state": self.state,
+            "live": self.live,
+            "pid": os.getpid(),
+            "version": __version__,
+            **self.node.status(),
+        }
         for line in list(self.lines):
             if not line.say({"status": status}):
                 self.drop(line)
@@ -96,8 +105,15 @@
         line = control.Line(self.control.accept()[0])
         self.selector.register(line.sock, selectors.EVENT_READ, line)
         self.lines.append(line)
-        line.say({"hello": self.name, "generation": self.generation, "pid": os.getpid(), "start": self.told["start"],
-                  "live": self.live})
+        line.say(
+            {
+                "hello": self.name,
+                "generation": self.generation,
+                "pid": os.getpid(),
+                "start": self.told["start"],
+                "live": self.live,
+            }
+        )
         self.tell()
 
     def drop(self, line):
@@ -154,7 +170,12 @@
 def instance(given):
     told = json.loads(sys.stdin.readline())
     start = json.loads(told["start"])
-    write_out = logfmt.start(told["name"], json.loads(told["live"])["level"].upper(), start["format"], generation=told["generation"])
+    write_out = logfmt.start(
+        told["name"],
+        json.loads(told["live"])["level"].upper(),
+        start["format"],
+        generation=told["generation"],
+    )
     try:
         return Instance(told).run()
     except (config.Senseless, OSError) as fault:
@@ -165,6 +186,6 @@
 
 
 def add(commands):
-    command = commands.add_parser("instance")        # not for hands
+    command = commands.add_parser("instance")  # not for hands
     command.add_argument("--socket", required=True, help="its control socket; also what it is known by")
     command.set_defaults(run=instance)
--- a/cottonspread/cli/known.py
+++ b/cottonspread/cli/known.py
@@ -1,4 +1,5 @@
 """The list that a process begins with, and keeps for the next one."""
+
 import logging
 import time
 
@@ -37,4 +38,6 @@
 
     def ready(self, node):
         """Whether a node that takes no connections yet could serve."""
-        return node.reducer.listed and (self.told or time.monotonic() - self.began >= self.wait) and node.ping()
+        return (
+            node.reducer.listed and (self.told or time.monotonic() - self.began >= self.wait) and node.ping()
+        )
--- a/cottonspread/cli/lab.py
+++ b/cottonspread/cli/lab.py
@@ -1,10 +1,12 @@
 """`lab ...`: stand-in hosts, lists and clients, experiments. Its libraries are loaded only once it is asked for."""
+
 import sys
 
 
 def add(commands):
     lab = commands.add_parser("lab", help="stand-in hosts, lists and clients; experiments").add_subparsers(
-        dest="lab", required=True)
+        dest="lab", required=True
+    )
 
     def command(name, what, run, *arguments):
         one = lab.add_parser(name, help=what)
@@ -16,34 +18,70 @@
         return words, options
 
     file = argument("file", help="the experiment, TOML")
-    part = (argument("--plan", required=True, help="the plan that `lab run` or `lab plan` wrote"),
-            argument("--number", type=int, default=0, help="which of the processes of this kind"))
-    for name, what in (("hosts", "emulated servers of a plan"), ("list", "the list of servers of a plan"),
-                       ("load", "clients of a plan")):
+    part = (
+        argument("--plan", required=True, help="the plan that `lab run` or `lab plan` wrote"),
+        argument("--number", type=int, default=0, help="which of the processes of this kind"),
+    )
+    for name, what in (
+        ("hosts", "emulated servers of a plan"),
+        ("list", "the list of servers of a plan"),
+        ("load", "clients of a plan"),
+    ):
         command(name, what + ": says `ready`, then follows `begin T` on standard input", part_of(name), *part)
-    command("plan", "write the plan of an experiment and say what it needs", plan, file,
-            argument("--out", required=True, help="the file to write"), argument("--seed", type=int))
-    command("run", "play an experiment", run, file, argument("--out", required=True, help="the folder for its results"),
-            argument("--seconds", type=float, help="in the place of the file's"),
-            argument("--repeats", type=int, help="in the place of the file's"), argument("--quiet", action="store_true"),
-            argument("--again", type=int, default=2, help="how often a play with a late generator is played anew"))
+    command(
+        "plan",
+        "write the plan of an experiment and say what it needs",
+        plan,
+        file,
+        argument("--out", required=True, help="the file to write"),
+        argument("--seed", type=int),
+    )
+    command(
+        "run",
+        "play an experiment",
+        run,
+        file,
+        argument("--out", required=True, help="the folder for its results"),
+        argument("--seconds", type=float, help="in the place of the file's"),
+        argument("--repeats", type=int, help="in the place of the file's"),
+        argument("--quiet", action="store_true"),
+        argument(
+            "--again", type=int, default=2, help="how often a play with a late generator is played anew"
+        ),
+    )
     command("compare", "two plays or folders of plays, pair by pair", compare, argument("a"), argument("b"))
     command("report", "report.html of a folder's plays", report, argument("folder"))
     command("audit", "the ledger of one play's folder, printed anew", audit, argument("folder"))
     command("trace", "export a play's connections as a trace", trace, argument("folder"), argument("file"))
-    command("selfcheck", "the generator against a server of known delay, timed by that server", selfcheck,
-            argument("--rate", type=float, default=1000.0), argument("--seconds", type=float, default=5.0),
-            argument("--delay-ms", type=float, default=20.0))
-    command("acceptor", "a stand-in that takes and answers every call itself, to try the generator alone", acceptor)
-    command("standin", "a stand-in node for the lab's own tests", standin,
-            argument("--sabotage", default="none", help="which rule it breaks"))
+    command(
+        "selfcheck",
+        "the generator against a server of known delay, timed by that server",
+        selfcheck,
+        argument("--rate", type=float, default=1000.0),
+        argument("--seconds", type=float, default=5.0),
+        argument("--delay-ms", type=float, default=20.0),
+    )
+    command(
+        "acceptor",
+        "a stand-in that takes and answers every call itself, to try the generator alone",
+        acceptor,
+    )
+    command(
+        "standin",
+        "a stand-in node for the lab's own tests",
+        standin,
+        argument("--sabotage", default="none", help="which rule it breaks"),
+    )
 
 
 def guarded(run, given):
     try:
         from cottonspread.lab import limits, plan, run as runner, trace
     except ImportError as fault:
-        print(f"cottonspread: lab: {fault.name} is missing: install requirements-dev.txt or the extra `lab`", file=sys.stderr)
+        print(
+            f"cottonspread: lab: {fault.name} is missing: install requirements-dev.txt or the extra `lab`",
+            file=sys.stderr,
+        )
         return 2
     try:
         return run(given)
@@ -55,8 +93,12 @@
 def part_of(name):
     def start(given):
         from cottonspread.lab import hosts, limits, listing, load
+
         limits.raise_descriptors()
-        return {"hosts": hosts.Hosts, "list": listing.Listing, "load": load.Clients}[name](given.plan, given.number).main()
+        return {"hosts": hosts.Hosts, "list": listing.Listing, "load": load.Clients}[name](
+            given.plan, given.number
+        ).main()
+
     return start
 
 
@@ -65,12 +107,15 @@
 
     from cottonspread.lab import limits
     from cottonspread.lab import plan as plans
+
     x = plans.read(given.file)
     one = plans.make(x, (x.variants or [plans.Variant(name="only")])[0], given.seed or x.seed)
     schedule = plans.schedule(one)
     with open(given.out, "wb") as file:
         file.write(msgspec.json.encode(one))
-    print(f"{len(schedule.at)} first calls, {limits.most_standing(schedule)} standing at most, schedule sha256 {schedule.digest()}")
+    print(
+        f"{len(schedule.at)} first calls, {limits.most_standing(schedule)} standing at most, schedule sha256 {schedule.digest()}"
+    )
     for line in limits.check(one, schedule):
         print(line)
     return 0
@@ -78,22 +123,26 @@
 
 def run(given):
     from cottonspread.lab import experiment
+
     return experiment.run(given.file, given.out, given.seconds, given.repeats, given.quiet, given.again)
 
 
 def compare(given):
     from cottonspread.lab import experiment
+
     return experiment.compare(given.a, given.b)
 
 
 def report(given):
     from cottonspread.lab import report as reports
+
     print(reports.write(given.folder))
     return 0
 
 
 def audit(given):
     from cottonspread.lab import ledger, results
+
     told = results.audited(given.folder)[2]
     print("\n".join(ledger.told(told)))
     return 1 if told["offences"] else 0
@@ -102,6 +151,7 @@
 def trace(given):
     from cottonspread.lab import record
     from cottonspread.lab import trace as traces
+
     entries = traces.of_calls([c for c in record.read(given.folder, "load") if c["k"] == "call"])
     traces.write(given.file, entries)
     print(f"{len(entries)} connections")
@@ -110,6 +160,7 @@
 
 def selfcheck(given):
     from cottonspread.lab import selfcheck as check
+
     return check.main(given.rate, given.seconds, given.delay_ms)
 
 
@@ -118,6 +169,7 @@
     import os
 
     from cottonspread.lab import acceptor as one
+
     with open(os.environ["PROXY_CONFIG"], encoding="utf-8") as file:
         host, _, port = json.load(file)["listen"].rpartition(":")
     return one.run((host, int(port)))
@@ -125,6 +177,7 @@
 
 def standin(given):
     from cottonspread.lab import standin as one
+
     if given.sabotage not in one.SABOTAGES:
         print("cottonspread: lab: standin: one of " + ", ".join(one.SABOTAGES), file=sys.stderr)
         return 2
--- a/cottonspread/cli/node.py
+++ b/cottonspread/cli/node.py
@@ -1,4 +1,5 @@
 """`serve`, `check` and `version`: one node."""
+
 import errno
 import logging
 import os
@@ -41,7 +42,10 @@
     """The operator's sections, or their defaults without a file: (log or None, whole)."""
     if not path:
         return None
-    from cottonspread.config import operator as op           # needs msgspec, which a node without such a file need not have
+    from cottonspread.config import (
+        operator as op,
+    )  # needs msgspec, which a node without such a file need not have
+
     return op.read(path)
 
 
@@ -49,21 +53,31 @@
     def ask_to_stop(node, force):
         follows.stop(node, force) if follows else node.stop()
 
-    asked = queue.SimpleQueue()              # by signals, which may come while one is being dealt with
+    asked = queue.SimpleQueue()  # by signals, which may come while one is being dealt with
     signal.signal(signal.SIGHUP, lambda *_: asked.put(reload))
-    for number in (signal.SIGTERM, signal.SIGINT):           # from the first moment: one that came during the start killed it
+    for number in (
+        signal.SIGTERM,
+        signal.SIGINT,
+    ):  # from the first moment: one that came during the start killed it
         signal.signal(number, lambda *_: asked.put(ask_to_stop))
     force = InForce(path)
     parts, listener = list(force.parts), None
     if os.environ.get("PROXY_INHERITED_FD"):
-        from cottonspread.cli import succession              # what a node that owns its listener need not load
+        from cottonspread.cli import succession  # what a node that owns its listener need not load
+
         listener = succession.inherited(os.environ)
     follows, own = None, operator(operators)
-    write_out = logfmt.start(parts[0].name, own[0].level.upper(), own[0].format) if own else logfmt.start(parts[0].name)
+    write_out = (
+        logfmt.start(parts[0].name, own[0].level.upper(), own[0].format)
+        if own
+        else logfmt.start(parts[0].name)
+    )
     manager, told = notify.Manager(), False
     try:
         follows = succession.Succession(parts) if listener else None
-        node = Node(*parts, keep=follows and follows.known.keep, ended=lambda: asked.put(lambda node, force: None))
+        node = Node(
+            *parts, keep=follows and follows.known.keep, ended=lambda: asked.put(lambda node, force: None)
+        )
         node.start(listener)
         while not node.join(0):
             if follows:
@@ -120,48 +134,80 @@
         node.hasten(ev.NotRetuned())
         log.error("reload", extra={"pairs": {"why": fault, "kept": "the old configuration"}})
         return
-    except Exception:                        # our own fault
+    except Exception:  # our own fault
         node.hasten(ev.NotRetuned())
         log.exception("fault", extra={"pairs": {"while": "reload"}})
         return
     place, room, _, _, begin, _ = parts
-    was, had, _, _, old, _ = force.parts         # what cannot change while it runs is as it was then
+    was, had, _, _, old, _ = force.parts  # what cannot change while it runs is as it was then
     node.retune(*parts[:-1])
-    kept = [key for key, same in (
-        ("name", place.name == was.name), ("listen", place.listen == was.listen), ("operator", place.operator == was.operator),
-        ("limits", room == had), ("settings.MembershipMode", begin.listing.ask == old.listing.ask),
-        ("settings.Weights", begin.weights_move == old.weights_move)) if not same]
+    kept = [
+        key
+        for key, same in (
+            ("name", place.name == was.name),
+            ("listen", place.listen == was.listen),
+            ("operator", place.operator == was.operator),
+            ("limits", room == had),
+            ("settings.MembershipMode", begin.listing.ask == old.listing.ask),
+            ("settings.Weights", begin.weights_move == old.weights_move),
+        )
+        if not same
+    ]
     force.values = values
-    log.info("reload", extra={"pairs": {"discovery": "%s:%d" % place.discovery, "types": ",".join(t.name for t in begin.types)} | (
-        {"at_next_start": ",".join(kept)} if kept else {})})
+    log.info(
+        "reload",
+        extra={
+            "pairs": {"discovery": "%s:%d" % place.discovery, "types": ",".join(t.name for t in begin.types)}
+            | ({"at_next_start": ",".join(kept)} if kept else {})
+        },
+    )
 
 
 def check(path, operators=None):
     own = operator(operators)
     if own and own[2] and not path:
         from cottonspread.fleet import plan
+
         specs = plan.read(operators, (sys.executable, ""), read_text).specs
-        print(f"{len(specs)} instances: " + ", ".join("%s on %s:%d" % (s.name, *s.address) for s in specs.values()))
+        print(
+            f"{len(specs)} instances: "
+            + ", ".join("%s on %s:%d" % (s.name, *s.address) for s in specs.values())
+        )
         return 0
     place, room, names, _, begin, known = read(named(path))
-    print(f"{place.name}: listens on {place.listen[0]}:{place.listen[1]}, "
-          f"discovery at {place.discovery[0]}:{place.discovery[1]}, "
-          + ("operators at %s:%d" % place.operator if place.operator else "no address for operators"))
-    print(f"{len(names.types)} traffic types, node {begin.me} of {begin.nodes or 'an untold number'}, "
-          f"{len(known['instances'])} servers known, room for {most_ends(room, place.operator)} connections")
-    print(f"weights listed {'move with load' if begin.weights_move else 'are sizes'}, "
-          f"hosts' load {'told to probes' if begin.loads_probed else 'not asked for'}")
+    print(
+        f"{place.name}: listens on {place.listen[0]}:{place.listen[1]}, "
+        f"discovery at {place.discovery[0]}:{place.discovery[1]}, "
+        + ("operators at %s:%d" % place.operator if place.operator else "no address for operators")
+    )
+    print(
+        f"{len(names.types)} traffic types, node {begin.me} of {begin.nodes or 'an untold number'}, "
+        f"{len(known['instances'])} servers known, room for {most_ends(room, place.operator)} connections"
+    )
+    print(
+        f"weights listed {'move with load' if begin.weights_move else 'are sizes'}, "
+        f"hosts' load {'told to probes' if begin.loads_probed else 'not asked for'}"
+    )
     return 0
 
 
 def add(commands):
-    for name, what, run in (("serve", "run one node in the foreground", serve),
-                            ("check", "read the configuration and say what a node would do with it", check)):
+    for name, what, run in (
+        ("serve", "run one node in the foreground", serve),
+        ("check", "read the configuration and say what a node would do with it", check),
+    ):
         command = commands.add_parser(name, help=what)
-        command.add_argument("--config", default=os.environ.get("PROXY_CONFIG"),
-                             help="the configuration file; without it, $PROXY_CONFIG")
+        command.add_argument(
+            "--config",
+            default=os.environ.get("PROXY_CONFIG"),
+            help="the configuration file; without it, $PROXY_CONFIG",
+        )
         command.add_argument("--operator", metavar="FILE", help="the operator's TOML file")
-        command.set_defaults(run=lambda given, run=run: run(given.config if run is check else named(given.config), given.operator))
+        command.set_defaults(
+            run=lambda given, run=run: run(
+                given.config if run is check else named(given.config), given.operator
+            )
+        )
     commands.add_parser("version", help="print the version").set_defaults(run=version)
 
 
--- a/cottonspread/cli/succession.py
+++ b/cottonspread/cli/succession.py
@@ -5,6 +5,7 @@
 starts from nothing: a predecessor that hangs must not keep its successor from serving. At its end the predecessor passes on, by the
 socket HEIR, the connections that stand.
 """
+
 import contextlib
 import logging
 import os
@@ -22,7 +23,7 @@
 
 log = logging.getLogger("cottonspread.succession")
 
-LIST_WAIT = 2.0                    # see `Known`
+LIST_WAIT = 2.0  # see `Known`
 ANSWER_WAIT = 1.0
 
 
@@ -33,11 +34,13 @@
         return None
     try:
         listener = socket.socket(fileno=int(word))
-        listens = listener.type == socket.SOCK_STREAM and listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+        listens = listener.type == socket.SOCK_STREAM and listener.getsockopt(
+            socket.SOL_SOCKET, socket.SO_ACCEPTCONN
+        )
     except (ValueError, OSError) as fault:
         raise Senseless(f"PROXY_INHERITED_FD: {word!r}: {fault}") from fault
     if not listens:
-        listener.detach()                    # it is not ours to close
+        listener.detach()  # it is not ours to close
         raise Senseless(f"PROXY_INHERITED_FD: {word!r} is no listening socket")
     return listener
 
@@ -57,9 +60,13 @@
 
 class Succession:
     def __init__(self, parts, folder=None):
-        folder = folder or tempfile.gettempdir()           # TMPDIR, where it is set
+        folder = folder or tempfile.gettempdir()  # TMPDIR, where it is set
         base = os.path.join(folder, "cottonspread-" + quote(parts[0].name, safe=""))
-        self.wanted, self.handed, self.mark = base + ".wanted", base + ".handed", f"{os.getpid()} {time.time_ns()}"
+        self.wanted, self.handed, self.mark = (
+            base + ".wanted",
+            base + ".handed",
+            f"{os.getpid()} {time.time_ns()}",
+        )
         self.heir_path, self.heir, self.heir_mark = base + ".heir", None, None
         self.lock = control.Lock(base + ".lock")
         self.known = Known(parts, base + ".list", LIST_WAIT)
@@ -86,11 +93,11 @@
                     log.warning("hand-over", extra={"pairs": {"why": "no answer", "kept": "none"}})
                 self.take(node, answer)
         else:
-            if not self.alone and self.lock.take():          # the predecessor has ended
+            if not self.alone and self.lock.take():  # the predecessor has ended
                 self.alone = True
                 node.limit(None)
                 if self.heir:
-                    self.heir.shutdown(socket.SHUT_RDWR)     # wakes its thread
+                    self.heir.shutdown(socket.SHUT_RDWR)  # wakes its thread
                     self.heir = None
             self.hand_over(node)
 
@@ -116,7 +123,7 @@
         while True:
             try:
                 sock, _ = heir.accept()
-            except OSError:                  # nobody comes any more
+            except OSError:  # nobody comes any more
                 break
             with sock:
                 try:
@@ -137,7 +144,7 @@
                     sock = control.connect(path, ANSWER_WAIT)
                 sock.sendall(self.heir_mark.encode() + b"\n")
                 sock.settimeout(None)
-            except OSError as fault:         # it has ended, or is of a version that takes none
+            except OSError as fault:  # it has ended, or is of a version that takes none
                 log.warning("hand-over", extra={"pairs": {"why": fault}})
                 sock = None
         node.leave(True, sock)
@@ -148,7 +155,7 @@
                 return handover.unpack(file.read(), self.mark)
         except FileNotFoundError:
             return None
-        except (OSError, ValueError, RecursionError) as fault:           # of an earlier one, perhaps: once, and on
+        except (OSError, ValueError, RecursionError) as fault:  # of an earlier one, perhaps: once, and on
             log.warning("hand-over", extra={"pairs": {"why": fault, "kept": "none"}})
             self.remove(self.handed)
             return None
@@ -160,7 +167,7 @@
                 mark = file.read(100)
         except OSError:
             return
-        if mark == self.mark:                # its own, which nobody answered
+        if mark == self.mark:  # its own, which nobody answered
             self.remove(self.wanted)
             return
         handed = node.hand_over()
@@ -168,7 +175,12 @@
             self.remove(self.wanted)
             self.heir_mark = mark
             self.write(self.handed, handover.pack(handed, mark))
-            log.info("hands-over", extra={"pairs": {"records": len(handed.records), "calls": len(handed.ids), "room": handed.room}})
+            log.info(
+                "hands-over",
+                extra={
+                    "pairs": {"records": len(handed.records), "calls": len(handed.ids), "room": handed.room}
+                },
+            )
 
     def write(self, path, text):
         try:
--- a/cottonspread/config/__init__.py
+++ b/cottonspread/config/__init__.py
@@ -2,6 +2,29 @@
 
 `platform` reads what the platform tells a node (JSON and the environment), `operator` the operator's own file (TOML).
 """
-from cottonspread.config.platform import Hearing, Names, Place, Room, Senseless, complete, micros, parse, read_begin, read_node
 
-__all__ = ["Hearing", "Names", "Place", "Room", "Senseless", "complete", "micros", "parse", "read_begin", "read_node"]
+from cottonspread.config.platform import (
+    Hearing,
+    Names,
+    Place,
+    Room,
+    Senseless,
+    complete,
+    micros,
+    parse,
+    read_begin,
+    read_node,
+)
+
+__all__ = [
+    "Hearing",
+    "Names",
+    "Place",
+    "Room",
+    "Senseless",
+    "complete",
+    "micros",
+    "parse",
+    "read_begin",
+    "read_node",
+]
--- a/cottonspread/config/operator.py
+++ b/cottonspread/config/operator.py
@@ -5,6 +5,7 @@
 (only a new supervisor takes it: a reload that changes it is turned down). Imported only where a file is named, so a node
 without one needs no msgspec.
 """
+
 import difflib
 import os
 import tomllib
@@ -17,7 +18,7 @@
 from cottonspread.config.platform import Senseless
 
 
-MOST = 4096                        # instances of a machine; a figure far over it is a slip, and is told
+MOST = 4096  # instances of a machine; a figure far over it is a slip, and is told
 
 
 def host_on(host, steps):
@@ -36,40 +37,95 @@
 
 class Log(msgspec.Struct, frozen=True):
     format: Annotated[Literal["pairs", "json"], key("restart", "key=value pairs or JSON lines")] = "pairs"
-    level: Annotated[Literal["debug", "info", "warning", "error"], key("live", "the least level that is written")] = "info"
+    level: Annotated[
+        Literal["debug", "info", "warning", "error"], key("live", "the least level that is written")
+    ] = "info"
 
 
 class Instance(msgspec.Struct, frozen=True):
-    list_wait_s: Annotated[float, key("restart", "how long a new instance waits for a list told by discovery", ge=0, le=60)] = 2.0
+    list_wait_s: Annotated[
+        float, key("restart", "how long a new instance waits for a list told by discovery", ge=0, le=60)
+    ] = 2.0
     save_list: Annotated[bool, key("restart", "the last list is kept in the state folder")] = True
-    orphan_s: Annotated[float, key("restart", "after so long without a supervisor an instance stops itself", ge=1, le=3600)] = 60.0
+    orphan_s: Annotated[
+        float, key("restart", "after so long without a supervisor an instance stops itself", ge=1, le=3600)
+    ] = 60.0
 
 
 class Fleet(msgspec.Struct, frozen=True, kw_only=True):
-    name: Annotated[str, key("new", "instances are called NAME-0, NAME-1, ...", pattern="^[A-Za-z0-9][A-Za-z0-9_-]{0,40}$")]
-    config: Annotated[str, key("restart", "the platform's JSON file, the template of all instances", min_length=1)]
+    name: Annotated[
+        str,
+        key("new", "instances are called NAME-0, NAME-1, ...", pattern="^[A-Za-z0-9][A-Za-z0-9_-]{0,40}$"),
+    ]
+    config: Annotated[
+        str, key("restart", "the platform's JSON file, the template of all instances", min_length=1)
+    ]
     instances: Annotated[int, key("live", "how many", ge=1, le=MOST)]
-    listen: Annotated[str, key("restart", "HOST:PORT of instance 0; a free port for each cannot be asked for",
-                               pattern=r"^\d+\.\d+\.\d+\.\d+:[1-9]\d{0,4}$")]
-    port_step: Annotated[int, key("restart", "added to the port from one instance to the next", ge=0, le=1000)] = 1
-    host_step: Annotated[int, key("restart", "added to the last number of the address, 1 to 254 and on in the number before", ge=0, le=MOST)] = 0
-    discovery_step: Annotated[int, key("restart", "added to the port of discovery from one instance to the next", ge=0, le=1000)] = 0
-    first: Annotated[int, key("restart", "settings.Me of instance 0, where other machines have nodes of the same balancer", ge=0)] = 0
-    nodes: Annotated[int, key("restart", "settings.Balancers, all machines together; 0: as many as instances", ge=0)] = 0
+    listen: Annotated[
+        str,
+        key(
+            "restart",
+            "HOST:PORT of instance 0; a free port for each cannot be asked for",
+            pattern=r"^\d+\.\d+\.\d+\.\d+:[1-9]\d{0,4}$",
+        ),
+    ]
+    port_step: Annotated[
+        int, key("restart", "added to the port from one instance to the next", ge=0, le=1000)
+    ] = 1
+    host_step: Annotated[
+        int,
+        key(
+            "restart",
+            "added to the last number of the address, 1 to 254 and on in the number before",
+            ge=0,
+            le=MOST,
+        ),
+    ] = 0
+    discovery_step: Annotated[
+        int, key("restart", "added to the port of discovery from one instance to the next", ge=0, le=1000)
+    ] = 0
+    first: Annotated[
+        int,
+        key(
+            "restart", "settings.Me of instance 0, where other machines have nodes of the same balancer", ge=0
+        ),
+    ] = 0
+    nodes: Annotated[
+        int, key("restart", "settings.Balancers, all machines together; 0: as many as instances", ge=0)
+    ] = 0
     state: Annotated[str, key("new", "the folder for state, sockets and locks", min_length=1)] = "state"
-    logs: Annotated[str, key("new", "the folder for the instances' logs; empty: log/ in the state folder")] = ""
-    at_once: Annotated[int, key("live", "how many instances a rollout changes at the same time", ge=1, le=MOST)] = 1
+    logs: Annotated[
+        str, key("new", "the folder for the instances' logs; empty: log/ in the state folder")
+    ] = ""
+    at_once: Annotated[
+        int, key("live", "how many instances a rollout changes at the same time", ge=1, le=MOST)
+    ] = 1
     start_at_once: Annotated[int, key("live", "how many start at the same time", ge=1, le=MOST)] = 8
     stop_at_once: Annotated[int, key("live", "how many stop at the same time; 0: all", ge=0)] = 0
-    start_s: Annotated[float, key("live", "an instance that is not ready after so long has not started", ge=0.1, le=600)] = 10.0
-    stop_s: Annotated[float, key("live", "an instance that has not stopped after so long is ended", ge=0.1, le=600)] = 8.0
-    stuck_s: Annotated[float, key("live", "an instance whose reducer makes no step for so long is replaced", ge=0.5, le=600)] = 3.0
-    backoff_s: Annotated[float, key("live", "the wait before the second restart in a row; it doubles", ge=0.01, le=60)] = 0.5
+    start_s: Annotated[
+        float, key("live", "an instance that is not ready after so long has not started", ge=0.1, le=600)
+    ] = 10.0
+    stop_s: Annotated[
+        float, key("live", "an instance that has not stopped after so long is ended", ge=0.1, le=600)
+    ] = 8.0
+    stuck_s: Annotated[
+        float, key("live", "an instance whose reducer makes no step for so long is replaced", ge=0.5, le=600)
+    ] = 3.0
+    backoff_s: Annotated[
+        float, key("live", "the wait before the second restart in a row; it doubles", ge=0.01, le=60)
+    ] = 0.5
     backoff_most_s: Annotated[float, key("live", "the longest such wait", ge=0.01, le=3600)] = 15.0
-    restarts: Annotated[int, key("live", "restarts in the window below before an instance is given up", ge=1, le=1000)] = 6
+    restarts: Annotated[
+        int, key("live", "restarts in the window below before an instance is given up", ge=1, le=1000)
+    ] = 6
     restarts_in_s: Annotated[float, key("live", "that window", ge=1, le=86400)] = 120.0
-    watch_s: Annotated[float, key("live", "how long a changed instance is watched before the next is changed", ge=0, le=3600)] = 5.0
-    worse_by: Annotated[float, key("live", "a rollout goes back when the share of calls that end badly rises by more", ge=0, le=1)] = 0.05
+    watch_s: Annotated[
+        float, key("live", "how long a changed instance is watched before the next is changed", ge=0, le=3600)
+    ] = 5.0
+    worse_by: Annotated[
+        float,
+        key("live", "a rollout goes back when the share of calls that end badly rises by more", ge=0, le=1),
+    ] = 0.05
     worse_of: Annotated[int, key("live", "ended calls before that share is judged", ge=1)] = 20
 
 
@@ -92,7 +148,10 @@
 def fields(kind):
     """(name, field, its Meta) of each key of a section."""
     hints = typing.get_type_hints(kind, include_extras=True)
-    return [(f.name, f, next(m for m in hints[f.name].__metadata__ if m.extra)) for f in msgspec.structs.fields(kind)]
+    return [
+        (f.name, f, next(m for m in hints[f.name].__metadata__ if m.extra))
+        for f in msgspec.structs.fields(kind)
+    ]
 
 
 def read_section(name, kind, values, faults):
@@ -123,8 +182,10 @@
     except (tomllib.TOMLDecodeError, RecursionError) as fault:
         raise Faults([f"{path}: no TOML: {fault}"]) from fault
     faults = [(word, "unknown section" + near(word, SECTIONS)) for word in whole.keys() - SECTIONS.keys()]
-    parts = [read_section(name, kind, whole.get(name, {}), faults) if name in whole or name != "fleet" else None
-             for name, kind in SECTIONS.items()]
+    parts = [
+        read_section(name, kind, whole.get(name, {}), faults) if name in whole or name != "fleet" else None
+        for name, kind in SECTIONS.items()
+    ]
     fleet = parts[-1]
     if fleet:
         faults += [(f"fleet.{k}", what) for k, what in across(fleet)]
@@ -139,7 +200,10 @@
     port = int(port)
     last = fleet.instances - 1
     if port + fleet.port_step * last > 65535:
-        yield "port_step", f"instance {last} would listen on port {port + fleet.port_step * last}; the last is 65535"
+        yield (
+            "port_step",
+            f"instance {last} would listen on port {port + fleet.port_step * last}; the last is 65535",
+        )
     if fleet.host_step:
         try:
             host_on(host, fleet.host_step * last)
@@ -175,5 +239,9 @@
     """(key, value, where it is from, what a reload does) for every key of every section that is there."""
     for (name, kind), section in zip(SECTIONS.items(), parts):
         for word, _, meta in fields(kind) if section else ():
-            yield (f"{name}.{word}", getattr(section, word), path if word in whole.get(name, {}) else "default",
-                   meta.extra["reload"])
+            yield (
+                f"{name}.{word}",
+                getattr(section, word),
+                path if word in whole.get(name, {}) else "default",
+                meta.extra["reload"],
+            )
--- a/cottonspread/config/platform.py
+++ b/cottonspread/config/platform.py
@@ -4,6 +4,7 @@
 real node is told: a JSON file, in which `name`, `listen` and `discovery` may be left to the environment
 (PROXY_NAME, PROXY_LISTEN, PROXY_DISCOVERY). Times in the files are milliseconds, here whole microseconds.
 """
+
 import json
 from dataclasses import dataclass
 
@@ -12,7 +13,7 @@
 EFFECTS = {"safe": i.Effect.REPEATABLE, "keyed": i.Effect.REFERENCED, "unsafe": i.Effect.ONCE_ONLY}
 SCOPES = {scope: scope for scope in ("all", "zone", "cell")}
 ASKED = {"push": False, "ask": True}
-HOW = {how: how for how in ("none", "probe", "answers")}             # `LoadReport.How`
+HOW = {how: how for how in ("none", "probe", "answers")}  # `LoadReport.How`
 MOVING = {"none": False, "nominal": False, "rough": False, "live": True}
 MISSING = object()
 
@@ -53,6 +54,7 @@
             if isinstance(value, str) or int(value) < least:
                 raise ValueError
             return int(value)
+
         return self.take(key, default, f"a whole number of at least {least}", read)
 
     def number(self, key, default=MISSING):
@@ -60,6 +62,7 @@
             if not 0 <= float(value) < 1e15:
                 raise ValueError
             return float(value)
+
         return self.take(key, default, "a number of at least 0", read)
 
     def span(self, key, default=MISSING):
@@ -70,6 +73,7 @@
             if not 0 < float(value) < 1e15:
                 raise ValueError
             return float(value)
+
         return self.take(key, default, "a number over 0", read)
 
     def flag(self, key, default=False):
@@ -80,6 +84,7 @@
             if not isinstance(value, str) or not value:
                 raise ValueError
             return value
+
         return self.take(key, default, "a text", read)
 
     def choice(self, key, default, among):
@@ -92,6 +97,7 @@
             if not host or not 0 <= int(port) <= 65535:
                 raise ValueError
             return host, int(port)
+
         return self.take(key, default, "an address as HOST:PORT", read)
 
     def place(self, key, default):
@@ -107,7 +113,9 @@
 
     def plain(self, key, read):
         """A list of bare values."""
-        return self.take(key, [], "a list of " + read.__name__, lambda v: [read(x or 0) for x in self.listed(v)])
+        return self.take(
+            key, [], "a list of " + read.__name__, lambda v: [read(x or 0) for x in self.listed(v)]
+        )
 
     @staticmethod
     def listed(value):
@@ -125,8 +133,15 @@
 
 def read_type(t, message_target):
     return i.TrafficType(
-        t.text("Name", "any"), t.choice("Effect", "unsafe", EFFECTS), t.choice("KeyScope", "cell", SCOPES),
-        t.span("KeyTtl", 0), t.span("SetupTarget"), micros(t.over_nothing("GuardTime")), t.number("Revenue", 1), message_target)
+        t.text("Name", "any"),
+        t.choice("Effect", "unsafe", EFFECTS),
+        t.choice("KeyScope", "cell", SCOPES),
+        t.span("KeyTtl", 0),
+        t.span("SetupTarget"),
+        micros(t.over_nothing("GuardTime")),
+        t.number("Revenue", 1),
+        message_target,
+    )
 
 
 def read_begin(settings, seed, path="settings"):
@@ -135,46 +150,76 @@
     limits, rules, costs, kind, goal = (c.part(k) for k in ("Limits", "Rules", "Costs", "FamilyInfo", "Goal"))
     targets = kind.plain("MessageAim", float)
     quotas = kind.plain("TenantQuotaConnections", float)
-    types = tuple(read_type(t, micros(targets[n]) if n < len(targets) else 0)
-                  for n, t in enumerate(c.parts("TrafficTypes")))
+    types = tuple(
+        read_type(t, micros(targets[n]) if n < len(targets) else 0)
+        for n, t in enumerate(c.parts("TrafficTypes"))
+    )
     report = c.part("LoadReport")
     probes, how, told = limits.flag("Probes"), report.choice("How", "none", HOW), report.plain("Names", str)
     if not types:
         raise Senseless(f"{c.at('TrafficTypes')}: names no traffic type")
     if len({t.name for t in types}) < len(types):
         raise Senseless(f"{c.at('TrafficTypes')}: names a traffic type twice")
-    tenants = tuple(i.Tenant(t.text("Name", str(n)), t.number("Share", 0), t.number("AllowancePerS", 0),
-                             quotas[n] if n < len(quotas) else 0.0) for n, t in enumerate(c.parts("Orgs")))
+    tenants = tuple(
+        i.Tenant(
+            t.text("Name", str(n)),
+            t.number("Share", 0),
+            t.number("AllowancePerS", 0),
+            quotas[n] if n < len(quotas) else 0.0,
+        )
+        for n, t in enumerate(c.parts("Orgs"))
+    )
     return i.Begin(
-        seed, c.whole("Me", 0), c.whole("Balancers", least=1) if "Balancers" in c.values else 0, c.whole("Zone", 0), c.span("Step", 1),
-        types, tenants,
-        i.LegLimits(limits.whole("MostLegs", 1, least=1), limits.flag("MayDuplicate"), limits.flag("Cancel"),
-                    limits.flag("RetryAfter"), limits.span("MaxRetryAfter", 0)),
-        i.ColdStart(rules.number("ColdFrom", 1), rules.span("RampTime", 0), rules.number("TipMultiple", 1),
-                    rules.span("OverloadFor", 0)),
-        i.ListRules(c.choice("MembershipMode", "push", ASKED), rules.span("AskEvery", 0),
-                    rules.span("DrainGrace", 0)),
+        seed,
+        c.whole("Me", 0),
+        c.whole("Balancers", least=1) if "Balancers" in c.values else 0,
+        c.whole("Zone", 0),
+        c.span("Step", 1),
+        types,
+        tenants,
+        i.LegLimits(
+            limits.whole("MostLegs", 1, least=1),
+            limits.flag("MayDuplicate"),
+            limits.flag("Cancel"),
+            limits.flag("RetryAfter"),
+            limits.span("MaxRetryAfter", 0),
+        ),
+        i.ColdStart(
+            rules.number("ColdFrom", 1),
+            rules.span("RampTime", 0),
+            rules.number("TipMultiple", 1),
+            rules.span("OverloadFor", 0),
+        ),
+        i.ListRules(
+            c.choice("MembershipMode", "push", ASKED), rules.span("AskEvery", 0), rules.span("DrainGrace", 0)
+        ),
         i.Prices(*(costs.number(k, 0) for k in ("CrossZone", "Moves", "Probe", "Peer"))),
-        probes, limits.flag("PeerMessages"), kind.flag("Groups"),
+        probes,
+        limits.flag("PeerMessages"),
+        kind.flag("Groups"),
         probes and how == "probe" and "x0" in told,
         c.choice("Weights", "nominal", MOVING),
-        i.Nines(goal.number("NinesPart", 0), goal.over_nothing("NinesFull", 3)))
+        i.Nines(goal.number("NinesPart", 0), goal.over_nothing("NinesFull", 3)),
+    )
 
 
 # A real node
 
+
 @dataclass(frozen=True)
 class Place:
     """Where the node is."""
+
     name: str
     listen: tuple
     discovery: tuple
-    operator: tuple = None         # where the operators call; None: nowhere
+    operator: tuple = None  # where the operators call; None: nowhere
 
 
 @dataclass(frozen=True)
 class Room:
     """What the node may use."""
+
     memory_mb: int
     sockets: int
 
@@ -182,6 +227,7 @@
 @dataclass(frozen=True)
 class Names:
     """What the protocol calls by name and the module by number."""
+
     types: dict
     zones: dict
     kinds: dict
@@ -191,10 +237,11 @@
 @dataclass(frozen=True)
 class Hearing:
     """What hosts tell on their connections, and how long one may take to come up."""
+
     connect_wait: int
     loads: bool
     delays: bool
-    words: bool = True             # a LOAD line may be a host's word on its messages; false: it is a load, always
+    words: bool = True  # a LOAD line may be a host's word on its messages; false: it is a load, always
 
 
 def numbered(names):
@@ -204,33 +251,56 @@
 def read_node(text, environment):
     """What a node is told, as parts: (Place, Room, Names, Hearing, Begin, known list as JSON)."""
     whole = Keys(parse(text, "configuration"), "")
-    place = Place(*(read(key, environment.get("PROXY_" + key.upper()) or default)
-                    for key, read, default in (("name", whole.text, MISSING), ("listen", whole.address, MISSING),
-                                               ("discovery", whole.address, MISSING), ("operator", whole.place, None))))
+    place = Place(
+        *(
+            read(key, environment.get("PROXY_" + key.upper()) or default)
+            for key, read, default in (
+                ("name", whole.text, MISSING),
+                ("listen", whole.address, MISSING),
+                ("discovery", whole.address, MISSING),
+                ("operator", whole.place, None),
+            )
+        )
+    )
     limits = whole.part("limits")
     room = Room(limits.whole("memory_mb", 192, least=32), limits.whole("sockets", 1024, least=64))
     seed = whole.take("seed", "0", "a number in hexadecimal", lambda v: int(v, 16))
     settings = whole.part("settings")
     begin = read_begin(settings.values, seed)
-    names = Names(numbered(t.name for t in begin.types), numbered(settings.plain("Zones", str)),
-                  numbered(settings.plain("Kinds", str)), numbered(t.name for t in begin.tenants))
+    names = Names(
+        numbered(t.name for t in begin.types),
+        numbered(settings.plain("Zones", str)),
+        numbered(settings.plain("Kinds", str)),
+        numbered(t.name for t in begin.tenants),
+    )
     kind = settings.part("FamilyInfo")
-    hearing = Hearing(settings.part("Limits").span("ConnectTimeout", 250), kind.flag("TellsLoad"),
-                      kind.flag("TellsDelay"), whole.choice("load_lines", "both", {"both": True, "loads": False}))
+    hearing = Hearing(
+        settings.part("Limits").span("ConnectTimeout", 250),
+        kind.flag("TellsLoad"),
+        kind.flag("TellsDelay"),
+        whole.choice("load_lines", "both", {"both": True, "loads": False}),
+    )
     known = whole.part("known", {"generation": 0, "reset": True, "instances": []}).values
     return place, room, names, hearing, begin, known
 
 
 # A node that runs gets another file
 
-KEYED = ["KeyScope", "KeyTtl"]         # of a traffic type; only one that is `keyed` needs them
+KEYED = ["KeyScope", "KeyTtl"]  # of a traffic type; only one that is `keyed` needs them
 
 
 def complete(was, now, path=""):
     """A file that lost a key is cut off or half written, and a default in its place would be half a change: every key that the
     file in force has stands in the new one too. Of a list's objects it is those keys that all of them have."""
-    if isinstance(was, dict) and not isinstance(now, dict) or isinstance(was, list) and not isinstance(now, list):
-        raise Senseless(f"{path or 'configuration'}: not {'an object' if isinstance(was, dict) else 'a list'}")
+    if (
+        isinstance(was, dict)
+        and not isinstance(now, dict)
+        or isinstance(was, list)
+        and not isinstance(now, list)
+    ):
+        raise Senseless(
+            f"{path or 'configuration'}: not {'an object' if isinstance(was, dict) else 'a list'}"
+        )
     if isinstance(was, dict):
         for key, value in was.items():
             at = f"{path}.{key}" if path else key
@@ -239,6 +309,7 @@
             if value is not None and at != "known":
                 complete(value, now[key], at)
     elif isinstance(was, list) and was and all(isinstance(one, dict) for one in was):
+
         def in_all(key, among):
             return among and all(one.get(key) is not None for one in among)
 
--- a/cottonspread/drill/codec.py
+++ b/cottonspread/drill/codec.py
@@ -1,4 +1,5 @@
 """Between the drill's lines of text and the types of `cottonspread.interface`. No decisions here."""
+
 import base64
 
 from cottonspread import config
@@ -6,11 +7,23 @@
 from cottonspread.config import micros
 from cottonspread.front.reports import probed, values
 
-ENDINGS = {0: i.Ending.OK, 5: i.Ending.ERROR, 11: i.Ending.FULL, 110: i.Ending.TIMEOUT,
-           111: i.Ending.CONNECT_FAILED, 104: i.Ending.RESET, 125: i.Ending.CANCELLED, 114: i.Ending.MOOT}
+ENDINGS = {
+    0: i.Ending.OK,
+    5: i.Ending.ERROR,
+    11: i.Ending.FULL,
+    110: i.Ending.TIMEOUT,
+    111: i.Ending.CONNECT_FAILED,
+    104: i.Ending.RESET,
+    125: i.Ending.CANCELLED,
+    114: i.Ending.MOOT,
+}
 STATES = {"up": i.State.UP, "draining": i.State.DRAINING, "removed": i.State.GONE}
-NEWS = {"update": i.News.CHANGES, "replace": i.News.FULL, "restored": i.News.SAVED,
-        "unavailable": i.News.FAILED}
+NEWS = {
+    "update": i.News.CHANGES,
+    "replace": i.News.FULL,
+    "restored": i.News.SAVED,
+    "unavailable": i.News.FAILED,
+}
 TEXT_FIELDS = {"begin": "Config"}
 LOAD_CHANGED, MESSAGES_SLOW = 1, 2
 RETURNED, HINTED = 16, 1
@@ -28,7 +41,7 @@
     """One line as its message name and its fields."""
     name, _, rest = line.partition("\t")
     text, last = TEXT_FIELDS.get(name), {}
-    if text:                                 # runs to the end of the line
+    if text:  # runs to the end of the line
         before, found, value = ("\t" + rest).partition(f"\t{text}=")
         rest, last = before[1:], {text: value} if found else {}
     try:
@@ -39,16 +52,30 @@
 
 def entry(f):
     got = f.get
-    return i.Entry(f["Host"], int(got("Site", 0)), int(got("Shape", 0)), float(got("Heft", 1)),
-                   int(got("UnitGroup", 0)), micros(f["CameUp"]) if "CameUp" in f else 0, STATES[got("Availability", "up")])
+    return i.Entry(
+        f["Host"],
+        int(got("Site", 0)),
+        int(got("Shape", 0)),
+        float(got("Heft", 1)),
+        int(got("UnitGroup", 0)),
+        micros(f["CameUp"]) if "CameUp" in f else 0,
+        STATES[got("Availability", "up")],
+    )
 
 
 def arrived(f):
     options = int(f.get("Options", 0))
-    return i.Arrived(int(f["Call"]), int(f["Service"]), micros(f.get("ExpiresIn", 0)), f.get("PathKey"),
-                     f.get("TeamId"), int(f.get("Team", 0)),
-                     float(f.get("Effort", 0)) if options & HINTED else 0.0,
-                     bool(options & RETURNED), f.get("Host"))
+    return i.Arrived(
+        int(f["Call"]),
+        int(f["Service"]),
+        micros(f.get("ExpiresIn", 0)),
+        f.get("PathKey"),
+        f.get("TeamId"),
+        int(f.get("Team", 0)),
+        float(f.get("Effort", 0)) if options & HINTED else 0.0,
+        bool(options & RETURNED),
+        f.get("Host"),
+    )
 
 
 def status_note(f):
@@ -68,13 +95,19 @@
     "work_item": arrived,
     "inherited": arrived,
     "accepted": lambda f: i.Accepted(int(f["Call"]), int(f.get("Trial", 0)), micros(f.get("WaitTime", 0))),
-    "done": lambda f: i.LegEnded(int(f["Call"]), int(f.get("Trial", 0)), ENDINGS[int(f["Disposition"])],
-                                 f.get("Terminal", "0") == "1", micros(f.get("WaitTime", 0))),
+    "done": lambda f: i.LegEnded(
+        int(f["Call"]),
+        int(f.get("Trial", 0)),
+        ENDINGS[int(f["Disposition"])],
+        f.get("Terminal", "0") == "1",
+        micros(f.get("WaitTime", 0)),
+    ),
     "expired": lambda f: i.Expired(int(f["Call"])),
     "status_note": status_note,
     "fired": lambda f: i.TimerFired(f["Cookie"]),
-    "pong": lambda f: probed(f["Host"], ENDINGS[int(f["Disposition"])], micros(f.get("WaitTime", 0)),
-                             values(f.get("Feedback"))),
+    "pong": lambda f: probed(
+        f["Host"], ENDINGS[int(f["Disposition"])], micros(f.get("WaitTime", 0)), values(f.get("Feedback"))
+    ),
     "peer": lambda f: i.PeerTold(int(f["Neighbour"]), data(f["Bytes"])),
 }
 
@@ -96,7 +129,9 @@
 
 
 def read_begin(fields):
-    return config.read_begin(config.parse(fields.get("Config", ""), "settings"), int(fields.get("RngSeed", 0)))
+    return config.read_begin(
+        config.parse(fields.get("Config", ""), "settings"), int(fields.get("RngSeed", 0))
+    )
 
 
 def write(a):
--- a/cottonspread/drill/hosting.py
+++ b/cottonspread/drill/hosting.py
@@ -1,4 +1,5 @@
 """Reads batches, keeps the nodes apart, writes the replies. No decisions here."""
+
 import sys
 import traceback
 
@@ -68,7 +69,7 @@
             raise codec.Unreadable(f"{name}: no traffic type {event.type}")
         try:
             return [codec.write(a) for a in self.nodes[node].handle(now, event)]
-        except Exception as wrong:       # a fault in the decisions ends the day, in plain sight
+        except Exception as wrong:  # a fault in the decisions ends the day, in plain sight
             self.complain(traceback.format_exc())
             return [fault(f"{type(wrong).__name__}: {wrong}")]
 
--- a/cottonspread/fleet/control.py
+++ b/cottonspread/fleet/control.py
@@ -1,12 +1,13 @@
 """What the processes of a fleet say to each other: JSON lines on stream sockets in the state folder; locks and pid files there."""
+
 import fcntl
 import json
 import os
 import resource
 import socket
 
-LONGEST_PATH = 100                 # of a socket: the kernel takes 107 bytes
-MOST_WAITING = 1 << 20             # bytes that a peer may leave unread
+LONGEST_PATH = 100  # of a socket: the kernel takes 107 bytes
+MOST_WAITING = 1 << 20  # bytes that a peer may leave unread
 
 
 class Line:
@@ -44,7 +45,7 @@
     def flush(self):
         try:
             while self.unsent:
-                self.unsent = self.unsent[self.sock.send(self.unsent):]
+                self.unsent = self.unsent[self.sock.send(self.unsent) :]
         except BlockingIOError:
             pass
         except OSError:
@@ -107,7 +108,7 @@
         try:
             os.ftruncate(self.file, 0)
             os.pwrite(self.file, b"%d\n" % os.getpid(), 0)
-        except OSError:                      # a full disk: the lock holds all the same
+        except OSError:  # a full disk: the lock holds all the same
             pass
         return True
 
--- a/cottonspread/fleet/core.py
+++ b/cottonspread/fleet/core.py
@@ -8,12 +8,15 @@
 Every event leads to `consider`, which looks at what is and what is wanted and takes the next step: a lost or doubled event does
 no harm. Times are whole microseconds of a clock that never jumps (monotonic).
 """
+
 from collections import deque
 from dataclasses import dataclass, field, replace
 
 SECOND = 1_000_000
-LEAVE_WAIT = 5 * SECOND            # for "I have left": it takes connections until then, so only one that is stuck is ended
-LATE = SECOND                      # the supervisor itself stood still for so long: nobody is blamed for silence in it
+LEAVE_WAIT = (
+    5 * SECOND
+)  # for "I have left": it takes connections until then, so only one that is stuck is ended
+LATE = SECOND  # the supervisor itself stood still for so long: nobody is blamed for silence in it
 
 # What a process says of itself; waiting: for a list with a server on it
 STARTING, WAITING, PREPARED, SERVING, LEAVING = "starting", "waiting", "prepared", "serving", "leaving"
@@ -23,6 +26,7 @@
 
 # Effects
 
+
 @dataclass(frozen=True)
 class Start:
     name: str
@@ -33,6 +37,7 @@
 @dataclass(frozen=True)
 class Take:
     """Take connections from now on."""
+
     name: str
     generation: int
 
@@ -40,6 +45,7 @@
 @dataclass(frozen=True)
 class Leave:
     """Take no more; then stop: open calls answered, standing ones moved. `handed`: a successor takes the new ones, else the door."""
+
     name: str
     generation: int
     handed: bool
@@ -54,6 +60,7 @@
 @dataclass(frozen=True)
 class Apply:
     """Take over the live part."""
+
     name: str
     generation: int
     spec: object
@@ -62,6 +69,7 @@
 @dataclass(frozen=True)
 class Door:
     """Whether the supervisor itself answers BUSY at this address, for there is no holder and none is about to be."""
+
     name: str
     open: bool
 
@@ -69,6 +77,7 @@
 @dataclass(frozen=True)
 class Forget:
     """The name is no more: its socket is closed."""
+
     name: str
 
 
@@ -82,10 +91,11 @@
 @dataclass(frozen=True)
 class Outcome:
     """A rollout has ended, or never begun."""
+
     ok: bool
     why: str
-    target: object                 # the plan that was asked for
-    plan: object                   # what is in force now
+    target: object  # the plan that was asked for
+    plan: object  # what is in force now
 
 
 @dataclass(frozen=True)
@@ -99,38 +109,39 @@
     generation: int
     spec: object
     began: int
-    allowed_from: int = 0          # its time to get ready runs from here
+    allowed_from: int = 0  # its time to get ready runs from here
     state: str = STARTING
     since: int = 0
     told_take: int = 0
     told_leave: int = 0
     killed: int = 0
     steps: int = -1
-    stepped: int = 0               # when the steps were last seen to grow
-    seen: dict = field(default_factory=dict)       # the last status, as told
-    at_ready: tuple = ()           # (ended, badly) when it began to be watched
+    stepped: int = 0  # when the steps were last seen to grow
+    seen: dict = field(default_factory=dict)  # the last status, as told
+    at_ready: tuple = ()  # (ended, badly) when it began to be watched
     failed: str = ""
-    applied: object = None         # the spec whose live part was last asked for
+    applied: object = None  # the spec whose live part was last asked for
 
 
 @dataclass(eq=False)
 class Slot:
     """A name."""
+
     name: str
     spec: object
     holder: Process = None
     next: Process = None
     leaving: list = field(default_factory=list)
     drained: bool = False
-    gone: bool = False             # not in the plan any more
-    anew: bool = False             # a restart was asked for
-    fails: deque = field(default_factory=deque)    # when, in the window
+    gone: bool = False  # not in the plan any more
+    anew: bool = False  # a restart was asked for
+    fails: deque = field(default_factory=deque)  # when, in the window
     in_row: int = 0
     not_before: int = 0
     given_up: bool = False
     restarts: int = 0
-    away_since: int = 0            # when its holder ended unasked
-    why: str = ""                  # the last end that was not asked for
+    away_since: int = 0  # when its holder ended unasked
+    why: str = ""  # the last end that was not asked for
     door: bool = False
 
     def processes(self):
@@ -147,26 +158,33 @@
 @dataclass(eq=False)
 class Rollout:
     plan: object
-    before: object                 # the plan to go back to
-    why: str                       # "reload", "upgrade", "restart NAME"
+    before: object  # the plan to go back to
+    why: str  # "reload", "upgrade", "restart NAME"
     todo: deque
-    doing: dict = field(default_factory=dict)      # slot: when its change was ready; 0: it is not yet
-    back: str = ""                 # going back, and why
-    usual: float = 0.0             # the share of calls that ended badly before it
+    doing: dict = field(default_factory=dict)  # slot: when its change was ready; 0: it is not yet
+    back: str = ""  # going back, and why
+    usual: float = 0.0  # the share of calls that ended badly before it
 
 
 class Core:
     def __init__(self, now, plan):
         self.now, self.plan, self.out = now, plan, []
         self.slots = {name: Slot(name, spec) for name, spec in plan.specs.items()}
-        self.generation, self.rollout, self.pending, self.stopping, self.hurried, self.over = 0, None, None, False, False, False
+        self.generation, self.rollout, self.pending, self.stopping, self.hurried, self.over = (
+            0,
+            None,
+            None,
+            False,
+            False,
+            False,
+        )
 
     # What is told
 
     def step(self, now, what, *args):
         """`what` is the name of one of the methods below; the effects, in their order."""
         gap, self.now = now - self.now, max(now, self.now)
-        if gap > LATE:                       # we stood still ourselves: whatever was said lies unread
+        if gap > LATE:  # we stood still ourselves: whatever was said lies unread
             for p in self.processes():
                 p.stepped, p.allowed_from = p.stepped + gap, max(p.began, p.allowed_from) + gap
                 p.told_leave += gap if p.told_leave else 0
@@ -189,8 +207,17 @@
         """A process that an earlier supervisor began, found before anything is started. No step: first all of them, then `settle`."""
         self.generation = max(self.generation, generation)
         slot = self.slots.get(name)
-        p = Process(name, generation, spec, self.now, state=status["state"], since=self.now, stepped=self.now, seen=status)
-        if slot is None:                     # not in the plan any more
+        p = Process(
+            name,
+            generation,
+            spec,
+            self.now,
+            state=status["state"],
+            since=self.now,
+            stepped=self.now,
+            seen=status,
+        )
+        if slot is None:  # not in the plan any more
             slot = self.slots[name] = Slot(name, spec, gone=True)
         if p.state == SERVING and slot.holder is None:
             slot.holder = p
@@ -198,7 +225,7 @@
         elif p.state == LEAVING:
             slot.leaving.append(p)
             p.told_leave = self.now
-        else:                                # half prepared, or a second one: not worth finding out
+        else:  # half prepared, or a second one: not worth finding out
             slot.leaving.append(p)
             self.kill(p, "adopted half-way")
 
@@ -244,7 +271,7 @@
             self.say("left", p, how=how)
             return
         slot.holder, slot.next = (None if x is p else x for x in (slot.holder, slot.next))
-        if p.told_leave and not p.failed:    # it said "leave" and was gone before it could say so
+        if p.told_leave and not p.failed:  # it said "leave" and was gone before it could say so
             self.say("left", p, how=how)
             return
         self.failed(slot, p, p.failed or how)
@@ -294,7 +321,9 @@
 
     def begin(self, plan, why):
         before, self.plan = self.plan, plan
-        self.rollout = Rollout(plan, before, why, deque(), usual=self.badly([s.holder for s in self.slots.values() if s.holder]))
+        self.rollout = Rollout(
+            plan, before, why, deque(), usual=self.badly([s.holder for s in self.slots.values() if s.holder])
+        )
         self.target(plan)
 
     def target(self, plan):
@@ -306,7 +335,9 @@
             if slot is None:
                 slot, back = Slot(name, spec), True
                 self.slots[name] = slot
-            elif slot.gone:                  # on its way out: from now on it is not, or it would be gone before its turn comes
+            elif (
+                slot.gone
+            ):  # on its way out: from now on it is not, or it would be gone before its turn comes
                 slot.gone, back = False, True
             if slot in self.rollout.doing:
                 slot.spec = spec
@@ -336,7 +367,10 @@
 
     def end_rollout(self, ok, why):
         r, self.rollout = self.rollout, None
-        self.out += [Say("rollout", {"of": r.why, "ok": ok, "why": why or "done"}, "info" if ok else "error"), Outcome(ok, why, r.plan, self.plan)]
+        self.out += [
+            Say("rollout", {"of": r.why, "ok": ok, "why": why or "done"}, "info" if ok else "error"),
+            Outcome(ok, why, r.plan, self.plan),
+        ]
         if self.pending:
             plan, why = self.pending
             self.pending = None
@@ -357,10 +391,17 @@
                 if worse:
                     self.go_back(f"{slot.name}: {worse}")
                     return
-                if self.now - (ready or self.now) >= (0 if r.back else fleet.watch_s * SECOND) and not slot.leaving:
+                if (
+                    self.now - (ready or self.now) >= (0 if r.back else fleet.watch_s * SECOND)
+                    and not slot.leaving
+                ):
                     del r.doing[slot]
         # Those given up come back by nobody's waiting; to wait for them would stop the very reload that mends them.
-        away = [s for s in self.slots.values() if not (s.serving() or s.drained or s.gone or s.given_up or s in r.doing)]
+        away = [
+            s
+            for s in self.slots.values()
+            if not (s.serving() or s.drained or s.gone or s.given_up or s in r.doing)
+        ]
         while r.todo and len(r.doing) + len(away) < max(fleet.at_once, 1):
             slot = r.todo.popleft()
             self.change(slot, self.plan.specs[slot.name])
@@ -369,8 +410,11 @@
 
     def changed(self, slot):
         p = slot.holder
-        return slot.serving() and p.spec.start == slot.spec.start and (
-            p.spec.live == slot.spec.live or p.seen.get("live") == slot.spec.live)
+        return (
+            slot.serving()
+            and p.spec.start == slot.spec.start
+            and (p.spec.live == slot.spec.live or p.seen.get("live") == slot.spec.live)
+        )
 
     def worse(self, p):
         """Whether calls end badly more often than in those not yet changed."""
@@ -379,9 +423,18 @@
         if ended < fleet.worse_of:
             return ""
         # Those not yet changed meet the same trouble now; of the last ones there are none left, so what was usual before counts too.
-        was = max(self.rollout.usual, self.badly([s.holder for s in self.slots.values() if s.holder and s.holder.spec.start != p.spec.start]))
+        was = max(
+            self.rollout.usual,
+            self.badly(
+                [s.holder for s in self.slots.values() if s.holder and s.holder.spec.start != p.spec.start]
+            ),
+        )
         share = bad / ended
-        return f"{bad} of {ended} calls ended badly, before {was:.3f} of them" if share > was + fleet.worse_by else ""
+        return (
+            f"{bad} of {ended} calls ended badly, before {was:.3f} of them"
+            if share > was + fleet.worse_by
+            else ""
+        )
 
     @staticmethod
     def badly(processes):
@@ -409,9 +462,20 @@
         else:
             self.keep_up(slot)
         # The supervisor answers where nobody does and nobody is about to.
-        door = not slot.holder and not (slot.next and slot.next.told_take) and (
-            self.stopping or slot.drained or slot.given_up or slot.gone or slot.next is None and slot.not_before > self.now
-            or slot.next is not None and slot.next.state == WAITING)
+        door = (
+            not slot.holder
+            and not (slot.next and slot.next.told_take)
+            and (
+                self.stopping
+                or slot.drained
+                or slot.given_up
+                or slot.gone
+                or slot.next is None
+                and slot.not_before > self.now
+                or slot.next is not None
+                and slot.next.state == WAITING
+            )
+        )
         if slot.name in self.slots:
             self.set_door(slot, door)
 
@@ -432,7 +496,12 @@
                 self.kill(p, "did not leave")
         elif p is slot.next:
             # Without a list nobody can begin, and to start it anew brings none; in a rollout the holder goes on meanwhile.
-            if p.state == WAITING and slot.holder is None and self.rollout is None and self.now - p.stepped <= fleet.stuck_s * SECOND:
+            if (
+                p.state == WAITING
+                and slot.holder is None
+                and self.rollout is None
+                and self.now - p.stepped <= fleet.stuck_s * SECOND
+            ):
                 p.allowed_from = self.now
             if self.now - max(p.began, p.allowed_from) > fleet.start_s * SECOND:
                 self.kill(p, f"not ready after {fleet.start_s:g} s")
@@ -450,11 +519,11 @@
                     self.out.append(Leave(slot.name, old.generation, True))
                 elif old is None:
                     new.told_take = self.now
-                    self.set_door(slot, False)         # before the other takes
+                    self.set_door(slot, False)  # before the other takes
                     self.out.append(Take(slot.name, new.generation))
             return
         if new is not None or old is not None and old.killed and not old.told_leave:
-            return                           # one goes, then the next comes
+            return  # one goes, then the next comes
         if old is None:
             if not slot.given_up and self.now >= slot.not_before:
                 self.start(slot)
@@ -464,12 +533,20 @@
         elif old.spec.live != spec.live and old.applied != spec and not old.told_leave:
             old.applied = spec
             self.out.append(Apply(slot.name, old.generation, spec))
-        if old is not None and old.applied is not None and old.seen.get("live") == old.applied.live and old.spec.start == old.applied.start:
+        if (
+            old is not None
+            and old.applied is not None
+            and old.seen.get("live") == old.applied.live
+            and old.spec.start == old.applied.start
+        ):
             old.spec, old.applied = old.applied, None
 
     def start(self, slot):
         # Forty interpreters that start at once are none of them ready in time.
-        if sum(s.next is not None and s.next.state == STARTING for s in self.slots.values()) >= self.plan.fleet.start_at_once:
+        if (
+            sum(s.next is not None and s.next.state == STARTING for s in self.slots.values())
+            >= self.plan.fleet.start_at_once
+        ):
             return
         slot.anew = False
         self.generation += 1
@@ -482,8 +559,15 @@
             self.kill(slot.next, "not wanted any more")
         old = slot.holder
         busy = sum(1 for s in self.slots.values() if s.leaving or s.holder and s.holder.told_leave)
-        if old is not None and not old.told_leave and not old.killed and (
-                slot.drained or busy < ((fleet.stop_at_once or len(self.slots)) if self.stopping else fleet.at_once)):
+        if (
+            old is not None
+            and not old.told_leave
+            and not old.killed
+            and (
+                slot.drained
+                or busy < ((fleet.stop_at_once or len(self.slots)) if self.stopping else fleet.at_once)
+            )
+        ):
             old.told_leave = self.now
             self.out.append(Leave(slot.name, old.generation, False))
         if slot.gone and not slot.processes():
@@ -498,7 +582,12 @@
 
     def failed(self, slot, p, how):
         """One has ended that was not to end: again, but ever later, and not for ever."""
-        if self.stopping or slot.gone or slot.drained or how in ("another plan", "going back", "not wanted any more"):
+        if (
+            self.stopping
+            or slot.gone
+            or slot.drained
+            or how in ("another plan", "going back", "not wanted any more")
+        ):
             return
         fleet, r = self.plan.fleet, self.rollout
         slot.why, slot.away_since = how, slot.away_since or (self.now if slot.holder is None else 0)
@@ -513,8 +602,12 @@
             slot.in_row = 0
         if len(slot.fails) > fleet.restarts:
             slot.given_up = True
-            self.out.append(Say("given-up", {"instance": slot.name, "restarts": len(slot.fails) - 1, "why": how}, "error"))
-            if r and slot in r.doing:        # going back already, or it was the old one: the rollout does not wait for it
+            self.out.append(
+                Say("given-up", {"instance": slot.name, "restarts": len(slot.fails) - 1, "why": how}, "error")
+            )
+            if (
+                r and slot in r.doing
+            ):  # going back already, or it was the old one: the rollout does not wait for it
                 del r.doing[slot]
             return
         # The first comes at once: most ends are single ones.
@@ -533,8 +626,15 @@
             return p.state if not p.told_leave else LEAVING
         if slot.leaving:
             return LEAVING
-        return (DRAINED if slot.drained else STOPPED if self.stopping or slot.gone else GIVEN_UP if slot.given_up
-                else BACKOFF)
+        return (
+            DRAINED
+            if slot.drained
+            else STOPPED
+            if self.stopping or slot.gone
+            else GIVEN_UP
+            if slot.given_up
+            else BACKOFF
+        )
 
     def ready(self):
         return all(s.serving() for s in self.slots.values() if not s.drained and not s.gone)
@@ -542,5 +642,15 @@
     def table(self):
         """Each name with what it waits for; for our own eyes."""
         r = self.rollout
-        return [(s.name, self.state_of(s), s.spec.start, [(p.generation, p.state, p.spec.start, p.told_leave, p.killed) for p in s.processes()],
-                 "gone" * s.gone, "doing" * bool(r and s in r.doing), "todo" * bool(r and s in r.todo)) for s in self.slots.values()]
+        return [
+            (
+                s.name,
+                self.state_of(s),
+                s.spec.start,
+                [(p.generation, p.state, p.spec.start, p.told_leave, p.killed) for p in s.processes()],
+                "gone" * s.gone,
+                "doing" * bool(r and s in r.doing),
+                "todo" * bool(r and s in r.todo),
+            )
+            for s in self.slots.values()
+        ]
--- a/cottonspread/fleet/notify.py
+++ b/cottonspread/fleet/notify.py
@@ -1,4 +1,5 @@
 """The service manager's notification protocol (sd_notify): datagrams of KEY=VALUE lines to the socket in $NOTIFY_SOCKET."""
+
 import os
 import socket
 import time
@@ -9,8 +10,10 @@
 
     def __init__(self, environment=os.environ):
         self.address = environment.get("NOTIFY_SOCKET", "")
-        self.every = 0.0                     # seconds between two signs of life: half of what it asks for
-        if environment.get("WATCHDOG_USEC", "").isdigit() and environment.get("WATCHDOG_PID", str(os.getpid())) == str(os.getpid()):
+        self.every = 0.0  # seconds between two signs of life: half of what it asks for
+        if environment.get("WATCHDOG_USEC", "").isdigit() and environment.get(
+            "WATCHDOG_PID", str(os.getpid())
+        ) == str(os.getpid()):
             self.every = int(environment["WATCHDOG_USEC"]) / 2e6
 
     def say(self, *lines):
--- a/cottonspread/fleet/plan.py
+++ b/cottonspread/fleet/plan.py
@@ -3,6 +3,7 @@
 A fleet's plan is read whole, checked whole, and then handed on as text: a file that changes or vanishes between check and use
 changes nothing. What a plan says of an instance is in two parts: what needs a new process, and what a running one takes over.
 """
+
 import errno
 import json
 import os
@@ -14,12 +15,13 @@
 from cottonspread import config
 from cottonspread.config import operator as op
 
-LIVE = ("discovery",)              # keys of the platform's JSON that a running instance takes over
+LIVE = ("discovery",)  # keys of the platform's JSON that a running instance takes over
 
 
 @dataclass(frozen=True)
 class Spec:
     """One instance: `start` and `live` are JSON with sorted keys, so equal texts are equal meaning."""
+
     name: str
     address: tuple
     start: str
@@ -29,8 +31,8 @@
 @dataclass(frozen=True)
 class Plan:
     fleet: op.Fleet
-    specs: dict                    # by name, in the order of their numbers
-    program: tuple                 # (python, folder put first on its path)
+    specs: dict  # by name, in the order of their numbers
+    program: tuple  # (python, folder put first on its path)
 
 
 def canonical(value):
@@ -73,18 +75,37 @@
     specs = {}
     for n in range(fleet.instances):
         name = f"{fleet.name}-{n}"
-        own = {**whole, "name": name, "listen": stepped(fleet.listen, fleet.port_step * n, fleet.host_step * n),
-               "settings": {**whole["settings"], "Me": fleet.first + n, "Balancers": fleet.nodes or fleet.first + fleet.instances}}
-        own.pop("operator", None)            # the supervisor's socket serves instead, and a successor runs beside each instance
+        own = {
+            **whole,
+            "name": name,
+            "listen": stepped(fleet.listen, fleet.port_step * n, fleet.host_step * n),
+            "settings": {
+                **whole["settings"],
+                "Me": fleet.first + n,
+                "Balancers": fleet.nodes or fleet.first + fleet.instances,
+            },
+        }
+        own.pop(
+            "operator", None
+        )  # the supervisor's socket serves instead, and a successor runs beside each instance
         try:
-            own["discovery"] = stepped(whole["discovery"], fleet.discovery_step * n) if fleet.discovery_step else whole["discovery"]
+            own["discovery"] = (
+                stepped(whole["discovery"], fleet.discovery_step * n)
+                if fleet.discovery_step
+                else whole["discovery"]
+            )
             if "seed" in whole:
                 own["seed"] = "%x" % (int(whole["seed"], 16) + n)
             place = check(canonical(own))[0]
         except (config.Senseless, ValueError, TypeError) as fault:
             raise op.Faults([f"{template}: {fault} (instance {name})"]) from fault
         live = {key: own.pop(key) for key in LIVE} | {"level": log.level}
-        start = {"config": own, "format": log.format, "instance": msgspec.to_builtins(instance), "program": list(program)}
+        start = {
+            "config": own,
+            "format": log.format,
+            "instance": msgspec.to_builtins(instance),
+            "program": list(program),
+        }
         specs[name] = Spec(name, place.listen, canonical(start), canonical(live))
     return Plan(fleet, specs, tuple(program))
 
--- a/cottonspread/fleet/supervisor.py
+++ b/cottonspread/fleet/supervisor.py
@@ -3,6 +3,7 @@
 Why one loop and no threads: nothing here is on a client's path except the door, which sends one line, and a supervisor with one
 thread has no order of events that its tests do not have.
 """
+
 import heapq
 import json
 import logging
@@ -23,7 +24,7 @@
 log = logging.getLogger("cottonspread.fleet")
 
 TICK = 0.05
-DOOR_WAIT = 1.0                    # what a client gets to send its first line, and then to close, at the door
+DOOR_WAIT = 1.0  # what a client gets to send its first line, and then to close, at the door
 MOST_AT_DOOR = 64
 STATUS_EVERY = 5.0
 
@@ -45,9 +46,9 @@
         self.logging, _, self.fleet = op.read_fleet(self.path)
         self.folder, self.logs = plans.folders(self.path, self.fleet)
         self.manager, self.selector, self.timers = notify.Manager(), selectors.DefaultSelector(), []
-        self.sockets, self.doors, self.guests = {}, {}, {}      # by address; by name; by socket
+        self.sockets, self.doors, self.guests = {}, {}, {}  # by address; by name; by socket
         self.children, self.pidfds, self.channels = {}, {}, {}  # by (name, generation)
-        self.waiting = {}                                       # control sockets not yet there
+        self.waiting = {}  # control sockets not yet there
         self.answers, self.was_ready, self.done, self.began = [], False, False, time.monotonic()
 
     # The start
@@ -59,13 +60,21 @@
             os.makedirs(self.logs, exist_ok=True)
         except OSError as fault:
             raise op.Faults([f"{self.path}: fleet.state: {fault}"]) from fault
-        longest = os.path.join(self.folder, f"{self.fleet.name}-255.{10 ** 6}.sock")
+        longest = os.path.join(self.folder, f"{self.fleet.name}-255.{10**6}.sock")
         if len(longest) > control.LONGEST_PATH:
-            raise op.Faults([f"{self.path}: fleet.state: {self.folder}: too long a path for sockets: {len(longest)} bytes "
-                             f"with their names, {control.LONGEST_PATH} are possible"])
+            raise op.Faults(
+                [
+                    f"{self.path}: fleet.state: {self.folder}: too long a path for sockets: {len(longest)} bytes "
+                    f"with their names, {control.LONGEST_PATH} are possible"
+                ]
+            )
         self.lock = control.Lock(os.path.join(self.folder, "fleet.pid"))
         if not self.lock.take():
-            raise op.Faults([f"{self.path}: fleet.state: {self.folder}: a supervisor runs there already, pid {self.lock.holder()}"])
+            raise op.Faults(
+                [
+                    f"{self.path}: fleet.state: {self.folder}: a supervisor runs there already, pid {self.lock.holder()}"
+                ]
+            )
         self.room(self.fleet.instances)
         kept = self.kept()
         self.program = tuple(kept.get("program") or self.own_program)
@@ -91,7 +100,11 @@
         need = 5 * instances + MOST_AT_DOOR + 32
         hard = control.raise_descriptors(need)
         if hard < need:
-            raise op.Faults([f"{self.path}: fleet.instances: {instances} need {need} descriptors; the limit is {hard} (ulimit -n)"])
+            raise op.Faults(
+                [
+                    f"{self.path}: fleet.instances: {instances} need {need} descriptors; the limit is {hard} (ulimit -n)"
+                ]
+            )
 
     def kept(self):
         try:
@@ -105,8 +118,10 @@
 
     def keep(self):
         try:
-            write_whole(os.path.join(self.folder, "fleet.json"),
-                        json.dumps({"program": list(self.program), "generation": self.core.generation}))
+            write_whole(
+                os.path.join(self.folder, "fleet.json"),
+                json.dumps({"program": list(self.program), "generation": self.core.generation}),
+            )
         except OSError as fault:
             log.error("state", extra={"pairs": {"why": fault}})
 
@@ -141,7 +156,10 @@
                 self.pidfds[spec.name, hello["generation"]] = os.pidfd_open(pid)
                 found.append((spec.name, hello["generation"], spec, status, sock))
             except (OSError, ValueError, LookupError) as fault:
-                log.error("not-adopted", extra={"pairs": {"pid": pid, "socket": file, "why": fault or type(fault).__name__}})
+                log.error(
+                    "not-adopted",
+                    extra={"pairs": {"pid": pid, "socket": file, "why": fault or type(fault).__name__}},
+                )
                 end_process(pid)
                 control.unlink(path)
         return found
@@ -189,7 +207,7 @@
 
     def hear_all(self, wait):
         for key, _ in self.selector.select(wait):
-            if self.selector.get_map().get(key.fd) is not key:       # closed by what came before it in this round
+            if self.selector.get_map().get(key.fd) is not key:  # closed by what came before it in this round
                 continue
             self.guarded(key.data)
 
@@ -218,12 +236,15 @@
     def tell(self, what, *args):
         effects = self.core.step(now(), what, *args)
         if any(isinstance(effect, Start) for effect in effects):
-            self.keep()                      # the generations, once for all that start now
+            self.keep()  # the generations, once for all that start now
         for effect in effects:
             self.carry_out(effect)
         if not self.was_ready and self.core.ready():
             self.was_ready = True
-            log.info("ready", extra={"pairs": {"instances": len(self.core.slots), "s": time.monotonic() - self.began}})
+            log.info(
+                "ready",
+                extra={"pairs": {"instances": len(self.core.slots), "s": time.monotonic() - self.began}},
+            )
             self.manager.ready(self.summary())
 
     def carry_out(self, effect):
@@ -246,7 +267,9 @@
                 self.close_door(effect.name)
                 self.drop_sockets()
             case Say():
-                log.log(logging.getLevelName(effect.level.upper()), effect.event, extra={"pairs": effect.pairs})
+                log.log(
+                    logging.getLevelName(effect.level.upper()), effect.event, extra={"pairs": effect.pairs}
+                )
             case Outcome():
                 self.outcome(effect)
             case Over():
@@ -262,14 +285,26 @@
         path = os.path.join(self.folder, f"{name}.{generation}.sock")
         python, checkout = json.loads(spec.start)["program"]
         listener = self.sockets[spec.address]
-        told = {"name": name, "generation": generation, "start": spec.start, "live": spec.live, "folder": self.folder,
-                "socket": path, "listener": listener.fileno()}
+        told = {
+            "name": name,
+            "generation": generation,
+            "start": spec.start,
+            "live": spec.live,
+            "folder": self.folder,
+            "socket": path,
+            "listener": listener.fileno(),
+        }
         try:
             with open_log(os.path.join(self.logs, f"{name}.log")) as out:
                 child = subprocess.Popen(
-                    [python, "-P", "-m", "cottonspread", "instance", "--socket", path], stdin=subprocess.PIPE, stdout=out, stderr=out,
-                    pass_fds=[listener.fileno()], start_new_session=True,
-                    env={**os.environ, "PYTHONPATH": checkout} if checkout else None)
+                    [python, "-P", "-m", "cottonspread", "instance", "--socket", path],
+                    stdin=subprocess.PIPE,
+                    stdout=out,
+                    stderr=out,
+                    pass_fds=[listener.fileno()],
+                    start_new_session=True,
+                    env={**os.environ, "PYTHONPATH": checkout} if checkout else None,
+                )
             self.children[name, generation] = child
             self.pidfds[name, generation] = os.pidfd_open(child.pid)
             self.watch_process(name, generation)
@@ -280,10 +315,12 @@
             if child is not None:
                 child.kill()
                 if (name, generation) in self.pidfds:
-                    return                   # its end will be noticed
+                    return  # its end will be noticed
                 child.wait()
                 del self.children[name, generation]
-            self.at(0, lambda: self.tell("not_started", name, generation, why))      # not inside of a step of the core
+            self.at(
+                0, lambda: self.tell("not_started", name, generation, why)
+            )  # not inside of a step of the core
             return
         self.waiting[name, generation] = path
 
@@ -346,7 +383,9 @@
 
     def drop_sockets(self):
         """Addresses that nobody wants any more."""
-        wanted = {s.spec.address for s in self.core.slots.values()} | {p.spec.address for p in self.core.processes()}
+        wanted = {s.spec.address for s in self.core.slots.values()} | {
+            p.spec.address for p in self.core.processes()
+        }
         wanted |= {s.address for s in self.core.plan.specs.values()}
         for address in self.sockets.keys() - wanted:
             self.sockets.pop(address).close()
@@ -372,7 +411,7 @@
             return False
         sock.setblocking(False)
         guest = Guest(sock)
-        if at_once:                          # its line is here, or it comes too late
+        if at_once:  # its line is here, or it comes too late
             try:
                 guest.data = sock.recv(4096)
             except OSError:
@@ -385,7 +424,7 @@
         self.at(DOOR_WAIT, lambda: self.guest_late(guest))
         if len(self.guests) > MOST_AT_DOOR:
             oldest = next(iter(self.guests.values()))
-            self.guest(oldest)               # its line, if it is here
+            self.guest(oldest)  # its line, if it is here
             self.turn_away(oldest)
             self.see_out(oldest)
         return True
@@ -453,7 +492,7 @@
                 self.obey(line, one)
             except config.Senseless as fault:
                 line.say({"ok": False, "why": str(fault)})
-            except Exception as fault:       # our own: told, and the fleet goes on
+            except Exception as fault:  # our own: told, and the fleet goes on
                 log.exception("fault", extra={"pairs": {"while": one.get("do")}})
                 line.say({"ok": False, "why": f"our own fault: {type(fault).__name__}: {fault}"})
         if not stands or not line.flush():
@@ -469,7 +508,9 @@
         elif do == "reload":
             self.reload(line)
         elif do == "upgrade":
-            self.change((one["python"], one["checkout"]) if one.get("python") else self.own_program, "upgrade", line)
+            self.change(
+                (one["python"], one["checkout"]) if one.get("python") else self.own_program, "upgrade", line
+            )
         elif do in ("drain", "restart"):
             self.tell(do, name)
             line.say({"ok": True, "why": "begun"})
@@ -495,17 +536,24 @@
         if self.core.stopping:
             raise config.Senseless("the fleet is stopping")
         plan = plans.read(self.path, program, self.check)
-        fixed = [key for key, _, meta in op.fields(op.Fleet) if meta.extra["reload"] == "new"
-                 and getattr(plan.fleet, key) != getattr(self.fleet, key)]
+        fixed = [
+            key
+            for key, _, meta in op.fields(op.Fleet)
+            if meta.extra["reload"] == "new" and getattr(plan.fleet, key) != getattr(self.fleet, key)
+        ]
         if fixed:
-            raise op.Faults([f"{self.path}: fleet.{key}: only a new supervisor takes this over" for key in fixed])
+            raise op.Faults(
+                [f"{self.path}: fleet.{key}: only a new supervisor takes this over" for key in fixed]
+            )
         self.bind(plan)
         if line:
             self.answers.append((plan, line))
         self.tell("replan", plan, why)
 
     def outcome(self, effect):
-        self.program = effect.plan.program   # only now: a supervisor that dies in an upgrade has a successor that goes back
+        self.program = (
+            effect.plan.program
+        )  # only now: a supervisor that dies in an upgrade has a successor that goes back
         self.keep()
         self.manager.ready(self.summary())
         self.answer({"ok": effect.ok, "why": effect.why or "done"}, effect.target)
@@ -521,16 +569,36 @@
         for slot in self.core.slots.values():
             p = slot.holder or slot.next
             seen = p.seen if p else {}
-            rows.append({
-                "instance": slot.name, "address": "%s:%d" % slot.spec.address, "pid": seen.get("pid"), "state": self.core.state_of(slot),
-                "generation": p.generation if p else None, "since_s": round((self.core.now - p.since) / 1e6, 1) if p else None,
-                "connections": seen.get("connections"), "calls": seen.get("calls"), "list": seen.get("list"),
-                "version": seen.get("version"), "ended": seen.get("ended"), "bad": seen.get("bad"),
-                "restarts": slot.restarts, "why": slot.why, "leaving": len(slot.leaving)})
+            rows.append(
+                {
+                    "instance": slot.name,
+                    "address": "%s:%d" % slot.spec.address,
+                    "pid": seen.get("pid"),
+                    "state": self.core.state_of(slot),
+                    "generation": p.generation if p else None,
+                    "since_s": round((self.core.now - p.since) / 1e6, 1) if p else None,
+                    "connections": seen.get("connections"),
+                    "calls": seen.get("calls"),
+                    "list": seen.get("list"),
+                    "version": seen.get("version"),
+                    "ended": seen.get("ended"),
+                    "bad": seen.get("bad"),
+                    "restarts": slot.restarts,
+                    "why": slot.why,
+                    "leaving": len(slot.leaving),
+                }
+            )
         r = self.core.rollout
-        return {"fleet": self.fleet.name, "pid": os.getpid(), "ready": self.core.ready(), "program": list(self.core.plan.program),
-                "rollout": {"of": r.why, "to_do": len(r.todo), "under_way": len(r.doing), "going_back": r.back} if r else None,
-                "instances": rows}
+        return {
+            "fleet": self.fleet.name,
+            "pid": os.getpid(),
+            "ready": self.core.ready(),
+            "program": list(self.core.plan.program),
+            "rollout": {"of": r.why, "to_do": len(r.todo), "under_way": len(r.doing), "going_back": r.back}
+            if r
+            else None,
+            "instances": rows,
+        }
 
 
 def open_log(path):
--- a/cottonspread/front/figures.py
+++ b/cottonspread/front/figures.py
@@ -3,6 +3,7 @@
 Each event is counted in one place (`Reducer.finish`, `host_lines`, `wrote`, `retuned`), each number has one writer, and a reader in
 another thread takes whole numbers as they stand: nobody waits for anybody. Every process counts from 0.
 """
+
 ANSWERS = ("success", "busy", "failure")
 
 
@@ -36,7 +37,11 @@
         """Every figure, as (name, labels, value)."""
         at_door = dict(self.at_door)
         for (answer, name), count in dict(self.answers).items():
-            yield answer, f'{{tier="{label(name)}"}}', count + (at_door.get(name, 0) if answer == "busy" else 0)
+            yield (
+                answer,
+                f'{{tier="{label(name)}"}}',
+                count + (at_door.get(name, 0) if answer == "busy" else 0),
+            )
         yield "inflight", "", inflight
         for name in ("backend_calls", "hosts_listed", "hosts_down", "reconfig_ok", "reconfig_failed"):
             yield name, "", getattr(self, name)
--- a/cottonspread/front/handover.py
+++ b/cottonspread/front/handover.py
@@ -3,16 +3,18 @@
 To servers and clients the two are one node: keys go on to the server that has them, what went to cold servers counts on, the id of
 a call that is open in one is in use for the other. Times are the clock's, which all processes of a machine share.
 """
+
 import json
 from dataclasses import asdict, dataclass, replace
 
 VERSION = 1
-MOST_RECORDS = 5000                # the latest; each is a line of some 60 bytes that counts as memory
+MOST_RECORDS = 5000  # the latest; each is a line of some 60 bytes that counts as memory
 
 
 @dataclass(frozen=True)
 class Standing:
     """An open connection, passed on between two lines."""
+
     id: str
     type: str
     host: str
@@ -21,25 +23,30 @@
     key: str = None
     group: str = None
     tenant: int = 0
-    load: float = 0.0              # as last told; 0: not told
-    waiting: tuple = ()            # when lines without an echo were sent
+    load: float = 0.0  # as last told; 0: not told
+    waiting: tuple = ()  # when lines without an echo were sent
 
 
 @dataclass(frozen=True)
 class HandOver:
-    room: int                      # connections that the successor may hold while both are there
-    draining: bool = False         # the operators had this node drained
-    ids: tuple = ()                # of calls that are open
-    records: tuple = ()            # (key, server), the longest idle first
-    sent: tuple = ()               # (server, when, legs): what cold servers were sent, the oldest first
+    room: int  # connections that the successor may hold while both are there
+    draining: bool = False  # the operators had this node drained
+    ids: tuple = ()  # of calls that are open
+    records: tuple = ()  # (key, server), the longest idle first
+    sent: tuple = ()  # (server, when, legs): what cold servers were sent, the oldest first
 
 
 def taken(module, now, **more):
     """What the module keeps that its successor needs. It is only read."""
     records = [(key, host.name) for key, (host, _) in list(module.records.by_key.items())[-MOST_RECORDS:]]
     cold = [h for h in module.membership.hosts.values() if module.slow_start.part(h, now) < 1]
-    return HandOver(records=tuple(records), sent=tuple(
-        (h.name, at, count) for h in cold for at, count in h.sent.kept(now, module.slow_start.cold.window)), **more)
+    return HandOver(
+        records=tuple(records),
+        sent=tuple(
+            (h.name, at, count) for h in cold for at, count in h.sent.kept(now, module.slow_start.cold.window)
+        ),
+        **more,
+    )
 
 
 def pack(handed, mark):
@@ -58,8 +65,14 @@
         raise ValueError("no connection of this version")
     try:
         one = Standing(**said)
-        return replace(one, waiting=tuple(map(int, one.waiting)), began=int(one.began), setup=int(one.setup),
-                       tenant=int(one.tenant), load=float(one.load))
+        return replace(
+            one,
+            waiting=tuple(map(int, one.waiting)),
+            began=int(one.began),
+            setup=int(one.setup),
+            tenant=int(one.tenant),
+            load=float(one.load),
+        )
     except TypeError as fault:
         raise ValueError(f"{type(fault).__name__}: {fault}") from fault
 
@@ -72,8 +85,12 @@
     if said.get("mark") != mark:
         return None
     try:
-        return HandOver(max(2, int(said["room"])), bool(said["draining"]), tuple(map(str, said["ids"])),
-                        tuple((str(key), str(host)) for key, host in said["records"]),
-                        tuple((str(host), int(at), int(count)) for host, at, count in said["sent"]))
+        return HandOver(
+            max(2, int(said["room"])),
+            bool(said["draining"]),
+            tuple(map(str, said["ids"])),
+            tuple((str(key), str(host)) for key, host in said["records"]),
+            tuple((str(host), int(at), int(count)) for host, at, count in said["sent"]),
+        )
     except (KeyError, TypeError) as fault:
         raise ValueError(f"{type(fault).__name__}: {fault}") from fault
--- a/cottonspread/front/lateness.py
+++ b/cottonspread/front/lateness.py
@@ -4,6 +4,7 @@
 set aside every server it had (measured: docs/notes/lab.md). So lateness is measured for itself: how long an event had lain when
 the reducer got to it, and by how much the reducer was late for its own timers. Times are whole microseconds.
 """
+
 from collections import deque
 
 SECOND = 1_000_000
@@ -12,7 +13,8 @@
 
 class Lateness:
     """The node's own lateness over the last half to whole second."""
-    ORDINARY = SECOND // 50        # less is no news: a thread that waits its turn
+
+    ORDINARY = SECOND // 50  # less is no news: a thread that waits its turn
 
     def __init__(self):
         self.since, self.here, self.before = 0, 0, 0
@@ -41,14 +43,15 @@
     late: the queue drains, and the rate does not collapse cut by cut. Under half the target the rate grows again. Falling by
     itself, as after a pause of the node, nothing is cut: what lies there can still be answered.
     """
+
     STEP = SECOND // 10
-    SPAN = 5                       # steps over which it is counted what the node got done
+    SPAN = 5  # steps over which it is counted what the node got done
     CUT, GROW = 0.85, 1.01
-    NO_LIMIT = 2                   # times what came: a limit so high is dropped
-    LEAST = 10.0                   # a second: some always pass, or nothing would tell that the trouble is over
+    NO_LIMIT = 2  # times what came: a limit so high is dropped
+    LEAST = 10.0  # a second: some always pass, or nothing would tell that the trouble is over
 
     def __init__(self, target):
-        self.target, self.rate, self.tokens, self.filled = target, 0.0, 0.0, 0      # rate a second; 0: no limit
+        self.target, self.rate, self.tokens, self.filled = target, 0.0, 0.0, 0  # rate a second; 0: no limit
         self.until, self.last, self.lain_sum, self.lain_count, self.came = 0, 0, 0, 0, 0
         self.done, self.arrived = deque(maxlen=self.SPAN), deque(maxlen=self.SPAN)
 
@@ -61,7 +64,7 @@
     def look(self, now):
         if now < self.until:
             return
-        if now - self.until > self.SPAN * self.STEP:       # nothing came for a while
+        if now - self.until > self.SPAN * self.STEP:  # nothing came for a while
             self.done.clear()
             self.arrived.clear()
         self.done.append(self.lain_count)
--- a/cottonspread/front/reports.py
+++ b/cottonspread/front/reports.py
@@ -1,4 +1,5 @@
 """A host's load report, in the platform's words, as the module's event. Both fronts hand it over."""
+
 from cottonspread import interface as io
 
 
--- a/cottonspread/interface.py
+++ b/cottonspread/interface.py
@@ -4,6 +4,7 @@
 the actions it gets back, in their order. Times and spans are whole microseconds of the front's own clock.
 Calls and hosts are named by whatever hashable id the front uses; the module gives the ids back as they came.
 """
+
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
@@ -17,6 +18,7 @@
 
 class Ending(Enum):
     """How a leg ended."""
+
     OK = "ok"
     ERROR = "error"
     FULL = "turned away unseen"
@@ -35,6 +37,7 @@
 
 class News(Enum):
     """What a word from the server list holds."""
+
     CHANGES = "only what changed"
     FULL = "the whole list"
     SAVED = "the whole list as last held, perhaps stale"
@@ -45,8 +48,8 @@
 class TrafficType:
     name: str
     effect: Effect
-    repeats_known_by: str        # "all", "zone" or "cell": the group of hosts that drops repeats
-    remembered_for: int          # how long that group remembers
+    repeats_known_by: str  # "all", "zone" or "cell": the group of hosts that drops repeats
+    remembered_for: int  # how long that group remembers
     setup_target: int
     guard_time: int
     revenue: float
@@ -57,8 +60,8 @@
 class Tenant:
     name: str
     share: float = 0.0
-    allowance_per_s: float = 0.0     # calls a second over all nodes; 0: not told
-    quota_connections: float = 0.0   # open connections over all nodes; 0: not told
+    allowance_per_s: float = 0.0  # calls a second over all nodes; 0: not told
+    quota_connections: float = 0.0  # open connections over all nodes; 0: not told
 
 
 @dataclass(frozen=True)
@@ -66,22 +69,22 @@
     most_legs: int = 1
     two_at_once: bool = False
     may_cancel: bool = False
-    may_retry_after: bool = False    # a reject may say when to come back
+    may_retry_after: bool = False  # a reject may say when to come back
     longest_retry_after: int = 0
 
 
 @dataclass(frozen=True)
 class ColdStart:
-    share: float = 1.0               # a fresh host does at least this part of its work
+    share: float = 1.0  # a fresh host does at least this part of its work
     warm_after: int = 0
-    multiple: float = 1.0            # all nodes together stay under this many times what it can do
-    window: int = 0                  # over any window of this length
+    multiple: float = 1.0  # all nodes together stay under this many times what it can do
+    window: int = 0  # over any window of this length
 
 
 @dataclass(frozen=True)
 class ListRules:
-    ask: bool = False                # the list answers only when asked
-    ask_every: int = 0               # unasked for this long, a node counts as told
+    ask: bool = False  # the list answers only when asked
+    ask_every: int = 0  # unasked for this long, a node counts as told
     drain_grace: int = 0
 
 
@@ -96,16 +99,18 @@
 @dataclass(frozen=True)
 class Nines:
     """A part of the result: over spans of 5 s, the tenfold steps by which the unserved share lies below the whole."""
-    part: float = 0.0                # its weight; 0: it does not count
-    full: float = 3.0                # steps that earn all of it
+
+    part: float = 0.0  # its weight; 0: it does not count
+    full: float = 3.0  # steps that earn all of it
 
 
 @dataclass(frozen=True)
 class Begin:
     """A node starts. Each part of the module takes from here only what it needs."""
+
     seed: int
     me: int
-    nodes: int                       # 0: not told
+    nodes: int  # 0: not told
     zone: int
     tick: int
     types: tuple
@@ -117,34 +122,40 @@
     may_probe: bool = False
     may_tell: bool = False
     groups_share_work: bool = False
-    loads_probed: bool = False       # a probe's answer tells the load asked of a host over what it can do
-    weights_move: bool = False       # listed weights: nominal size over 1 + calls held a core, late
+    loads_probed: bool = False  # a probe's answer tells the load asked of a host over what it can do
+    weights_move: bool = False  # listed weights: nominal size over 1 + calls held a core, late
     nines: Nines = field(default_factory=Nines)
 
 
-class Entry(NamedTuple):             # made for every server at every word of the list: the cheapest type
+class Entry(NamedTuple):  # made for every server at every word of the list: the cheapest type
     host: object
     zone: int = 0
     kind: int = 0
-    weight: float = 1.0              # as listed: its size, or what `Begin.weights_move` says
+    weight: float = 1.0  # as listed: its size, or what `Begin.weights_move` says
     cell: int = 0
-    started: int = 0                 # 0: long ago
+    started: int = 0  # 0: long ago
     state: State = State.UP
 
     def like(self, other):
         """Whether it differs from `other` by its weight at most."""
-        return (self.state is other.state and self.started == other.started and self.zone == other.zone
-                and self.kind == other.kind and self.cell == other.cell)
+        return (
+            self.state is other.state
+            and self.started == other.started
+            and self.zone == other.zone
+            and self.kind == other.kind
+            and self.cell == other.cell
+        )
 
 
 # Events: what a front tells.
 
+
 @dataclass(frozen=True)
 class Listed:
     news: News
     version: int = 0
     entries: tuple = ()
-    took: int = 0                    # of one that failed: how long it was waited for
+    took: int = 0  # of one that failed: how long it was waited for
 
 
 @dataclass(frozen=True)
@@ -156,8 +167,8 @@
     group: object = None
     tenant: int = 0
     load: float = 0.0
-    returned: bool = False           # back after a break or a move
-    held_by: object = None           # already open through this node, at this host
+    returned: bool = False  # back after a break or a move
+    held_by: object = None  # already open through this node, at this host
 
 
 @dataclass(frozen=True)
@@ -172,20 +183,20 @@
     call: object
     leg: int
     ending: Ending
-    closed: bool                     # nothing more is owed for the call
+    closed: bool  # nothing more is owed for the call
     waited: int = 0
 
 
 @dataclass(frozen=True)
 class LoadTold:
     call: object
-    load: float                      # microseconds of work a second
+    load: float  # microseconds of work a second
 
 
 @dataclass(frozen=True)
 class DelayTold:
     call: object
-    delay: int                       # what a message takes at the call's host now
+    delay: int  # what a message takes at the call's host now
 
 
 @dataclass(frozen=True)
@@ -203,21 +214,23 @@
     host: object
     ending: Ending
     waited: int = 0
-    load: float = -1.0               # asked of the host over what it can do, seconds ago; -1: not told
-    piled: float = 0.0               # seconds of work piled up
+    load: float = -1.0  # asked of the host over what it can do, seconds ago; -1: not told
+    piled: float = 0.0  # seconds of work piled up
 
 
 @dataclass(frozen=True)
 class Retuned:
     """Other settings from now on. Calls that are open keep the type that they opened under."""
+
     begin: Begin
 
 
 @dataclass(frozen=True)
 class Inherited:
     """What the process that this one replaces had kept: to the servers the two are one node."""
-    records: tuple                   # (key, host)
-    sent: tuple                      # (host, when, legs), the oldest first
+
+    records: tuple  # (key, host)
+    sent: tuple  # (host, when, legs), the oldest first
 
 
 @dataclass(frozen=True)
@@ -228,18 +241,19 @@
 
 # Actions: what the module wants done.
 
+
 @dataclass(frozen=True)
 class Send:
     call: object
     host: object
-    until: int                       # time of the clock
-    by: int = 0                      # its first byte may go out until then; 0: while the call is open
+    until: int  # time of the clock
+    by: int = 0  # its first byte may go out until then; 0: while the call is open
 
 
 @dataclass(frozen=True)
 class Reject:
     call: object
-    retry_after: int = 0             # 0: nothing is said
+    retry_after: int = 0  # 0: nothing is said
 
 
 @dataclass(frozen=True)
@@ -277,7 +291,7 @@
 @dataclass(frozen=True)
 class Tell:
     data: bytes
-    peer: int = -1                   # -1: every other node
+    peer: int = -1  # -1: every other node
 
 
 @dataclass(frozen=True)
--- a/cottonspread/lab/acceptor.py
+++ b/cottonspread/lab/acceptor.py
@@ -1,4 +1,5 @@
 """Answers every first line with UP by itself: what a generator can do is measured against something that does next to nothing."""
+
 import signal
 
 from cottonspread.lab import limits
@@ -8,7 +9,7 @@
 def run(address):
     limits.raise_descriptors()
     loop, conns = Loop(), {}
-    loop.spin = 2_000_000              # always awake: a core that sleeps is a virtual machine's to be taken away
+    loop.spin = 2_000_000  # always awake: a core that sleeps is a virtual machine's to be taken away
     door = listener(address, 4096, "acceptor")
 
     def accept(_):
@@ -19,7 +20,7 @@
                 return
             sock.setblocking(False)
             conns[sock] = None
-            read(sock)                 # in most cases its line is here already
+            read(sock)  # in most cases its line is here already
             if sock in conns:
                 loop.watch(sock, lambda _, sock=sock: read(sock))
 
@@ -27,7 +28,13 @@
         try:
             data = sock.recv(4096)
             if data:
-                sock.send(b"PONG\r\n" if data.startswith(b"PING") else b"UP 1\r\n" if data.startswith(b"OPEN") else data)
+                sock.send(
+                    b"PONG\r\n"
+                    if data.startswith(b"PING")
+                    else b"UP 1\r\n"
+                    if data.startswith(b"OPEN")
+                    else data
+                )
                 return
         except BlockingIOError:
             return
--- a/cottonspread/lab/experiment.py
+++ b/cottonspread/lab/experiment.py
@@ -1,4 +1,5 @@
 """Experiments: plays of an experiment's variants in turn (A B A B), their results side by side."""
+
 import os
 import sys
 
@@ -56,9 +57,22 @@
 
 
 def progress(play, line):
-    table = Table(title=f"{play.plan.experiment.name} {play.plan.variant.name}, {line['s']} of "
-                        f"{play.plan.experiment.seconds + play.plan.experiment.settle_s:.0f} s")
-    for name in ("offered", "up", "busy", "none", "moved", "broken", "standing", "p50_us", "p99_us", "late_max_us"):
+    table = Table(
+        title=f"{play.plan.experiment.name} {play.plan.variant.name}, {line['s']} of "
+        f"{play.plan.experiment.seconds + play.plan.experiment.settle_s:.0f} s"
+    )
+    for name in (
+        "offered",
+        "up",
+        "busy",
+        "none",
+        "moved",
+        "broken",
+        "standing",
+        "p50_us",
+        "p99_us",
+        "late_max_us",
+    ):
         table.add_column(name, justify="right")
     table.add_row(*(str(line.get(c.header, "")) for c in table.columns))
     return table
@@ -80,6 +94,11 @@
     for name in ("figure", a, b, "ratios", "median"):
         table.add_column(name)
     for name, values, median in results.compare(pairs):
-        table.add_row(name, " ".join(f"{v[0]:g}" for v in values), " ".join(f"{v[1]:g}" for v in values),
-                      " ".join("-" if v[2] is None else f"{v[2]:g}" for v in values), "-" if median is None else f"{median:g}")
+        table.add_row(
+            name,
+            " ".join(f"{v[0]:g}" for v in values),
+            " ".join(f"{v[1]:g}" for v in values),
+            " ".join("-" if v[2] is None else f"{v[2]:g}" for v in values),
+            "-" if median is None else f"{median:g}",
+        )
     Console(width=140).print(table)
--- a/cottonspread/lab/fleet.py
+++ b/cottonspread/lab/fleet.py
@@ -1,4 +1,5 @@
 """Nodes that a fleet's supervisor runs, in the place of nodes that the lab runs one by one."""
+
 import json
 import os
 import signal
@@ -25,23 +26,37 @@
         self.path = os.path.join(play.folder, "operator.toml")
         self.template = os.path.join(play.folder, "node.json")
         self.state = os.path.join(play.folder, "s")
-        self.seen = 0.0, {}            # a status, and when it was told
+        self.seen = 0.0, {}  # a status, and when it was told
 
     def write(self):
         plan, first = self.play.plan, self.play.nodes[0]
         config = tuning.values(self.play.plan, first.number)
-        config["settings"]["Limits"]["MaxRetryAfter"] -= self.changes % 2        # what a reload is to find changed
+        config["settings"]["Limits"]["MaxRetryAfter"] -= self.changes % 2  # what a reload is to find changed
         with open(self.template, "w", encoding="utf-8") as file:
             json.dump(config, file, indent=1)
-        keys = {"name": "n", "config": "node.json", "instances": len(plan.nodes), "listen": config["listen"], "discovery_step": 1,
-                "state": "s", **plan.experiment.nodes.fleet}
+        keys = {
+            "name": "n",
+            "config": "node.json",
+            "instances": len(plan.nodes),
+            "listen": config["listen"],
+            "discovery_step": 1,
+            "state": "s",
+            **plan.experiment.nodes.fleet,
+        }
         with open(self.path, "w", encoding="utf-8") as file:
-            file.write("[instance]\norphan_s = 10.0\n[fleet]\n" + "".join(f"{k} = {json.dumps(v)}\n" for k, v in keys.items()))
+            file.write(
+                "[instance]\norphan_s = 10.0\n[fleet]\n"
+                + "".join(f"{k} = {json.dumps(v)}\n" for k, v in keys.items())
+            )
 
     def words(self, *words):
         checkout = self.play.plan.variant.checkout or self.play.plan.experiment.nodes.checkout or ROOT
-        return {"args": [sys.executable, "-m", "cottonspread", "fleet", *words, "--operator", self.path], "cwd": checkout,
-                "env": {**os.environ, "PYTHONPATH": checkout}, "stdin": subprocess.DEVNULL}
+        return {
+            "args": [sys.executable, "-m", "cottonspread", "fleet", *words, "--operator", self.path],
+            "cwd": checkout,
+            "env": {**os.environ, "PYTHONPATH": checkout},
+            "stdin": subprocess.DEVNULL,
+        }
 
     def start(self):
         if self.running:
@@ -49,11 +64,20 @@
         self.running = True
         self.write()
         with open(os.path.join(self.play.folder, "fleet.log"), "ab") as log:
-            self.process = subprocess.Popen(**self.words("run"), stdout=log, stderr=log, preexec_fn=lambda: prepare_child(None))
+            self.process = subprocess.Popen(
+                **self.words("run"), stdout=log, stderr=log, preexec_fn=lambda: prepare_child(None)
+            )
 
     def command(self, kind, *words):
-        self.commands.append((kind, time.monotonic(), subprocess.Popen(
-            **self.words(*words), stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)))
+        self.commands.append(
+            (
+                kind,
+                time.monotonic(),
+                subprocess.Popen(
+                    **self.words(*words), stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
+                ),
+            )
+        )
         self.note(kind)
 
     def note(self, kind, **more):
@@ -67,7 +91,9 @@
             if process.poll() is not None:
                 self.commands.remove(one)
                 said = process.communicate()[0].strip()
-                self.note(kind + "-done", s=round(time.monotonic() - began, 3), code=process.returncode, said=said)
+                self.note(
+                    kind + "-done", s=round(time.monotonic() - began, 3), code=process.returncode, said=said
+                )
                 if process.returncode:
                     self.play.reasons.append(f"{kind}: {said}")
         self.play.at(now() + SECOND // 20, self.look)
@@ -79,7 +105,10 @@
                 sock.settimeout(2)
                 sock.connect(os.path.join(self.state, "fleet.sock"))
                 sock.sendall(b'{"do": "status"}\n')
-                return {one["instance"].replace("-", ""): one for one in json.loads(sock.makefile().readline())["status"]["instances"]}
+                return {
+                    one["instance"].replace("-", ""): one
+                    for one in json.loads(sock.makefile().readline())["status"]["instances"]
+                }
         except (OSError, ValueError, KeyError):
             return {}
 
@@ -87,7 +116,7 @@
         if one.kind == "kill":
             self.play.note("killed", node)
             node.signal(signal.SIGKILL)
-        else:                                # the supervisor's way to stop one
+        else:  # the supervisor's way to stop one
             self.command("restart", "restart", node.node.name.replace("n", "n-"))
 
     def fault(self, one):
@@ -107,7 +136,7 @@
             self.process.wait()
             self.running = False
             self.start()
-        else:                                # fleet-stop, and a new start
+        else:  # fleet-stop, and a new start
             self.note("fleet-stop")
             self.process.send_signal(signal.SIGTERM)
             for node in self.play.nodes:
@@ -175,14 +204,14 @@
         """To the instance; at the play's end the supervisor stops them all."""
         pid = self.pid()
         if not self.wanted:
-            if number == signal.SIGTERM and self.number == 0:        # a second one would hurry it
+            if number == signal.SIGTERM and self.number == 0:  # a second one would hurry it
                 self.play.fleet.process.send_signal(signal.SIGTERM)
         elif pid:
             os.kill(pid, number)
 
     def sample(self):
         fleet = self.play.fleet
-        if time.monotonic() - fleet.seen[0] > 0.5:         # one for all nodes
+        if time.monotonic() - fleet.seen[0] > 0.5:  # one for all nodes
             fleet.seen = time.monotonic(), fleet.status()
         pid = fleet.seen[1].get(self.node.name, {}).get("pid")
         if pid and (self.probe is None or self.probe.pid != pid):
@@ -191,4 +220,3 @@
             except psutil.Error:
                 self.probe = None
         return super().sample() if self.probe else {"cpu": 0, "rss_mb": 0, "threads": 0, "fds": 0}
-
--- a/cottonspread/lab/hosts.py
+++ b/cottonspread/lab/hosts.py
@@ -1,4 +1,5 @@
 """Emulated farm servers on sockets: the pure model behind the hosts' side of the line protocol."""
+
 import socket
 import struct
 from collections import deque
@@ -13,7 +14,7 @@
 SECOND = 1_000_000
 BACKLOG = 1024
 BROKEN = struct.pack("ii", 1, 0)
-MOST_OUT = 64 * 1024               # bytes that a connection's reader may leave untaken
+MOST_OUT = 64 * 1024  # bytes that a connection's reader may leave untaken
 
 
 class Conn:
@@ -82,8 +83,8 @@
             self.flush(conn)
         if not mask & ~OUT:
             return
-        if self.fillers:                     # vanished
-            self.part.loop.drop(conn.sock)   # nothing is read either
+        if self.fillers:  # vanished
+            self.part.loop.drop(conn.sock)  # nothing is read either
             return
         try:
             data = conn.sock.recv(65536)
--- a/cottonspread/lab/ledger.py
+++ b/cottonspread/lab/ledger.py
@@ -9,6 +9,7 @@
 3. Nothing new to a host later than the grace after the list told that node that it drains or is gone.
 4. No cold host tipped: a budget over any window, all nodes together.
 """
+
 from bisect import bisect_right
 from collections import Counter, defaultdict, deque
 
@@ -16,8 +17,13 @@
 PASSED_ON = 1_000_000
 SILENCE = 7_000_000
 SECOND = 1_000_000
-SHOWN = 5                          # offences of each kind that are kept in full
-MEANINGS = {1: "one final answer in time", 2: "no effect twice", 3: "nothing new to a drained server", 4: "no cold server tipped"}
+SHOWN = 5  # offences of each kind that are kept in full
+MEANINGS = {
+    1: "one final answer in time",
+    2: "no effect twice",
+    3: "nothing new to a drained server",
+    4: "no cold server tipped",
+}
 
 
 class Audit:
@@ -29,8 +35,18 @@
         self.grace = round(plan.experiment.nodes.grace_ms * 1000)
         self.offences, self.shown, self.checked = Counter(), defaultdict(list), Counter()
         self.calls, self.excused, self.twice, self.ends_at = {}, 0, 0, 0
-        self.legs, self.host_ends, self.starts, self.troubled = defaultdict(list), {}, defaultdict(list), defaultdict(list)
-        self.deaths, self.freezes, self.told, self.budget = defaultdict(list), defaultdict(list), defaultdict(list), 0.0
+        self.legs, self.host_ends, self.starts, self.troubled = (
+            defaultdict(list),
+            {},
+            defaultdict(list),
+            defaultdict(list),
+        )
+        self.deaths, self.freezes, self.told, self.budget = (
+            defaultdict(list),
+            defaultdict(list),
+            defaultdict(list),
+            0.0,
+        )
         self.spans = {}
         self.read(records)
 
@@ -47,8 +63,17 @@
         for line in sorted((x for x in records("hosts")), key=lambda x: x["t"]):
             kind, t, host = line["k"], line["t"] - self.start, line.get("host")
             if kind == "leg":
-                leg = {"t": t, "host": host, "end": None, "how": "", "ran": None, "up": None, "never": None, "cold": line["cold"],
-                       "load": 0}
+                leg = {
+                    "t": t,
+                    "host": host,
+                    "end": None,
+                    "how": "",
+                    "ran": None,
+                    "up": None,
+                    "never": None,
+                    "cold": line["cold"],
+                    "load": 0,
+                }
                 self.legs[line["id"]].append(leg)
                 open_legs[line["id"], host] = leg
             elif kind in ("ran", "up", "full", "late", "end", "swallowed"):
@@ -98,13 +123,25 @@
         return self.result()
 
     def result(self):
-        return {"calls": len(self.calls), "legs": sum(map(len, self.legs.values())), "excused": self.excused,
-                "ran_twice_harmlessly": self.twice, "cold_budget_used": round(self.budget, 3),
-                "rules": {str(rule): {"meaning": meaning, "checked": self.checked[rule],
-                                      "broken": sum(n for (r, _), n in self.offences.items() if r == rule)}
-                          for rule, meaning in MEANINGS.items()},
-                "offences": [{"rule": rule, "what": what, "count": n, "first": self.shown[rule, what]}
-                             for (rule, what), n in sorted(self.offences.items())]}
+        return {
+            "calls": len(self.calls),
+            "legs": sum(map(len, self.legs.values())),
+            "excused": self.excused,
+            "ran_twice_harmlessly": self.twice,
+            "cold_budget_used": round(self.budget, 3),
+            "rules": {
+                str(rule): {
+                    "meaning": meaning,
+                    "checked": self.checked[rule],
+                    "broken": sum(n for (r, _), n in self.offences.items() if r == rule),
+                }
+                for rule, meaning in MEANINGS.items()
+            },
+            "offences": [
+                {"rule": rule, "what": what, "count": n, "first": self.shown[rule, what]}
+                for (rule, what), n in sorted(self.offences.items())
+            ],
+        }
 
     # Rule 1
 
@@ -116,16 +153,16 @@
 
     def answers(self, call):
         if not call["sent"]:
-            return                         # its node's machine never took it
+            return  # its node's machine never took it
         self.checked[1] += 1
         answers, sent, guard = call["answers"], call["sent"], call["sent"] + round(call["d"] * 1000)
         if len(answers) > 1:
             self.offence(1, "more than one final answer", self.full(call))
         if not answers:
             if self.died(call["node"], sent - SLACK, call["end"] + SLACK):
-                self.excused += 1          # its node was killed with it
+                self.excused += 1  # its node was killed with it
             elif self.frozen(call["node"], guard - SLACK, guard + SLACK):
-                self.excused += 1          # its node was stopped over its guard time
+                self.excused += 1  # its node was stopped over its guard time
             elif call["how"] == "cut":
                 if call["end"] > guard + SLACK:
                     self.offence(1, "no answer before the guard time", self.full(call))
@@ -138,7 +175,9 @@
             last, what, value = answers[0]
             if last > guard + SLACK and not self.frozen(call["node"], guard - SLACK, guard + SLACK):
                 self.offence(1, "answered after the guard time", self.full(call))
-            if what == "UP" and not any(leg["up"] and leg["up"][1] == value for leg in self.legs.get(call["id"], ())):
+            if what == "UP" and not any(
+                leg["up"] and leg["up"][1] == value for leg in self.legs.get(call["id"], ())
+            ):
                 self.offence(1, "UP that no host gave", self.full(call))
         for leg in self.legs.get(call["id"], ()):
             if leg["t"] > min(last, guard) + SLACK:
@@ -158,16 +197,22 @@
         leg = next((leg for leg in self.legs.get(call["id"], ()) if leg["up"]), None)
         if leg is None or leg["how"] in ("end", "reset") and leg["end"] <= end + SLACK:
             return
-        if leg["how"] == "" or any(t <= end + SLACK and kind in ("down", "fault") and what in (None, "vanish", "half-dead", "hang")
-                                   for t, kind, what in self.troubled.get(leg["host"], ())):
-            return                         # its host was silent
+        if leg["how"] == "" or any(
+            t <= end + SLACK and kind in ("down", "fault") and what in (None, "vanish", "half-dead", "hang")
+            for t, kind, what in self.troubled.get(leg["host"], ())
+        ):
+            return  # its host was silent
         self.offence(1, "cut off without MOVE while its host answered", self.full(call))
 
     def passed_on(self, call):
         node, end = call["node"], call["end"]
         leg = next((leg for leg in self.legs.get(call["id"], ()) if leg["up"]), None)
-        if leg and leg["how"] in ("end", "reset") and end > leg["end"] + PASSED_ON + SLACK and not self.frozen(
-                node, leg["end"], end):
+        if (
+            leg
+            and leg["how"] in ("end", "reset")
+            and end > leg["end"] + PASSED_ON + SLACK
+            and not self.frozen(node, leg["end"], end)
+        ):
             self.offence(1, "a host's end passed on late", self.full(call))
         if call["unanswered"] > SILENCE + SLACK and not self.frozen(node, end - call["unanswered"], end):
             self.offence(1, "silent for over 7 s", self.full(call))
@@ -186,8 +231,13 @@
                 self.twice += 1
         for n, leg in enumerate(legs):
             for earlier in legs[:n]:
-                if earlier["end"] is None and earlier["never"] is None and not self.gone(earlier, leg["t"]) or (
-                        earlier["end"] or 0) > leg["t"] + SLACK and earlier["never"] is None:
+                if (
+                    earlier["end"] is None
+                    and earlier["never"] is None
+                    and not self.gone(earlier, leg["t"])
+                    or (earlier["end"] or 0) > leg["t"] + SLACK
+                    and earlier["never"] is None
+                ):
                     self.offence(2, "two legs at once", self.full(call))
                     return
             open_before = [one for one in legs[:n] if one["never"] is None]
@@ -203,18 +253,31 @@
                 self.offence(2, "referenced sent again after its time", self.full(call))
                 return
         rejected = call["answers"] and call["answers"][0][1] == "BUSY"
-        if rejected and any(leg["never"] is None for leg in legs) and (
-                kind.effect == "once-only" or kind.effect == "referenced" and kind.scope != "all"):
+        if (
+            rejected
+            and any(leg["never"] is None for leg in legs)
+            and (kind.effect == "once-only" or kind.effect == "referenced" and kind.scope != "all")
+        ):
             self.offence(2, "rejected though it may have run", self.full(call))
 
     def gone(self, leg, before):
         """Its host vanished, so that it saw no end."""
-        return any(t <= before and what in ("vanish", "cold") for t, _, what in self.troubled.get(leg["host"], ()))
+        return any(
+            t <= before and what in ("vanish", "cold") for t, _, what in self.troubled.get(leg["host"], ())
+        )
 
     def one_group(self, kind, legs):
         if kind.scope == "all":
             return True
-        return len({getattr(self.machines[leg["host"]], "zone" if kind.scope == "zone" else "cell") for leg in legs}) == 1
+        return (
+            len(
+                {
+                    getattr(self.machines[leg["host"]], "zone" if kind.scope == "zone" else "cell")
+                    for leg in legs
+                }
+            )
+            == 1
+        )
 
     # Rule 3
 
@@ -240,8 +303,11 @@
             self.checked[3] += 1
             since = self.unfit_since(call["node"], leg["host"], leg["t"])
             if since is not None and leg["t"] > since + self.grace + SLACK:
-                self.offence(3, "a leg to a server that drains or is gone", {
-                    **self.full(call), "told": since, "late_ms": (leg["t"] - since) / 1000})
+                self.offence(
+                    3,
+                    "a leg to a server that drains or is gone",
+                    {**self.full(call), "told": since, "late_ms": (leg["t"] - since) / 1000},
+                )
 
     # Rule 4
 
@@ -251,8 +317,15 @@
         warm, window = round(t.warm_s * SECOND), round(t.tip_s * SECOND)
         if not t.tip_multiple:
             return
-        legs = sorted((leg for legs in self.legs.values() for leg in legs
-                       if leg["host"] == machine.name and start <= leg["t"] < start + warm), key=lambda leg: leg["t"])
+        legs = sorted(
+            (
+                leg
+                for legs in self.legs.values()
+                for leg in legs
+                if leg["host"] == machine.name and start <= leg["t"] < start + warm
+            ),
+            key=lambda leg: leg["t"],
+        )
         recent = deque()
         for leg in legs:
             self.checked[4] += 1
@@ -260,20 +333,30 @@
             recent.append(at)
             while recent[0] < at - window:
                 recent.popleft()
-            standing = sum(one["load"] * (min(at, one["end"] or at) - max(one["ran"], at - window)) / SECOND for one in legs
-                           if one["ran"] is not None and one["ran"] < at and (one["end"] or at) > at - window)
+            standing = sum(
+                one["load"] * (min(at, one["end"] or at) - max(one["ran"], at - window)) / SECOND
+                for one in legs
+                if one["ran"] is not None and one["ran"] < at and (one["end"] or at) > at - window
+            )
             share = t.cold_share + (1 - t.cold_share) * (at - start) / warm
-            used = (len(recent) * t.setup_us + standing) / (t.tip_multiple * t.cores * t.speed * share * window)
+            used = (len(recent) * t.setup_us + standing) / (
+                t.tip_multiple * t.cores * t.speed * share * window
+            )
             self.budget = max(self.budget, used)
             if used > 1:
-                self.offence(4, "more than its budget sent to a cold server", {
-                    "host": machine.name, "t": at, "started": start, "used": round(used, 3)})
+                self.offence(
+                    4,
+                    "more than its budget sent to a cold server",
+                    {"host": machine.name, "t": at, "started": start, "used": round(used, 3)},
+                )
 
 
 def told(result):
     """The audit in lines."""
-    out = [f"calls {result['calls']}, legs {result['legs']}, excused with killed or frozen nodes {result['excused']}, "
-           f"cold budget used at most {result['cold_budget_used']:.0%}"]
+    out = [
+        f"calls {result['calls']}, legs {result['legs']}, excused with killed or frozen nodes {result['excused']}, "
+        f"cold budget used at most {result['cold_budget_used']:.0%}"
+    ]
     for rule, one in result["rules"].items():
         out.append(f"rule {rule} ({one['meaning']}): {one['broken']} broken of {one['checked']} checked")
     for one in result["offences"]:
--- a/cottonspread/lab/limits.py
+++ b/cottonspread/lab/limits.py
@@ -1,4 +1,5 @@
 """Limits that a run would meet, told before it begins: descriptors, local ports, cores."""
+
 import fcntl
 import os
 import resource
@@ -6,7 +7,7 @@
 import numpy as np
 
 PORTS = "/proc/sys/net/ipv4/ip_local_port_range"
-TIME_WAIT = 60                     # seconds that the kernel keeps a closed connection's port
+TIME_WAIT = 60  # seconds that the kernel keeps a closed connection's port
 SPARE = 64
 MOST_GROWN = 65_536
 
@@ -48,21 +49,31 @@
     reconnects = sum(standing * s.share for s in x.load.shapes if s.kind == "reconnect")
     need = standing // x.load.processes + SPARE
     if need > hard:
-        raise TooLarge(f"descriptors: {need} connections stand at once in each of {x.load.processes} load processes, and the "
-                       f"limit of open files (ulimit -Hn) is {hard}: raise load.processes to {standing // (hard - SPARE) + 1}")
+        raise TooLarge(
+            f"descriptors: {need} connections stand at once in each of {x.load.processes} load processes, and the "
+            f"limit of open files (ulimit -Hn) is {hard}: raise load.processes to {standing // (hard - SPARE) + 1}"
+        )
     need = standing // x.hosts.processes + SPARE
     if need > hard and x.audited:
-        raise TooLarge(f"descriptors: {need} connections stand at once in each of {x.hosts.processes} host processes, and the "
-                       f"limit of open files (ulimit -Hn) is {hard}: raise hosts.processes to {standing // (hard - SPARE) + 1}")
+        raise TooLarge(
+            f"descriptors: {need} connections stand at once in each of {x.hosts.processes} host processes, and the "
+            f"limit of open files (ulimit -Hn) is {hard}: raise hosts.processes to {standing // (hard - SPARE) + 1}"
+        )
     # A port is taken from its connection's begin until a minute after its end, for each pair of local address and node.
     ends = schedule.at + TIME_WAIT * 1_000_000
     taken = int((np.arange(1, len(ends) + 1) - np.searchsorted(ends, schedule.at)).max()) if len(ends) else 0
     taken += round(reconnects)
     pairs = len(plan.sources) * len(plan.nodes)
     if taken / pairs > local_ports * 0.9:
-        raise TooLarge(f"local ports: {taken} are taken within a minute from {len(plan.sources)} addresses to {len(plan.nodes)} "
-                       f"nodes, and ip_local_port_range gives {local_ports} for each pair: raise load.sources to "
-                       f"{int(taken / (local_ports * 0.9) / len(plan.nodes) / x.load.processes) + 1}")
+        raise TooLarge(
+            f"local ports: {taken} are taken within a minute from {len(plan.sources)} addresses to {len(plan.nodes)} "
+            f"nodes, and ip_local_port_range gives {local_ports} for each pair: raise load.sources to "
+            f"{int(taken / (local_ports * 0.9) / len(plan.nodes) / x.load.processes) + 1}"
+        )
     cores = cores or os.cpu_count()
     wanted = x.load.processes + x.hosts.processes + x.nodes.count
-    return [f"{wanted} processes share {cores} cores: figures of the nodes may tell of that"] if wanted > cores else []
+    return (
+        [f"{wanted} processes share {cores} cores: figures of the nodes may tell of that"]
+        if wanted > cores
+        else []
+    )
--- a/cottonspread/lab/listing.py
+++ b/cottonspread/lab/listing.py
@@ -2,6 +2,7 @@
 
 `changes` derives from a plan's faults what the list has to tell and when; `Book` answers; `Listing` is the shell.
 """
+
 import json
 import socket
 import threading
@@ -66,7 +67,7 @@
             if name in self.entries:
                 entry = self.entries[name] = dict(self.entries[name], weight=size / (1 + count))
                 self.news.append((self.version, entry))
-        self.news = self.news[-20 * len(self.entries) - 1000:]
+        self.news = self.news[-20 * len(self.entries) - 1000 :]
 
     def whole(self):
         return {"generation": self.version, "reset": True, "instances": list(self.entries.values())}
@@ -85,6 +86,7 @@
 
 class Asker:
     """One node's connection."""
+
     __slots__ = ("sock", "node", "rest", "since", "until")
 
     def __init__(self, sock, node):
@@ -103,8 +105,16 @@
             self.loop.watch(sock, lambda _, sock=sock, node=node: self.accept(sock, node))
 
     def entry(self, m):
-        return {"instanceId": m.name, "hostPort": f"{m.ip}:{m.port}", "zone": m.zone, "machineType": "lab", "cell": m.cell,
-                "lifecycle": "Ready", "weight": m.traits.cores * m.traits.speed, "startedAtMs": 0}
+        return {
+            "instanceId": m.name,
+            "hostPort": f"{m.ip}:{m.port}",
+            "zone": m.zone,
+            "machineType": "lab",
+            "cell": m.cell,
+            "lifecycle": "Ready",
+            "weight": m.traits.cores * m.traits.speed,
+            "startedAtMs": 0,
+        }
 
     def begin(self):
         if self.plan.experiment.listing.weights_ms:
@@ -128,7 +138,7 @@
                     cores = m.traits.cores
                     self.held[m.name] = cores * m.traits.speed, float(told[b"outstanding"]) / cores
                 except (OSError, ValueError, IndexError, KeyError):
-                    continue                 # it keeps the weight that it had
+                    continue  # it keeps the weight that it had
             time.sleep(self.plan.experiment.listing.weights_ms / 2000)
 
     def weigh(self):
@@ -141,7 +151,9 @@
         machine = next(m for m in self.plan.machines if m.name == name)
         at = None if started is None else (self.start + round(started) + self.plan.unix_offset) // 1000
         self.book.change(name, lifecycle, at, self.book.entries.get(name) or self.entry(machine))
-        self.record.put({"k": "change", "t": now(), "host": name, "state": lifecycle, "version": self.book.version})
+        self.record.put(
+            {"k": "change", "t": now(), "host": name, "state": lifecycle, "version": self.book.version}
+        )
         self.answer_watches()
 
     def fault(self, one):
@@ -184,7 +196,7 @@
             self.drop(asker)
             return
         while (end := asker.rest.find(b"\r\n\r\n")) >= 0:
-            head, asker.rest = asker.rest[:end], asker.rest[end + 4:]
+            head, asker.rest = asker.rest[:end], asker.rest[end + 4 :]
             self.asked(asker, head.split(b" ", 2)[1].decode("latin-1"))
 
     def asked(self, asker, path):
@@ -205,7 +217,7 @@
             return
         said = self.book.whole() if asker.since < 0 else self.book.since(asker.since)
         if said is None:
-            if asker.since > self.book.version:        # it knows a version that this list never had
+            if asker.since > self.book.version:  # it knows a version that this list never had
                 said = self.book.whole()
             elif at < asker.until:
                 return
@@ -225,6 +237,13 @@
             self.drop(asker)
             return
         if body[:1] == b"{":
-            self.record.put({"k": "told", "t": now(), "node": asker.node.name, "version": said["generation"],
-                             "whole": said["reset"],
-                             "hosts": [[e["instanceId"], e["lifecycle"], e["startedAtMs"]] for e in said["instances"]]})
+            self.record.put(
+                {
+                    "k": "told",
+                    "t": now(),
+                    "node": asker.node.name,
+                    "version": said["generation"],
+                    "whole": said["reset"],
+                    "hosts": [[e["instanceId"], e["lifecycle"], e["startedAtMs"]] for e in said["instances"]],
+                }
+            )
