--- a/cottonspread/lab/load.py
+++ b/cottonspread/lab/load.py
@@ -3,6 +3,7 @@
 Latency counts from the intended time, so that a stalled node is not flattered; how late the generator itself was
 (from the intended time to when the kernel had its connection) is kept beside it.
 """
+
 import errno
 import socket
 import struct
@@ -20,12 +21,12 @@
 
 SECOND = 1_000_000
 BROKEN = struct.pack("ii", 1, 0)
-LATE = 1000                        # microseconds at p99.9: a run whose generator was later is not used
+LATE = 1000  # microseconds at p99.9: a run whose generator was later is not used
 HIGHEST = 600 * SECOND
 SO_TIMESTAMPNS, STAMP, STAMP_ROOM = 35, struct.Struct("qq"), 64
-BIND_NO_PORT = 24                  # IP_BIND_ADDRESS_NO_PORT: the port is chosen at connect, one for each destination
-TOLD_LATER = 50_000                # after its guard time a client waits so long before it leaves: sockets are late
-SPIN = 400                         # microseconds before an arrival that a spinning generator stays awake for
+BIND_NO_PORT = 24  # IP_BIND_ADDRESS_NO_PORT: the port is chosen at connect, one for each destination
+TOLD_LATER = 50_000  # after its guard time a client waits so long before it leaves: sockets are late
+SPIN = 400  # microseconds before an arrival that a spinning generator stays awake for
 
 
 def came_at(stamps):
@@ -35,7 +36,7 @@
         if level == socket.SOL_SOCKET and kind == SO_TIMESTAMPNS:
             seconds, rest = STAMP.unpack(value)
             age = (time.time_ns() - seconds * 1_000_000_000 - rest) // 1000
-            if 0 <= age < SECOND:              # else the wall clock was set meanwhile
+            if 0 <= age < SECOND:  # else the wall clock was set meanwhile
                 return at - age
     return at
 
@@ -46,8 +47,31 @@
 
 class Call:
     """One connection of a client: a first try, a retry, or one that comes again."""
-    __slots__ = ("first", "id", "kind", "key", "group", "again", "retry", "tries", "node", "intended", "sock",
-                 "sent", "begun", "answers", "up", "lines", "out", "echoes", "asked", "slowest", "how", "line")
+
+    __slots__ = (
+        "first",
+        "id",
+        "kind",
+        "key",
+        "group",
+        "again",
+        "retry",
+        "tries",
+        "node",
+        "intended",
+        "sock",
+        "sent",
+        "begun",
+        "answers",
+        "up",
+        "lines",
+        "out",
+        "echoes",
+        "asked",
+        "slowest",
+        "how",
+        "line",
+    )
 
     def __init__(self, first, kind, key, group, intended, again, retry, tries):
         self.first, self.kind, self.key, self.group = first, kind, key, group
@@ -67,13 +91,17 @@
         at = slice(self.number, None, load.processes)
         self.calls = plans.Schedule(**{f: getattr(whole, f)[at] for f in whole.__struct_fields__})
         self.at, self.kinds = self.calls.at.tolist(), self.calls.kind.tolist()
-        self.lives, self.draws, self.groups = (getattr(self.calls, n).tolist() for n in ("life", "draw", "group"))
+        self.lives, self.draws, self.groups = (
+            getattr(self.calls, n).tolist() for n in ("life", "draw", "group")
+        )
         self.tenants = self.calls.tenant.tolist()
         rng = np.random.default_rng([self.plan.seed, 3, self.number])
-        self.backs = rng.random(max(1, len(self.at))).tolist()          # who breaks off, and when it is back
+        self.backs = rng.random(max(1, len(self.at))).tolist()  # who breaks off, and when it is back
         self.types, self.load = load.types, load
         self.nodes, self.alive = self.plan.nodes, list(range(len(self.plan.nodes)))
-        self.sources = [s for n, s in enumerate(self.plan.sources) if n % load.processes == self.number] or [""]
+        self.sources = [s for n, s in enumerate(self.plan.sources) if n % load.processes == self.number] or [
+            ""
+        ]
         self.next, self.made, self.standing, self.open = 0, 0, {}, {}
         self.loop.spin = SPIN if load.spins else 0
         self.latency = {k.name: histogram() for k in self.types}
@@ -105,8 +133,18 @@
         n = self.next
         while n < len(self.at) and self.start + self.at[n] <= now():
             self.next = n + 1
-            self.call(Call(n, self.kinds[n], f"k{self.number}-{n}", f"g{self.groups[n]}", self.start + self.at[n],
-                           False, False, 0))
+            self.call(
+                Call(
+                    n,
+                    self.kinds[n],
+                    f"k{self.number}-{n}",
+                    f"g{self.groups[n]}",
+                    self.start + self.at[n],
+                    False,
+                    False,
+                    0,
+                )
+            )
             n += 1
         if n < len(self.at):
             self.loop.at(self.start + self.at[n], self.arrive)
@@ -116,8 +154,20 @@
         when = now() + wait
         if when - self.start > self.end_of_arrivals + SECOND:
             return
-        self.loop.at(when, self.call, Call(call.first, call.kind, call.key, call.group, when, again or call.again,
-                                           not again, 0 if again else call.tries + 1))
+        self.loop.at(
+            when,
+            self.call,
+            Call(
+                call.first,
+                call.kind,
+                call.key,
+                call.group,
+                when,
+                again or call.again,
+                not again,
+                0 if again else call.tries + 1,
+            ),
+        )
 
     def pick(self, call):
         draw = self.draws[call.first] + 2654435761 * (call.tries + call.again)
@@ -277,16 +327,43 @@
     def done(self, call, how):
         """The record of it, and what its client does next."""
         start = self.start
-        self.record.put({
-            "k": "call", "id": call.id, "type": self.types[call.kind].name, "key": call.key, "group": call.group,
-            "tenant": self.tenants[call.first], "node": self.nodes[call.node].name, "again": call.again, "retry": call.retry,
-            "d": self.types[call.kind].guard_ms, "intended": call.intended - start, "begun": call.begun - start,
-            "sent": call.sent - start if call.sent else 0, "answers": [[t - start, w, v] for t, w, v in call.answers],
-            "end": now() - start, "how": how, "lines": call.line, "echoes": call.echoes, "slowest": call.slowest,
-            "unanswered": now() - call.asked[0] if call.asked and how not in ("left", "broke-off", "cut") else 0})
+        self.record.put(
+            {
+                "k": "call",
+                "id": call.id,
+                "type": self.types[call.kind].name,
+                "key": call.key,
+                "group": call.group,
+                "tenant": self.tenants[call.first],
+                "node": self.nodes[call.node].name,
+                "again": call.again,
+                "retry": call.retry,
+                "d": self.types[call.kind].guard_ms,
+                "intended": call.intended - start,
+                "begun": call.begun - start,
+                "sent": call.sent - start if call.sent else 0,
+                "answers": [[t - start, w, v] for t, w, v in call.answers],
+                "end": now() - start,
+                "how": how,
+                "lines": call.line,
+                "echoes": call.echoes,
+                "slowest": call.slowest,
+                "unanswered": now() - call.asked[0]
+                if call.asked and how not in ("left", "broke-off", "cut")
+                else 0,
+            }
+        )
         call.asked = []
-        after = comes_back(self.load, self.types[call.kind], how, call.up, call.answers[0][1:] if call.answers else None, call.tries,
-                           self.draws[call.first] % 1000 < 1000 * self.load.honour, self.backs[call.first])
+        after = comes_back(
+            self.load,
+            self.types[call.kind],
+            how,
+            call.up,
+            call.answers[0][1:] if call.answers else None,
+            call.tries,
+            self.draws[call.first] % 1000 < 1000 * self.load.honour,
+            self.backs[call.first],
+        )
         if after:
             self.later(call, *after)
 
@@ -298,18 +375,31 @@
             self.total[key] += value
         (recent, self.recent), (late, self.latest) = (self.recent, []), (self.latest, 0)
         # Of a thousand at most: sorting more, or the first use of a larger library, made calls late by milliseconds.
-        recent = sorted(recent[::len(recent) // 1000 + 1])
+        recent = sorted(recent[:: len(recent) // 1000 + 1])
         took = [recent[len(recent) // 2], recent[len(recent) * 99 // 100]] if recent else [0, 0]
-        return {**out, "standing": len(self.standing), "p50_us": took[0], "p99_us": took[1],
-                "late_max_us": late}
+        return {
+            **out,
+            "standing": len(self.standing),
+            "p50_us": took[0],
+            "p99_us": took[1],
+            "late_max_us": late,
+        }
 
     def finish(self):
         for call in list(self.open):
             self.close(call)
             self.done(call, "cut")
         self.counts()
-        self.record.put({
-            "k": "sum", "digest": self.digest, "total": self.total, "faults": self.faults, "planned": len(self.at),
-            "begun": self.next,
-            "latency": {name: h.encode().decode() for name, h in self.latency.items()},
-            "lateness": self.lateness.encode().decode(), "echo": self.echo.encode().decode()})
+        self.record.put(
+            {
+                "k": "sum",
+                "digest": self.digest,
+                "total": self.total,
+                "faults": self.faults,
+                "planned": len(self.at),
+                "begun": self.next,
+                "latency": {name: h.encode().decode() for name, h in self.latency.items()},
+                "lateness": self.lateness.encode().decode(),
+                "echo": self.echo.encode().decode(),
+            }
+        )
--- a/cottonspread/lab/loop.py
+++ b/cottonspread/lab/loop.py
@@ -3,6 +3,7 @@
 Python's epoll waits whole milliseconds, which alone would break the limit on lateness, so the wait is a `select` on
 the epoll descriptor. Between any two socket events the timers that are due come first: intended times go before all.
 """
+
 import gc
 import heapq
 import os
@@ -13,7 +14,7 @@
 from cottonspread.lab.wire import now
 
 IN, OUT, GONE = select.EPOLLIN, select.EPOLLOUT, select.EPOLLHUP | select.EPOLLERR
-BATCH = 32                         # socket events taken from the kernel at a time
+BATCH = 32  # socket events taken from the kernel at a time
 
 
 class Loop:
@@ -22,7 +23,7 @@
         if self.poll.fileno() >= 1024:
             raise RuntimeError("a loop is made before its sockets: select takes descriptors under 1024 only")
         self.handlers, self.timers, self.stamp, self.stopped = {}, [], 0, False
-        self.spin = 0                  # microseconds before a timer that are spent awake; a sleep ends 0.1 ms late
+        self.spin = 0  # microseconds before a timer that are spent awake; a sleep ends 0.1 ms late
 
     def at(self, when, what, *args):
         self.stamp += 1
@@ -83,6 +84,7 @@
             *lines, rest[0] = (rest[0] + data).split(b"\n")
             for line in lines:
                 said(line.decode().split())
+
         self.watch(0, read)
 
 
--- a/cottonspread/lab/model.py
+++ b/cottonspread/lab/model.py
@@ -4,6 +4,7 @@
 server; a set-up costs its work once. What the cores cannot do in time piles up, and every line waits behind the pile.
 `chance` is a numpy Generator; the same one and the same events give the same effects.
 """
+
 from collections import Counter, deque
 from dataclasses import dataclass, field
 
@@ -14,26 +15,30 @@
 
 class Traits(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """What a server can bear. Times in the unit of their name; loads in microseconds of work a second."""
+
     cores: float = 2.0
     speed: float = 1.0
-    room: int = 600                    # connections, set-ups included
-    setup_us: float = 2400.0           # work of one set-up
-    group_us: float = 2000.0           # each group that it holds any of, a second
-    message_us: int = 300              # what a line takes on an idle server
-    change_s: float = 8.0              # mean time between changes of a connection's load
-    load_sigma: float = 0.5            # of the logarithm of loads round their type's mean
-    cold_share: float = 0.2            # what it can do just after a start
+    room: int = 600  # connections, set-ups included
+    setup_us: float = 2400.0  # work of one set-up
+    group_us: float = 2000.0  # each group that it holds any of, a second
+    message_us: int = 300  # what a line takes on an idle server
+    change_s: float = 8.0  # mean time between changes of a connection's load
+    load_sigma: float = 0.5  # of the logarithm of loads round their type's mean
+    cold_share: float = 0.2  # what it can do just after a start
     warm_s: float = 15.0
-    tip_multiple: float = 3.0          # sent more than so many times what it can do for so long, it goes down for good
+    tip_multiple: float = (
+        3.0  # sent more than so many times what it can do for so long, it goes down for good
+    )
     tip_s: float = 3.0
-    drain: str = "paced"               # how it sees its clients off: paced, at-once or none
-    drain_s: float = 2.0               # paced: over so long
-    cancels: bool = True               # a leg given up before its turn never runs
+    drain: str = "paced"  # how it sees its clients off: paced, at-once or none
+    drain_s: float = 2.0  # paced: over so long
+    cancels: bool = True  # a leg given up before its turn never runs
     tells_load: bool = True
 
 
 # Effects
 
+
 @dataclass(frozen=True, slots=True)
 class Say:
     at: int
@@ -45,18 +50,20 @@
 class Close:
     at: int
     conn: object
-    how: str                           # "end" or "reset"
+    how: str  # "end" or "reset"
 
 
 @dataclass(frozen=True, slots=True)
 class Door:
     """How the address takes connections from now on: open, refused or vanished (silent, never up)."""
+
     state: str
 
 
 @dataclass(frozen=True, slots=True)
 class Note:
     """For the record: what the audit reads."""
+
     kind: str
     conn: object = None
     value: object = None
@@ -65,34 +72,35 @@
 @dataclass(eq=False, slots=True)
 class Standing:
     """A connection from its first line on."""
+
     type: str
     group: str
     load: float
     mean: float
     ran: bool = False
-    turn: int = 0                      # when its set-up is done
-    last: int = 0                      # when its last line goes out: lines keep their order
+    turn: int = 0  # when its set-up is done
+    last: int = 0  # when its last line goes out: lines keep their order
     changes: int = 0
 
 
 @dataclass(eq=False)
 class Host:
     traits: Traits
-    loads: dict                        # traffic type: mean load
+    loads: dict  # traffic type: mean load
     chance: object
     now: int = 0
-    started: int = 0                   # 0: warm since long ago
-    state: str = "up"                  # up, draining, down, tipped
-    pile: float = 0.0                  # work waiting
+    started: int = 0  # 0: warm since long ago
+    state: str = "up"  # up, draining, down, tipped
+    pile: float = 0.0  # work waiting
     slow: float = 1.0
-    stuck: int = 0                     # hangs until then
-    deaf: bool = False                 # half-dead or vanished: takes everything, answers nothing
+    stuck: int = 0  # hangs until then
+    deaf: bool = False  # half-dead or vanished: takes everything, answers nothing
     load: float = 0.0
     conns: dict = field(default_factory=dict)
     groups: Counter = field(default_factory=Counter)
-    pushed: deque = field(default_factory=deque)       # (time, work) sent to it while cold
+    pushed: deque = field(default_factory=deque)  # (time, work) sent to it while cold
     setups: int = 0
-    store: int = 0                     # what all set-ups wait for besides, in microseconds: a store, perhaps
+    store: int = 0  # what all set-ups wait for besides, in microseconds: a store, perhaps
 
     def share(self):
         """Which part of its work it can do: rises evenly from the cold share."""
@@ -122,11 +130,17 @@
         """What a probe is told, as (name, value): load asked over what it can do, seconds of work piled up, connections."""
         self.pass_time(now)
         capacity = self.capacity()
-        return ((b"x0", self.demand() / capacity), (b"x1", self.pile / capacity / SECOND), (b"outstanding", len(self.conns)))
+        return (
+            (b"x0", self.demand() / capacity),
+            (b"x1", self.pile / capacity / SECOND),
+            (b"outstanding", len(self.conns)),
+        )
 
     def done(self, work=0.0):
         """When work that comes now is through."""
-        return max(self.now, self.stuck) + round((self.pile + work) / self.capacity()) + self.traits.message_us
+        return (
+            max(self.now, self.stuck) + round((self.pile + work) / self.capacity()) + self.traits.message_us
+        )
 
     # Events
 
@@ -140,8 +154,11 @@
         if self.deaf:
             return out + [Note("swallowed", conn)]
         if self.state == "draining" or len(self.conns) >= self.traits.room:
-            return out + [Note("full", conn), Say(now + self.traits.message_us, conn, b"BUSY"), Close(
-                now + self.traits.message_us, conn, "end")]
+            return out + [
+                Note("full", conn),
+                Say(now + self.traits.message_us, conn, b"BUSY"),
+                Close(now + self.traits.message_us, conn, "end"),
+            ]
         mean = self.loads.get(opening.type, 1000.0)
         sigma = self.traits.load_sigma
         load = mean * float(self.chance.lognormal(-sigma * sigma / 2, sigma)) if sigma else mean
@@ -149,7 +166,7 @@
         self.pile += work
         turn = standing.turn = standing.last = self.done() + self.store
         if opening.wait_ms and turn - now > opening.wait_ms * 1000:
-            late = now + opening.wait_ms * 1000        # its client's time is up before its turn
+            late = now + opening.wait_ms * 1000  # its client's time is up before its turn
             self.conns.pop(conn)
             return out + [Note("late", conn), Say(late, conn, b"BUSY"), Close(late, conn, "end")]
         return out + [Note("turn", conn, turn)]
@@ -175,14 +192,17 @@
         standing = self.conns.get(conn)
         if standing is None or standing.ran or self.deaf:
             return []
-        if now < self.stuck:               # it hangs meanwhile: its turn is later
+        if now < self.stuck:  # it hangs meanwhile: its turn is later
             standing.turn = self.done()
             return [Note("turn", conn, standing.turn)]
         standing.ran = True
         self.load += standing.load
         self.groups[standing.group] += 1
         self.setups += 1
-        out = [Note("ran", conn, round(standing.load)), Say(now, conn, b"UP %x" % (self.setups * 65536 + (now & 65535)))]
+        out = [
+            Note("ran", conn, round(standing.load)),
+            Say(now, conn, b"UP %x" % (self.setups * 65536 + (now & 65535))),
+        ]
         if self.state == "draining":
             out += [Say(now, conn, b"MOVE"), Close(now, conn, "end")]
         elif self.traits.tells_load:
@@ -190,7 +210,9 @@
         return out
 
     def next_change(self, conn):
-        return Note("change", conn, self.now + round(self.chance.exponential(self.traits.change_s) * SECOND) + 1)
+        return Note(
+            "change", conn, self.now + round(self.chance.exponential(self.traits.change_s) * SECOND) + 1
+        )
 
     def change(self, now, conn):
         """A connection's load changes."""
@@ -203,7 +225,11 @@
         self.load += load - standing.load
         standing.load = load
         standing.last = max(standing.last, self.done())
-        return [Note("load", conn, round(load)), Say(standing.last, conn, b"LOAD %d" % load), self.next_change(conn)]
+        return [
+            Note("load", conn, round(load)),
+            Say(standing.last, conn, b"LOAD %d" % load),
+            self.next_change(conn),
+        ]
 
     def line(self, now, conn, line):
         """A line after the first: its echo, behind all that is piled up."""
@@ -223,7 +249,7 @@
         if standing is None:
             return []
         if not standing.ran and not self.traits.cancels and not self.deaf:
-            return []                      # it runs all the same, for nobody
+            return []  # it runs all the same, for nobody
         del self.conns[conn]
         if standing.ran:
             self.load -= standing.load
--- a/cottonspread/lab/plan.py
+++ b/cottonspread/lab/plan.py
@@ -2,6 +2,7 @@
 
 Every fault of a file names its key. All chance comes from numpy's Generator over the seed, so that one seed gives one plan.
 """
+
 import hashlib
 import os
 
@@ -12,14 +13,33 @@
 from cottonspread.lab.model import SECOND, Traits
 
 HOST_FAULTS = ("hang", "slow", "jam", "reset", "refuse", "vanish", "half-dead", "cold", "drain", "join")
-AT_ONCE = ("jam", "reset")             # host faults with no end of their own
+AT_ONCE = ("jam", "reset")  # host faults with no end of their own
 LIST_FAULTS = ("list-cut", "list-garbage", "list-restart")
 NODE_FAULTS = ("freeze", "stop", "kill", "reload", "retune", "quiesce", "replace")
-FLEET_FAULTS = ("fleet-reload", "fleet-upgrade", "fleet-stop", "fleet-kill")   # of all nodes, under one supervisor
+FLEET_FAULTS = (
+    "fleet-reload",
+    "fleet-upgrade",
+    "fleet-stop",
+    "fleet-kill",
+)  # of all nodes, under one supervisor
 # In simulated time alone
-SIM_FAULTS = ("partition", "slow-way", "stall", "snap", "dead", "list-late", "contradict", "zone-lost", "store-slow", "reconnect",
-              "slow-readers", "crowding", "late-writes", "bad")
-FIRST_PORT = 9000                      # under the local ports that the kernel gives out
+SIM_FAULTS = (
+    "partition",
+    "slow-way",
+    "stall",
+    "snap",
+    "dead",
+    "list-late",
+    "contradict",
+    "zone-lost",
+    "store-slow",
+    "reconnect",
+    "slow-readers",
+    "crowding",
+    "late-writes",
+    "bad",
+)
+FIRST_PORT = 9000  # under the local ports that the kernel gives out
 
 
 class Fault(ValueError):
@@ -28,16 +48,17 @@
 
 class Kind(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """A traffic type and its clients."""
+
     name: str
     share: float = 1.0
-    effect: str = "repeatable"         # repeatable, referenced, once-only
-    scope: str = "cell"                # of referenced: the group that drops repeats
+    effect: str = "repeatable"  # repeatable, referenced, once-only
+    scope: str = "cell"  # of referenced: the group that drops repeats
     remembered_ms: float = 0
     target_ms: float = 800
     guard_ms: float = 4800
     revenue: float = 1.0
-    life_s: float = 20.0               # mean; a client leaves after it
-    load_us: float = 3000.0            # mean work a second
+    life_s: float = 20.0  # mean; a client leaves after it
+    load_us: float = 3000.0  # mean work a second
     message_ms: float = 100
 
 
@@ -45,9 +66,10 @@
     """Arrivals over a stretch. kind: constant, poisson, ramp (`rate` to `rate_to`), day (`rate` at the valley, `rate_to` at
     the peak, once over the stretch), burst (`count` within the stretch), reconnect (`share` of those standing at `start`
     break off and come back within the stretch), trace (`file`)."""
+
     kind: str
     start: float = 0.0
-    seconds: float = 0.0               # 0: to the end
+    seconds: float = 0.0  # 0: to the end
     rate: float = 0.0
     rate_to: float = 0.0
     count: int = 0
@@ -60,15 +82,15 @@
     types: list[Kind]
     processes: int = 2
     groups: int = 200
-    zipf: float = 1.1                  # how uneven the groups are; over 1
+    zipf: float = 1.1  # how uneven the groups are; over 1
     tenants: int = 1
     line_s: float = 2.0
     retries: int = 3
-    backoff_ms: float = 200            # doubles with each try of a call
-    honour: float = 0.9                # the share of clients that come back when they are told to
-    rejoin_ms: float = 200             # after MOVE or a break
-    spins: bool = False                # wait for the next arrival on the core instead of asleep: less late, a core each
-    sources: int = 4                   # local addresses of each process
+    backoff_ms: float = 200  # doubles with each try of a call
+    honour: float = 0.9  # the share of clients that come back when they are told to
+    rejoin_ms: float = 200  # after MOVE or a break
+    spins: bool = False  # wait for the next arrival on the core instead of asleep: less late, a core each
+    sources: int = 4  # local addresses of each process
 
 
 class Hosts(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -76,33 +98,36 @@
     zones: int = 1
     speed_sigma: float = 0.0
     processes: int = 1
-    reports: bool = False              # STATS is answered with x0, x1 and outstanding; else with NO
+    reports: bool = False  # STATS is answered with x0, x1 and outstanding; else with NO
     traits: Traits = msgspec.field(default_factory=Traits)
 
 
 class List(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
-    lag_ms: float = 300                # from a change to the list's word on it
-    silent_s: float = 6.0              # until a silent machine is listed as gone
-    weights_ms: float = 0              # over 0: so often weights become size / (1 + connections held a core); needs reports
+    lag_ms: float = 300  # from a change to the list's word on it
+    silent_s: float = 6.0  # until a silent machine is listed as gone
+    weights_ms: float = (
+        0  # over 0: so often weights become size / (1 + connections held a core); needs reports
+    )
 
 
 class Nodes(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     count: int = 1
     memory_mb: int = 192
     sockets: int = 1024
-    pin: bool = True                   # each node on one core of its own, as far as there are cores
-    front_notice_s: float = 2.0        # until the front deals no more to a node that is gone
+    pin: bool = True  # each node on one core of its own, as far as there are cores
+    front_notice_s: float = 2.0  # until the front deals no more to a node that is gone
     grace_ms: float = 500
-    settings: dict = {}                # over those that follow from hosts and load
-    shapes: list[dict] = []            # further settings, for the nodes in turn: some in one shape, some in another
-    command: list[str] = []            # another program in the place of `serve`
-    checkout: str = ""                 # another checkout of this repository
-    fleet: dict = {}                   # keys of the section [fleet]: the nodes are run by `fleet run`; {}: each by `serve`
+    settings: dict = {}  # over those that follow from hosts and load
+    shapes: list[dict] = []  # further settings, for the nodes in turn: some in one shape, some in another
+    command: list[str] = []  # another program in the place of `serve`
+    checkout: str = ""  # another checkout of this repository
+    fleet: dict = {}  # keys of the section [fleet]: the nodes are run by `fleet run`; {}: each by `serve`
 
 
 class Ways(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """Simulated machines: one way in microseconds within a zone and between zones, what chance adds to a connection at most, and how
     far nodes' clocks are off. On sockets the machine's own ways and clock are used."""
+
     same_us: int = 200
     cross_us: int = 1500
     jitter_us: int = 300
@@ -112,12 +137,13 @@
 
 class Happening(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """A fault: `on` names hosts or nodes, or `share` of them is drawn."""
+
     at: float
     kind: str
     seconds: float = 0.0
     on: list[str] = []
     share: float = 0.0
-    factor: float = 3.0                # of slow
+    factor: float = 3.0  # of slow
 
 
 class Variant(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -136,8 +162,8 @@
     seed: int = 1
     repeats: int = 1
     about: str = ""
-    audited: bool = True               # false: the nodes are acceptors without servers, for the generator's own sake
-    settle_s: float = 6.0              # after the last arrival, so that every call ends
+    audited: bool = True  # false: the nodes are acceptors without servers, for the generator's own sake
+    settle_s: float = 6.0  # after the last arrival, so that every call ends
     nodes: Nodes = msgspec.field(default_factory=Nodes)
     hosts: Hosts = msgspec.field(default_factory=Hosts)
     listing: List = msgspec.field(default_factory=List)
@@ -148,6 +174,7 @@
 
 class Machine(msgspec.Struct, kw_only=True):
     """One host of a plan."""
+
     name: str
     ip: str
     port: int
@@ -155,7 +182,7 @@
     cell: int
     traits: Traits
     process: int
-    started: int = 0                   # seconds after the start at which it first is up; 0: before
+    started: int = 0  # seconds after the start at which it first is up; 0: before
 
 
 class Node(msgspec.Struct, kw_only=True):
@@ -167,21 +194,26 @@
 
 class Plan(msgspec.Struct, kw_only=True):
     """One play, as every process of it reads it."""
+
     experiment: Experiment
     variant: Variant
     seed: int
     machines: list[Machine]
     nodes: list[Node]
-    faults: list[Happening]            # `on` filled in, by time
-    sources: list[str]                 # addresses that clients come from
-    unix_offset: int = 0               # Unix time less the monotonic clock, microseconds
+    faults: list[Happening]  # `on` filled in, by time
+    sources: list[str]  # addresses that clients come from
+    unix_offset: int = 0  # Unix time less the monotonic clock, microseconds
 
 
 def read(path, simulated=False):
     """An experiment; Fault names the key."""
     try:
         with open(path, "rb") as file:
-            return check(msgspec.toml.decode(file.read(), type=Experiment), os.path.dirname(os.path.abspath(path)), simulated)
+            return check(
+                msgspec.toml.decode(file.read(), type=Experiment),
+                os.path.dirname(os.path.abspath(path)),
+                simulated,
+            )
     except OSError as fault:
         raise Fault(f"{path}: {fault.strerror}") from None
     except (msgspec.DecodeError, msgspec.ValidationError) as fault:
@@ -190,6 +222,7 @@
 
 def check(x, folder=".", simulated=False):
     """`simulated`: more nodes, and faults that only a simulated fleet can have."""
+
     def need(true, key, what):
         if not true:
             raise Fault(f"{key}: {what}")
@@ -204,19 +237,36 @@
     need(1 <= x.load.processes <= 64, "load.processes", "1 to 64 expected")
     need(1 <= x.hosts.processes <= 64, "hosts.processes", "1 to 64 expected")
     need(not x.listing.weights_ms or x.hosts.reports, "list.weights_ms", "only with hosts.reports")
-    need(x.hosts.traits.drain in ("paced", "at-once", "none"), "hosts.traits.drain", "paced, at-once or none expected")
+    need(
+        x.hosts.traits.drain in ("paced", "at-once", "none"),
+        "hosts.traits.drain",
+        "paced, at-once or none expected",
+    )
     for n, kind in enumerate(x.load.types):
-        need(kind.effect in ("repeatable", "referenced", "once-only"), f"load.types[{n}].effect",
-             "repeatable, referenced or once-only expected")
-        need(kind.guard_ms > 0 and kind.share > 0 and kind.life_s > 0, f"load.types[{n}]",
-             "guard_ms, share and life_s over 0 expected")
+        need(
+            kind.effect in ("repeatable", "referenced", "once-only"),
+            f"load.types[{n}].effect",
+            "repeatable, referenced or once-only expected",
+        )
+        need(
+            kind.guard_ms > 0 and kind.share > 0 and kind.life_s > 0,
+            f"load.types[{n}]",
+            "guard_ms, share and life_s over 0 expected",
+        )
     names = {f"h{n}" for n in range(x.hosts.count)}, {f"n{n}" for n in range(x.nodes.count)}
     for n, shape in enumerate(x.load.shapes):
         key = f"load.shapes[{n}]"
-        need(shape.kind in ("constant", "poisson", "ramp", "day", "burst", "reconnect", "trace"), key + ".kind",
-             "constant, poisson, ramp, day, burst, reconnect or trace expected")
+        need(
+            shape.kind in ("constant", "poisson", "ramp", "day", "burst", "reconnect", "trace"),
+            key + ".kind",
+            "constant, poisson, ramp, day, burst, reconnect or trace expected",
+        )
         need(shape.kind not in ("constant", "poisson") or shape.rate > 0, key + ".rate", "over 0 expected")
-        need(shape.kind not in ("ramp", "day") or shape.rate + shape.rate_to > 0, key + ".rate_to", "over 0 expected")
+        need(
+            shape.kind not in ("ramp", "day") or shape.rate + shape.rate_to > 0,
+            key + ".rate_to",
+            "over 0 expected",
+        )
         need(shape.kind != "burst" or shape.count > 0, key + ".count", "over 0 expected")
         need(shape.kind != "reconnect" or 0 < shape.share <= 1, key + ".share", "over 0 to 1 expected")
         need(0 <= shape.start < x.seconds, key + ".start", "within the run expected")
@@ -230,10 +280,21 @@
         if fault.kind in SIM_FAULTS:
             continue
         need(fault.kind not in FLEET_FAULTS or x.nodes.fleet, key + ".kind", "only with nodes.fleet")
-        need(fault.kind not in ("retune", "quiesce", "replace") or not x.nodes.fleet, key + ".kind", "not with nodes.fleet")
+        need(
+            fault.kind not in ("retune", "quiesce", "replace") or not x.nodes.fleet,
+            key + ".kind",
+            "not with nodes.fleet",
+        )
         need(0 <= fault.at <= x.seconds, key + ".at", "within the run expected")
-        need(fault.kind in AT_ONCE + ("stop", "kill", "reload", "retune", "replace", "list-restart", "list-garbage", "join") + FLEET_FAULTS
-             or fault.seconds > 0, key + ".seconds", "over 0 expected")
+        need(
+            fault.kind
+            in AT_ONCE
+            + ("stop", "kill", "reload", "retune", "replace", "list-restart", "list-garbage", "join")
+            + FLEET_FAULTS
+            or fault.seconds > 0,
+            key + ".seconds",
+            "over 0 expected",
+        )
         if fault.kind not in LIST_FAULTS + FLEET_FAULTS:
             known = names[fault.kind in NODE_FAULTS]
             need(fault.on or fault.share > 0, key, "on or share expected")
@@ -250,13 +311,25 @@
     a, b = block or (64 + os.getpid() % 128, os.getpid() // 128 % 256)
     machines = []
     for n in range(x.hosts.count):
-        traits = msgspec.structs.replace(x.hosts.traits, speed=round(float(
-            x.hosts.traits.speed * rng.lognormal(0, x.hosts.speed_sigma)), 4))
-        machines.append(Machine(name=f"h{n}", ip=f"127.{a}.{b}.{1 + n // 400}", port=FIRST_PORT + n,
-                                zone=f"z{n % x.hosts.zones}", cell=n // 4, traits=traits,
-                                process=n % x.hosts.processes))
-    nodes = [Node(name=f"n{n}", ip=f"127.{a}.{b}.{10 + n // 100}", port=8000 + n, list_port=8400 + n)
-             for n in range(x.nodes.count)]
+        traits = msgspec.structs.replace(
+            x.hosts.traits,
+            speed=round(float(x.hosts.traits.speed * rng.lognormal(0, x.hosts.speed_sigma)), 4),
+        )
+        machines.append(
+            Machine(
+                name=f"h{n}",
+                ip=f"127.{a}.{b}.{1 + n // 400}",
+                port=FIRST_PORT + n,
+                zone=f"z{n % x.hosts.zones}",
+                cell=n // 4,
+                traits=traits,
+                process=n % x.hosts.processes,
+            )
+        )
+    nodes = [
+        Node(name=f"n{n}", ip=f"127.{a}.{b}.{10 + n // 100}", port=8000 + n, list_port=8400 + n)
+        for n in range(x.nodes.count)
+    ]
     faults = []
     for one in sorted(x.faults, key=lambda f: f.at):
         among = [m.name for m in machines] if one.kind in HOST_FAULTS else [n.name for n in nodes]
@@ -270,17 +343,26 @@
                 if machine.name in one.on:
                     machine.started = max(1, round(one.at * SECOND))
     sources = [f"127.{a}.{b}.{100 + n}" for n in range(min(100, x.load.sources * x.load.processes))]
-    return Plan(experiment=x, variant=variant, seed=seed, machines=machines, nodes=nodes, faults=faults, sources=sources)
+    return Plan(
+        experiment=x,
+        variant=variant,
+        seed=seed,
+        machines=machines,
+        nodes=nodes,
+        faults=faults,
+        sources=sources,
+    )
 
 
 class Schedule(msgspec.Struct, kw_only=True):
     """All first calls of a run, the earliest first: arrays of one length each."""
-    at: np.ndarray                     # intended, microseconds after the start
-    kind: np.ndarray                   # index of the traffic type
+
+    at: np.ndarray  # intended, microseconds after the start
+    kind: np.ndarray  # index of the traffic type
     group: np.ndarray
     tenant: np.ndarray
-    life: np.ndarray                   # microseconds from UP to when the client leaves
-    draw: np.ndarray                   # uint32: which node, honours a retry-after or not, and the like
+    life: np.ndarray  # microseconds from UP to when the client leaves
+    draw: np.ndarray  # uint32: which node, honours a retry-after or not, and the like
 
     def digest(self):
         """The same seed gives the same intended schedule, byte for byte."""
@@ -318,13 +400,26 @@
     shares = np.array([kind.share for kind in load.types])
     kinds = rng.choice(len(load.types), n, p=shares / shares.sum()).astype(np.int16)
     lives = rng.exponential(1.0, n) * np.array([kind.life_s for kind in load.types])[kinds] * SECOND
-    parts = [(np.round(times * SECOND).astype(np.int64), kinds, (rng.zipf(load.zipf, n) % load.groups).astype(np.int32),
-              rng.integers(0, load.tenants, n).astype(np.int16), lives.astype(np.int64))]
+    parts = [
+        (
+            np.round(times * SECOND).astype(np.int64),
+            kinds,
+            (rng.zipf(load.zipf, n) % load.groups).astype(np.int32),
+            rng.integers(0, load.tenants, n).astype(np.int16),
+            lives.astype(np.int64),
+        )
+    ]
     for shape in load.shapes:
         if shape.kind == "trace":
             parts.append(trace.columns(trace.read(shape.file), [k.name for k in load.types], shape.start))
     columns = [np.concatenate(column) for column in zip(*parts)]
     order = np.argsort(columns[0], kind="stable")
     columns = [column[order] for column in columns]
-    return Schedule(at=columns[0], kind=columns[1], group=columns[2], tenant=columns[3], life=columns[4],
-                    draw=rng.integers(0, 1 << 32, len(order), dtype=np.uint32))
+    return Schedule(
+        at=columns[0],
+        kind=columns[1],
+        group=columns[2],
+        tenant=columns[3],
+        life=columns[4],
+        draw=rng.integers(0, 1 << 32, len(order), dtype=np.uint32),
+    )
--- a/cottonspread/lab/players.py
+++ b/cottonspread/lab/players.py
@@ -11,7 +11,7 @@
     word, value = answer or ("", 0)
     if tries >= load.retries or kind.effect == "once-only" and not (word == "BUSY" or how == "refused"):
         return None
-    wait = round(load.backoff_ms * 1000 * 2 ** tries * (0.5 + part))
+    wait = round(load.backoff_ms * 1000 * 2**tries * (0.5 + part))
     if word == "BUSY" and value and honours:
         wait = max(wait, value * 1000) if tries else value * 1000
     return wait, False
--- a/cottonspread/lab/process.py
+++ b/cottonspread/lab/process.py
@@ -1,4 +1,5 @@
 """What every process of a run has in common: its plan, the start that all share, and its end."""
+
 import json
 import os
 import signal
@@ -14,6 +15,7 @@
 
 class Part:
     """One process. Says `ready`, waits for `begin T` (monotonic microseconds), ends at `end`, SIGTERM or when its parent is gone."""
+
     kind = ""
 
     def __init__(self, path, number):
@@ -23,7 +25,9 @@
         self.record = Record(os.path.join(os.path.dirname(path), f"{self.kind}-{number}.jsonl"))
         self.start = 0
         signal.signal(signal.SIGTERM, lambda *_: self.loop.stop())
-        signal.signal(signal.SIGINT, signal.SIG_IGN)       # a terminal's reaches the whole group: the runner decides
+        signal.signal(
+            signal.SIGINT, signal.SIG_IGN
+        )  # a terminal's reaches the whole group: the runner decides
 
     def main(self):
         try:
--- a/cottonspread/lab/record.py
+++ b/cottonspread/lab/record.py
@@ -1,4 +1,5 @@
 """What clients, hosts, the list and the runner saw: JSON Lines, one file a process. A last line cut off by a kill is passed over."""
+
 import glob
 import os
 import queue
@@ -16,7 +17,12 @@
     """
 
     def __init__(self, path):
-        self.file, self.kept, self.size, self.encode = open(path, "ab", buffering=0), [], 0, msgspec.json.Encoder().encode
+        self.file, self.kept, self.size, self.encode = (
+            open(path, "ab", buffering=0),
+            [],
+            0,
+            msgspec.json.Encoder().encode,
+        )
         self.full = queue.SimpleQueue()
         self.writer = threading.Thread(target=self.write, daemon=True)
         self.writer.start()
--- a/cottonspread/lab/report.py
+++ b/cottonspread/lab/report.py
@@ -1,4 +1,5 @@
 """`report.html` of a folder of plays: one file, plots inside, that opens without a network."""
+
 import base64
 import io
 import os
@@ -9,7 +10,7 @@
 from cottonspread.lab import results
 
 matplotlib.use("Agg")
-import matplotlib.pyplot as plt                                          # noqa: E402  the backend is chosen first
+import matplotlib.pyplot as plt  # noqa: E402  the backend is chosen first
 
 PAGE = jinja2.Environment(autoescape=True).from_string("""<!doctype html><meta charset="utf-8"><title>{{ title }}</title>
 <style>body{font:15px sans-serif;max-width:72em;margin:2em auto;color:#222}table{border-collapse:collapse;margin:1em 0}
@@ -48,14 +49,24 @@
     axes[2].set(yscale="symlog", ylabel="set-up, ms")
     names = sorted({name for line in lines for name in line["hosts"]}, key=lambda n: int(n[1:]))
     for name in names[:30]:
-        axes[3].plot(s, [line["hosts"].get(name, 0) for line in lines], linewidth=1, label=name if len(names) <= 12 else None)
+        axes[3].plot(
+            s,
+            [line["hosts"].get(name, 0) for line in lines],
+            linewidth=1,
+            label=name if len(names) <= 12 else None,
+        )
     axes[3].set_ylabel("connections by server")
     if 0 < len(names) <= 12:
         axes[3].legend(loc="upper left", fontsize=7, ncols=6)
     second = axes[4].twinx()
     for name in sorted({n for line in lines for n in line["nodes"]}):
         axes[4].plot(s, [line["nodes"].get(name, {}).get("cpu", 0) for line in lines], label=f"{name} cores")
-        second.plot(s, [line["nodes"].get(name, {}).get("rss_mb", 0) for line in lines], linestyle=":", label=f"{name} MB")
+        second.plot(
+            s,
+            [line["nodes"].get(name, {}).get("rss_mb", 0) for line in lines],
+            linestyle=":",
+            label=f"{name} MB",
+        )
     axes[4].set(ylabel="cores (lines)", xlabel="seconds")
     second.set_ylabel("MB (dotted)")
     axes[4].legend(loc="upper left", fontsize=7, ncols=6)
@@ -64,8 +75,12 @@
         for fault in result.faults:
             axis.axvspan(fault["at"], fault["at"] + max(fault["seconds"], 0.1), color="#c33", alpha=0.15)
     for fault in result.faults:
-        axes[0].annotate(fault["kind"] + " " + ",".join(fault["on"])[:30], (fault["at"], axes[0].get_ylim()[1]), fontsize=7,
-                         rotation=20)
+        axes[0].annotate(
+            fault["kind"] + " " + ",".join(fault["on"])[:30],
+            (fault["at"], axes[0].get_ylim()[1]),
+            fontsize=7,
+            rotation=20,
+        )
     figure.tight_layout()
     image = io.BytesIO()
     figure.savefig(image, dpi=85)
--- a/cottonspread/lab/results.py
+++ b/cottonspread/lab/results.py
@@ -1,4 +1,5 @@
 """The results of a play, from its folder alone: what `results.json` holds, and the means to compare two."""
+
 import json
 import os
 
@@ -16,6 +17,7 @@
 
 class Spread(msgspec.Struct):
     """Microseconds."""
+
     count: int
     mean: float
     p50: int
@@ -27,26 +29,27 @@
 
 class Results(msgspec.Struct, kw_only=True):
     """One play. Times are microseconds where a name does not say otherwise."""
+
     schema: str
     name: str
     variant: str
     seed: int
     repeat: int
-    cut: str                           # "" or what cut it off: such a run is valid up to there
-    usable: bool                       # false: no figure of it is to be quoted
-    reasons: list[str]                 # why it is not usable, and what else is to be known
+    cut: str  # "" or what cut it off: such a run is valid up to there
+    usable: bool  # false: no figure of it is to be quoted
+    reasons: list[str]  # why it is not usable, and what else is to be known
     schedule_sha256: str
-    stolen_s: float                    # core seconds that the machine's own host gave to others meanwhile
+    stolen_s: float  # core seconds that the machine's own host gave to others meanwhile
     offered: int
     seconds: float
-    served_share: float                # calls that came up, of all first calls
-    revenue: float                     # of those that came up within their setup target, over all that was asked for
-    answers: dict[str, int]            # by how each call's connection ended
-    latency: dict[str, Spread]         # from the intended time to UP, by traffic type; "all"
-    lateness: Spread                   # of the generator itself
-    echo: Spread                       # from a line's intended time to its echo
+    served_share: float  # calls that came up, of all first calls
+    revenue: float  # of those that came up within their setup target, over all that was asked for
+    answers: dict[str, int]  # by how each call's connection ended
+    latency: dict[str, Spread]  # from the intended time to UP, by traffic type; "all"
+    lateness: Spread  # of the generator itself
+    echo: Spread  # from a line's intended time to its echo
     audit: dict
-    nodes: dict[str, dict]             # CPU seconds, most memory, threads and descriptors
+    nodes: dict[str, dict]  # CPU seconds, most memory, threads and descriptors
     timeline: list[dict]
     faults: list[dict]
 
@@ -54,8 +57,12 @@
 def spread(h):
     if not h.get_total_count():
         return Spread(0, 0.0, 0, 0, 0, 0, 0)
-    return Spread(h.get_total_count(), round(h.get_mean_value(), 1), *(int(h.get_value_at_percentile(p)) for p in POINTS),
-                  int(h.get_max_value()))
+    return Spread(
+        h.get_total_count(),
+        round(h.get_mean_value(), 1),
+        *(int(h.get_value_at_percentile(p)) for p in POINTS),
+        int(h.get_max_value()),
+    )
 
 
 def decoded(text):
@@ -117,17 +124,36 @@
     if play.cut:
         reasons.append(f"cut off by {play.cut}")
     result = Results(
-        schema=SCHEMA, name=plan.experiment.name, variant=plan.variant.name, seed=plan.seed, repeat=repeat, cut=play.cut,
-        usable=late.p999 <= LATE and not lost and not play.cut and len(sums) == plan.experiment.load.processes and not any(
-            " died " in r or " ended " in r or "did not stop" in r for r in play.reasons),
-        reasons=reasons + play.warnings, schedule_sha256=sums[0]["digest"] if sums else "",
-        stolen_s=round(play.stolen, 2), offered=len(audit.calls), seconds=plan.experiment.seconds,
+        schema=SCHEMA,
+        name=plan.experiment.name,
+        variant=plan.variant.name,
+        seed=plan.seed,
+        repeat=repeat,
+        cut=play.cut,
+        usable=late.p999 <= LATE
+        and not lost
+        and not play.cut
+        and len(sums) == plan.experiment.load.processes
+        and not any(" died " in r or " ended " in r or "did not stop" in r for r in play.reasons),
+        reasons=reasons + play.warnings,
+        schedule_sha256=sums[0]["digest"] if sums else "",
+        stolen_s=round(play.stolen, 2),
+        offered=len(audit.calls),
+        seconds=plan.experiment.seconds,
         served_share=round(len(came_up) / len(first), 5) if first else 0.0,
-        revenue=round(earned / asked, 5) if asked else 0.0, answers=answers,
-        latency={name: spread(h) for name, h in latency.items()}, lateness=late, echo=spread(echo), audit=told,
-        nodes={n.node.name: {"rss_mb": round(n.most_rss / 1e6, 1), "threads": n.most_threads, "fds": n.most_fds}
-               for n in play.nodes}, timeline=play.timeline,
-        faults=[msgspec.to_builtins(f) for f in plan.faults])
+        revenue=round(earned / asked, 5) if asked else 0.0,
+        answers=answers,
+        latency={name: spread(h) for name, h in latency.items()},
+        lateness=late,
+        echo=spread(echo),
+        audit=told,
+        nodes={
+            n.node.name: {"rss_mb": round(n.most_rss / 1e6, 1), "threads": n.most_threads, "fds": n.most_fds}
+            for n in play.nodes
+        },
+        timeline=play.timeline,
+        faults=[msgspec.to_builtins(f) for f in plan.faults],
+    )
     write(os.path.join(folder, "results.json"), result)
     return result
 
@@ -161,20 +187,26 @@
         inside = sorted(os.listdir(folder))
     except OSError as fault:
         raise plans.Fault(f"{folder}: {fault.strerror}") from None
-    found = [read(os.path.join(folder, name)) for name in inside if not name.startswith("late")
-             and os.path.exists(os.path.join(folder, name, "results.json"))]
+    found = [
+        read(os.path.join(folder, name))
+        for name in inside
+        if not name.startswith("late") and os.path.exists(os.path.join(folder, name, "results.json"))
+    ]
     if not found:
         raise plans.Fault(f"{folder}: holds no results.json")
     return found
 
 
 FIGURES = {
-    "served share": lambda r: r.served_share, "revenue": lambda r: r.revenue,
-    "set-up p50 ms": lambda r: r.latency["all"].p50 / 1000, "set-up p99 ms": lambda r: r.latency["all"].p99 / 1000,
-    "BUSY": lambda r: r.answers.get("busy", 0), "rules broken": lambda r: sum(
-        rule["broken"] for rule in r.audit["rules"].values()),
+    "served share": lambda r: r.served_share,
+    "revenue": lambda r: r.revenue,
+    "set-up p50 ms": lambda r: r.latency["all"].p50 / 1000,
+    "set-up p99 ms": lambda r: r.latency["all"].p99 / 1000,
+    "BUSY": lambda r: r.answers.get("busy", 0),
+    "rules broken": lambda r: sum(rule["broken"] for rule in r.audit["rules"].values()),
     "node CPU s": lambda r: round(sum(n["cpu"] for s in r.timeline for n in s["nodes"].values()), 3),
-    "node memory MB": lambda r: max((n["rss_mb"] for n in r.nodes.values()), default=0)}
+    "node memory MB": lambda r: max((n["rss_mb"] for n in r.nodes.values()), default=0),
+}
 
 
 def compare(pairs):
@@ -184,8 +216,11 @@
         values = [(of(a), of(b)) for a, b in pairs]
         ratios = [round(b / a, 4) if a else None for a, b in values]
         known = sorted(r for r in ratios if r is not None)
-        median = known[len(known) // 2] if len(known) % 2 else (
-            round((known[len(known) // 2 - 1] + known[len(known) // 2]) / 2, 4) if known else None)
+        median = (
+            known[len(known) // 2]
+            if len(known) % 2
+            else (round((known[len(known) // 2 - 1] + known[len(known) // 2]) / 2, 4) if known else None)
+        )
         rows.append((name, [(a, b, r) for (a, b), r in zip(values, ratios)], median))
     return rows
 
@@ -201,6 +236,5 @@
         f"set-up ms p50 {all_.p50 / 1000:.2f} p99 {all_.p99 / 1000:.2f} p99.9 {all_.p999 / 1000:.2f} max {all_.max / 1000:.2f} "
         f"(generator late us p50 {late.p50} p99 {late.p99} p99.9 {late.p999} max {late.max}; {result.stolen_s} core seconds "
         "taken from this machine)",
-        *ledger.told(result.audit)]
-
-
+        *ledger.told(result.audit),
+    ]
--- a/cottonspread/lab/run.py
+++ b/cottonspread/lab/run.py
@@ -3,6 +3,7 @@
 Whatever ends a run (its time, Ctrl-C, a process that dies), what was seen so far is kept and valid, and no process is left:
 the lab's own end when their standard input does, nodes when the kernel tells that their parent is gone.
 """
+
 import ctypes
 import heapq
 import json
@@ -25,7 +26,7 @@
 
 SECOND = 1_000_000
 READY_WAIT, STOP_WAIT = 30, 8
-DIES_WITH_PARENT = 1               # PR_SET_PDEATHSIG
+DIES_WITH_PARENT = 1  # PR_SET_PDEATHSIG
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 libc = ctypes.CDLL(None)
 
@@ -39,8 +40,14 @@
 
     def __init__(self, name, words, cores):
         self.name = name
-        self.process = subprocess.Popen([sys.executable, "-m", "cottonspread", "lab", *words], cwd=ROOT, stdin=subprocess.PIPE,
-                                        stdout=subprocess.PIPE, bufsize=0, preexec_fn=lambda: prepare_child(cores))
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "cottonspread", "lab", *words],
+            cwd=ROOT,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            bufsize=0,
+            preexec_fn=lambda: prepare_child(cores),
+        )
         os.set_blocking(self.process.stdout.fileno(), False)
         self.rest, self.ready, self.fault, self.counts, self.ended = b"", False, "", {}, False
 
@@ -70,7 +77,7 @@
 
 def prepare_child(cores):
     libc.prctl(DIES_WITH_PARENT, signal.SIGKILL)
-    os.setpgrp()                       # a terminal's Ctrl-C is the runner's alone
+    os.setpgrp()  # a terminal's Ctrl-C is the runner's alone
     if cores:
         os.sched_setaffinity(0, cores)
 
@@ -108,7 +115,9 @@
             self.listener = socket.create_server((self.node.ip, self.node.port), backlog=1024)
         folder = os.path.join(self.play.folder, self.node.name)
         os.makedirs(folder, exist_ok=True)
-        return {"TMPDIR": folder, "PROXY_INHERITED_FD": str(self.listener.fileno())}, (self.listener.fileno(),)
+        return {"TMPDIR": folder, "PROXY_INHERITED_FD": str(self.listener.fileno())}, (
+            self.listener.fileno(),
+        )
 
     def retune(self):
         """One more traffic type, and other limits."""
@@ -131,10 +140,21 @@
         checkout = plan.variant.checkout or x.nodes.checkout or ROOT
         with open(os.path.join(self.play.folder, f"{self.node.name}.log"), "ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable if word == "python" else word for word in command], cwd=checkout, stdin=subprocess.DEVNULL,
-                stdout=log, stderr=log, pass_fds=kept, env={**os.environ, **environment, "PROXY_CONFIG": path, "PYTHONPATH": checkout,
-                                                            "PROXY_OPERATOR": "%s:%d" % self.operator},
-                preexec_fn=lambda: prepare_child(self.play.node_cores(self.number)))
+                [sys.executable if word == "python" else word for word in command],
+                cwd=checkout,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                pass_fds=kept,
+                env={
+                    **os.environ,
+                    **environment,
+                    "PROXY_CONFIG": path,
+                    "PYTHONPATH": checkout,
+                    "PROXY_OPERATOR": "%s:%d" % self.operator,
+                },
+                preexec_fn=lambda: prepare_child(self.play.node_cores(self.number)),
+            )
         self.probe, self.up = psutil.Process(self.process.pid), False
         self.play.note("started", self)
 
@@ -187,7 +207,7 @@
         load, cores = self.plan.experiment.load, sorted(cores)
         if not load.spins or len(cores) <= load.processes:
             return set(cores) or None
-        return {cores[number]} if kind == "load" else set(cores[load.processes:])
+        return {cores[number]} if kind == "load" else set(cores[load.processes :])
 
     def note(self, kind, node, **more):
         self.record.put({"k": kind, "t": now(), "node": node.node.name, **more})
@@ -219,8 +239,11 @@
 
     def begin(self, path):
         x = self.plan.experiment
-        self.children = [Child(f"{kind} {n}", [kind, "--plan", path, "--number", str(n)], self.child_cores(kind, n)) for kind, count in (
-            ("hosts", x.hosts.processes), ("list", 1), ("load", x.load.processes)) for n in range(count)]
+        self.children = [
+            Child(f"{kind} {n}", [kind, "--plan", path, "--number", str(n)], self.child_cores(kind, n))
+            for kind, count in (("hosts", x.hosts.processes), ("list", 1), ("load", x.load.processes))
+            for n in range(count)
+        ]
         self.selector = selectors.DefaultSelector()
         for child in self.children:
             self.selector.register(child.process.stdout, selectors.EVENT_READ, child)
@@ -233,9 +256,12 @@
                 if child.ended and not child.ready:
                     raise Broken(f"{child.name}: ended before it was ready")
             if time.monotonic() > until:
-                raise Broken("not ready after 30 s: " + ", ".join(c.name for c in self.children if not c.ready))
+                raise Broken(
+                    "not ready after 30 s: " + ", ".join(c.name for c in self.children if not c.ready)
+                )
         if x.nodes.fleet:
             from cottonspread.lab import fleet
+
             self.fleet = fleet.FleetProcess(self)
             self.nodes = [fleet.FleetNode(self, n) for n in range(len(self.plan.nodes))]
         else:
@@ -245,16 +271,20 @@
         while not all(node.up for node in self.nodes) and not self.cut:
             for node in self.nodes:
                 if node.process.poll() is not None:
-                    raise Broken(f"{node.node.name}: ended with {node.process.returncode} at its start, see {node.node.name}.log")
+                    raise Broken(
+                        f"{node.node.name}: ended with {node.process.returncode} at its start, see {node.node.name}.log"
+                    )
                 node.up = node.up or node.answers_ping()
             if time.monotonic() > until + READY_WAIT:
-                raise Broken("no PONG after 30 s from " + ", ".join(n.node.name for n in self.nodes if not n.up))
+                raise Broken(
+                    "no PONG after 30 s from " + ", ".join(n.node.name for n in self.nodes if not n.up)
+                )
             self.hear(0.02)
         for node in self.nodes:
             node.sample()
         self.start = now() + 300_000
         with open(os.path.join(self.folder, "start.json"), "w", encoding="utf-8") as file:
-            json.dump({"start": self.start}, file)         # the record's times are on the machine's clock
+            json.dump({"start": self.start}, file)  # the record's times are on the machine's clock
         for child in self.children:
             child.say(f"begin {self.start}")
 
@@ -298,11 +328,17 @@
                 continue
             if child.name.startswith("load"):
                 for key, value in child.counts.items():
-                    counts[key] = max(counts.get(key, 0), value) if key.endswith("_us") else counts.get(key, 0) + value
+                    counts[key] = (
+                        max(counts.get(key, 0), value) if key.endswith("_us") else counts.get(key, 0) + value
+                    )
             elif child.name.startswith("hosts"):
                 hosts |= child.counts.get("standing", {})
-        line = {"s": round((at - self.start) / SECOND), **counts, "hosts": hosts,
-                "nodes": {n.node.name: n.sample() for n in self.nodes if n.wanted}}
+        line = {
+            "s": round((at - self.start) / SECOND),
+            **counts,
+            "hosts": hosts,
+            "nodes": {n.node.name: n.sample() for n in self.nodes if n.wanted},
+        }
         self.timeline.append(line)
         live.write(json.dumps(line) + "\n")
         live.flush()
@@ -348,7 +384,7 @@
             node.start()
             self.at(now() + 20_000, self.replace, node, 0)
             return
-        if self.fleet:                       # its supervisor brings it back; meanwhile connections wait
+        if self.fleet:  # its supervisor brings it back; meanwhile connections wait
             self.fleet.node_fault(node, one)
             return
         node.wanted = node.up = False
@@ -362,7 +398,9 @@
     def quiesce(self, node, span):
         self.note("quiesce", node, ok=node.call("quiesce"))
         node.up = False
-        self.at(now() + 300_000, self.front, "down", node)     # asked ten times a second, and noticed 0.2 s after the first no
+        self.at(
+            now() + 300_000, self.front, "down", node
+        )  # asked ten times a second, and noticed 0.2 s after the first no
         self.at(now() + span, self.resume, node)
 
     def resume(self, node):
@@ -427,7 +465,11 @@
         for node in self.nodes:
             try:
                 code = node.process.wait(max(0.1, until - time.monotonic()))
-                if code not in (0, -signal.SIGKILL) and not self.plan.variant.command and not self.plan.experiment.nodes.command:
+                if (
+                    code not in (0, -signal.SIGKILL)
+                    and not self.plan.variant.command
+                    and not self.plan.experiment.nodes.command
+                ):
                     self.reasons.append(f"{node.node.name} ended with {code}")
             except subprocess.TimeoutExpired:
                 self.reasons.append(f"{node.node.name} did not stop in {STOP_WAIT} s")
--- a/cottonspread/lab/selfcheck.py
+++ b/cottonspread/lab/selfcheck.py
@@ -4,6 +4,7 @@
 reports (intended time to UP) and what the server saw (intended time to its answer) must agree: both read one monotonic clock,
 and the two share no line of code on the way.
 """
+
 import os
 import select
 import socket
@@ -21,7 +22,7 @@
 from cottonspread.lab.run import Child
 from cottonspread.lab.wire import now
 
-LIMIT = 1000                       # microseconds
+LIMIT = 1000  # microseconds
 
 
 class Server(threading.Thread):
@@ -73,8 +74,15 @@
 
 def measure(rate, seconds, delay_ms):
     """(by the generator, by the server, the generator's lateness p99.9): from the intended time to the answer, microseconds."""
-    load = plans.Load(shapes=[plans.Shape(kind="poisson", rate=rate)], processes=1, line_s=0, sources=2, retries=0, spins=True,
-                      types=[plans.Kind(name="check", life_s=0.2, guard_ms=4000)])
+    load = plans.Load(
+        shapes=[plans.Shape(kind="poisson", rate=rate)],
+        processes=1,
+        line_s=0,
+        sources=2,
+        retries=0,
+        spins=True,
+        types=[plans.Kind(name="check", life_s=0.2, guard_ms=4000)],
+    )
     x = plans.Experiment(name="selfcheck", seconds=seconds, load=load, hosts=plans.Hosts(count=1))
     plan = plans.make(x, plans.Variant(name="only"), int(time.time()))
     node = plan.nodes[0]
@@ -84,7 +92,9 @@
         with open(path, "wb") as file:
             file.write(msgspec.json.encode(plan))
         cores = sorted(os.sched_getaffinity(0))
-        child = Child("load 0", ["load", "--plan", path, "--number", "0"], {cores[-1]} if len(cores) > 1 else None)
+        child = Child(
+            "load 0", ["load", "--plan", path, "--number", "0"], {cores[-1]} if len(cores) > 1 else None
+        )
         try:
             if len(cores) > 1:
                 os.sched_setaffinity(0, set(cores[:-1]))
@@ -124,12 +134,19 @@
 def main(rate, seconds, delay_ms):
     told, seen, late = measure(rate, seconds, delay_ms)
     print(f"{len(told)} calls at {rate:g} a second, answered after {delay_ms:g} ms")
-    apart = np.abs(told - seen)            # call by call: no two errors make up for each other
+    apart = np.abs(told - seen)  # call by call: no two errors make up for each other
     for name, p in (("p50", 50), ("p99", 99), ("max", 100)):
         a, b, c = (float(np.percentile(x, p)) for x in (told, seen, apart))
-        print(f"{name}: generator {a / 1000:.3f} ms, server {b / 1000:.3f} ms; the same call apart by {c:.0f} us at {name}")
+        print(
+            f"{name}: generator {a / 1000:.3f} ms, server {b / 1000:.3f} ms; the same call apart by {c:.0f} us at {name}"
+        )
     over = apart.max() > LIMIT
-    print("over 1 ms apart: not to be trusted" if over else "agrees within 1 ms for every call",
-          file=sys.stderr if over else sys.stdout)
-    print(f"generator late, p99.9: {late} us" + (f", over {LIMIT}: a run like this would not be used" if late > LIMIT else ""))
+    print(
+        "over 1 ms apart: not to be trusted" if over else "agrees within 1 ms for every call",
+        file=sys.stderr if over else sys.stdout,
+    )
+    print(
+        f"generator late, p99.9: {late} us"
+        + (f", over {LIMIT}: a run like this would not be used" if late > LIMIT else "")
+    )
     return 1 if over else 0
--- a/cottonspread/lab/serving.py
+++ b/cottonspread/lab/serving.py
@@ -3,6 +3,7 @@
 A carrier is a subclass that has `now()`, `at(when, what, *args)`, `put(line)` for the record, `open()`, `shut()` and `vanish()` for the
 address, `write(conn, line)`, and `drop(conn, how)`, which ends the carrier's part of a connection.
 """
+
 import zlib
 
 import numpy as np
@@ -14,8 +15,12 @@
 
 def modelled(plan, machine, now):
     """The model of one of a plan's machines: one seed, one behaviour."""
-    return model.Host(machine.traits, {k.name: k.load_us for k in plan.experiment.load.types},
-                      np.random.default_rng([plan.seed, 2, zlib.crc32(machine.name.encode())]), now=now)
+    return model.Host(
+        machine.traits,
+        {k.name: k.load_us for k in plan.experiment.load.types},
+        np.random.default_rng([plan.seed, 2, zlib.crc32(machine.name.encode())]),
+        now=now,
+    )
 
 
 class Serving:
@@ -45,12 +50,26 @@
         try:
             opening = conn.call = wire.first_line(line)
         except (ValueError, UnicodeDecodeError) as fault:
-            self.put({"k": "syntax", "t": at, "host": self.name, "line": line.decode("latin-1"), "why": str(fault)})
+            self.put(
+                {"k": "syntax", "t": at, "host": self.name, "line": line.decode("latin-1"), "why": str(fault)}
+            )
             self.say(conn, b"SYNTAX")
             self.end(conn, "end")
             return
-        self.put({"k": "leg", "t": at, "host": self.name, "id": opening.id, "key": opening.key, "type": opening.type,
-                  "group": opening.group, "d": opening.wait_ms, "cold": round(self.model.share(), 4), "up": self.model.state})
+        self.put(
+            {
+                "k": "leg",
+                "t": at,
+                "host": self.name,
+                "id": opening.id,
+                "key": opening.key,
+                "type": opening.type,
+                "group": opening.group,
+                "d": opening.wait_ms,
+                "cold": round(self.model.share(), 4),
+                "up": self.model.state,
+            }
+        )
         self.do(self.model.first(at, conn, opening))
 
     def report(self, at):
@@ -84,7 +103,9 @@
     def note(self, effect):
         conn, at = effect.conn, self.now()
         if effect.kind in ("turn", "change"):
-            self.at(effect.value, self.go_on, conn, self.model.run if effect.kind == "turn" else self.model.change)
+            self.at(
+                effect.value, self.go_on, conn, self.model.run if effect.kind == "turn" else self.model.change
+            )
         else:
             line = {"k": effect.kind, "t": at, "host": self.name}
             if conn is not None:
@@ -92,7 +113,7 @@
             if effect.value is not None:
                 line["v"] = effect.value
             if effect.kind == "ran":
-                line["gone"] = conn.over           # its leg was given up before: it ran for nobody
+                line["gone"] = conn.over  # its leg was given up before: it ran for nobody
             self.put(line)
 
     def go_on(self, conn, what):
@@ -102,7 +123,15 @@
         if conn.over:
             return
         if conn.call is not None and line.startswith(b"UP "):
-            self.put({"k": "up", "t": self.now(), "host": self.name, "id": conn.call.id, "receipt": line[3:].decode()})
+            self.put(
+                {
+                    "k": "up",
+                    "t": self.now(),
+                    "host": self.name,
+                    "id": conn.call.id,
+                    "receipt": line[3:].decode(),
+                }
+            )
         self.write(conn, line)
 
     def end(self, conn, how):
@@ -126,7 +155,7 @@
                 self.end(conn, "reset")
 
     def mend(self, one):
-        if one.kind in ("drain", "vanish"):            # the process ends with what is left on it, or is back
+        if one.kind in ("drain", "vanish"):  # the process ends with what is left on it, or is back
             for conn in list(self.conns):
                 self.end(conn, "end" if one.kind == "drain" else "reset")
         self.put({"k": "mend", "t": self.now(), "host": self.name, "kind": one.kind})
--- a/cottonspread/lab/sim/agent.py
+++ b/cottonspread/lab/sim/agent.py
@@ -2,6 +2,7 @@
 
 The calls are the node's own (`discovery.Discovery.turn`); what is simulated is when an answer comes, and what it holds.
 """
+
 import json
 import urllib.parse
 
@@ -9,7 +10,7 @@
 from cottonspread.lab.sim.world import SECOND
 
 GARBAGE = (b"<html>not found</html>", b"[" * 3000, b'{"generation": "x"}', b"")
-NEAR = 300                             # microseconds there and back
+NEAR = 300  # microseconds there and back
 
 
 class Agent:
@@ -55,7 +56,14 @@
     """One process's calls: in the place of `http.Http`."""
 
     def __init__(self, agent, process):
-        self.agent, self.world, self.process, self.call, self.due, self.answer = agent, agent.world, process, 0, 0, None
+        self.agent, self.world, self.process, self.call, self.due, self.answer = (
+            agent,
+            agent.world,
+            process,
+            0,
+            0,
+            None,
+        )
         process.discovery.http = process.discovery.target = self
 
     def wanted(self):
@@ -68,7 +76,9 @@
         found, self.answer = self.process.discovery, None
         _, wait = found.call()
         self.due = self.world.now + (0 if found.whole else found.WATCH_MS * 1000)
-        self.world.after(round(wait * SECOND), self.fail, self.call, TimeoutError("the answer takes too long"))
+        self.world.after(
+            round(wait * SECOND), self.fail, self.call, TimeoutError("the answer takes too long")
+        )
         self.world.at(self.due, self.look, self.call)
         self.look()
 
@@ -77,7 +87,11 @@
         if call not in (None, self.call) or self.world.now < self.agent.silent:
             return
         agent = self.agent
-        if self.world.now >= self.due or self.process.discovery.version != agent.book.version or agent.garbage:
+        if (
+            self.world.now >= self.due
+            or self.process.discovery.version != agent.book.version
+            or agent.garbage
+        ):
             self.world.after(NEAR, self.process.alive, self.turn, self.call)
 
     def fail(self, call, fault):
@@ -88,7 +102,12 @@
     def turn(self, call):
         """The answer is there; `get` gives it."""
         found = self.process.discovery
-        if call != self.call or not found.wanted.is_set() or self.answer is None and self.world.now < self.agent.silent:
+        if (
+            call != self.call
+            or not found.wanted.is_set()
+            or self.answer is None
+            and self.world.now < self.agent.silent
+        ):
             return
         self.call += 1
         pause = found.turn()
@@ -108,8 +127,17 @@
         said = book.whole() if since < 0 or since > book.version else book.since(since)
         said = said or {"generation": book.version, "reset": False, "instances": []}
         hosts = [[e["instanceId"], e["lifecycle"], e["startedAtMs"]] for e in said["instances"]]
-        agent.fleet.put("list", {"k": "told", "t": self.world.now, "node": agent.name, "version": said["generation"],
-                                 "whole": said["reset"], "hosts": hosts})
+        agent.fleet.put(
+            "list",
+            {
+                "k": "told",
+                "t": self.world.now,
+                "node": agent.name,
+                "version": said["generation"],
+                "whole": said["reset"],
+                "hosts": hosts,
+            },
+        )
         agent.fleet.promises.told(self.process, said["reset"], hosts)
         return json.dumps(said).encode()
 
--- a/cottonspread/lab/sim/clients.py
+++ b/cottonspread/lab/sim/clients.py
@@ -1,4 +1,5 @@
 """Simulated clients: the lab's schedule of first calls, and what players do after them; and clients that are no players."""
+
 import numpy as np
 
 from cottonspread.lab import plan as plans
@@ -7,15 +8,54 @@
 from cottonspread.lab.sim.ways import Place
 from cottonspread.lab.sim.world import SECOND
 
-TOLD_LATER = 50_000                # after its guard time a client waits so long before it leaves
+TOLD_LATER = 50_000  # after its guard time a client waits so long before it leaves
 CONNECT_WAIT = 3 * SECOND
-ALL_BAD = ("garbage", "endless", "half", "silent", "early", "unknown-type", "no-wait", "long-wait", "same-id", "hangs-up", "crowd", "shuts")
+ALL_BAD = (
+    "garbage",
+    "endless",
+    "half",
+    "silent",
+    "early",
+    "unknown-type",
+    "no-wait",
+    "long-wait",
+    "same-id",
+    "hangs-up",
+    "crowd",
+    "shuts",
+)
 
 
 class Call:
     """One connection of a client."""
-    __slots__ = ("clients", "first", "id", "kind", "key", "group", "again", "retry", "tries", "node", "intended", "begun", "sent", "side",
-                 "answers", "up", "lines", "line", "asked", "echoes", "slowest", "how", "done", "slow", "taken")
+
+    __slots__ = (
+        "clients",
+        "first",
+        "id",
+        "kind",
+        "key",
+        "group",
+        "again",
+        "retry",
+        "tries",
+        "node",
+        "intended",
+        "begun",
+        "sent",
+        "side",
+        "answers",
+        "up",
+        "lines",
+        "line",
+        "asked",
+        "echoes",
+        "slowest",
+        "how",
+        "done",
+        "slow",
+        "taken",
+    )
 
     def __init__(self, clients, first, kind, key, group, intended, again=False, retry=False, tries=0):
         self.clients, self.first, self.kind, self.key, self.group = clients, first, kind, key, group
@@ -36,7 +76,17 @@
         self.side = side
         self.clients.open[self] = None
         try:
-            side.send(wire.opening(self.id, self.key, self.kind.name, int(self.kind.guard_ms), self.group, self.again, self.retry))
+            side.send(
+                wire.opening(
+                    self.id,
+                    self.key,
+                    self.kind.name,
+                    int(self.kind.guard_ms),
+                    self.group,
+                    self.again,
+                    self.retry,
+                )
+            )
         except BrokenPipeError:
             self.clients.over(self, "reset")
             return
@@ -88,7 +138,7 @@
         try:
             self.side.send(b"e%d\r\n" % self.line)
         except BrokenPipeError:
-            pass                             # it hears of its end in a moment
+            pass  # it hears of its end in a moment
 
     def leave(self):
         if not self.done:
@@ -106,9 +156,17 @@
         x = self.plan.experiment
         self.load, self.types, self.calls = x.load, x.load.types, schedule
         self.columns = {name: getattr(schedule, name).tolist() for name in schedule.__struct_fields__}
-        self.backs = np.random.default_rng([self.plan.seed, 3, 0]).random(max(1, len(self.columns["at"]))).tolist()
+        self.backs = (
+            np.random.default_rng([self.plan.seed, 3, 0]).random(max(1, len(self.columns["at"]))).tolist()
+        )
         self.ending = round(x.seconds * SECOND)
-        self.alive, self.place, self.made, self.open, self.standing = list(fleet.nodes), Place("client"), 0, {}, {}
+        self.alive, self.place, self.made, self.open, self.standing = (
+            list(fleet.nodes),
+            Place("client"),
+            0,
+            {},
+            {},
+        )
         self.counts = {"offered": 0, "up": 0, "busy": 0, "other": 0, "none": 0, "moved": 0, "broken": 0}
         self.draws, self.crowding, self.late = self.world.draws("bad"), None, schedule.at.tolist()
         for n, at in enumerate(self.columns["at"]):
@@ -116,7 +174,9 @@
                 self.world.at(at, self.arrive, n, at)
         for shape in self.load.shapes:
             if shape.kind == "reconnect":
-                self.world.at(round(shape.start * SECOND), self.break_off, shape.share, round(shape.seconds * SECOND))
+                self.world.at(
+                    round(shape.start * SECOND), self.break_off, shape.share, round(shape.seconds * SECOND)
+                )
 
     # The front
 
@@ -147,8 +207,21 @@
     def later(self, call, wait, again):
         when = self.world.now + wait
         if when <= self.ending + SECOND:
-            self.world.at(when, self.call, Call(self, call.first, call.kind, call.key, call.group, when, again or call.again,
-                                                not again, 0 if again else call.tries + 1))
+            self.world.at(
+                when,
+                self.call,
+                Call(
+                    self,
+                    call.first,
+                    call.kind,
+                    call.key,
+                    call.group,
+                    when,
+                    again or call.again,
+                    not again,
+                    0 if again else call.tries + 1,
+                ),
+            )
 
     def came_up(self, call):
         self.counts["up"] += 1
@@ -194,14 +267,43 @@
         self.open.pop(call, None)
         self.standing.pop(call, None)
         self.fleet.promises.client_done(call, how)
-        self.fleet.put("load", {
-            "k": "call", "id": call.id, "type": call.kind.name, "key": call.key, "group": call.group, "tenant": 0,
-            "node": call.node.name, "again": call.again, "retry": call.retry, "d": call.kind.guard_ms, "intended": call.intended,
-            "begun": call.begun, "sent": call.sent, "answers": call.answers, "end": now, "how": how, "lines": call.line,
-            "echoes": call.echoes, "slowest": call.slowest,
-            "unanswered": now - call.asked[0] if call.asked and not call.slow and how not in ("left", "broke-off", "cut") else 0})
-        after = comes_back(self.load, call.kind, how, call.up, call.answers[0][1:] if call.answers else None, call.tries,
-                           self.columns["draw"][call.first] % 1000 < 1000 * self.load.honour, self.backs[call.first])
+        self.fleet.put(
+            "load",
+            {
+                "k": "call",
+                "id": call.id,
+                "type": call.kind.name,
+                "key": call.key,
+                "group": call.group,
+                "tenant": 0,
+                "node": call.node.name,
+                "again": call.again,
+                "retry": call.retry,
+                "d": call.kind.guard_ms,
+                "intended": call.intended,
+                "begun": call.begun,
+                "sent": call.sent,
+                "answers": call.answers,
+                "end": now,
+                "how": how,
+                "lines": call.line,
+                "echoes": call.echoes,
+                "slowest": call.slowest,
+                "unanswered": now - call.asked[0]
+                if call.asked and not call.slow and how not in ("left", "broke-off", "cut")
+                else 0,
+            },
+        )
+        after = comes_back(
+            self.load,
+            call.kind,
+            how,
+            call.up,
+            call.answers[0][1:] if call.answers else None,
+            call.tries,
+            self.columns["draw"][call.first] % 1000 < 1000 * self.load.honour,
+            self.backs[call.first],
+        )
         if after:
             self.later(call, *after)
 
@@ -225,14 +327,31 @@
 
 class Bad:
     """A client that is no player: it is owed an error or a close, and must cost the others nothing."""
-    LINES = {"garbage": b"\x00\xff GET / HTTP/1.1\r\n", "endless": b"x" * 9000, "half": b"OPEN half", "early": b"OPEN %s k c=%s,d=900\r\ne1\r\n",
-             "unknown-type": b"OPEN %s k c=nobody,d=900\r\n", "no-wait": b"OPEN %s k c=%s,d=soon\r\n",
-             "long-wait": b"OPEN %s k c=%s,d=999999999999\r\n", "hangs-up": b"OPEN %s k c=%s,d=900\r\n", "shuts": b"OPEN %s k c=%s,d=900\r\n"}
+
+    LINES = {
+        "garbage": b"\x00\xff GET / HTTP/1.1\r\n",
+        "endless": b"x" * 9000,
+        "half": b"OPEN half",
+        "early": b"OPEN %s k c=%s,d=900\r\ne1\r\n",
+        "unknown-type": b"OPEN %s k c=nobody,d=900\r\n",
+        "no-wait": b"OPEN %s k c=%s,d=soon\r\n",
+        "long-wait": b"OPEN %s k c=%s,d=999999999999\r\n",
+        "hangs-up": b"OPEN %s k c=%s,d=900\r\n",
+        "shuts": b"OPEN %s k c=%s,d=900\r\n",
+    }
     PATIENCE = 12 * SECOND
 
     def __init__(self, clients, kind, id, node):
-        self.clients, self.kind, self.id, self.node, self.side, self.began, self.over = clients, kind, id, node, None, 0, False
-        self.taken = 0                       # when a process had it
+        self.clients, self.kind, self.id, self.node, self.side, self.began, self.over = (
+            clients,
+            kind,
+            id,
+            node,
+            None,
+            0,
+            False,
+        )
+        self.taken = 0  # when a process had it
 
     def connected(self, side, why):
         if side is None:
--- a/cottonspread/lab/sim/drawing.py
+++ b/cottonspread/lab/sim/drawing.py
@@ -1,18 +1,50 @@
 """Plays drawn from a seed: a small fleet, its traffic, and troubles in bursts that overlap on purpose."""
+
 from cottonspread.lab import plan as plans
 from cottonspread.lab.sim.promises import CALM
 from cottonspread.lab.sim.scenario import Trial
 from cottonspread.lab.sim.world import SECOND, Draws
 
-TAIL = CALM // SECOND + 10             # seconds after the last trouble, so that progress can be judged
+TAIL = CALM // SECOND + 10  # seconds after the last trouble, so that progress can be judged
 EFFECTS = ("repeatable", "referenced", "once-only")
 SCOPES = ("all", "zone", "cell")
 # How often each kind is drawn
-KINDS = {"hang": 4, "slow": 3, "jam": 2, "reset": 3, "refuse": 2, "vanish": 3, "half-dead": 2, "cold": 4, "drain": 4, "join": 1,
-         "list-cut": 2, "list-garbage": 1, "list-restart": 1, "list-late": 2, "contradict": 2,
-         "freeze": 3, "stop": 3, "kill": 3, "reload": 1, "retune": 2, "quiesce": 2, "replace": 4, "late-writes": 2,
-         "partition": 3, "slow-way": 1, "stall": 3, "snap": 3, "dead": 2, "zone-lost": 1, "store-slow": 2, "reconnect": 2,
-         "slow-readers": 2, "crowding": 1, "bad": 3}
+KINDS = {
+    "hang": 4,
+    "slow": 3,
+    "jam": 2,
+    "reset": 3,
+    "refuse": 2,
+    "vanish": 3,
+    "half-dead": 2,
+    "cold": 4,
+    "drain": 4,
+    "join": 1,
+    "list-cut": 2,
+    "list-garbage": 1,
+    "list-restart": 1,
+    "list-late": 2,
+    "contradict": 2,
+    "freeze": 3,
+    "stop": 3,
+    "kill": 3,
+    "reload": 1,
+    "retune": 2,
+    "quiesce": 2,
+    "replace": 4,
+    "late-writes": 2,
+    "partition": 3,
+    "slow-way": 1,
+    "stall": 3,
+    "snap": 3,
+    "dead": 2,
+    "zone-lost": 1,
+    "store-slow": 2,
+    "reconnect": 2,
+    "slow-readers": 2,
+    "crowding": 1,
+    "bad": 3,
+}
 BAG = [kind for kind, weight in KINDS.items() for _ in range(weight)]
 
 
@@ -57,8 +89,15 @@
 
 def fitted(trial):
     """As long as its troubles ask for."""
-    return Trial({**trial.fleet, "seconds": round(last(trial.troubles) + TAIL, 1)}, trial.types, trial.loads, trial.troubles, trial.only,
-                 trial.expected, trial.remarks)
+    return Trial(
+        {**trial.fleet, "seconds": round(last(trial.troubles) + TAIL, 1)},
+        trial.types,
+        trial.loads,
+        trial.troubles,
+        trial.only,
+        trial.expected,
+        trial.remarks,
+    )
 
 
 def bearable(fleet, types, rate):
@@ -75,28 +114,63 @@
     d = Draws("trial", seed)
     zones = d.between(1, 3)
     fleet = {
-        "seed": seed, "nodes.count": d.between(1, 4), "hosts.count": d.between(2, 7), "hosts.zones": zones,
-        "hosts.speed_sigma": d.one_of((0.0, 0.2)), "hosts.reports": d.one_of((True, False, False)),
-        "hosts.traits.tells_load": d.one_of((True, True, False)), "hosts.traits.drain": d.one_of(("paced", "at-once", "none")),
-        "hosts.traits.cancels": d.one_of((True, False)), "hosts.traits.warm_s": d.one_of((4, 15)),
-        "nodes.sockets": d.one_of((128, 256, 1024)), "nodes.grace_ms": d.one_of((200, 500)), "list.lag_ms": d.one_of((20, 300, 1500)),
-        "list.silent_s": d.one_of((2, 6)), "ways.cross_us": d.one_of((500, 5000)), "ways.jitter_us": d.one_of((0, 300, 2000)),
-        "ways.skew_us": d.one_of((0, 5000)), "ways.drift_ppm": d.one_of((0, 100)), "load.groups": d.one_of((3, 20, 200)),
-        "load.retries": d.between(2, 4), "load.line_s": d.one_of((0.5, 2, 2)), "settle_s": 1}
+        "seed": seed,
+        "nodes.count": d.between(1, 4),
+        "hosts.count": d.between(2, 7),
+        "hosts.zones": zones,
+        "hosts.speed_sigma": d.one_of((0.0, 0.2)),
+        "hosts.reports": d.one_of((True, False, False)),
+        "hosts.traits.tells_load": d.one_of((True, True, False)),
+        "hosts.traits.drain": d.one_of(("paced", "at-once", "none")),
+        "hosts.traits.cancels": d.one_of((True, False)),
+        "hosts.traits.warm_s": d.one_of((4, 15)),
+        "nodes.sockets": d.one_of((128, 256, 1024)),
+        "nodes.grace_ms": d.one_of((200, 500)),
+        "list.lag_ms": d.one_of((20, 300, 1500)),
+        "list.silent_s": d.one_of((2, 6)),
+        "ways.cross_us": d.one_of((500, 5000)),
+        "ways.jitter_us": d.one_of((0, 300, 2000)),
+        "ways.skew_us": d.one_of((0, 5000)),
+        "ways.drift_ppm": d.one_of((0, 100)),
+        "load.groups": d.one_of((3, 20, 200)),
+        "load.retries": d.between(2, 4),
+        "load.line_s": d.one_of((0.5, 2, 2)),
+        "settle_s": 1,
+    }
     if fleet["hosts.reports"]:
         fleet["nodes.settings.Limits.Probes"] = True
     types = []
     for n in range(d.between(1, 3)):
         effect = d.one_of(EFFECTS)
-        types.append({"name": f"t{n}", "effect": effect, "scope": d.one_of(SCOPES), "remembered_ms": d.one_of((1000, 5000)),
-                      "target_ms": d.one_of((100, 500)), "guard_ms": d.one_of((400, 1500, 4800)), "revenue": d.one_of((1, 5)),
-                      "life_s": d.one_of((2, 8, 20)), "load_us": d.one_of((2000, 10000)), "message_ms": d.one_of((50, 100))})
+        types.append(
+            {
+                "name": f"t{n}",
+                "effect": effect,
+                "scope": d.one_of(SCOPES),
+                "remembered_ms": d.one_of((1000, 5000)),
+                "target_ms": d.one_of((100, 500)),
+                "guard_ms": d.one_of((400, 1500, 4800)),
+                "revenue": d.one_of((1, 5)),
+                "life_s": d.one_of((2, 8, 20)),
+                "load_us": d.one_of((2000, 10000)),
+                "message_ms": d.one_of((50, 100)),
+            }
+        )
     loads = [{"kind": "poisson", "rate": bearable(fleet, types, d.one_of((2, 4, 8)))}]
     troubles = []
     for _ in range(d.between(1, 3)):
         moment = d.between(5, 140) / 10
         if d.below(3) == 0:
-            loads.append({"kind": "burst", "start": moment, "seconds": d.one_of((0.05, 1)), "count": d.one_of((20, 60))})
+            loads.append(
+                {
+                    "kind": "burst",
+                    "start": moment,
+                    "seconds": d.one_of((0.05, 1)),
+                    "count": d.one_of((20, 60)),
+                }
+            )
         for _ in range(d.between(1, 4)):
-            troubles.append(trouble(d, round(moment + d.one_of((0, 0, 1)) * d.between(0, 2000) / 1000, 3), fleet))
+            troubles.append(
+                trouble(d, round(moment + d.one_of((0, 0, 1)) * d.between(0, 2000) / 1000, 3), fleet)
+            )
     return fitted(Trial(fleet, types, loads, sorted(troubles, key=lambda one: one.at)))
--- a/cottonspread/lab/sim/fleet.py
+++ b/cottonspread/lab/sim/fleet.py
@@ -3,6 +3,7 @@
 What clients, hosts, the list and the nodes saw is recorded as in a play on sockets, so that the same audit and the same results
 are made of it.
 """
+
 import msgspec
 
 from cottonspread.lab import listing, tuning
@@ -16,9 +17,9 @@
 from cottonspread.lab.sim.ways import Place, Ways
 from cottonspread.lab.sim.world import EPOCH, SECOND, World
 
-NOTICED = 300_000                      # until the front deals no more to a node that says no
-LIST_WAIT = 2 * SECOND                 # for a list that discovery tells; then the saved one is trusted
-PINGS = 100_000                        # the front asks a node that is to come in
+NOTICED = 300_000  # until the front deals no more to a node that says no
+LIST_WAIT = 2 * SECOND  # for a list that discovery tells; then the saved one is trusted
+PINGS = 100_000  # the front asks a node that is to come in
 
 
 class Node:
@@ -30,7 +31,10 @@
         self.name = self.plan.name
         self.place = Place(self.name, f"z{number % x.hosts.zones}")
         self.draws, self.starts, self.retuned, self.processes, self.waiting = draws, 0, 0, [], []
-        self.skew, self.drift = draws.between(-x.ways.skew_us, x.ways.skew_us), draws.between(-x.ways.drift_ppm, x.ways.drift_ppm)
+        self.skew, self.drift = (
+            draws.between(-x.ways.skew_us, x.ways.skew_us),
+            draws.between(-x.ways.drift_ppm, x.ways.drift_ppm),
+        )
         self.shared = any(f.kind == "replace" and self.name in f.on for f in fleet.plan.faults)
         self.wanted, self.down_at, self.saved, self.generation = True, None, {}, 0
         self.agent = Agent(fleet, self.name, fleet.entries, round(x.listing.lag_ms * 1000))
@@ -39,8 +43,14 @@
         """A process as `serve` makes one."""
         self.starts += 1
         values = tuning.values(self.fleet.plan, self.number, self.retuned)
-        if self.shared and self.saved:       # the list that the process before it was told, from the folder that both share
-            values["known"] = {"generation": self.generation, "reset": True, "instances": list(self.saved.values())}
+        if (
+            self.shared and self.saved
+        ):  # the list that the process before it was told, from the folder that both share
+            values["known"] = {
+                "generation": self.generation,
+                "reset": True,
+                "instances": list(self.saved.values()),
+            }
         process = Process(self, values, self.shared)
         self.processes.append(process)
         process.takes = not self.shared
@@ -83,7 +93,9 @@
         if not taking:
             self.place.door = self.waiting.append if self.shared else None
             return
-        self.place.door = lambda side: (taking[0] if len(taking) == 1 else self.draws.one_of(taking)).came(side)
+        self.place.door = lambda side: (taking[0] if len(taking) == 1 else self.draws.one_of(taking)).came(
+            side
+        )
         waiting, self.waiting = self.waiting, []
         for side in waiting:
             self.place.door(side)
@@ -92,7 +104,7 @@
         self.processes.remove(process)
         self.fleet.promises.process_ended(process)
         self.open_door()
-        if self.processes:                   # alone again
+        if self.processes:  # alone again
             self.processes[-1].limit(None)
         elif process.dead == KILLED or not self.wanted:
             self.fleet.put_node("killed" if process.dead == KILLED else "stopped", self)
@@ -103,7 +115,9 @@
     faults = []
     for one in plan.faults:
         if one.kind == "zone-lost":
-            one = msgspec.structs.replace(one, kind="vanish", on=[m.name for m in plan.machines if m.zone in one.on])
+            one = msgspec.structs.replace(
+                one, kind="vanish", on=[m.name for m in plan.machines if m.zone in one.on]
+            )
         faults.append(one)
     return msgspec.structs.replace(plan, faults=faults)
 
@@ -131,12 +145,22 @@
         for one in self.plan.faults:
             self.world.at(round(one.at * SECOND), troubles.begin, self, one)
         if x.listing.weights_ms:
-            self.world.after(round(x.listing.weights_ms * 1000), self.weigh, round(x.listing.weights_ms * 1000))
+            self.world.after(
+                round(x.listing.weights_ms * 1000), self.weigh, round(x.listing.weights_ms * 1000)
+            )
 
     @staticmethod
     def entry(m):
-        return {"instanceId": m.name, "hostPort": f"{m.ip}:{m.port}", "zone": m.zone, "machineType": "lab", "cell": m.cell,
-                "lifecycle": "Ready", "weight": m.traits.cores * m.traits.speed, "startedAtMs": 0}
+        return {
+            "instanceId": m.name,
+            "hostPort": f"{m.ip}:{m.port}",
+            "zone": m.zone,
+            "machineType": "lab",
+            "cell": m.cell,
+            "lifecycle": "Ready",
+            "weight": m.traits.cores * m.traits.speed,
+            "startedAtMs": 0,
+        }
 
     def change(self, after, name, lifecycle, started):
         machine = self.hosts[name].machine
@@ -145,7 +169,10 @@
             self.world.at(after, node.agent.change, name, lifecycle, at, self.entry(machine))
 
     def weigh(self, every):
-        held = {m.name: (m.traits.cores * m.traits.speed, len(self.hosts[m.name].model.conns) / m.traits.cores) for m in self.plan.machines}
+        held = {
+            m.name: (m.traits.cores * m.traits.speed, len(self.hosts[m.name].model.conns) / m.traits.cores)
+            for m in self.plan.machines
+        }
         for node in self.nodes:
             node.agent.weigh(held)
         self.world.after(every, self.weigh, every)
--- a/cottonspread/lab/sim/hosts.py
+++ b/cottonspread/lab/sim/hosts.py
@@ -1,9 +1,10 @@
 """Simulated hosts: the lab's model and its side of the protocol, on simulated ways."""
+
 from cottonspread.lab import wire
 from cottonspread.lab.serving import Serving, modelled
 from cottonspread.lab.sim.ways import Place
 
-MOST_OUT = 64 * 1024               # bytes that a connection's reader may leave untaken
+MOST_OUT = 64 * 1024  # bytes that a connection's reader may leave untaken
 
 
 class Conn:
@@ -13,7 +14,7 @@
         self.side, self.lines, self.call, self.over, self.server = side, wire.Lines(), None, False, server
 
     def arrived(self, side):
-        if self.over or self.server.gone:    # a machine that vanished takes nothing
+        if self.over or self.server.gone:  # a machine that vanished takes nothing
             return
         if side.inbox:
             data = side.take()
@@ -29,7 +30,12 @@
 class Host(Serving):
     def __init__(self, fleet, machine):
         super().__init__(machine.name, modelled(fleet.plan, machine, 0), fleet.plan.experiment.hosts.reports)
-        self.fleet, self.machine, self.place, self.gone = fleet, machine, Place(machine.name, machine.zone), False
+        self.fleet, self.machine, self.place, self.gone = (
+            fleet,
+            machine,
+            Place(machine.name, machine.zone),
+            False,
+        )
         self.at = fleet.world.at
         if machine.started:
             self.model.state = "down"
--- a/cottonspread/lab/sim/node.py
+++ b/cottonspread/lab/sim/node.py
@@ -3,6 +3,7 @@
 What decides is the program's own: reducer, module, door, the reading of configurations, lists and reports, and what a process hands over.
 What is simulated is what a machine does: clocks, threads' turns, sockets, and death.
 """
+
 import json
 import traceback
 from collections import Counter, deque
@@ -21,9 +22,9 @@
 from cottonspread.net.reducer import Reducer
 from cottonspread.net.workers import HALF_LINE_WAIT
 
-STEP = 30                              # microseconds that a step of the reducer takes, and half of that by chance
-HOP = 60                               # at most, from one thread to another
-ANSWER_WAIT = 1.0                      # seconds that a successor waits for what is handed over
+STEP = 30  # microseconds that a step of the reducer takes, and half of that by chance
+HOP = 60  # at most, from one thread to another
+ANSWER_WAIT = 1.0  # seconds that a successor waits for what is handed over
 STOPPED, KILLED = "stopped", "killed"
 
 
@@ -37,9 +38,9 @@
     def __init__(self, process, end, side=None):
         self.process, self.end, self.side, self.number = process, end, side, process.next_number()
         self.reading, self.cut, self.broken, self.draining = False, False, False, False
-        self.decided = side is not None      # whether it came up is known
-        self.gone = self.borrowed = False    # its socket is another process's; or is that one's still
-        self.buffer, self.since, self.rest = bytearray(), 0, b""     # `rest` of a write that waits for room
+        self.decided = side is not None  # whether it came up is known
+        self.gone = self.borrowed = False  # its socket is another process's; or is that one's still
+        self.buffer, self.since, self.rest = bytearray(), 0, b""  # `rest` of a write that waits for room
         end.worker = self
         if side is not None:
             side.owner = self
@@ -105,9 +106,9 @@
     def write(self, data):
         world, process = self.process.world, self.process
         late = process.late_writes and process.draws.part() < process.late_writes[0]
-        if late:                             # the kernel takes half of it now, and the rest in its own time
-            self.send(data[:len(data) // 2])
-            self.rest = data[len(data) // 2:]
+        if late:  # the kernel takes half of it now, and the rest in its own time
+            self.send(data[: len(data) // 2])
+            self.rest = data[len(data) // 2 :]
             world.after(process.draws.below(process.late_writes[1]), self.room, self.side)
             return
         self.rest = data
@@ -137,12 +138,12 @@
 
     def cut_off(self, broken):
         self.cut, self.broken = True, self.broken or broken
-        if self.side is None:                # it was coming up: that ends
+        if self.side is None:  # it was coming up: that ends
             self.connected(None, "ENOTCONN")
             return
         if not broken:
             self.side.end()
-        if self.rest:                        # the send that waits comes back with an error
+        if self.rest:  # the send that waits comes back with an error
             self.rest = b""
             self.process.post(ev.Written(self.end, False))
         self.look()
@@ -175,10 +176,19 @@
     """One call of a host for its load, on a connection of its own."""
 
     def __init__(self, process, order):
-        self.process, self.order, self.began, self.done, self.data, self.side = process, order, process.world.now, False, b"", None
+        self.process, self.order, self.began, self.done, self.data, self.side = (
+            process,
+            order,
+            process.world.now,
+            False,
+            b"",
+            None,
+        )
         process.probes[self] = None
         process.world.after(order.wait, self.end, Ending.TIMEOUT)
-        process.world.ways.connect(self, process.node.place, process.place_of(order.address), order.wait, self.up)
+        process.world.ways.connect(
+            self, process.node.place, process.place_of(order.address), order.wait, self.up
+        )
 
     def up(self, side, why):
         self.side = side
@@ -223,13 +233,32 @@
         self.most = self.all = most_ends(room, place.operator)
         self.queue, self.urgent, self.awake, self.wake_at = deque(), deque(), False, 1 << 62
         self.free_at, self.writer_at, self.frozen, self.late_writes = world.now, world.now, 0, None
-        self.dead, self.numbers, self.steps, self.ended, self.began, self.finished = "", 0, 0, Counter(), world.now, False
+        self.dead, self.numbers, self.steps, self.ended, self.began, self.finished = (
+            "",
+            0,
+            0,
+            Counter(),
+            world.now,
+            False,
+        )
         self.live, self.probes, self.most_queue = {}, {}, 0
-        self.contract, self.addresses, self.heir, self.takes = Contract(), node.fleet.addresses, None, not shared
+        self.contract, self.addresses, self.heir, self.takes = (
+            Contract(),
+            node.fleet.addresses,
+            None,
+            not shared,
+        )
         version, listed, addresses, unread = discovery.read_list(known, names, News.SAVED)
         self.door = Door(door_target(begin))
-        self.discovery = discovery.Discovery(place.discovery, names, self.post, version, begin.listing.ask, node.keep,
-                                             may_watch(begin, listed, shared))
+        self.discovery = discovery.Discovery(
+            place.discovery,
+            names,
+            self.post,
+            version,
+            begin.listing.ask,
+            node.keep,
+            may_watch(begin, listed, shared),
+        )
         self.reducer = Reducer(self.clock(), begin, names, hearing, self.most, *node.fleet.policy)
         self.caller = node.agent.serve(self)
         self.discovery.begin(listed, addresses, unread, trusted=begin.listing.ask or node.keep is not None)
@@ -313,7 +342,9 @@
         try:
             effects = self.reducer.step(self.clock(), event, at)
         except Exception as fault:
-            raise Fault(f"{self.node.name}: {type(event).__name__}: {fault!r}\n{traceback.format_exc(limit=-6)}") from fault
+            raise Fault(
+                f"{self.node.name}: {type(event).__name__}: {fault!r}\n{traceback.format_exc(limit=-6)}"
+            ) from fault
         self.world.note(self.node.name, self.label(event), *map(self.label, effects))
         for effect in effects:
             self.contract.ordered(effect)
@@ -346,7 +377,7 @@
                 self.caller.wanted()
             case ev.Pass():
                 world.after(self.draws.below(HOP), self.alive, self.give, effect)
-            case ev.Stop():                  # the last answers go out before the process may end
+            case ev.Stop():  # the last answers go out before the process may end
                 self.finished = True
                 self.writer_at = max(self.writer_at, world.now) + HOP
                 world.at(self.writer_at, self.alive, self.die, STOPPED)
@@ -366,7 +397,9 @@
             what(*args)
 
     def connect(self, worker, effect):
-        self.world.ways.connect(worker, self.node.place, self.place_of(effect.address), effect.wait, worker.connected)
+        self.world.ways.connect(
+            worker, self.node.place, self.place_of(effect.address), effect.wait, worker.connected
+        )
 
     def write_out(self, effect):
         worker = effect.end.worker
@@ -493,7 +526,7 @@
             self.world.after(self.draws.below(20_000), self.alive, take, handover.unpack(text, mark))
 
         def take(handed):
-            if self.takes:                   # it is too late for it
+            if self.takes:  # it is too late for it
                 return
             if handed:
                 self.limit(handed.room)
@@ -520,9 +553,15 @@
         ends, new = (ev.End(True), ev.End(False)), []
         for end, worker in zip(ends, workers):
             new.append(Worker(heir, end, worker.side))
-            new[-1].borrowed = True          # the old process has it too until it is told
+            new[-1].borrowed = True  # the old process has it too until it is told
             heir.live[new[-1]] = None
-        heir.post(ev.Adopted(*ends, standing, lambda taken: heir.world.after(heir.draws.below(HOP), self.given, order, taken, new, heir)))
+        heir.post(
+            ev.Adopted(
+                *ends,
+                standing,
+                lambda taken: heir.world.after(heir.draws.below(HOP), self.given, order, taken, new, heir),
+            )
+        )
 
     def given(self, order, taken, new, heir):
         workers = order.client.worker, order.host.worker
--- a/cottonspread/lab/sim/promises.py
+++ b/cottonspread/lab/sim/promises.py
@@ -3,6 +3,7 @@
 No code is shared with the node, and none of its words is believed but where its own books are counted over (`books`). Times allow the
 50 ms that sockets get. The first promise that breaks ends the play: `Broken` says which, of whom, and when.
 """
+
 from collections import Counter, defaultdict, deque
 
 from cottonspread.lab.sim.world import SECOND
@@ -10,12 +11,20 @@
 
 SLACK = 50_000
 PASSED_ON, SILENCE, BAD, DRAINED = SECOND, 7 * SECOND, 3 * SECOND, 4 * SECOND
-CALM = 20 * SECOND                     # after the last trouble: by then every sound client is served
-BOOKS = 40                             # steps of a process between two counts of all its sums
-TIMERS, LONGEST = 8, 50 * SECOND       # what a call may leave in the node's timers at most, and for how long
+CALM = 20 * SECOND  # after the last trouble: by then every sound client is served
+BOOKS = 40  # steps of a process between two counts of all its sums
+TIMERS, LONGEST = 8, 50 * SECOND  # what a call may leave in the node's timers at most, and for how long
 
 ANSWER, EFFECTS, DRAINS, COLD, BOOK, BOUND, PROGRESS, ORDER = (
-    "rule 1", "rule 2", "rule 3", "rule 4", "books", "bounds", "progress", "order")
+    "rule 1",
+    "rule 2",
+    "rule 3",
+    "rule 4",
+    "books",
+    "bounds",
+    "progress",
+    "order",
+)
 
 
 class Broken(AssertionError):
@@ -28,6 +37,7 @@
 
 class Leg:
     """A first line on its way to a host, as the node's machine sees it."""
+
     __slots__ = ("host", "sent", "side", "out", "never", "up", "ended", "watch")
 
     def __init__(self, host, sent, side, watch):
@@ -37,18 +47,37 @@
 
 class Watch:
     """One call of a client, from its line on."""
-    __slots__ = ("id", "kind", "call", "process", "node", "sent", "guard", "said", "said_at", "legs", "moved", "closed", "excused", "side",
-                 "taken", "leg")
+
+    __slots__ = (
+        "id",
+        "kind",
+        "call",
+        "process",
+        "node",
+        "sent",
+        "guard",
+        "said",
+        "said_at",
+        "legs",
+        "moved",
+        "closed",
+        "excused",
+        "side",
+        "taken",
+        "leg",
+    )
 
     def __init__(self, id, kind, call):
         self.id, self.kind, self.call, self.process, self.node = id, kind, call, None, None
         self.sent, self.guard, self.said, self.said_at, self.legs = 0, 0, b"", 0, []
         self.moved, self.closed, self.excused, self.side, self.taken = False, 0, "", None, 0
-        self.leg = None                      # the one whose UP was passed on
+        self.leg = None  # the one whose UP was passed on
 
     def __repr__(self):
-        return (f"{self.id} {self.kind.name} at {self.node and self.node.name}: sent {self.sent / SECOND:.6f}, said {self.said!r} "
-                f"{self.said_at / SECOND:.6f}, legs {[(leg.host, round(leg.sent / SECOND, 6), leg.up, leg.never, leg.out) for leg in self.legs]}")
+        return (
+            f"{self.id} {self.kind.name} at {self.node and self.node.name}: sent {self.sent / SECOND:.6f}, said {self.said!r} "
+            f"{self.said_at / SECOND:.6f}, legs {[(leg.host, round(leg.sent / SECOND, 6), leg.up, leg.never, leg.out) for leg in self.legs]}"
+        )
 
 
 class Promises:
@@ -59,7 +88,10 @@
         self.calls, self.watches, self.receipts, self.still = {}, {}, set(), defaultdict(list)
         self.unfit, self.starts, self.known = defaultdict(dict), {}, defaultdict(list)
         self.ran, self.legs_of, self.seen = Counter(), {}, Counter()
-        self.stolen, self.echoed = set(), defaultdict(deque)         # ids that others use too; echoes that hosts have sent
+        self.stolen, self.echoed = (
+            set(),
+            defaultdict(deque),
+        )  # ids that others use too; echoes that hosts have sent
         self.quiet_from, self.lines, self.echoes, self.reached, self.most = 0, {}, {}, set(), Counter()
         self.drains, self.shaky, self.came = {}, set(), defaultdict(deque)
 
@@ -113,7 +145,13 @@
         return self.watches.get(side.other.owner)
 
     def overdue(self, watch):
-        if watch.said or watch.excused or watch.call.done and watch.call.how in ("left",) or self.stood(watch.node, watch.sent, watch.guard + SLACK):
+        if (
+            watch.said
+            or watch.excused
+            or watch.call.done
+            and watch.call.how in ("left",)
+            or self.stood(watch.node, watch.sent, watch.guard + SLACK)
+        ):
             return
         if self.waited(watch):
             return
@@ -147,41 +185,79 @@
         if watch.said.startswith(b"UP"):
             return
         self.need(not watch.said, ANSWER, "more than one final answer", watch, data)
-        self.need(now <= watch.guard + SLACK or watch.guard == 0 or self.waited(watch) or self.stood(watch.node, watch.sent, now), ANSWER,
-                  "answered after the guard time", watch, data)
+        self.need(
+            now <= watch.guard + SLACK
+            or watch.guard == 0
+            or self.waited(watch)
+            or self.stood(watch.node, watch.sent, now),
+            ANSWER,
+            "answered after the guard time",
+            watch,
+            data,
+        )
         watch.said, watch.said_at = data.split(b"\r\n")[0], now
         if watch.said.startswith(b"UP"):
             watch.leg = next((leg for leg in reversed(watch.legs) if leg.up and leg.out), None)
         ran = [leg for leg in watch.legs if not leg.never]
         if data.startswith(b"BUSY") and ran and watch.kind.effect != "repeatable":
-            self.need(watch.kind.effect == "referenced" and watch.kind.scope == "all", EFFECTS, "rejected though it may have run", watch)
+            self.need(
+                watch.kind.effect == "referenced" and watch.kind.scope == "all",
+                EFFECTS,
+                "rejected though it may have run",
+                watch,
+            )
 
     # Legs
 
     def leg(self, process, end, side, line):
         now, host = self.world.now, side.other.place.name
-        client = end.conn.client.worker      # what its client calls itself may be another's id
+        client = end.conn.client.worker  # what its client calls itself may be another's id
         owner = client.side.other.owner if client is not None else None
-        watch = self.watches.get(owner) or self.watches.setdefault(owner, Watch(f"bad {owner and owner.id}", self.kinds[0], None))
+        watch = self.watches.get(owner) or self.watches.setdefault(
+            owner, Watch(f"bad {owner and owner.id}", self.kinds[0], None)
+        )
         if watch.node is None:
             watch.process, watch.node = process, process.node
         leg = self.legs_of[side] = Leg(host, now, side, watch)
         if not watch.said.startswith(b"UP"):
             self.need(not watch.said, ANSWER, "a leg after the final answer", watch, host)
         if watch.guard:
-            self.need(now <= watch.guard + SLACK or self.stood(watch.node, watch.sent, now), ANSWER, "a leg after the guard time", watch, host)
+            self.need(
+                now <= watch.guard + SLACK or self.stood(watch.node, watch.sent, now),
+                ANSWER,
+                "a leg after the guard time",
+                watch,
+                host,
+            )
         self.need(not any(one.out for one in watch.legs), EFFECTS, "two legs at once", watch, host)
         ran, kind = [one for one in watch.legs if not one.never], watch.kind
         if ran and kind.effect == "once-only":
             self.need(False, EFFECTS, "once-only sent again though it may have run", watch, host)
         elif ran and kind.effect == "referenced":
             first, this = self.fleet.hosts[ran[0].host].machine, self.fleet.hosts[host].machine
-            self.need(kind.scope == "all" or getattr(first, kind.scope) == getattr(this, kind.scope), EFFECTS,
-                      "referenced sent where its repeats are not known", watch, host)
-            self.need(not kind.remembered_ms or now <= ran[0].sent + kind.remembered_ms * 1000 + SLACK, EFFECTS,
-                      "referenced sent again after its time", watch, host)
+            self.need(
+                kind.scope == "all" or getattr(first, kind.scope) == getattr(this, kind.scope),
+                EFFECTS,
+                "referenced sent where its repeats are not known",
+                watch,
+                host,
+            )
+            self.need(
+                not kind.remembered_ms or now <= ran[0].sent + kind.remembered_ms * 1000 + SLACK,
+                EFFECTS,
+                "referenced sent again after its time",
+                watch,
+                host,
+            )
         since = self.unfit[process].get(host)
-        self.need(since is None or now <= since + self.grace + SLACK, DRAINS, "a leg to a host that drains or is gone", watch, host, since)
+        self.need(
+            since is None or now <= since + self.grace + SLACK,
+            DRAINS,
+            "a leg to a host that drains or is gone",
+            watch,
+            host,
+            since,
+        )
         watch.legs.append(leg)
 
     def node_hears(self, process, event):
@@ -190,7 +266,7 @@
         if end is None or end.client or end.worker is None:
             return
         leg = self.legs_of.get(end.worker.side)
-        if leg is None or not leg.out:       # what comes from one that was given up is dropped
+        if leg is None or not leg.out:  # what comes from one that was given up is dropped
             return
         if isinstance(event, ev.Got) and not leg.up:
             word = event.data.split(None, 1)[0] if event.data.strip() else b""
@@ -226,8 +302,19 @@
         leg = watch.leg
         theirs = side.ended or side.broke or watch.call is not None and (watch.call.done or watch.call.slow)
         host = self.fleet.hosts[leg.host] if leg else None
-        self.need(theirs or leg is None or leg.ended or leg.side.ended or leg.side.broke or leg.side.link in self.shaky or host.gone
-                  or host.model.deaf, ANSWER, "cut off without MOVE while its host answered", watch)
+        self.need(
+            theirs
+            or leg is None
+            or leg.ended
+            or leg.side.ended
+            or leg.side.broke
+            or leg.side.link in self.shaky
+            or host.gone
+            or host.model.deaf,
+            ANSWER,
+            "cut off without MOVE while its host answered",
+            watch,
+        )
 
     def host_ended(self, leg):
         """A host's end has come to the node: it is passed on within a second."""
@@ -255,7 +342,9 @@
         for line in whole:
             if line.startswith(b"e"):
                 last = self.echoes.get(conn, 0)
-                self.need(line == b"e%d" % (last + 1), ORDER, "lines to a host out of order", call.id, line, last)
+                self.need(
+                    line == b"e%d" % (last + 1), ORDER, "lines to a host out of order", call.id, line, last
+                )
                 self.echoes[conn] = last + 1
 
     def host_writes(self, conn, line):
@@ -279,15 +368,33 @@
             host, started = line["host"], self.starts.get(line["host"], 0)
             known = [at for at in self.known[host] if at >= started]
             # Nobody could hold back for a start that no list had told yet.
-            self.need(not known or self.world.now < min(known) + SLACK, COLD, "a cold host was pushed over", host, line["v"])
+            self.need(
+                not known or self.world.now < min(known) + SLACK,
+                COLD,
+                "a cold host was pushed over",
+                host,
+                line["v"],
+            )
 
     def client_has(self, call, line):
         if line.startswith(b"UP "):
-            self.need((call.id, line[3:].decode()) in self.receipts, ANSWER, "UP that no host gave", self.calls[call.id], line)
+            self.need(
+                (call.id, line[3:].decode()) in self.receipts,
+                ANSWER,
+                "UP that no host gave",
+                self.calls[call.id],
+                line,
+            )
         elif line.startswith(b"e"):
             watch = self.calls[call.id]
             echoed = self.echoed[watch.leg and watch.leg.side.other.owner]
-            self.need(echoed and echoed.popleft() == line, ORDER, "a host's lines, lost, changed or out of order", watch, line)
+            self.need(
+                echoed and echoed.popleft() == line,
+                ORDER,
+                "a host's lines, lost, changed or out of order",
+                watch,
+                line,
+            )
 
     def client_done(self, call, how):
         watch = self.calls[call.id]
@@ -295,16 +402,39 @@
             self.reached.add(call.first)
         now = self.world.now
         # A client that broke off or was cut asks for nothing more.
-        if call.asked and not call.slow and how not in ("left", "broke-off", "cut") and not self.stood(call.node, call.asked[0], now) and (
-                watch.process is not None and not watch.excused):
-            self.need(now - call.asked[0] <= SILENCE + SLACK, ANSWER, "silent for over 7 s", watch, now - call.asked[0])
+        if (
+            call.asked
+            and not call.slow
+            and how not in ("left", "broke-off", "cut")
+            and not self.stood(call.node, call.asked[0], now)
+            and (watch.process is not None and not watch.excused)
+        ):
+            self.need(
+                now - call.asked[0] <= SILENCE + SLACK,
+                ANSWER,
+                "silent for over 7 s",
+                watch,
+                now - call.asked[0],
+            )
         if how in ("end", "reset") and call.up and not call.slow:
             process = watch.process
             excused = watch.excused or process is None or process.dead
-            self.need(excused or watch.closed or self.stood(watch.node, call.up, now), ANSWER, "a standing connection broke", watch, how)
+            self.need(
+                excused or watch.closed or self.stood(watch.node, call.up, now),
+                ANSWER,
+                "a standing connection broke",
+                watch,
+                how,
+            )
         if how in ("end", "reset") and not call.answers and call.sent and not watch.said:
             process = watch.process
-            self.need(watch.excused or process is None or process.dead, ANSWER, "ended without an answer", watch, how)
+            self.need(
+                watch.excused or process is None or process.dead,
+                ANSWER,
+                "ended without an answer",
+                watch,
+                how,
+            )
 
     def bad(self, one):
         if one.kind not in ("hangs-up", "crowd") and not (one.kind == "same-id"):
@@ -344,7 +474,7 @@
             return
         reducer, contract = process.reducer, process.contract
         held = len(contract.ends) + sum(contract.probes.values())
-        if reducer.ends != held:             # what waits in its queue is not in its count yet
+        if reducer.ends != held:  # what waits in its queue is not in its count yet
             waiting = [event for _, event in process.queue]
             held -= sum(isinstance(e, ev.Came) + 2 * isinstance(e, ev.Adopted) for e in waiting)
             held += sum(isinstance(e, ev.Asked) for e in waiting)
@@ -356,25 +486,59 @@
         reducer, module, name = process.reducer, process.reducer.module, process.node.name
         hosts = module.membership.hosts.values()
         up = [h for h in hosts if h.up]
-        self.need(module.legs == sum(len(h.legs) for h in up), BOOK, "legs on hosts that are up", name, module.legs)
+        self.need(
+            module.legs == sum(len(h.legs) for h in up), BOOK, "legs on hosts that are up", name, module.legs
+        )
         for h in hosts:
             load = sum(leg.load for leg in h.legs) + module.loads.GROUP * len(+h.groups)
             self.need(h.load == load, BOOK, "load of a host", name, h.name, h.load, load)
-            self.need(h.setups == sum(not leg.accepted for leg in h.legs), BOOK, "set-ups of a host", name, h.name)
-        self.need(module.load == sum(h.load for h in up), BOOK, "load on hosts that are up", name, module.load)
+            self.need(
+                h.setups == sum(not leg.accepted for leg in h.legs), BOOK, "set-ups of a host", name, h.name
+            )
+        self.need(
+            module.load == sum(h.load for h in up), BOOK, "load on hosts that are up", name, module.load
+        )
         open_ids = {c.opening.id for c in reducer.conns if c.opening and not c.reason}
         self.need(open_ids <= reducer.by_id.keys(), BOOK, "ids of calls that are open", name)
         standing = sum(len(s.legs) for s in reducer.servers.values())
-        self.need(standing == sum(c.up and not c.legs[-1].ended for c in reducer.conns), BOOK, "standing legs", name, standing)
+        self.need(
+            standing == sum(c.up and not c.legs[-1].ended for c in reducer.conns),
+            BOOK,
+            "standing legs",
+            name,
+            standing,
+        )
         conns = len(reducer.conns)
         self.need(len(module.records.by_key) <= module.records.MOST + 1, BOUND, "records", name)
-        self.need(len(reducer.unopened) <= conns and len(reducer.told) == 0, BOUND, "clients without a line", name)
-        self.need(process.most_queue <= 3 * (process.all + 64) + 64, BOUND, "the queue of events", name, process.most_queue)
-        self.need(len(module.calls) <= conns + reducer.probes, BOUND, "the module's calls", name, len(module.calls), conns)
+        self.need(
+            len(reducer.unopened) <= conns and len(reducer.told) == 0, BOUND, "clients without a line", name
+        )
+        self.need(
+            process.most_queue <= 3 * (process.all + 64) + 64,
+            BOUND,
+            "the queue of events",
+            name,
+            process.most_queue,
+        )
+        self.need(
+            len(module.calls) <= conns + reducer.probes,
+            BOUND,
+            "the module's calls",
+            name,
+            len(module.calls),
+            conns,
+        )
         came = self.came[process]
         while came and came[0] < self.world.now - LONGEST:
             came.popleft()
-        self.need(len(reducer.timers) <= 64 + TIMERS * (len(came) + conns), BOUND, "timers", name, len(reducer.timers), len(came))
+        self.need(
+            len(reducer.timers) <= 64 + TIMERS * (len(came) + conns),
+            BOUND,
+            "timers",
+            name,
+            len(reducer.timers),
+            len(came),
+        )
 
     def process_ended(self, process):
         for watch in self.calls.values():
@@ -387,15 +551,20 @@
     def left_behind(self, watch):
         """Its node ended by itself with this call open."""
         if watch.side is None or watch.sent > self.world.now:
-            watch.excused = "not taken"      # its line had not come yet
+            watch.excused = "not taken"  # its line had not come yet
         elif not watch.said:
             self.need(False, ANSWER, "a node ended with a call that it had not answered", watch)
         elif watch.said.startswith(b"UP"):
             self.cut_off(watch, watch.side.other)
 
     def overstayed(self, process):
-        self.need(self.stood(process.node, self.world.now - 8 * SECOND, self.world.now), ANSWER,
-                  "a node was still there at its SIGKILL", process.node.name, len(process.reducer.conns))
+        self.need(
+            self.stood(process.node, self.world.now - 8 * SECOND, self.world.now),
+            ANSWER,
+            "a node was still there at its SIGKILL",
+            process.node.name,
+            len(process.reducer.conns),
+        )
 
     def passed(self, process, order, new):
         """A standing connection is another process's now."""
@@ -412,11 +581,20 @@
         self.drains.pop(process, None)
 
     def drained_by_now(self, process, since):
-        if self.drains.get(process) != since or process.dead or self.stood(process.node, since, self.world.now):
+        if (
+            self.drains.get(process) != since
+            or process.dead
+            or self.stood(process.node, since, self.world.now)
+        ):
             return
         for watch in self.calls.values():
-            if watch.process is process and watch.said.startswith(b"UP") and not watch.moved and not watch.closed and (
-                    watch.call is not None and not watch.call.done and not watch.call.slow):
+            if (
+                watch.process is process
+                and watch.said.startswith(b"UP")
+                and not watch.moved
+                and not watch.closed
+                and (watch.call is not None and not watch.call.done and not watch.call.slow)
+            ):
                 self.need(False, ANSWER, "held by a drained node, and not moved", watch)
 
     # The end
@@ -425,15 +603,19 @@
         if not self.checked:
             return
         calm, asked = self.quiet_from + CALM, {}
-        if 2 * sum(host.model.state == "up" and not host.gone for host in self.fleet.hosts.values()) < len(self.fleet.hosts):
-            calm = self.world.now            # too few are left to bear it all
+        if 2 * sum(host.model.state == "up" and not host.gone for host in self.fleet.hosts.values()) < len(
+            self.fleet.hosts
+        ):
+            calm = self.world.now  # too few are left to bear it all
         for watch in self.calls.values():
             call = watch.call
             if call is not None and not call.retry and not call.again and call.intended >= calm:
                 asked[call.first] = watch
         for first, watch in asked.items():
             if watch.call.intended < self.fleet.clients.ending - 5 * SECOND:
-                self.need(first in self.reached, PROGRESS, "a sound client was not served though all is calm", watch)
+                self.need(
+                    first in self.reached, PROGRESS, "a sound client was not served though all is calm", watch
+                )
         for node in self.fleet.nodes:
             for process in node.processes:
                 self.books(process)
@@ -442,5 +624,11 @@
         """Every process was told to stop, and has."""
         for node in self.fleet.nodes:
             for process in node.processes:
-                self.need(self.stood(node, self.world.now - 8 * SECOND, self.world.now), BOOK, "a node that did not end", node.name,
-                          len(process.reducer.conns), process.reducer.ends)
+                self.need(
+                    self.stood(node, self.world.now - 8 * SECOND, self.world.now),
+                    BOOK,
+                    "a node that did not end",
+                    node.name,
+                    len(process.reducer.conns),
+                    process.reducer.ends,
+                )
--- a/cottonspread/lab/sim/scenario.py
+++ b/cottonspread/lab/sim/scenario.py
@@ -10,6 +10,7 @@
 
 Lines may come in any order but the last; what follows `#` is a remark.
 """
+
 from dataclasses import dataclass, field
 
 import msgspec
@@ -21,12 +22,13 @@
 from cottonspread.lab.sim.seam import Breach
 
 HOLDS = "holds"
-TRIAL_BLOCK = 64, 0                    # of its addresses, which nobody binds
+TRIAL_BLOCK = 64, 0  # of its addresses, which nobody binds
 
 
 @dataclass
 class Trial:
     """One play: keys of an experiment by their path, traffic types, shapes of arrivals, troubles, and which first calls there are."""
+
     fleet: dict
     types: list
     loads: list
@@ -36,7 +38,13 @@
     remarks: list = field(default_factory=list)
 
     def experiment(self):
-        nested = {"name": "trial", "seconds": 30, "load": {"types": self.types, "shapes": self.loads}, "nodes": {}, "hosts": {"traits": {}}}
+        nested = {
+            "name": "trial",
+            "seconds": 30,
+            "load": {"types": self.types, "shapes": self.loads},
+            "nodes": {},
+            "hosts": {"traits": {}},
+        }
         for path, value in self.fleet.items():
             *way, key = path.split(".")
             at = nested
@@ -66,7 +74,9 @@
         if not words:
             continue
         try:
-            said = {key: plain(value) for key, value in (word.split("=", 1) for word in words[1:] if "=" in word)}
+            said = {
+                key: plain(value) for key, value in (word.split("=", 1) for word in words[1:] if "=" in word)
+            }
             bare = [word for word in words[1:] if "=" not in word]
             if words[0] == "fleet":
                 trial.fleet |= said
@@ -79,8 +89,13 @@
             elif words[0] == ">":
                 trial.expected = line[1:].strip()
             else:
-                trial.troubles.append(msgspec.convert({"at": round(float(words[0])) / 1000, "kind": bare[0], "on": bare[1:], **said},
-                                                      plans.Happening, strict=False))
+                trial.troubles.append(
+                    msgspec.convert(
+                        {"at": round(float(words[0])) / 1000, "kind": bare[0], "on": bare[1:], **said},
+                        plans.Happening,
+                        strict=False,
+                    )
+                )
         except (ValueError, IndexError, msgspec.ValidationError) as fault:
             raise plans.Fault(f"line {number}: {fault}") from None
     return trial
@@ -99,20 +114,32 @@
 
 
 def brief(value):
-    return str(value).lower() if isinstance(value, bool) else f"{value:g}" if isinstance(value, float) else str(value)
+    return (
+        str(value).lower()
+        if isinstance(value, bool)
+        else f"{value:g}"
+        if isinstance(value, float)
+        else str(value)
+    )
 
 
 def write(trial):
     lines = [f"# {remark}" for remark in trial.remarks]
     lines.append("fleet " + " ".join(f"{k}={brief(v)}" for k, v in trial.fleet.items()))
     for name, key, many in (("type", "name", trial.types), ("load", "kind", trial.loads)):
-        lines += [" ".join([name, one[key], *(f"{k}={brief(v)}" for k, v in one.items() if k != key)]) for one in many]
+        lines += [
+            " ".join([name, one[key], *(f"{k}={brief(v)}" for k, v in one.items() if k != key)])
+            for one in many
+        ]
     if trial.only is not None:
         lines.append("only " + " ".join(map(str, trial.only)))
     for one in trial.troubles:
         words = [brief(one.at * 1000), one.kind, *one.on]
-        words += [f"{key}={brief(value)}" for key, value, usual in (
-            ("seconds", one.seconds, 0.0), ("factor", one.factor, 3.0)) if value != usual]
+        words += [
+            f"{key}={brief(value)}"
+            for key, value, usual in (("seconds", one.seconds, 0.0), ("factor", one.factor, 3.0))
+            if value != usual
+        ]
         lines.append(" ".join(words))
     return "\n".join([*lines, f"> {trial.expected}"]) + "\n"
 
@@ -120,6 +147,7 @@
 @dataclass
 class Outcome:
     """`broken`: the promise and what broke it, "" if all held; `told`: the whole story; `fleet`: as it was left."""
+
     broken: str
     told: str
     fleet: Fleet
@@ -136,5 +164,9 @@
     except Breach as fault:
         return Outcome(f"seam: {fault}", f"seam: {fault}, at {fleet.world.now / 1e6:.6f} s", fleet)
     except Fault as fault:
-        return Outcome("fault: " + str(fault).split("\n")[0].split(": ", 1)[1], f"{fault}, at {fleet.world.now / 1e6:.6f} s", fleet)
+        return Outcome(
+            "fault: " + str(fault).split("\n")[0].split(": ", 1)[1],
+            f"{fault}, at {fleet.world.now / 1e6:.6f} s",
+            fleet,
+        )
     return Outcome("", "", fleet)
--- a/cottonspread/lab/sim/seam.py
+++ b/cottonspread/lab/sim/seam.py
@@ -1,5 +1,6 @@
 """What the reducer and the workers owe each other, checked on every order and every word. The simulated workers and the real ones are
 held against the same lines."""
+
 from cottonspread.net import events as ev
 
 
@@ -9,10 +10,18 @@
 
 class EndState:
     """How one end stands."""
+
     __slots__ = ("connecting", "reading", "writing", "over", "freed", "cut")
 
     def __init__(self, connecting=False):
-        self.connecting, self.reading, self.writing, self.over, self.freed, self.cut = connecting, False, False, False, False, False
+        self.connecting, self.reading, self.writing, self.over, self.freed, self.cut = (
+            connecting,
+            False,
+            False,
+            False,
+            False,
+            False,
+        )
 
 
 class Contract:
@@ -34,22 +43,42 @@
         who = "reducer"
         match effect:
             case ev.Connect(end=end):
-                self.need(end not in self.ends and not end.client, who, "an end connected twice, or a client's", effect)
+                self.need(
+                    end not in self.ends and not end.client,
+                    who,
+                    "an end connected twice, or a client's",
+                    effect,
+                )
                 self.ends[end] = EndState(True)
             case ev.Read(end=end) | ev.Drain(end=end):
                 state = self.known(who, end, effect)
-                self.need(not state.reading and not state.connecting, who, "two reads at a time, or one before it is up", effect)
+                self.need(
+                    not state.reading and not state.connecting,
+                    who,
+                    "two reads at a time, or one before it is up",
+                    effect,
+                )
                 state.reading = True
             case ev.Write(end=end, data=data):
                 state = self.known(who, end, effect)
-                self.need(data and not state.writing and not state.connecting, who, "two writes at a time, or one before it is up", effect)
+                self.need(
+                    data and not state.writing and not state.connecting,
+                    who,
+                    "two writes at a time, or one before it is up",
+                    effect,
+                )
                 self.need(not state.cut, who, "a write after the end", effect)
                 state.writing = True
             case ev.Finish(end=end) | ev.Cut(end=end):
                 self.known(who, end, effect).cut = True
             case ev.Free(end=end):
                 state = self.known(who, end, effect)
-                self.need(not state.reading and not state.writing and not state.connecting, who, "given back in use", effect)
+                self.need(
+                    not state.reading and not state.writing and not state.connecting,
+                    who,
+                    "given back in use",
+                    effect,
+                )
                 state.freed = True
                 del self.ends[end]
             case ev.Ask(host=host):
@@ -65,7 +94,9 @@
         who = "workers"
         match event:
             case ev.Came(end=end):
-                self.need(end not in self.ends and end.client, who, "an end that came twice, or a host's", event)
+                self.need(
+                    end not in self.ends and end.client, who, "an end that came twice, or a host's", event
+                )
                 self.ends[end] = EndState()
             case ev.Connected(end=end, ok=ok):
                 state = self.known(who, end, event)
@@ -88,10 +119,17 @@
                 self.need(self.probes.get(host, 0) > 0, who, "a probe that nobody ordered", event)
                 self.probes[host] -= 1
             case ev.Passed(conn=conn, taken=taken):
-                self.need(self.passing is not None and self.passing[0].conn is conn, who, "passed on without an order", event)
+                self.need(
+                    self.passing is not None and self.passing[0].conn is conn,
+                    who,
+                    "passed on without an order",
+                    event,
+                )
                 for end in self.passing if taken else ():
                     state = self.ends[end]
-                    self.need(state.reading and not state.writing and not state.over, who, "passed on in use", event)
+                    self.need(
+                        state.reading and not state.writing and not state.over, who, "passed on in use", event
+                    )
                     state.reading = False
                 self.passing = None
             case ev.Adopted(client=client, host=host):
@@ -101,4 +139,6 @@
 
     def out(self):
         """Orders that are owed a word."""
-        return sum(s.connecting + s.reading + s.writing for s in self.ends.values()) + sum(self.probes.values())
+        return sum(s.connecting + s.reading + s.writing for s in self.ends.values()) + sum(
+            self.probes.values()
+        )
--- a/cottonspread/lab/sim/troubles.py
+++ b/cottonspread/lab/sim/troubles.py
@@ -1,9 +1,10 @@
 """What is done to a simulated fleet: each kind of trouble, from its moment on, for its time."""
+
 from cottonspread.lab import tuning
 from cottonspread.lab.plan import AT_ONCE, HOST_FAULTS
 from cottonspread.lab.sim.world import SECOND
 
-STOP_WAIT = 3_700_000                  # from SIGTERM to SIGKILL: the longest guard time, 3 s at most, and 0.7 s
+STOP_WAIT = 3_700_000  # from SIGTERM to SIGKILL: the longest guard time, 3 s at most, and 0.7 s
 
 
 def begin(fleet, one):
@@ -31,11 +32,14 @@
 
 # Nodes
 
+
 def on_alive(what):
     """A trouble of a node's process; without one there is none."""
+
     def begun(fleet, node, one, span):
         if node.process is not None:
             what(fleet, node, node.process, one, span)
+
     return begun
 
 
@@ -74,7 +78,7 @@
 
 
 def start_anew(fleet, node):
-    if node.wanted or fleet.over:            # another trouble has brought it back
+    if node.wanted or fleet.over:  # another trouble has brought it back
         return
     if node.processes:
         fleet.world.after(50_000, start_anew, fleet, node)
@@ -136,13 +140,24 @@
     fleet.world.after(span, setattr, process, "late_writes", None)
 
 
-ON_NODES = {name: on_alive(what) for name, what in (
-    ("freeze", freeze), ("kill", kill), ("stop", stop), ("reload", reload), ("retune", retune), ("quiesce", quiesce), ("replace", replace),
-    ("late-writes", late_writes))}
+ON_NODES = {
+    name: on_alive(what)
+    for name, what in (
+        ("freeze", freeze),
+        ("kill", kill),
+        ("stop", stop),
+        ("reload", reload),
+        ("retune", retune),
+        ("quiesce", quiesce),
+        ("replace", replace),
+        ("late-writes", late_writes),
+    )
+}
 
 
 # The ways
 
+
 def partition(fleet, one, span):
     """What is named (hosts, nodes, zones) and the rest do not reach each other; what was sent is held."""
     names, ways = frozenset(one.on), fleet.world.ways
@@ -182,6 +197,7 @@
 
 # The list
 
+
 def agents(fleet, one):
     return [node.agent for node in fleet.nodes if not one.on or node.name in one.on]
 
@@ -229,6 +245,7 @@
 
 # All together
 
+
 def store_slow(fleet, one, span):
     """What all set-ups need takes `factor` tenths of a second more."""
     for host in fleet.hosts.values():
@@ -250,10 +267,27 @@
 
 
 def bad(fleet, one, span):
-    fleet.clients.bad([name for name in one.on if name not in fleet.by_name and name not in fleet.hosts], 10 * one.factor, span)
-
-
-ELSEWHERE = {"partition": partition, "slow-way": slow_way, "stall": stall, "snap": snap, "dead": dead, "list-cut": list_cut,
-             "list-garbage": list_garbage, "list-restart": list_restart, "list-late": list_late, "contradict": contradict,
-             "store-slow": store_slow, "reconnect": reconnect, "slow-readers": slow_readers,
-             "crowding": crowding, "bad": bad}
+    fleet.clients.bad(
+        [name for name in one.on if name not in fleet.by_name and name not in fleet.hosts],
+        10 * one.factor,
+        span,
+    )
+
+
+ELSEWHERE = {
+    "partition": partition,
+    "slow-way": slow_way,
+    "stall": stall,
+    "snap": snap,
+    "dead": dead,
+    "list-cut": list_cut,
+    "list-garbage": list_garbage,
+    "list-restart": list_restart,
+    "list-late": list_late,
+    "contradict": contradict,
+    "store-slow": store_slow,
+    "reconnect": reconnect,
+    "slow-readers": slow_readers,
+    "crowding": crowding,
+    "bad": bad,
+}
--- a/cottonspread/lab/sim/ways.py
+++ b/cottonspread/lab/sim/ways.py
@@ -3,15 +3,17 @@
 Bytes keep their order within a connection, and nothing is ordered between two. What is sent counts as under way until the other side
 takes it, so a side that does not read holds up whoever writes to it. What came before a reset can still be read.
 """
+
 from cottonspread.lab.sim.world import SECOND
 
-WINDOW = 64 * 1024                     # bytes under way and not taken: a writer waits for room beyond
-AGAIN = (0, SECOND, 3 * SECOND, 7 * SECOND)        # when a connection that nobody answers is asked for
+WINDOW = 64 * 1024  # bytes under way and not taken: a writer waits for room beyond
+AGAIN = (0, SECOND, 3 * SECOND, 7 * SECOND)  # when a connection that nobody answers is asked for
 DATA, END, RESET = "data", "end", "reset"
 
 
 class Place:
     """A machine's address. `door`: what takes a new connection's side, None where it is refused, SILENT where nobody answers."""
+
     SILENT = "silent"
 
     def __init__(self, name, zone=""):
@@ -20,14 +22,32 @@
 
 class Side:
     """One side of a connection. Its owner has `arrived(side)`, called whenever there is more to see, and `room(side)`."""
-    __slots__ = ("ways", "place", "other", "owner", "link", "inbox", "came_at", "ended", "broke", "sent_end", "closed",
-                 "last", "under_way", "waits")
+
+    __slots__ = (
+        "ways",
+        "place",
+        "other",
+        "owner",
+        "link",
+        "inbox",
+        "came_at",
+        "ended",
+        "broke",
+        "sent_end",
+        "closed",
+        "last",
+        "under_way",
+        "waits",
+    )
 
     def __init__(self, ways, place, link):
         self.ways, self.place, self.link, self.other, self.owner = ways, place, link, None, None
         self.inbox, self.came_at, self.ended, self.broke = bytearray(), 0, False, False
         self.sent_end = self.closed = self.waits = False
-        self.last, self.under_way = 0, 0       # when what was sent last arrives; bytes that the other side has not taken
+        self.last, self.under_way = (
+            0,
+            0,
+        )  # when what was sent last arrives; bytes that the other side has not taken
 
     def send(self, data):
         """All of it is on its way. BrokenPipeError if the connection has broken."""
@@ -76,7 +96,7 @@
 
     def __init__(self, number, delay):
         self.number, self.delay, self.a, self.b = number, delay, None, None
-        self.dead, self.stalled, self.held = False, 0, []      # a dead one takes everything and brings nothing
+        self.dead, self.stalled, self.held = False, 0, []  # a dead one takes everything and brings nothing
 
 
 class Ways:
@@ -100,18 +120,31 @@
         return (a.name in names or a.zone in names) != (b.name in names or b.zone in names)
 
     def blocked(self, a, b):
-        return bool(self.cuts) and a.name != "client" and b.name != "client" and any(self.parts(names, a, b) for names in self.cuts)
+        return (
+            bool(self.cuts)
+            and a.name != "client"
+            and b.name != "client"
+            and any(self.parts(names, a, b) for names in self.cuts)
+        )
 
     # Connecting
 
     def connect(self, owner, place, target, wait, then):
         """`then(side, why)`: a side, or None and the reason. Nothing is heard of one that nobody answers until `wait` has passed."""
-        attempt = [False]                    # whether it is decided
+        attempt = [False]  # whether it is decided
         jitter = self.draws.below(self.jitter + 1)
         for span in AGAIN:
             if span < wait:
-                self.world.after(span + self.delay(place, target) + jitter + self.extra(place, target), self.asked,
-                                 attempt, owner, place, target, jitter, then)
+                self.world.after(
+                    span + self.delay(place, target) + jitter + self.extra(place, target),
+                    self.asked,
+                    attempt,
+                    owner,
+                    place,
+                    target,
+                    jitter,
+                    then,
+                )
         self.world.after(wait, self.waited, attempt, then)
 
     def asked(self, attempt, owner, place, target, jitter, then):
@@ -140,7 +173,9 @@
 
     def carry(self, side, kind, data=b""):
         link = side.link
-        side.last = max(self.world.now + link.delay + self.extra(side.place, side.other.place), side.last, link.stalled)
+        side.last = max(
+            self.world.now + link.delay + self.extra(side.place, side.other.place), side.last, link.stalled
+        )
         self.world.at(side.last, self.arrive, side, kind, data)
 
     def arrive(self, side, kind, data):
@@ -153,7 +188,7 @@
             return
         if to.closed:
             if kind is DATA:
-                self.carry(to, RESET)        # nobody is there any more
+                self.carry(to, RESET)  # nobody is there any more
             return
         to.came_at = self.world.now
         if kind is DATA:
@@ -186,8 +221,12 @@
 
     def between(self, names):
         """Connections between a node and a host of which one is named."""
-        return [one for one in self.links if one.a.place.name != "client" and (
-            {one.a.place.name, one.a.place.zone, one.b.place.name, one.b.place.zone} & names)]
+        return [
+            one
+            for one in self.links
+            if one.a.place.name != "client"
+            and ({one.a.place.name, one.a.place.zone, one.b.place.name, one.b.place.zone} & names)
+        ]
 
     def stall(self, links, span):
         for link in links:
--- a/cottonspread/lab/sim/world.py
+++ b/cottonspread/lab/sim/world.py
@@ -2,12 +2,13 @@
 
 Whatever is drawn is drawn from a stream of its owner's own, so that a client or fault that is left out changes no other's.
 """
+
 import hashlib
 import heapq
 from zlib import crc32
 
 SECOND = 1_000_000
-EPOCH = 1_700_000_000 * SECOND         # Unix time at the start of every world
+EPOCH = 1_700_000_000 * SECOND  # Unix time at the start of every world
 
 
 class Draws:
@@ -36,7 +37,7 @@
     def some_of(self, choices, share):
         """A share of them, one at least, in their order."""
         ranked = sorted((self.number(), n) for n in range(len(choices)))
-        taken = {n for _, n in ranked[:max(1, round(len(choices) * share))]}
+        taken = {n for _, n in ranked[: max(1, round(len(choices) * share))]}
         return [one for n, one in enumerate(choices) if n in taken]
 
 
--- a/cottonspread/lab/standin.py
+++ b/cottonspread/lab/standin.py
@@ -3,6 +3,7 @@
 They prove the ledger: an audit that has never found anything proves little. Threads and blocking sockets; each client goes to
 the servers in turn. `sabotage` names what is done to every third call or so.
 """
+
 import json
 import os
 import socket
@@ -10,7 +11,20 @@
 import time
 import urllib.request
 
-SABOTAGES = ("none", "lost", "late", "twice", "invented", "after", "again", "rejected", "two", "drained", "cold", "cut")
+SABOTAGES = (
+    "none",
+    "lost",
+    "late",
+    "twice",
+    "invented",
+    "after",
+    "again",
+    "rejected",
+    "two",
+    "drained",
+    "cold",
+    "cut",
+)
 
 
 class Standin:
@@ -40,8 +54,12 @@
                 self.servers[one["instanceId"]] = host, int(port)
 
     def choose(self, number, but=()):
-        fit = sorted(n for n in self.servers if n not in but and (
-            self.state[n] == "Ready" or self.sabotage == "drained" and self.state[n] == "Terminating"))
+        fit = sorted(
+            n
+            for n in self.servers
+            if n not in but
+            and (self.state[n] == "Ready" or self.sabotage == "drained" and self.state[n] == "Terminating")
+        )
         if self.sabotage == "cold" and self.fresh in fit:
             return self.fresh
         if self.sabotage == "drained":
@@ -107,14 +125,17 @@
         except OSError:
             answer = b"ERR\r\n"
         if struck and self.sabotage in ("again", "rejected"):
-            other.close()                      # it has run; its answer is thrown away
+            other.close()  # it has run; its answer is thrown away
             if self.sabotage == "rejected":
                 sock.sendall(b"BUSY\r\n")
                 return
             other, file = self.leg(self.choose(number, but=(name,)), first)
             answer = file.readline()
         with other:
-            sock.sendall(answer + (b"UP 99\r\n" if struck and self.sabotage == "twice" and answer.startswith(b"UP") else b""))
+            sock.sendall(
+                answer
+                + (b"UP 99\r\n" if struck and self.sabotage == "twice" and answer.startswith(b"UP") else b"")
+            )
             if not answer.startswith(b"UP"):
                 return
             if struck and self.sabotage == "cut":
--- a/cottonspread/lab/trace.py
+++ b/cottonspread/lab/trace.py
@@ -1,4 +1,5 @@
 """Recorded connections, in and out: JSON Lines compressed with zstandard. A bad line is named by its number, and nothing is half loaded."""
+
 import io
 import zlib
 
@@ -11,9 +12,10 @@
 
 class Entry(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
     """One connection."""
-    at_us: int                         # after the trace's start
+
+    at_us: int  # after the trace's start
     type: str
-    life_us: int                       # from UP to its end
+    life_us: int  # from UP to its end
     group: str = ""
     tenant: int = 0
 
@@ -54,16 +56,32 @@
     numbers = {name: n for n, name in enumerate(types)}
     for entry in entries:
         if entry.type not in numbers:
-            raise BadTrace(f"traffic type {entry.type} of the trace is none of the load's: {', '.join(types)}")
-    return (np.array([e.at_us for e in entries], np.int64) + round(start * SECOND),
-            np.array([numbers[e.type] for e in entries], np.int16),
-            np.array([zlib.crc32(e.group.encode()) & 0x7FFFFFFF for e in entries], np.int32),
-            np.array([e.tenant for e in entries], np.int16), np.array([e.life_us for e in entries], np.int64))
+            raise BadTrace(
+                f"traffic type {entry.type} of the trace is none of the load's: {', '.join(types)}"
+            )
+    return (
+        np.array([e.at_us for e in entries], np.int64) + round(start * SECOND),
+        np.array([numbers[e.type] for e in entries], np.int16),
+        np.array([zlib.crc32(e.group.encode()) & 0x7FFFFFFF for e in entries], np.int32),
+        np.array([e.tenant for e in entries], np.int16),
+        np.array([e.life_us for e in entries], np.int64),
+    )
 
 
 def of_calls(calls):
     """What a run's clients had, as a trace: first calls that came up, with the time they stood."""
-    return [Entry(at_us=call["intended"], type=call["type"], group=call["group"], tenant=call.get("tenant", 0),
-                  life_us=max(0, call["end"] - call["answers"][0][0]))
-            for call in calls if not call["retry"] and not call["again"] and call["answers"]
-            and call["answers"][0][1] == "UP" and call["end"]]
+    return [
+        Entry(
+            at_us=call["intended"],
+            type=call["type"],
+            group=call["group"],
+            tenant=call.get("tenant", 0),
+            life_us=max(0, call["end"] - call["answers"][0][0]),
+        )
+        for call in calls
+        if not call["retry"]
+        and not call["again"]
+        and call["answers"]
+        and call["answers"][0][1] == "UP"
+        and call["end"]
+    ]
--- a/cottonspread/lab/tuning.py
+++ b/cottonspread/lab/tuning.py
@@ -6,23 +6,59 @@
     x, t = plan.experiment, plan.experiment.hosts.traits
     effects = {"repeatable": "safe", "referenced": "keyed", "once-only": "unsafe"}
     out = {
-        "Balancers": len(plan.nodes), "Me": number, "Zone": number % x.hosts.zones,
-        "Zones": [f"z{n}" for n in range(x.hosts.zones)], "Kinds": ["lab"], "MembershipMode": "push", "Step": 2,
-        "TrafficTypes": [{"Name": k.name, "Effect": effects[k.effect], "KeyScope": k.scope, "KeyTtl": k.remembered_ms,
-                          "SetupTarget": k.target_ms, "GuardTime": k.guard_ms, "Revenue": k.revenue} for k in x.load.types],
-        "FamilyInfo": {"Groups": True, "TellsLoad": t.tells_load, "TellsDelay": True,
-                       "MessageAim": [k.message_ms for k in x.load.types]},
-        "Limits": {"MostLegs": 5, "Cancel": True, "MayDuplicate": False, "RetryAfter": True, "MaxRetryAfter": 2000,
-                   "ConnectTimeout": 250},
-        "Rules": {"ColdFrom": t.cold_share, "RampTime": t.warm_s * 1000, "TipMultiple": t.tip_multiple,
-                  "OverloadFor": t.tip_s * 1000, "DrainGrace": x.nodes.grace_ms}}
+        "Balancers": len(plan.nodes),
+        "Me": number,
+        "Zone": number % x.hosts.zones,
+        "Zones": [f"z{n}" for n in range(x.hosts.zones)],
+        "Kinds": ["lab"],
+        "MembershipMode": "push",
+        "Step": 2,
+        "TrafficTypes": [
+            {
+                "Name": k.name,
+                "Effect": effects[k.effect],
+                "KeyScope": k.scope,
+                "KeyTtl": k.remembered_ms,
+                "SetupTarget": k.target_ms,
+                "GuardTime": k.guard_ms,
+                "Revenue": k.revenue,
+            }
+            for k in x.load.types
+        ],
+        "FamilyInfo": {
+            "Groups": True,
+            "TellsLoad": t.tells_load,
+            "TellsDelay": True,
+            "MessageAim": [k.message_ms for k in x.load.types],
+        },
+        "Limits": {
+            "MostLegs": 5,
+            "Cancel": True,
+            "MayDuplicate": False,
+            "RetryAfter": True,
+            "MaxRetryAfter": 2000,
+            "ConnectTimeout": 250,
+        },
+        "Rules": {
+            "ColdFrom": t.cold_share,
+            "RampTime": t.warm_s * 1000,
+            "TipMultiple": t.tip_multiple,
+            "OverloadFor": t.tip_s * 1000,
+            "DrainGrace": x.nodes.grace_ms,
+        },
+    }
     shape = x.nodes.shapes[number % len(x.nodes.shapes)] if x.nodes.shapes else {}
     return merged(merged(merged(out, x.nodes.settings), shape), plan.variant.settings)
 
 
 def merged(under, over):
-    return {**under, **{k: merged(under[k], v) if isinstance(v, dict) and isinstance(under.get(k), dict) else v
-                        for k, v in over.items()}}
+    return {
+        **under,
+        **{
+            k: merged(under[k], v) if isinstance(v, dict) and isinstance(under.get(k), dict) else v
+            for k, v in over.items()
+        },
+    }
 
 
 def values(plan, number, retuned=0):
@@ -32,7 +68,15 @@
     first = tuned["TrafficTypes"][0]
     tuned["TrafficTypes"] += [first | {"Name": f"later-{n}"} for n in range(retuned)]
     tuned["Limits"]["MostLegs"] += retuned % 2
-    return {"name": node.name, "listen": f"{node.ip}:{node.port}", "discovery": f"{node.ip}:{node.list_port}",
-            "seed": "%x" % (plan.seed * 1000 + number),
-            "limits": {"memory_mb": plan.variant.memory_mb or x.nodes.memory_mb, "sockets": plan.variant.sockets or x.nodes.sockets},
-            "settings": tuned, "load_lines": "loads"}      # what the lab's hosts mean by LOAD
+    return {
+        "name": node.name,
+        "listen": f"{node.ip}:{node.port}",
+        "discovery": f"{node.ip}:{node.list_port}",
+        "seed": "%x" % (plan.seed * 1000 + number),
+        "limits": {
+            "memory_mb": plan.variant.memory_mb or x.nodes.memory_mb,
+            "sockets": plan.variant.sockets or x.nodes.sockets,
+        },
+        "settings": tuned,
+        "load_lines": "loads",
+    }  # what the lab's hosts mean by LOAD
--- a/cottonspread/lab/wire.py
+++ b/cottonspread/lab/wire.py
@@ -3,6 +3,7 @@
 Every line ends with LF or CRLF and holds at most 4,096 bytes. Times in the lab are whole microseconds of one monotonic
 clock, unless a name says otherwise.
 """
+
 import time
 from dataclasses import dataclass
 
@@ -16,6 +17,7 @@
 
 class Lines:
     """Bytes in, whole lines out (without their ends); the same lines wherever the bytes are cut."""
+
     __slots__ = ("rest",)
 
     def __init__(self):
@@ -32,6 +34,7 @@
 @dataclass(frozen=True, slots=True)
 class First:
     """A connection's first line, as a host reads it."""
+
     id: str
     key: str
     type: str
@@ -54,8 +57,15 @@
         pairs[name] = value.decode("ascii")
     if b"c" not in pairs or b"d" not in pairs and b"at" not in pairs:
         raise ValueError("c or d is missing")
-    return First(words[1].decode("ascii"), words[2].decode("ascii"), pairs[b"c"], int(pairs.get(b"d", "0")),
-                 pairs.get(b"g", ""), pairs.get(b"again") == "1", pairs.get(b"at", ""))
+    return First(
+        words[1].decode("ascii"),
+        words[2].decode("ascii"),
+        pairs[b"c"],
+        int(pairs.get(b"d", "0")),
+        pairs.get(b"g", ""),
+        pairs.get(b"again") == "1",
+        pairs.get(b"at", ""),
+    )
 
 
 def opening(call_id, key, traffic_type, wait_ms, group="", again=False, retry=False):
--- a/cottonspread/lists/saved.py
+++ b/cottonspread/lists/saved.py
@@ -1,4 +1,5 @@
 """The last list that a node was told, in a file: what its successor begins with, draining servers marked as such."""
+
 import json
 import logging
 import os
@@ -32,8 +33,14 @@
     def told(self, version, instances, whole):
         # Weights that move came each second, and each word was a write and an fsync. What was saved first, which is
         # nearer to the sizes, stays.
-        if self.weights_move and not whole and all(
-                one | {"weight": 0} == self.known.get(str(one["instanceId"]), {}) | {"weight": 0} for one in instances):
+        if (
+            self.weights_move
+            and not whole
+            and all(
+                one | {"weight": 0} == self.known.get(str(one["instanceId"]), {}) | {"weight": 0}
+                for one in instances
+            )
+        ):
             return
         if whole:
             self.known = {}
@@ -42,10 +49,13 @@
             if one["lifecycle"] == "Gone":
                 del self.known[str(one["instanceId"])]
         try:
-            write_whole(self.path, json.dumps({"generation": version, "reset": True, "instances": list(self.known.values())}))
+            write_whole(
+                self.path,
+                json.dumps({"generation": version, "reset": True, "instances": list(self.known.values())}),
+            )
             self.failing = False
         except OSError as fault:
-            if not self.failing:             # once, not at each list
+            if not self.failing:  # once, not at each list
                 log.error("list-not-saved", extra={"pairs": {"file": self.path, "why": fault}})
             self.failing = True
 
--- a/cottonspread/net/admin.py
+++ b/cottonspread/net/admin.py
@@ -3,6 +3,7 @@
 It never waits for a caller either: all are read and written as they are ready. A caller that says nothing has a time limit, and the
 one that has said nothing for longest makes room for a new one, so that callers who never finish keep nobody out.
 """
+
 import logging
 import selectors
 import socket
@@ -10,10 +11,10 @@
 
 log = logging.getLogger("cottonspread.admin")
 
-MOST = 12                          # callers at a time; with the listener and the selector they are descriptors set aside
+MOST = 12  # callers at a time; with the listener and the selector they are descriptors set aside
 SET_ASIDE = MOST + 3
-LINE_WAIT = 2.0                    # seconds for a whole line, and as long again to take the answer
-LONGEST = 256                      # bytes of a call
+LINE_WAIT = 2.0  # seconds for a whole line, and as long again to take the answer
+LONGEST = 256  # bytes of a call
 BACKLOG = 64
 
 
@@ -28,7 +29,7 @@
         try:
             self.listener = socket.create_server(address, backlog=BACKLOG)
         except OSError as fault:
-            fault.filename = "operator: %s:%d" % address     # which of the node's two addresses it is
+            fault.filename = "operator: %s:%d" % address  # which of the node's two addresses it is
             raise
         self.listener.setblocking(False)
         self.give, self.callers, self.ended = answer, {}, False
@@ -42,7 +43,7 @@
             for key, _ in self.selector.select(max(0.0, first - now)):
                 try:
                     self.welcome() if key.fileobj is self.listener else self.serve(self.callers[key.fileobj])
-                except KeyError:             # made room for another in this round
+                except KeyError:  # made room for another in this round
                     pass
                 except OSError as fault:
                     if key.fileobj is not self.listener:
@@ -62,7 +63,7 @@
         """From another thread."""
         self.ended = True
         try:
-            self.listener.shutdown(socket.SHUT_RDWR)         # wakes `run`
+            self.listener.shutdown(socket.SHUT_RDWR)  # wakes `run`
         except OSError:
             pass
 
@@ -73,7 +74,7 @@
             self.late(next(iter(self.callers.values())))
         self.callers[sock] = Caller(sock)
         self.selector.register(sock, selectors.EVENT_READ)
-        self.serve(self.callers[sock])       # its line mostly came with it
+        self.serve(self.callers[sock])  # its line mostly came with it
 
     def serve(self, caller):
         if caller.answer:
@@ -83,7 +84,7 @@
             data = caller.sock.recv(4096)
         except BlockingIOError:
             return
-        if caller.answer is not None:        # all is said: what still comes is read, or the end would be a reset
+        if caller.answer is not None:  # all is said: what still comes is read, or the end would be a reset
             if not data:
                 self.drop(caller.sock)
             return
@@ -98,7 +99,7 @@
         else:
             try:
                 answer = self.give(line.strip().decode("ascii", "replace"))
-            except Exception:                # our own fault: in plain sight, and the others are answered
+            except Exception:  # our own fault: in plain sight, and the others are answered
                 log.exception("fault", extra={"pairs": {"while": "operators' call"}})
                 answer = b"400 fault, see the log\n"
             self.say(caller, answer)
@@ -109,7 +110,7 @@
 
     def write(self, caller):
         try:
-            caller.answer = caller.answer[caller.sock.send(caller.answer):]
+            caller.answer = caller.answer[caller.sock.send(caller.answer) :]
         except BlockingIOError:
             pass
         if caller.answer:
--- a/cottonspread/net/closing.py
+++ b/cottonspread/net/closing.py
@@ -3,21 +3,22 @@
 A close over bytes that nobody read is a reset, and a reset takes the last line with it. A client's first line may come just after it was
 turned away, so each is read to its end, for a moment at most, before its descriptor is given back.
 """
+
 import queue
 import select
 import socket
 import time
 from collections import OrderedDict
 
-WAIT = 1.0                         # seconds that the other side gets to end
-LOOK = 0.05                        # seconds between two looks into the queue while there is anything to read
-ONCE = 64 * 1024                   # bytes taken from one socket at a look: who sends at full speed keeps nobody waiting
+WAIT = 1.0  # seconds that the other side gets to end
+LOOK = 0.05  # seconds between two looks into the queue while there is anything to read
+ONCE = 64 * 1024  # bytes taken from one socket at a look: who sends at full speed keeps nobody waiting
 
 
 class Closer:
     def __init__(self, most):
         """`most()`: how many may wait here now; beyond it the one that has waited longest is closed at once."""
-        self.most, self.coming, self.held = most, queue.SimpleQueue(), OrderedDict()       # socket: until when
+        self.most, self.coming, self.held = most, queue.SimpleQueue(), OrderedDict()  # socket: until when
 
     def take(self, sock):
         """From any thread: its last line is out, and it is this one's now."""
@@ -76,5 +77,5 @@
 
     def close(self, sock):
         del self.held[sock]
-        self.ended(sock)                     # what came at the last moment
+        self.ended(sock)  # what came at the last moment
         sock.close()
--- a/cottonspread/net/discovery.py
+++ b/cottonspread/net/discovery.py
@@ -1,4 +1,5 @@
 """Discovery: the list of servers and the watch on it, in a thread of its own."""
+
 import json
 import logging
 import threading
@@ -20,7 +21,7 @@
 def read_entry(one, names, state):
     host, _, port = str(one.get("hostPort")).rpartition(":")
     address = None
-    if state is not io.State.GONE:           # what is gone needs no address
+    if state is not io.State.GONE:  # what is gone needs no address
         if not host or not 0 < int(port) < 65536:
             raise ValueError(f"hostPort: {one.get('hostPort')!r}")
         address = host, int(port)
@@ -28,8 +29,15 @@
     if not 0 <= weight < 1e15:
         raise ValueError(f"weight: {weight}")
     # A server in a zone that the settings don't name is far from every node.
-    return io.Entry(str(one["instanceId"]), names.zones.get(one.get("zone"), -1), names.kinds.get(one.get("machineType"), -1), weight,
-                    int(one.get("cell", 0)), round(float(one.get("startedAtMs", 0)) * 1000), state), address
+    return io.Entry(
+        str(one["instanceId"]),
+        names.zones.get(one.get("zone"), -1),
+        names.kinds.get(one.get("machineType"), -1),
+        weight,
+        int(one.get("cell", 0)),
+        round(float(one.get("startedAtMs", 0)) * 1000),
+        state,
+    ), address
 
 
 FAULTS = KeyError, TypeError, ValueError, AttributeError, OverflowError
@@ -54,7 +62,7 @@
             name, state = str(one["instanceId"]), STATES.get(one.get("lifecycle"))
             if state is None:
                 raise ValueError(f"lifecycle: {one.get('lifecycle')!r}")
-            if name in entries:              # the later word holds
+            if name in entries:  # the later word holds
                 unread[name + " again"] = "listed twice"
             entry, address = read_entry(one, names, state)
         except FAULTS as fault:
@@ -77,13 +85,14 @@
     that went silent just before runs out (WATCH_MS + SPARE, 3 s), the pause after it (1 s at most, where the list is asked for as long
     as the module says, 1.5 s at most), a connection that is not answered at first (CONNECT, 0.5 s), the answer: 5 s, and 1 s is left
     for a node that is late itself."""
-    WATCH_MS = 2000                # a watch that hangs is given up this and the spare after it was begun
+
+    WATCH_MS = 2000  # a watch that hangs is given up this and the spare after it was begun
     SPARE = 1.0
-    WHOLE = 2.0                    # seconds for the whole list
-    FIRST = 1.0                    # the same at the start, where a known list waits for it
+    WHOLE = 2.0  # seconds for the whole list
+    FIRST = 1.0  # the same at the start, where a known list waits for it
     CONNECT = 0.5
     PAUSE, LONGEST_PAUSE = 0.05, 1.0
-    LOWER = 3                      # whole lists in a row with a lower version: discovery itself began anew
+    LOWER = 3  # whole lists in a row with a lower version: discovery itself began anew
 
     def __init__(self, address, names, post, version, ask=False, keep=None, known=False):
         self.http, self.names, self.post = Http(address, self.CONNECT), names, post
@@ -91,10 +100,10 @@
         # and in a release most of a fleet asked for both, of a discovery that had room for neither.
         self.version, self.whole, self.lower, self.failures = version, not known, 0, 0
         self.ask, self.wanted, self.stopped, self.waiting = ask, threading.Event(), False, None
-        self.hurry = threading.Event()       # the pause that is on, or the next, is cut short
-        self.told, self.unread = {}, {}      # the last word on each server; entries that could not be read
-        self.keep = keep                     # is given each list as JSON, once it has been posted
-        self.target = self.http              # what is to be followed from now on
+        self.hurry = threading.Event()  # the pause that is on, or the next, is cut short
+        self.told, self.unread = {}, {}  # the last word on each server; entries that could not be read
+        self.keep = keep  # is given each list as JSON, once it has been posted
+        self.target = self.http  # what is to be followed from now on
 
     def follow(self, address):
         """From another thread: what the new address tells counts at once, so no watch at the old one is waited for."""
@@ -147,13 +156,13 @@
                 return 0
             self.failures += 1
             self.trust()
-            if not isinstance(fault, (OSError, ValueError)):           # our own: in plain sight, and the list lives on
+            if not isinstance(fault, (OSError, ValueError)):  # our own: in plain sight, and the list lives on
                 log.exception("fault")
             # What cannot be read would come again: the whole list mends it.
             self.whole |= isinstance(fault, BadList)
             if self.failures in (1, 10, 100):
                 log.warning("discovery-fails", extra={"pairs": {"why": fault, "times": self.failures}})
-            if self.ask:                     # the module is told and asks again in its own time
+            if self.ask:  # the module is told and asks again in its own time
                 self.wanted.clear()
             self.post(events.ListFailed(round((time.monotonic() - began) * 1_000_000)))
             return min(self.PAUSE * 2 ** min(self.failures, 10), self.LONGEST_PAUSE)
@@ -162,7 +171,10 @@
         """What the next call asks for, and how many seconds it may take."""
         if self.whole:
             return "/api/targets", self.FIRST if self.waiting else self.WHOLE
-        return f"/api/targets?since={self.version}&timeout_ms={self.WATCH_MS}", self.WATCH_MS / 1000 + self.SPARE
+        return (
+            f"/api/targets?since={self.version}&timeout_ms={self.WATCH_MS}",
+            self.WATCH_MS / 1000 + self.SPARE,
+        )
 
     def once(self):
         body = self.http.get(*self.call())
@@ -178,14 +190,22 @@
             if self.lower < self.LOWER:
                 raise BadList(f"version {version} after {self.version}")
         elif version == self.version and not self.whole:
-            return                           # nothing new
+            return  # nothing new
         elif self.whole and not full:
             raise BadList("changes where the whole list was asked")
         self.version, self.whole, self.lower, self.waiting = version, False, 0, None
         self.take(listed, addresses, unread)
         self.post(events.Heard(listed, addresses))
         if self.keep:
-            self.keep(version, [one for one in said["instances"] if isinstance(one, dict) and str(one.get("instanceId")) not in unread], full)
+            self.keep(
+                version,
+                [
+                    one
+                    for one in said["instances"]
+                    if isinstance(one, dict) and str(one.get("instanceId")) not in unread
+                ],
+                full,
+            )
 
     def take(self, listed, addresses, unread):
         """What could not be read is said once, not at each list: the same entry comes again with every whole one."""
@@ -196,7 +216,9 @@
                 del self.told[entry.host]
         if unread and unread != self.unread:
             name, why = next(iter(unread.items()))
-            log.warning("list-entry", extra={"pairs": {"entries": len(unread), "first": name[:64], "why": why[:200]}})
+            log.warning(
+                "list-entry", extra={"pairs": {"entries": len(unread), "first": name[:64], "why": why[:200]}}
+            )
         self.unread = unread
 
     def stop(self):
--- a/cottonspread/net/events.py
+++ b/cottonspread/net/events.py
@@ -1,4 +1,5 @@
 """What the workers tell the reducer (events) and what it asks of them (effects). Types only."""
+
 from dataclasses import dataclass
 
 from cottonspread import interface as io
@@ -7,24 +8,27 @@
 @dataclass(eq=False, slots=True)
 class End:
     """One end of a connection, a client's or a host's, as the reducer knows it."""
+
     client: bool
-    conn: object = None            # the connection it belongs to
-    leg: object = None             # of a host's end: its leg
-    worker: object = None          # the workers' own, not the reducer's
-    connected: bool = False        # of a host's end: it came up
-    reading: bool = False          # an order to read is out
-    writing: int = 0               # when the order to write that is out was given; 0: none is
-    closing: int = 0               # when it was closed from here; 0: it is not
-    finish: bool = False           # to be closed once what is being written is out
-    over: bool = False             # nothing more comes from it
+    conn: object = None  # the connection it belongs to
+    leg: object = None  # of a host's end: its leg
+    worker: object = None  # the workers' own, not the reducer's
+    connected: bool = False  # of a host's end: it came up
+    reading: bool = False  # an order to read is out
+    writing: int = 0  # when the order to write that is out was given; 0: none is
+    closing: int = 0  # when it was closed from here; 0: it is not
+    finish: bool = False  # to be closed once what is being written is out
+    over: bool = False  # nothing more comes from it
     freed: bool = False
 
 
 # Events
 
+
 @dataclass(frozen=True, slots=True)
 class Came:
     """A client has connected."""
+
     end: End
 
 
@@ -38,23 +42,25 @@
 @dataclass(frozen=True, slots=True)
 class Got:
     """Whole lines, as they came."""
+
     end: End
     data: bytes
-    more: bool = False             # part of a further line is there already
-    at: int = 0                    # when the kernel had it; 0: not known
+    more: bool = False  # part of a further line is there already
+    at: int = 0  # when the kernel had it; 0: not known
 
 
 @dataclass(frozen=True, slots=True)
 class Written:
     end: End
     ok: bool
-    at: int = 0                    # when the kernel took it; 0: not known
-    why: str = ""                  # an attempt of which nothing was sent: "client-gone" or "too-late"
+    at: int = 0  # when the kernel took it; 0: not known
+    why: str = ""  # an attempt of which nothing was sent: "client-gone" or "too-late"
 
 
 @dataclass(frozen=True, slots=True)
 class Over:
     """Nothing more comes: the other side ended ("end"), broke ("reset") or sent what is no line."""
+
     end: End
     how: str
 
@@ -62,6 +68,7 @@
 @dataclass(frozen=True, slots=True)
 class Heard:
     """Discovery has spoken."""
+
     listed: io.Listed
     addresses: dict
 
@@ -69,6 +76,7 @@
 @dataclass(frozen=True, slots=True)
 class Asked:
     """A probe is over. `report`: the host's load report, by name."""
+
     host: object
     ending: io.Ending
     report: dict
@@ -77,13 +85,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ListFailed:
-    took: int = 0                  # microseconds that the call was out
+    took: int = 0  # microseconds that the call was out
 
 
 @dataclass(frozen=True, slots=True)
 class StopAsked:
     """SIGTERM. `handed`: a successor takes what comes from now on; what was taken before is answered as ever. `heir`: it takes
     standing connections too."""
+
     handed: bool = False
     heir: bool = False
 
@@ -91,6 +100,7 @@
 @dataclass(frozen=True, slots=True)
 class Passed:
     """What became of a `Pass`: the successor has the connection, or not; then it is read here as before. `again`: it was just being read."""
+
     conn: object
     taken: bool
     again: bool = False
@@ -99,6 +109,7 @@
 @dataclass(frozen=True, slots=True)
 class Adopted:
     """A standing connection from the process before this one, which has let go of it once `give` is called with True."""
+
     client: End
     host: End
     standing: object
@@ -108,12 +119,14 @@
 @dataclass(frozen=True, slots=True)
 class DrainAsked:
     """By the operators: the node is to be drained, or (`on` is false) to serve again."""
+
     on: bool
 
 
 @dataclass(frozen=True, slots=True)
 class Retuned:
     """SIGHUP with a file that is in order."""
+
     begin: io.Begin
     names: object
     hearing: object
@@ -127,13 +140,15 @@
 @dataclass(frozen=True, slots=True)
 class Inherited:
     """From the process that this one replaces."""
+
     handed: object
 
 
 @dataclass(frozen=True, slots=True)
 class HandOverAsked:
     """By a successor of this process, which may hold `room` connections while both are there."""
-    give: object                     # called with what is handed over
+
+    give: object  # called with what is handed over
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,6 +158,7 @@
 
 # Effects
 
+
 @dataclass(frozen=True, slots=True)
 class Connect:
     end: End
@@ -153,6 +169,7 @@
 @dataclass(frozen=True, slots=True)
 class Ask:
     """Probe a host on a connection of its own; `Asked` comes within `wait` microseconds or little more."""
+
     host: object
     address: tuple
     wait: int
@@ -167,25 +184,28 @@
 class Write:
     end: End
     data: bytes
-    attempt: bool = False          # the first line of an attempt: it goes out only while its client is there
-    by: int = 0                    # and not later than this; 0: whenever
+    attempt: bool = False  # the first line of an attempt: it goes out only while its client is there
+    by: int = 0  # and not later than this; 0: whenever
 
 
 @dataclass(frozen=True, slots=True)
 class Drain:
     """Read to the other side's end and drop what comes: `Over` follows. For an end that was closed from here."""
+
     end: End
 
 
 @dataclass(frozen=True, slots=True)
 class Finish:
     """End the sending; the other side is read until it ends too."""
+
     end: End
 
 
 @dataclass(frozen=True, slots=True)
 class Cut:
     """End both directions now; `broken` as a reset."""
+
     end: End
     broken: bool = False
 
@@ -199,12 +219,14 @@
 @dataclass(frozen=True, slots=True)
 class Free:
     """Give the socket back: nothing is out on this end any more."""
+
     end: End
 
 
 @dataclass(frozen=True, slots=True)
 class Pass:
     """Pass a connection on which nothing is under way to the successor; `Passed` comes."""
+
     conn: object
     client: End
     host: End
@@ -219,6 +241,7 @@
 @dataclass(frozen=True, slots=True)
 class Say:
     """A log line."""
+
     event: str
     pairs: dict
     level: str = "info"
--- a/cottonspread/net/http.py
+++ b/cottonspread/net/http.py
@@ -1,4 +1,5 @@
 """A small HTTP/1.1 client for one address: GET only, answers bounded in size and time."""
+
 import socket
 import time
 
@@ -26,7 +27,7 @@
         if sock is not None:
             try:
                 sock.shutdown(socket.SHUT_RDWR)
-            except OSError:                  # ended already
+            except OSError:  # ended already
                 pass
 
     def close(self):
@@ -57,7 +58,7 @@
         if self.sock is None:
             self.sock = socket.create_connection(self.address, timeout=min(wait, self.connect_wait))
             self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if self.given_up:                    # just while it was connecting
+        if self.given_up:  # just while it was connecting
             raise ConnectionAbortedError("given up")
         host = "%s:%d" % self.address
         self.sock.sendall(f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode())
@@ -85,7 +86,7 @@
         while (end := self.rest.find(b"\n")) < 0:
             if len(self.rest) > most or not self.more():
                 raise BadAnswer("cut off or too long in its head")
-        line, self.rest = self.rest[:end].rstrip(b"\r"), self.rest[end + 1:]
+        line, self.rest = self.rest[:end].rstrip(b"\r"), self.rest[end + 1 :]
         return line
 
     def head(self):
@@ -119,7 +120,7 @@
             if not headers["content-length"].isdigit():
                 raise BadAnswer("length cannot be read")
             return self.exactly(int(headers["content-length"])), keep
-        while self.more():                   # up to the end of the connection
+        while self.more():  # up to the end of the connection
             if len(self.rest) > MOST_BODY:
                 raise BadAnswer("body too large")
         return self.rest, False
--- a/cottonspread/net/lines.py
+++ b/cottonspread/net/lines.py
@@ -1,4 +1,5 @@
 """The protocol's lines: gathered from a socket, parsed, written. Its own words stay in this file."""
+
 import contextlib
 import re
 import socket
@@ -17,7 +18,7 @@
 
 
 SO_TIMESTAMPNS, STAMP, STAMP_ROOM = 35, struct.Struct("qq"), 64
-OLDEST = 20_000_000                # microseconds; what seems to have lain longer was stamped before the clock was set
+OLDEST = 20_000_000  # microseconds; what seems to have lain longer was stamped before the clock was set
 
 
 class BadLine(ValueError):
@@ -55,9 +56,11 @@
                     if not self.peek():
                         return b""
                     self.buffer, self.since = self.pool.take(), time.monotonic()
-                got, stamps, _, _ = self.sock.recvmsg_into([memoryview(self.buffer)[self.filled:]], STAMP_ROOM)
+                got, stamps, _, _ = self.sock.recvmsg_into(
+                    [memoryview(self.buffer)[self.filled :]], STAMP_ROOM
+                )
                 self.age = age(stamps)
-            except BlockingIOError:                             # the socket's own time-out has passed
+            except BlockingIOError:  # the socket's own time-out has passed
                 if self.buffer is None or time.monotonic() - self.since < self.wait:
                     continue
                 raise BadLine("half-line") from None
@@ -69,7 +72,7 @@
                 whole = bytes(memoryview(self.buffer)[:end])
                 self.filled -= end
                 if self.filled:
-                    self.buffer[:self.filled] = self.buffer[end:end + self.filled]
+                    self.buffer[: self.filled] = self.buffer[end : end + self.filled]
                     self.since = time.monotonic()
                 else:
                     self.drop()
@@ -116,10 +119,11 @@
 @dataclass(frozen=True)
 class Opening:
     """A client's first line."""
-    line: bytes                    # as it came
+
+    line: bytes  # as it came
     id: str
     type: int
-    wait: int                      # how long the client waits for an answer; 0: not told
+    wait: int  # how long the client waits for an answer; 0: not told
     key: str = None
     group: str = None
     tenant: int = 0
@@ -151,8 +155,18 @@
         raise BadLine("garbled")
     wait = int(wait) * 1000
     who = pairs.get("g")
-    return Opening(line, words[1], types[pairs["c"]], wait, words[2], who if grouped else None,
-                   tenants.get(pairs.get("t"), 0), load, pairs.get("again") == "1", pairs.get("at"))
+    return Opening(
+        line,
+        words[1],
+        types[pairs["c"]],
+        wait,
+        words[2],
+        who if grouped else None,
+        tenants.get(pairs.get("t"), 0),
+        load,
+        pairs.get("again") == "1",
+        pairs.get("at"),
+    )
 
 
 def type_named(line):
@@ -175,7 +189,7 @@
     turned the call away, or ended it, and goes on speaking has said nothing that can be relied on."""
     words = line.split()
     if not words or words[0] == b"UP":
-        return None if len(words) > 1 else Ending.ERROR      # a receipt belongs to it
+        return None if len(words) > 1 else Ending.ERROR  # a receipt belongs to it
     return Ending.ERROR if rest else ENDINGS.get(words[0], Ending.ERROR)
 
 
@@ -184,7 +198,8 @@
     `PONG` nor `ERR` (too many probes, or none allowed) tells nothing: FULL. Values that are no number are left out."""
     word, _, rest = line.strip().partition(b" ")
     return {b"PONG": Ending.OK, b"ERR": Ending.ERROR}.get(word, Ending.FULL), (
-        values(rest.decode("latin-1")) if word == b"PONG" else {})
+        values(rest.decode("latin-1")) if word == b"PONG" else {}
+    )
 
 
 def read_load(line):
--- a/cottonspread/net/logfmt.py
+++ b/cottonspread/net/logfmt.py
@@ -1,11 +1,12 @@
 """Log lines as key=value pairs, or as JSON lines with the same keys."""
+
 import json
 import logging
 import logging.handlers
 import queue
 import time
 
-QUEUE = 4096                       # lines
+QUEUE = 4096  # lines
 
 
 def pair(key, value):
@@ -22,8 +23,13 @@
 
     def pairs(self, record):
         at = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created)) + f".{int(record.msecs):03d}Z"
-        pairs = {"time": at, "level": record.levelname.lower(), **self.own,
-                 "event": record.getMessage(), **getattr(record, "pairs", {})}
+        pairs = {
+            "time": at,
+            "level": record.levelname.lower(),
+            **self.own,
+            "event": record.getMessage(),
+            **getattr(record, "pairs", {}),
+        }
         if record.exc_info:
             pairs["trace"] = self.formatException(record.exc_info)
         return pairs
@@ -57,7 +63,9 @@
     """Logs to standard error; returns what writes out the rest at the end. `own`: pairs of every line."""
     handler = logging.StreamHandler()
     handler.setFormatter(FORMATS[format](node, **own))
-    logging.raiseExceptions = False          # a full disk costs lines, and no tracebacks where there is no room either
+    logging.raiseExceptions = (
+        False  # a full disk costs lines, and no tracebacks where there is no room either
+    )
     records = queue.Queue(QUEUE)
     root = logging.getLogger("cottonspread")
     root.handlers, root.propagate = [Queued(records)], False
