--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,4 +1,5 @@
 """The parsers, the configuration, and a whole node on loopback with stand-ins for servers and discovery."""
+
 import importlib.util
 import io as stdio
 import json
@@ -27,7 +28,7 @@
 EXAMPLES = Path(__file__).parent.parent / "examples"
 NODE = (EXAMPLES / "node.json").read_text()
 WAIT = 10
-USUAL = 40_000                     # the mean load told
+USUAL = 40_000  # the mean load told
 
 
 def pair():
@@ -36,6 +37,7 @@
 
 # Lines
 
+
 def test_lines_come_whole_and_idle_connections_hold_no_buffer():
     ours, theirs = pair()
     pool = Pool()
@@ -77,12 +79,21 @@
 
 # Notes
 
+
 def test_words_on_messages_are_told_from_loads():
     """A jammed host's words taken for loads made its connections weigh nothing, and no jam was seen."""
     notes, heard = Notes(slow_from=17_000), Heard()
     told = []
-    for at, value in ((0, 41_000), (731, 18.5), (1_731, 294.8), (2_300, 402_491), (2_732, 349.7), (3_732, 9.9),
-                      (4_732, 11_000), (9_731, 20.1)):
+    for at, value in (
+        (0, 41_000),
+        (731, 18.5),
+        (1_731, 294.8),
+        (2_300, 402_491),
+        (2_732, 349.7),
+        (3_732, 9.9),
+        (4_732, 11_000),
+        (9_731, 20.1),
+    ):
         delay = notes.delay(at * 1000, heard, value, 0, USUAL)
         told.append(delay)
         if delay is None:
@@ -137,14 +148,19 @@
 def test_the_first_line_of_a_connection_may_be_a_word():
     """Its load is told only when it works; taken for a load, the word of a jammed host was lost."""
     notes, fresh = Notes(slow_from=17_000), Heard()
-    assert notes.delay(7_380_000, fresh, 2784.4, 0, USUAL) == 0        # small for a load: not told as one yet
+    assert notes.delay(7_380_000, fresh, 2784.4, 0, USUAL) == 0  # small for a load: not told as one yet
     assert notes.delay(8_380_500, fresh, 2114.3, 0, USUAL) == 2_114_300 and not notes.mistaken
     assert notes.delay(8_400_000, Heard(), 52_000, 0, USUAL) is None
 
 
 def test_three_words_on_one_beat_are_known_by_that_and_the_load_is_set_right():
     notes, light = Notes(slow_from=17_000), Heard(load=700)
-    for at, value, delay in ((1_000, 2245.1, None), (1_400, 820, None), (2_001, 2463.7, None), (3_001, 2725.4, 2_725_400)):
+    for at, value, delay in (
+        (1_000, 2245.1, None),
+        (1_400, 820, None),
+        (2_001, 2463.7, None),
+        (3_001, 2725.4, 2_725_400),
+    ):
         assert notes.delay(at * 1000, light, value, 0, USUAL) == delay
         light.load = value
     assert notes.mistaken == [(light, 820), (light, 700)]
@@ -155,10 +171,18 @@
 
 # Probes
 
-@pytest.mark.parametrize("line, told", [
-    (b"PONG x0:0.41,x1:0.02\r\n", (io.Ending.OK, {"x0": 0.41, "x1": 0.02})), (b"PONG\r\n", (io.Ending.OK, {})),
-    (b"PONG x0:nan,x1:much,:1\r\n", (io.Ending.OK, {"": 1.0})), (b"ERR\r\n", (io.Ending.ERROR, {})),
-    (b"NO\r\n", (io.Ending.FULL, {})), (b"", (io.Ending.FULL, {}))])
+
+@pytest.mark.parametrize(
+    "line, told",
+    [
+        (b"PONG x0:0.41,x1:0.02\r\n", (io.Ending.OK, {"x0": 0.41, "x1": 0.02})),
+        (b"PONG\r\n", (io.Ending.OK, {})),
+        (b"PONG x0:nan,x1:much,:1\r\n", (io.Ending.OK, {"": 1.0})),
+        (b"ERR\r\n", (io.Ending.ERROR, {})),
+        (b"NO\r\n", (io.Ending.FULL, {})),
+        (b"", (io.Ending.FULL, {})),
+    ],
+)
 def test_a_load_report_is_read_and_what_is_no_number_left_out(line, told):
     assert lines.read_report(line) == told
 
@@ -173,7 +197,11 @@
     """Calls wait for it: one that never ended would hold them until their guard time."""
     answers = Answers(b"PONG x0:0.5\r\n", b"ERR\r\n", b"", b"x" * 5000)
     assert [(e.ending, e.report) for e in (probe(answers.address) for _ in range(4))] == [
-        (io.Ending.OK, {"x0": 0.5}), (io.Ending.ERROR, {}), (io.Ending.CONNECT_FAILED, {}), (io.Ending.FULL, {})]
+        (io.Ending.OK, {"x0": 0.5}),
+        (io.Ending.ERROR, {}),
+        (io.Ending.CONNECT_FAILED, {}),
+        (io.Ending.FULL, {}),
+    ]
     silent = socket.create_server(("127.0.0.1", 0))
     assert probe(silent.getsockname(), 0.05).ending is io.Ending.TIMEOUT
     silent.close()
@@ -195,6 +223,7 @@
 
 # HTTP and discovery
 
+
 class Answers:
     """One listening socket that gives each connection the next of `answers`."""
 
@@ -226,9 +255,17 @@
         assert Http(Answers(answer).address, 1).get("/", WAIT) == b"abcde"
 
 
-@pytest.mark.parametrize("answer", [b"", b"garbage\r\n\r\n", ok(b"abc")[:-1], b"HTTP/1.1 500 No\r\n\r\n",
-                                    b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
-                                    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"",
+        b"garbage\r\n\r\n",
+        ok(b"abc")[:-1],
+        b"HTTP/1.1 500 No\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    ],
+)
 def test_no_answer_is_made_of_a_bad_one(answer):
     with pytest.raises((BadAnswer, OSError)):
         Http(Answers(answer).address, 1).get("/", WAIT)
@@ -241,46 +278,98 @@
 
 
 def listing(version, reset=True, state="Ready"):
-    return ok(json.dumps({"generation": version, "reset": reset, "instances": [
-        {"instanceId": "s-1", "hostPort": "10.1.0.18:8080", "zone": "here", "machineType": "m9",
-         "lifecycle": state, "startedAtMs": 7}]}).encode(), b"Connection: close\r\n")
+    return ok(
+        json.dumps(
+            {
+                "generation": version,
+                "reset": reset,
+                "instances": [
+                    {
+                        "instanceId": "s-1",
+                        "hostPort": "10.1.0.18:8080",
+                        "zone": "here",
+                        "machineType": "m9",
+                        "lifecycle": state,
+                        "startedAtMs": 7,
+                    }
+                ],
+            }
+        ).encode(),
+        b"Connection: close\r\n",
+    )
 
 
 def instance(name, **other):
-    return {"instanceId": name, "hostPort": "10.1.0.18:8080", "zone": "here", "machineType": "m9", "lifecycle": "Ready", "startedAtMs": 7} | other
-
-
-@pytest.mark.parametrize("bad", ({"weight": "heavy"}, {"weight": float("nan")}, {"weight": -1}, {"hostPort": "10.1.0.18"}, {"hostPort": None},
-                                 {"hostPort": "a:99999"}, {"lifecycle": "Sleepy"}, {"cell": "x"}, {"startedAtMs": []}, {"zone": ["a"]}))
+    return {
+        "instanceId": name,
+        "hostPort": "10.1.0.18:8080",
+        "zone": "here",
+        "machineType": "m9",
+        "lifecycle": "Ready",
+        "startedAtMs": 7,
+    } | other
+
+
+@pytest.mark.parametrize(
+    "bad",
+    (
+        {"weight": "heavy"},
+        {"weight": float("nan")},
+        {"weight": -1},
+        {"hostPort": "10.1.0.18"},
+        {"hostPort": None},
+        {"hostPort": "a:99999"},
+        {"lifecycle": "Sleepy"},
+        {"cell": "x"},
+        {"startedAtMs": []},
+        {"zone": ["a"]},
+    ),
+)
 def test_an_entry_that_cannot_be_read_costs_its_own_news_alone(bad):
     """One such entry among sixty, and the whole list was turned down, for good."""
     names = config.Names({}, {"here": 0}, {}, {})
 
     def read(*instances, before={}):
-        version, listed, addresses, unread = discovery.read_list({"generation": 3, "reset": True, "instances": list(instances)}, names, before=before)
+        version, listed, addresses, unread = discovery.read_list(
+            {"generation": 3, "reset": True, "instances": list(instances)}, names, before=before
+        )
         return {entry.host: entry for entry in listed.entries}, addresses, unread
 
     first, addresses, unread = read(instance("a"), instance("b", weight=2))
     assert not unread and first["b"].weight == 2
     before = {name: (entry, addresses[name]) for name, entry in first.items()}
-    now, addresses, unread = read(instance("a", startedAtMs=9), instance("b", **bad), instance("c", **bad), before=before)
-    assert now["a"].started == 9000 and now["b"] == first["b"] and "c" not in now     # never told before: not there yet
+    now, addresses, unread = read(
+        instance("a", startedAtMs=9), instance("b", **bad), instance("c", **bad), before=before
+    )
+    assert (
+        now["a"].started == 9000 and now["b"] == first["b"] and "c" not in now
+    )  # never told before: not there yet
     assert unread.keys() == {"b", "c"} and addresses.keys() == {"a", "b"}
-    if "lifecycle" not in bad:               # that nothing may go there any more is heard all the same
+    if "lifecycle" not in bad:  # that nothing may go there any more is heard all the same
         for word, state in (("Terminating", io.State.DRAINING), ("Gone", io.State.GONE)):
-            now, addresses, unread = read(instance("a"), instance("b", **bad | {"lifecycle": word}), before=before)
+            now, addresses, unread = read(
+                instance("a"), instance("b", **bad | {"lifecycle": word}), before=before
+            )
             assert now["b"].state is state and ("b" in addresses) is (state is io.State.DRAINING)
 
 
 def test_a_list_with_a_doubled_id_takes_the_later_word_and_one_without_servers_is_a_list():
     names = config.Names({}, {"here": 0}, {}, {})
-    said = {"generation": 3, "reset": True, "instances": [instance("a"), instance("a", lifecycle="Terminating"), instance("b"), 7, {"weight": 1}]}
+    said = {
+        "generation": 3,
+        "reset": True,
+        "instances": [instance("a"), instance("a", lifecycle="Terminating"), instance("b"), 7, {"weight": 1}],
+    }
     version, listed, addresses, unread = discovery.read_list(said, names)
     assert [(e.host, e.state) for e in listed.entries] == [("a", io.State.DRAINING), ("b", io.State.UP)]
     assert unread.keys() == {"a again", "None"} and addresses["a"] == addresses["b"] == ("10.1.0.18", 8080)
-    long = "b" * 100                         # named whole, or what is kept on disk would not know it
+    long = "b" * 100  # named whole, or what is kept on disk would not know it
     assert discovery.read_list(said | {"instances": [instance(long, weight="x")]}, names)[3].keys() == {long}
-    assert discovery.read_list(said | {"instances": []}, names)[1:] == (io.Listed(io.News.FULL, 3, ()), {}, {})
+    assert discovery.read_list(said | {"instances": []}, names)[1:] == (
+        io.Listed(io.News.FULL, 3, ()),
+        {},
+        {},
+    )
     for broken in ({"instances": None}, {"generation": "x"}, {"reset": None} | {"generation": []}):
         with pytest.raises(discovery.BadList):
             discovery.read_list(said | broken, names)
@@ -288,20 +377,28 @@
 
 def test_the_last_good_list_outlives_garbage_and_older_versions(monkeypatch):
     names, heard, failed = config.Names({}, {"here": 0}, {}, {}), queue.Queue(), []
-    answers = Answers(listing(41), listing(43, False, "Terminating"),
-                      ok(b"[" * 100_000, b"Connection: close\r\n"),
-                      listing(43, False, "Gone"), listing(42), listing(42, False), listing(44),
-                      listing(45, False, "Gone").replace(b"hostPort", b"hostPart"))
-    one = discovery.Discovery(answers.address, names,
-                              lambda e: heard.put(e) if isinstance(e, ev.Heard) else failed.append(e), 0)
+    answers = Answers(
+        listing(41),
+        listing(43, False, "Terminating"),
+        ok(b"[" * 100_000, b"Connection: close\r\n"),
+        listing(43, False, "Gone"),
+        listing(42),
+        listing(42, False),
+        listing(44),
+        listing(45, False, "Gone").replace(b"hostPort", b"hostPart"),
+    )
+    one = discovery.Discovery(
+        answers.address, names, lambda e: heard.put(e) if isinstance(e, ev.Heard) else failed.append(e), 0
+    )
     monkeypatch.setattr(discovery.time, "sleep", lambda _: None)
     one.wanted.set()
-    start_thread(one.run, stack=WIDE)        # with less, JSON nested deep ended the whole process
+    start_thread(one.run, stack=WIDE)  # with less, JSON nested deep ended the whole process
     told = [heard.get(timeout=WAIT) for _ in range(4)]
     one.stop()
     assert [e.listed.version for e in told] == [41, 43, 44, 45] and len(failed) == 4
     assert told[0].listed.entries[0] == io.Entry("s-1", 0, -1, 1.0, 0, 7000) and told[0].addresses == {
-        "s-1": ("10.1.0.18", 8080)}
+        "s-1": ("10.1.0.18", 8080)
+    }
     assert told[1].listed.entries[0].state is io.State.DRAINING
     assert told[3].listed.entries[0].state is io.State.GONE and not told[3].addresses
 
@@ -311,7 +408,9 @@
     """One call in place of two: a fleet that began anew had neither answered."""
     heard, paths = queue.Queue(), []
     answers = Answers(listing(42, not known))
-    one = discovery.Discovery(answers.address, config.Names({}, {"here": 0}, {}, {}), heard.put, 41, ask=True, known=known)
+    one = discovery.Discovery(
+        answers.address, config.Names({}, {"here": 0}, {}, {}), heard.put, 41, ask=True, known=known
+    )
     get = one.http.get
     monkeypatch.setattr(one.http, "get", lambda path, wait: paths.append(path) or get(path, wait))
     one.turn()
@@ -322,10 +421,14 @@
 def test_a_new_address_is_believed_at_once_whatever_its_version(monkeypatch):
     """A lower one was asked three times, and each word of it came with a failure."""
     heard, failed = queue.Queue(), []
-    first = Answers(listing(41))             # and then a watch that nobody answers
+    first = Answers(listing(41))  # and then a watch that nobody answers
     second = Answers(listing(7), listing(8, False, "Terminating"))
-    one = discovery.Discovery(first.address, config.Names({}, {"here": 0}, {}, {}),
-                              lambda e: heard.put(e) if isinstance(e, ev.Heard) else failed.append(e), 0)
+    one = discovery.Discovery(
+        first.address,
+        config.Names({}, {"here": 0}, {}, {}),
+        lambda e: heard.put(e) if isinstance(e, ev.Heard) else failed.append(e),
+        0,
+    )
     one.wanted.set()
     start_thread(one.run, stack=WIDE)
     assert heard.get(timeout=WAIT).listed.version == 41
@@ -339,12 +442,32 @@
 WITH_TYPE = {"TrafficTypes": [{"SetupTarget": 1, "GuardTime": 9}]}
 
 
-@pytest.mark.parametrize("settings, probed, moving", [
-    ({}, False, False),                      # the old shape, where nothing is said
-    ({"Limits": {"Probes": True}, "LoadReport": {"How": "none", "Names": []}, "Weights": "nominal"}, False, False),
-    ({"Limits": {"Probes": True}, "LoadReport": {"How": "probe", "Names": ["x0", "x1"]}, "Weights": "live"}, True, True),
-    ({"Limits": {"Probes": True}, "LoadReport": {"How": "probe", "Names": ["outstanding"]}}, False, False),
-    ({"LoadReport": {"How": "probe", "Names": ["x0"]}, "Weights": "rough"}, False, False)])
+@pytest.mark.parametrize(
+    "settings, probed, moving",
+    [
+        ({}, False, False),  # the old shape, where nothing is said
+        (
+            {"Limits": {"Probes": True}, "LoadReport": {"How": "none", "Names": []}, "Weights": "nominal"},
+            False,
+            False,
+        ),
+        (
+            {
+                "Limits": {"Probes": True},
+                "LoadReport": {"How": "probe", "Names": ["x0", "x1"]},
+                "Weights": "live",
+            },
+            True,
+            True,
+        ),
+        (
+            {"Limits": {"Probes": True}, "LoadReport": {"How": "probe", "Names": ["outstanding"]}},
+            False,
+            False,
+        ),
+        ({"LoadReport": {"How": "probe", "Names": ["x0"]}, "Weights": "rough"}, False, False),
+    ],
+)
 def test_a_node_probes_and_takes_weights_for_loads_only_where_its_settings_say_so(settings, probed, moving):
     begin = config.read_begin(WITH_TYPE | settings, 1)
     assert (begin.loads_probed, begin.weights_move) == (probed, moving)
@@ -358,30 +481,51 @@
 
 def test_check_says_which_shape_the_settings_have(tmp_path, capsys):
     file = tmp_path / "node.json"
-    for settings, said in (({}, "are sizes, hosts' load not asked for"), (
+    for settings, said in (
+        ({}, "are sizes, hosts' load not asked for"),
+        (
             {"Weights": "live", "Limits": {"Probes": True}, "LoadReport": {"How": "probe", "Names": ["x0"]}},
-            "move with load, hosts' load told to probes")):
+            "move with load, hosts' load told to probes",
+        ),
+    ):
         file.write_text(json.dumps(json.loads(NODE) | {"settings": WITH_TYPE | settings}))
         assert cli.main(["check", "--config", str(file)]) == 0
         assert said in capsys.readouterr().out
 
 
-@pytest.mark.parametrize("change, key", [
-    ({"listen": "here"}, "listen"), ({"operator": "here"}, "operator"), ({"operator": 8081}, "operator"), ({"name": None}, "name"), ({"seed": "xyz"}, "seed"),
-    ({"limits": {"sockets": "many"}}, "limits.sockets"), ({"settings": {}}, "settings.TrafficTypes"),
-    ({"settings": {"TrafficTypes": [{"SetupTarget": 1}]}}, "settings.TrafficTypes[0].GuardTime"),
-    ({"settings": {"TrafficTypes": [{"SetupTarget": -1, "GuardTime": 9}]}}, "settings.TrafficTypes[0].SetupTarget"),
-    ({"settings": {"TrafficTypes": [{"SetupTarget": 1, "GuardTime": 9, "Effect": "odd"}]}},
-     "settings.TrafficTypes[0].Effect"),
-    ({"settings": WITH_TYPE | {"LoadReport": {"How": "often"}}}, "settings.LoadReport.How"),
-    ({"settings": WITH_TYPE | {"LoadReport": {"How": "probe", "Names": "x0"}}}, "settings.LoadReport.Names"),
-    ({"settings": WITH_TYPE | {"Weights": "heavy"}}, "settings.Weights"),
-    ({"settings": WITH_TYPE | {"Goal": {"NinesPart": -1}}}, "settings.Goal.NinesPart"),
-    ({"settings": WITH_TYPE | {"Goal": {"NinesFull": 0}}}, "settings.Goal.NinesFull"),
-    ({"settings": WITH_TYPE | {"Goal": {"NinesFull": "many"}}}, "settings.Goal.NinesFull"),
-    ({"settings": WITH_TYPE | {"Goal": 3}}, "settings.Goal"),
-    ({"settings": WITH_TYPE | {"Limits": {"Probes": "some"}}}, "settings.Limits.Probes"),
-    ({"known": {"instances": []}}, "known")])
+@pytest.mark.parametrize(
+    "change, key",
+    [
+        ({"listen": "here"}, "listen"),
+        ({"operator": "here"}, "operator"),
+        ({"operator": 8081}, "operator"),
+        ({"name": None}, "name"),
+        ({"seed": "xyz"}, "seed"),
+        ({"limits": {"sockets": "many"}}, "limits.sockets"),
+        ({"settings": {}}, "settings.TrafficTypes"),
+        ({"settings": {"TrafficTypes": [{"SetupTarget": 1}]}}, "settings.TrafficTypes[0].GuardTime"),
+        (
+            {"settings": {"TrafficTypes": [{"SetupTarget": -1, "GuardTime": 9}]}},
+            "settings.TrafficTypes[0].SetupTarget",
+        ),
+        (
+            {"settings": {"TrafficTypes": [{"SetupTarget": 1, "GuardTime": 9, "Effect": "odd"}]}},
+            "settings.TrafficTypes[0].Effect",
+        ),
+        ({"settings": WITH_TYPE | {"LoadReport": {"How": "often"}}}, "settings.LoadReport.How"),
+        (
+            {"settings": WITH_TYPE | {"LoadReport": {"How": "probe", "Names": "x0"}}},
+            "settings.LoadReport.Names",
+        ),
+        ({"settings": WITH_TYPE | {"Weights": "heavy"}}, "settings.Weights"),
+        ({"settings": WITH_TYPE | {"Goal": {"NinesPart": -1}}}, "settings.Goal.NinesPart"),
+        ({"settings": WITH_TYPE | {"Goal": {"NinesFull": 0}}}, "settings.Goal.NinesFull"),
+        ({"settings": WITH_TYPE | {"Goal": {"NinesFull": "many"}}}, "settings.Goal.NinesFull"),
+        ({"settings": WITH_TYPE | {"Goal": 3}}, "settings.Goal"),
+        ({"settings": WITH_TYPE | {"Limits": {"Probes": "some"}}}, "settings.Limits.Probes"),
+        ({"known": {"instances": []}}, "known"),
+    ],
+)
 def test_faulty_configuration_stops_the_start_and_names_its_key(change, key, tmp_path, capsys, monkeypatch):
     for variable in ("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY"):
         monkeypatch.delenv(variable, raising=False)
@@ -397,7 +541,11 @@
     taken = socket.create_server(("127.0.0.1", 0))
     file = tmp_path / "node.json"
     for key, other in (("listen", "operator"), ("operator", "listen")):
-        file.write_text(json.dumps(json.loads(NODE) | {key: "127.0.0.1:%d" % taken.getsockname()[1], other: "127.0.0.1:0"}))
+        file.write_text(
+            json.dumps(
+                json.loads(NODE) | {key: "127.0.0.1:%d" % taken.getsockname()[1], other: "127.0.0.1:0"}
+            )
+        )
         assert cli.main(["serve", "--config", str(file)]) == 1
         said = capsys.readouterr().err.splitlines()[-1]
         assert "in use" in said and f"cottonspread: {key}: " in said
@@ -406,12 +554,16 @@
 def test_log_lines_are_pairs():
     record = logging.LogRecord("cottonspread.x", logging.INFO, "", 0, "closed", (), None)
     record.pairs = {"reason": "completed", "why": 'a "b" c', "s": 1.5}
-    assert logfmt.KeyValue("n1").format(record).endswith(
-        'level=info node=n1 event=closed reason=completed why="a \\"b\\" c" s=1.500')
+    assert (
+        logfmt.KeyValue("n1")
+        .format(record)
+        .endswith('level=info node=n1 event=closed reason=completed why="a \\"b\\" c" s=1.500')
+    )
 
 
 # A whole node
 
+
 class Client:
     def __init__(self, address, first):
         self.sock = socket.create_connection(address, timeout=WAIT)
@@ -552,7 +704,11 @@
         finally:
             os.kill(os.getpid(), signal.SIGTERM)
 
-    config_of = json.loads(NODE) | {"listen": "127.0.0.1:0", "operator": "127.0.0.1:0", "discovery": "%s:%d" % discovery_of(first)}
+    config_of = json.loads(NODE) | {
+        "listen": "127.0.0.1:0",
+        "operator": "127.0.0.1:0",
+        "discovery": "%s:%d" % discovery_of(first),
+    }
     file = tmp_path / "node.json"
     file.write_text(json.dumps(config_of))
     monkeypatch.setattr(logfmt, "start", lambda node: lambda: None)
--- a/tests/test_readings.py
+++ b/tests/test_readings.py
@@ -1,4 +1,5 @@
 """What the module makes of load reports, in parts too small for a scenario."""
+
 import pytest
 
 from cottonspread import interface as io
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -21,6 +21,7 @@
 an end is given back, each call exactly one final answer, in the end no descriptor, call or leg left, and that the node's
 figures are what the lines on its connections say.
 """
+
 from collections import Counter
 from pathlib import Path
 
@@ -43,15 +44,19 @@
 
 class World:
     def __init__(self, site, types):
-        self.reducer = Reducer(0, begin(site, types), names_of(types), config.Hearing(
-            ms(50), "no_loads" not in site, True, "loads_only" not in site),
-                               int(site.get("ends", 100)))
+        self.reducer = Reducer(
+            0,
+            begin(site, types),
+            names_of(types),
+            config.Hearing(ms(50), "no_loads" not in site, True, "loads_only" not in site),
+            int(site.get("ends", 100)),
+        )
         self.ends, self.names, self.held, self.out = {}, {}, set(), []
         self.reading, self.writing, self.freed, self.said = set(), set(), set(), {}
         self.asks = []
-        self.away, self.passed = None, set()           # on its way to a successor; ends that are there
-        self.whole = set()                   # hosts' ends that got a first line whole
-        self.adopted = set()                 # clients that stood when they came here
+        self.away, self.passed = None, set()  # on its way to a successor; ends that are there
+        self.whole = set()  # hosts' ends that got a first line whole
+        self.adopted = set()  # clients that stood when they came here
         self.now = 0
         self.perform(self.reducer.step(0, ev.Tick()))
 
@@ -95,20 +100,28 @@
                     assert not {effect.client, effect.host} & self.writing and not self.away
                     self.away = effect
                     one = effect.standing
-                    self.out.append(["pass", self.names[effect.client], one.id, one.type, one.host, str(len(one.waiting))])
+                    self.out.append(
+                        ["pass", self.names[effect.client], one.id, one.type, one.host, str(len(one.waiting))]
+                    )
                 case ev.Ask():
                     self.asks.append(effect.host)
                     self.out.append(["ask", effect.host])
                 case ev.Say(event="closed"):
-                    client = next(n for n, e in self.ends.items() if e.client and e.conn is not None
-                                  and e.freed and n not in self.said.get("closed", []))
+                    client = next(
+                        n
+                        for n, e in self.ends.items()
+                        if e.client
+                        and e.conn is not None
+                        and e.freed
+                        and n not in self.said.get("closed", [])
+                    )
                     self.said.setdefault("closed", []).append(client)
                     self.out.append(["closed", client, effect.pairs["reason"]])
                 case ev.Stop():
                     self.out.append(["stop"])
         for effect in effects:
             end = getattr(effect, "end", None)
-            if isinstance(effect, ev.Cut) and end in self.reading:           # wakes its reader
+            if isinstance(effect, ev.Cut) and end in self.reading:  # wakes its reader
                 self.reading.discard(end)
                 self.step(ev.Over(end, "end"))
             elif isinstance(effect, ev.Write) and end in self.writing and self.names[end] not in self.held:
@@ -136,7 +149,7 @@
         return +Counter(figures.answers | {"backend_calls": figures.backend_calls})
 
     def act(self, now, verb, args):
-        while verb != "asleep" and self.reducer.due() < now:         # the loop's own calls in between
+        while verb != "asleep" and self.reducer.due() < now:  # the loop's own calls in between
             self.now = max(self.now, self.reducer.due())
             self.step(ev.Tick())
         self.now, at = now, 0
@@ -145,9 +158,15 @@
         end = self.ends.get(args[0]) if args else None
         match verb:
             case "list":
-                listed = io.Listed(io.News.SAVED if args[0] == "saved" else io.News[args[0].upper()], 1,
-                                   tuple(entry(word) for word in args[1:]))
-                ports = {word.partition(":")[0]: pairs(word.partition(":")[2].split(",")).get("port", 80) for word in args[1:]}
+                listed = io.Listed(
+                    io.News.SAVED if args[0] == "saved" else io.News[args[0].upper()],
+                    1,
+                    tuple(entry(word) for word in args[1:]),
+                )
+                ports = {
+                    word.partition(":")[0]: pairs(word.partition(":")[2].split(",")).get("port", 80)
+                    for word in args[1:]
+                }
                 self.step(ev.Heard(listed, {e.host: (e.host, int(ports[e.host])) for e in listed.entries}))
             case "down":
                 self.step(ev.ListFailed())
@@ -176,8 +195,13 @@
                 ends = self.named(ev.End(True), args[0]), self.named(ev.End(False), args[1])
                 key, load = [*args[5:], None, 0][:2]
                 self.adopted.update(ends)
-                self.step(ev.Adopted(*ends, handover.Standing(args[2], args[3], args[4], now, 0, key, key, load=float(load or 0)),
-                                     lambda taken: self.out.append(["adopted", "yes" if taken else "no"])))
+                self.step(
+                    ev.Adopted(
+                        *ends,
+                        handover.Standing(args[2], args[3], args[4], now, 0, key, key, load=float(load or 0)),
+                        lambda taken: self.out.append(["adopted", "yes" if taken else "no"]),
+                    )
+                )
             case "over":
                 assert end in self.reading, f"nobody reads {args[0]}"
                 self.reading.discard(end)
@@ -196,18 +220,38 @@
                 self.step(ev.Retuned(begin(pairs(site), types), names_of(types), self.reducer.hearing))
             case "handed":
                 words = [word.partition("=")[::2] for word in args]
-                self.step(ev.Inherited(handover.HandOver(
-                    50, "draining" in args, tuple(v for k, v in words if k == "id"),
-                    tuple((k, v) for k, v in words if v and k != "id"))))
+                self.step(
+                    ev.Inherited(
+                        handover.HandOver(
+                            50,
+                            "draining" in args,
+                            tuple(v for k, v in words if k == "id"),
+                            tuple((k, v) for k, v in words if v and k != "id"),
+                        )
+                    )
+                )
             case "handover":
-                self.step(ev.HandOverAsked(lambda handed: self.out.append(
-                    ["handed", f"room={handed.room}", *handed.ids, *(f"{k}={h}" for k, h in handed.records),
-                     *(f"{h}:{n}" for h, _, n in handed.sent), *["draining"] * handed.draining])))
+                self.step(
+                    ev.HandOverAsked(
+                        lambda handed: self.out.append(
+                            [
+                                "handed",
+                                f"room={handed.room}",
+                                *handed.ids,
+                                *(f"{k}={h}" for k, h in handed.records),
+                                *(f"{h}:{n}" for h, _, n in handed.sent),
+                                *["draining"] * handed.draining,
+                            ]
+                        )
+                    )
+                )
             case "drain" | "resume":
                 self.step(ev.DrainAsked(verb == "drain"))
             case "figures":
-                told = {name + "." * bool(labels) + labels[7:-2]: value
-                        for name, labels, value in self.reducer.figures.numbers(len(self.reducer.by_id))}
+                told = {
+                    name + "." * bool(labels) + labels[7:-2]: value
+                    for name, labels, value in self.reducer.figures.numbers(len(self.reducer.by_id))
+                }
                 for word in args:
                     assert told[word.split("=")[0]] == int(word.split("=")[1]), (word, told)
             case "tick" | "asleep":
@@ -221,7 +265,7 @@
             self.act(self.now, "asked", [name, "full"])
         if self.away:
             self.act(self.now, "passed", [self.names[self.away.client], "left"])
-        for _ in range(10):                  # an end may bring a line, a line an end, a failure another leg
+        for _ in range(10):  # an end may bring a line, a line an end, a failure another leg
             for name in [name for name, end in self.ends.items() if end not in self.freed]:
                 end = self.ends[name]
                 if end in self.writing:
@@ -236,8 +280,10 @@
         for name, end in self.ends.items():
             if end.client and end.conn and end.conn.opening and end not in self.adopted:
                 said = self.said.get(name, [])
-                finals = 1 if said and said[0].startswith(b"UP") else len(said)     # after UP lines are only passed
-                gone = end.conn.reason == "left-in-setup"       # one that was handed over has its UP
+                finals = (
+                    1 if said and said[0].startswith(b"UP") else len(said)
+                )  # after UP lines are only passed
+                gone = end.conn.reason == "left-in-setup"  # one that was handed over has its UP
                 assert finals + gone == 1, f"{name}: {said}, {end.conn.reason}"
         assert self.figures() == self.recount()
 
@@ -250,7 +296,18 @@
     play(file, start, lambda world, now, verb, args, bound: world.act(now, verb, args)).finish()
 
 
-SAID = ["UP r", "BUSY", "ERR", "MOVE", "BYE", "LOAD 5000.5", "LOAD 250.5", "M 1 ab", "M 1 ab | M 2 ab", "WHAT"]
+SAID = [
+    "UP r",
+    "BUSY",
+    "ERR",
+    "MOVE",
+    "BYE",
+    "LOAD 5000.5",
+    "LOAD 250.5",
+    "M 1 ab",
+    "M 1 ab | M 2 ab",
+    "WHAT",
+]
 
 
 @pytest.mark.parametrize("seed", range(150))
@@ -261,8 +318,13 @@
     def one_of(choices):
         return choices[chance.below(len(choices))]
 
-    world = World({"moving": "0.03", "retry_after": "1000"}, [traffic_type(name, {"effect": effect}) for name, effect in (
-        ("again", "may_run_again"), ("once", "must_never_run_twice"))])
+    world = World(
+        {"moving": "0.03", "retry_after": "1000"},
+        [
+            traffic_type(name, {"effect": effect})
+            for name, effect in (("again", "may_run_again"), ("once", "must_never_run_twice"))
+        ],
+    )
     now = 0
     world.act(0, "list", ["full", "a", "b", "c"])
     for n in range(100):
@@ -273,17 +335,39 @@
         moves += [("stop", [[], ["heir"]][chance.below(2)])] if n > 80 else [("drain", []), ("resume", [])]
         if world.away:
             moves += [("passed", [world.names[world.away.client], one_of(["taken", "left", "again"])])] * 9
-        moves += [("adopt", [f"c{n}", f"g{n}", f"a{n % 40}", one_of(["again", "once", "gone"]), one_of("abcd"), f"k{n % 5}"])]
+        moves += [
+            (
+                "adopt",
+                [
+                    f"c{n}",
+                    f"g{n}",
+                    f"a{n % 40}",
+                    one_of(["again", "once", "gone"]),
+                    one_of("abcd"),
+                    f"k{n % 5}",
+                ],
+            )
+        ]
         for name, end in world.ends.items():
             if world.away and end in (world.away.client, world.away.host):
-                continue                     # nobody reads there meanwhile
+                continue  # nobody reads there meanwhile
             if end in world.writing:
                 moves += [("wrote", [name]), ("wrote", [name, "broken"])]
             elif not end.client and not end.freed and not end.connected:
                 moves += [("up", [name])] * 3 + [("fail", [name])]
             elif end in world.reading and end.client and end.conn.opening is None:
-                moves += [("got", [name, one_of(["PING", "HELLO", f"OPEN x{n} k{n % 5} c=once,d=900,g=g{n % 3}"]
-                                                + [f"OPEN x{n} k c=again,d=1200", "OPEN y k c=again,at=b"])])] * 3
+                moves += [
+                    (
+                        "got",
+                        [
+                            name,
+                            one_of(
+                                ["PING", "HELLO", f"OPEN x{n} k{n % 5} c=once,d=900,g=g{n % 3}"]
+                                + [f"OPEN x{n} k c=again,d=1200", "OPEN y k c=again,at=b"]
+                            ),
+                        ],
+                    )
+                ] * 3
             elif end in world.reading:
                 moves += [("got", [name, one_of(SAID) if not end.client else f"M {n} cd"])] * 4
                 moves += [("over", [name, one_of(["end", "reset", "half-line"])]), ("hold", [name])]
@@ -302,9 +386,23 @@
         return handle(now, event)
 
     world.reducer.module.handle = listen
-    for line in ("0 list full a", "0 came c1", "0 got c1 OPEN x k c=any,d=1200", "1 up h1", "2 got h1 UP r",
-                 "100 got c1 M 1", "130 got h1 M 1", "200 got c1 M 2", "240 got h1 M 2", "1200 got c1 M 3",
-                 "1240 got h1 M 3", "1300 got c1 M 4", "1301 got h1 M 4", "1400 got c1 M 5", "1401 got h1 M 5"):
+    for line in (
+        "0 list full a",
+        "0 came c1",
+        "0 got c1 OPEN x k c=any,d=1200",
+        "1 up h1",
+        "2 got h1 UP r",
+        "100 got c1 M 1",
+        "130 got h1 M 1",
+        "200 got c1 M 2",
+        "240 got h1 M 2",
+        "1200 got c1 M 3",
+        "1240 got h1 M 3",
+        "1300 got c1 M 4",
+        "1301 got h1 M 4",
+        "1400 got c1 M 5",
+        "1401 got h1 M 5",
+    ):
         time, verb, *args = line.split()
         world.act(ms(time), verb, args)
     assert told == [(130, 30), (1240, 40), (1301, 1)]
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -12,6 +12,7 @@
 A capital name stands for a host: bound where it first comes, the same after; !A is any host but that one;
 a * stands for anything.
 """
+
 import re
 from pathlib import Path
 
@@ -32,9 +33,17 @@
         held = args.pop(1) if verb == "open" else None
         o = pairs(args[1:])
         names = [t.name for t in types]
-        return io.Arrived(args[0], names.index(o["type"]) if "type" in o else 0, ms(o.get("left", 1200)),
-                          o.get("key"), o.get("group"), int(o.get("tenant", 0)), 0.0,
-                          "returned" in o, held)
+        return io.Arrived(
+            args[0],
+            names.index(o["type"]) if "type" in o else 0,
+            ms(o.get("left", 1200)),
+            o.get("key"),
+            o.get("group"),
+            int(o.get("tenant", 0)),
+            0.0,
+            "returned" in o,
+            held,
+        )
     if verb == "done":
         return io.LegEnded(args[0], int(args[1]), io.Ending[args[2].upper()], "closed" in args)
     if verb == "probed":
@@ -45,13 +54,18 @@
         return io.Retuned(begin(pairs(site), types))
     if verb == "inherit":
         sent = [re.fullmatch(r"(\w+):(\d+)@(\d+)", word) for word in args]
-        return io.Inherited(tuple(word.split("=") for word in args if "=" in word),
-                            tuple((m[1], ms(m[3]), int(m[2])) for m in sent if m))
+        return io.Inherited(
+            tuple(word.split("=") for word in args if "=" in word),
+            tuple((m[1], ms(m[3]), int(m[2])) for m in sent if m),
+        )
     id = args[0]
-    return {"accept": lambda: io.Accepted(id, int(args[1]), 0),
-            "load": lambda: io.LoadTold(id, float(args[1])),
-            "delay": lambda: io.DelayTold(id, ms(args[1])), "expire": lambda: io.Expired(id),
-            "timer": lambda: io.TimerFired(id)}[verb]()
+    return {
+        "accept": lambda: io.Accepted(id, int(args[1]), 0),
+        "load": lambda: io.LoadTold(id, float(args[1])),
+        "delay": lambda: io.DelayTold(id, ms(args[1])),
+        "expire": lambda: io.Expired(id),
+        "timer": lambda: io.TimerFired(id),
+    }[verb]()
 
 
 def said(action):
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -1,4 +1,5 @@
 """Retuning and replacing a process: configuration files that lost something, hand-over files, and whole processes on loopback."""
+
 import copy
 import json
 import os
@@ -23,16 +24,26 @@
 from cottonspread.net.pool import Pool
 
 from test_admin import call
-from test_net import NODE, WAIT, Client, discovery_of, toy          # noqa: F401 (fixture)
+from test_net import NODE, WAIT, Client, discovery_of, toy  # noqa: F401 (fixture)
 
 ROOT = Path(__file__).parent.parent
 WHOLE = json.loads(NODE)
-WHOLE["settings"]["TrafficTypes"].append({"Name": "more", "Effect": "keyed", "KeyScope": "all", "KeyTtl": 5000,
-                                          "SetupTarget": 300, "GuardTime": 2000, "Revenue": 1})
+WHOLE["settings"]["TrafficTypes"].append(
+    {
+        "Name": "more",
+        "Effect": "keyed",
+        "KeyScope": "all",
+        "KeyTtl": 5000,
+        "SetupTarget": 300,
+        "GuardTime": 2000,
+        "Revenue": 1,
+    }
+)
 
 
 # A new file is taken whole or not at all
 
+
 def keys(values, path=()):
     """The way to every key of a JSON value."""
     for key in values if isinstance(values, dict) else range(len(values)):
@@ -51,7 +62,7 @@
     return values
 
 
-OWN = ("KeyScope", "KeyTtl")           # only one of the two types has these
+OWN = ("KeyScope", "KeyTtl")  # only one of the two types has these
 
 
 class Told:
@@ -67,7 +78,9 @@
         self.retuned.append(parts)
 
 
-@pytest.mark.parametrize("path", [p for p in keys(WHOLE) if p[-1] not in OWN], ids=lambda p: ".".join(map(str, p)))
+@pytest.mark.parametrize(
+    "path", [p for p in keys(WHOLE) if p[-1] not in OWN], ids=lambda p: ".".join(map(str, p))
+)
 def test_a_file_that_lost_a_key_changes_nothing(path, tmp_path, monkeypatch, caplog):
     """A default in the place of a lost key is half a change; the environment in the place of a lost address an old one."""
     monkeypatch.setenv("PROXY_DISCOVERY", "127.0.0.1:1")
@@ -87,18 +100,34 @@
     return json.dumps(values)
 
 
-@pytest.mark.parametrize("text, key", [
-    ("", "configuration"), (NODE[:len(NODE) // 2], "configuration"), ("[]", "configuration"), ("null", "configuration"),
-    (changed(lambda v: v["settings"]["TrafficTypes"][1].update(GuardTime=0)), "settings.TrafficTypes[1].GuardTime"),
-    (changed(lambda v: v["settings"]["TrafficTypes"][1].update(GuardTime=-5)), "settings.TrafficTypes[1].GuardTime"),
-    (changed(lambda v: v["settings"]["TrafficTypes"][1].update(GuardTime="x")), "settings.TrafficTypes[1].GuardTime"),
-    (changed(lambda v: v["settings"]["Limits"].update(MostLegs=0)), "settings.Limits.MostLegs"),
-    (changed(lambda v: v["settings"]["Limits"].update(MostLegs=-1)), "settings.Limits.MostLegs"),
-    (changed(lambda v: v["settings"]["TrafficTypes"][1].update(Name="chat")), "settings.TrafficTypes"),
-    (changed(lambda v: v["settings"].update(TrafficTypes=[])), "settings.TrafficTypes"),
-    (changed(lambda v: v["settings"].update(Rules=[])), "settings.Rules"),
-    (changed(lambda v: v["settings"].update(Zones={})), "settings.Zones"),
-    (changed(lambda v: v.update(discovery="there")), "discovery")])
+@pytest.mark.parametrize(
+    "text, key",
+    [
+        ("", "configuration"),
+        (NODE[: len(NODE) // 2], "configuration"),
+        ("[]", "configuration"),
+        ("null", "configuration"),
+        (
+            changed(lambda v: v["settings"]["TrafficTypes"][1].update(GuardTime=0)),
+            "settings.TrafficTypes[1].GuardTime",
+        ),
+        (
+            changed(lambda v: v["settings"]["TrafficTypes"][1].update(GuardTime=-5)),
+            "settings.TrafficTypes[1].GuardTime",
+        ),
+        (
+            changed(lambda v: v["settings"]["TrafficTypes"][1].update(GuardTime="x")),
+            "settings.TrafficTypes[1].GuardTime",
+        ),
+        (changed(lambda v: v["settings"]["Limits"].update(MostLegs=0)), "settings.Limits.MostLegs"),
+        (changed(lambda v: v["settings"]["Limits"].update(MostLegs=-1)), "settings.Limits.MostLegs"),
+        (changed(lambda v: v["settings"]["TrafficTypes"][1].update(Name="chat")), "settings.TrafficTypes"),
+        (changed(lambda v: v["settings"].update(TrafficTypes=[])), "settings.TrafficTypes"),
+        (changed(lambda v: v["settings"].update(Rules=[])), "settings.Rules"),
+        (changed(lambda v: v["settings"].update(Zones={})), "settings.Zones"),
+        (changed(lambda v: v.update(discovery="there")), "discovery"),
+    ],
+)
 def test_a_file_that_makes_no_sense_changes_nothing_and_the_log_names_its_key(text, key, tmp_path, caplog):
     file, node = tmp_path / "node.json", Told()
     file.write_text(json.dumps(WHOLE))
@@ -109,7 +138,9 @@
         reload(node, force)
     assert [type(e) for e in node.events] == [ev.NotRetuned] and not node.retuned
     assert (force.values, force.parts) == before
-    assert [str(r.pairs["why"]).partition(": ")[0] for r in caplog.records if r.getMessage() == "reload"] == [key]
+    assert [str(r.pairs["why"]).partition(": ")[0] for r in caplog.records if r.getMessage() == "reload"] == [
+        key
+    ]
 
 
 def test_what_only_referenced_types_need_is_asked_of_them_alone():
@@ -117,7 +148,9 @@
     config.complete([more], [more, {key: more[key] for key in more if key not in OWN} | {"Effect": "safe"}])
     for key in OWN:
         with pytest.raises(config.Senseless, match=rf"\[0\]\.{key}"):
-            config.complete([WHOLE["settings"]["TrafficTypes"][0], more], [{k: v for k, v in more.items() if k != key}])
+            config.complete(
+                [WHOLE["settings"]["TrafficTypes"][0], more], [{k: v for k, v in more.items() if k != key}]
+            )
 
 
 def test_types_may_be_added_dropped_and_changed_and_what_cannot_change_is_said(tmp_path, caplog):
@@ -125,10 +158,15 @@
     file.write_text(json.dumps(WHOLE))
     force = InForce(str(file))
     for change, names in (
-            (lambda v: v["settings"]["TrafficTypes"].append({"Name": "third", "Effect": "unsafe", "SetupTarget": 1, "GuardTime": 9,
-                                                             "Revenue": 2}), ["chat", "more", "third"]),
-            (lambda v: v["settings"]["TrafficTypes"].pop(0), ["more"]),
-            (lambda v: (v.update(listen="127.0.0.1:1"), v["limits"].update(sockets=500)), ["chat", "more"])):
+        (
+            lambda v: v["settings"]["TrafficTypes"].append(
+                {"Name": "third", "Effect": "unsafe", "SetupTarget": 1, "GuardTime": 9, "Revenue": 2}
+            ),
+            ["chat", "more", "third"],
+        ),
+        (lambda v: v["settings"]["TrafficTypes"].pop(0), ["more"]),
+        (lambda v: (v.update(listen="127.0.0.1:1"), v["limits"].update(sockets=500)), ["chat", "more"]),
+    ):
         caplog.clear()
         file.write_text(changed(change))
         with caplog.at_level("INFO", "cottonspread"):
@@ -147,10 +185,21 @@
     assert handover.unpack(text, "me") == GOOD and handover.unpack(text, "other") is None
 
 
-@pytest.mark.parametrize("text", [
-    "", "{", "null", "[]", handover.pack(GOOD, "me")[:-9], handover.pack(GOOD, "me").replace('"version": 1', '"version": 2'),
-    handover.pack(GOOD, "me").replace('"ids"', '"odd"'), handover.pack(GOOD, "me").replace('["k", "s-1"]', '["k"]'),
-    handover.pack(GOOD, "me").replace("[\"s-1\", 5, 2]", '["s-1", "x", 2]'), "[" * 100_000])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "{",
+        "null",
+        "[]",
+        handover.pack(GOOD, "me")[:-9],
+        handover.pack(GOOD, "me").replace('"version": 1', '"version": 2'),
+        handover.pack(GOOD, "me").replace('"ids"', '"odd"'),
+        handover.pack(GOOD, "me").replace('["k", "s-1"]', '["k"]'),
+        handover.pack(GOOD, "me").replace('["s-1", 5, 2]', '["s-1", "x", 2]'),
+        "[" * 100_000,
+    ],
+)
 def test_a_hand_over_that_cannot_be_read_is_a_start_without_it(text, tmp_path, caplog):
     parts = list(config.read_node(NODE, {}))
     succession = Succession(parts, str(tmp_path))
@@ -191,26 +240,39 @@
 
 # Processes
 
+
 class Process:
     """`serve` beside others of the same name, with the listening socket that all share."""
 
     def __init__(self, folder, listener, discovery_at, **more):
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.operators = free.getsockname()
-        values = {key: value for key, value in WHOLE.items() if key != "operator"} | {"discovery": "%s:%d" % discovery_at, "listen": "%s:%d" % listener.getsockname()} | more
+        values = (
+            {key: value for key, value in WHOLE.items() if key != "operator"}
+            | {"discovery": "%s:%d" % discovery_at, "listen": "%s:%d" % listener.getsockname()}
+            | more
+        )
         (folder / "node.json").write_text(json.dumps(values))
         self.log = open(folder / f"{len(list(folder.glob('*.log')))}.log", "w+b")
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "cottonspread", "serve", "--config", str(folder / "node.json")], cwd=ROOT, stderr=self.log,
-            pass_fds=(listener.fileno(),), env=os.environ | {
-                "TMPDIR": str(folder), "PROXY_INHERITED_FD": str(listener.fileno()), "PROXY_OPERATOR": "%s:%d" % self.operators})
+            [sys.executable, "-m", "cottonspread", "serve", "--config", str(folder / "node.json")],
+            cwd=ROOT,
+            stderr=self.log,
+            pass_fds=(listener.fileno(),),
+            env=os.environ
+            | {
+                "TMPDIR": str(folder),
+                "PROXY_INHERITED_FD": str(listener.fileno()),
+                "PROXY_OPERATOR": "%s:%d" % self.operators,
+            },
+        )
 
     def ready(self):
         while self.process.poll() is None:
             try:
                 if call(self.operators, b"health\n") == b"200 yes\n":
                     return self
-            except OSError:                  # not there yet
+            except OSError:  # not there yet
                 pass
         raise AssertionError(self.said())
 
@@ -265,7 +327,7 @@
     stands = standing(address, 6)
     second = begin().ready()
     assert second.says("handed=True") and first.says("hands-over")
-    twice = open_call(address, b"a0")        # whichever of the two takes it
+    twice = open_call(address, b"a0")  # whichever of the two takes it
     assert twice.hear() == b"ERR"
     came, done = [], threading.Event()
 
@@ -284,11 +346,15 @@
     done.set()
     crowd.join(WAIT)
     assert len(came) > 10 and all(answer.startswith(b"UP ") for answer in came)
-    for n, client in enumerate(stands):      # who stood goes on standing, at the process that is left
+    for n, client in enumerate(stands):  # who stood goes on standing, at the process that is left
         client.say(b"still here %d" % n)
         assert client.hear() == b"still here %d" % n
     assert open_call(address, b"a0").hear() == b"ERR"
-    assert second.counted("inflight") >= 6 and second.counted('success{tier="chat"}') > 0 and second.process.poll() is None
+    assert (
+        second.counted("inflight") >= 6
+        and second.counted('success{tier="chat"}') > 0
+        and second.process.poll() is None
+    )
     assert first.said().count("reason=handed-over") >= 6 and "moved" not in first.said()
 
 
@@ -297,7 +363,7 @@
     first = begin().ready()
     stands = standing(address, 12)
     begin().ready()
-    said, done = [[] for _ in range(6)], threading.Event()         # half of them talk without a pause
+    said, done = [[] for _ in range(6)], threading.Event()  # half of them talk without a pause
 
     def talk(client, heard):
         n = 0
@@ -316,15 +382,15 @@
         one.join(WAIT)
     passed = first.said().count("reason=handed-over")
     assert passed + sum(b"MOVE" in heard for heard in said) == 12 and passed >= 6
-    for heard in said:                       # one that was never idle when looked at is moved
-        ours = heard[:heard.index(b"MOVE")] if b"MOVE" in heard else heard
+    for heard in said:  # one that was never idle when looked at is moved
+        ours = heard[: heard.index(b"MOVE")] if b"MOVE" in heard else heard
         assert ours == [b"line %d" % n for n in range(len(ours))]
 
 
 def test_half_a_line_waits_for_its_other_half_and_is_not_lost(platform):
     begin, address = platform
     first = begin().ready()
-    client, = standing(address, 1)
+    (client,) = standing(address, 1)
     begin().ready()
     client.sock.sendall(b"first ha")
     first.process.send_signal(signal.SIGTERM)
@@ -338,7 +404,7 @@
 def test_a_successor_that_has_ended_leaves_its_predecessor_to_move_the_clients(platform):
     begin, address = platform
     first = begin().ready()
-    client, = standing(address, 1)
+    (client,) = standing(address, 1)
     second = begin().ready()
     second.process.kill()
     second.process.wait(WAIT)
@@ -375,24 +441,27 @@
 
 # Connections on their way
 
+
 def test_an_idle_reader_lets_go_and_leaves_what_comes_then_to_the_next(service_ends):
     """Two readers of one socket split its lines."""
     (ours, gatherer), done = service_ends, threading.Event()
-    started = threading.Thread(target=lambda: (pytest.raises(lines.LetGo, gatherer.lines), done.set()), daemon=True)
+    started = threading.Thread(
+        target=lambda: (pytest.raises(lines.LetGo, gatherer.lines), done.set()), daemon=True
+    )
     started.start()
     while not gatherer.idle:
         pass
     assert lines.let_go([gatherer]) and not done.is_set()
     ours.sendall(b"for the next\r\n")
     assert done.wait(WAIT) and gatherer.sock.recv(100) == b"for the next\r\n"
-    assert gatherer.take_back()              # its reader has left: it is to be asked anew
+    assert gatherer.take_back()  # its reader has left: it is to be asked anew
     ours.sendall(b"here again\r\n")
     assert gatherer.lines() == b"here again\r\n"
 
 
 def test_a_reader_in_the_midst_of_a_line_does_not_let_go(service_ends):
     ours, gatherer = service_ends
-    assert not lines.let_go([gatherer])      # nobody reads there
+    assert not lines.let_go([gatherer])  # nobody reads there
     other = lines.Gatherer(gatherer.sock, Pool(), 1)
     other.idle = True
     assert not lines.let_go([other, gatherer]) and not other.gone
@@ -425,10 +494,18 @@
     assert handover.unpack_standing(handover.pack_standing(STANDING)) == STANDING
 
 
-@pytest.mark.parametrize("line", [b"\n", b"{\n", b"[]\n", handover.pack_standing(STANDING)[:-9],
-                                  handover.pack_standing(STANDING).replace(b'"version": 1', b'"version": 2'),
-                                  handover.pack_standing(STANDING).replace(b'"type"', b'"odd"'),
-                                  handover.pack_standing(STANDING).replace(b'"began": 5', b'"began": null')])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"\n",
+        b"{\n",
+        b"[]\n",
+        handover.pack_standing(STANDING)[:-9],
+        handover.pack_standing(STANDING).replace(b'"version": 1', b'"version": 2'),
+        handover.pack_standing(STANDING).replace(b'"type"', b'"odd"'),
+        handover.pack_standing(STANDING).replace(b'"began": 5', b'"began": null'),
+    ],
+)
 def test_a_standing_connection_that_cannot_be_read_is_left_where_it_is(line):
     ours, theirs = socket.socketpair(socket.AF_UNIX)
     one, other = socket.socketpair()
@@ -457,7 +534,7 @@
     first = begin().ready()
     first.process.kill()
     first.process.wait(WAIT)
-    second = begin(discovery="127.0.0.1:1").ready()          # nobody tells it a list
+    second = begin(discovery="127.0.0.1:1").ready()  # nobody tells it a list
     assert second.says("alone=True") and open_call(address, b"a1").hear().startswith(b"UP ")
 
 
