Scale results: one typed JSON file a run, every field checked on writing and reading

Commit, date and machine are filled in on writing; a plus behind the commit says that Python files differed from it.

--- /dev/null
+++ b/cottonspread/lab/scale/results.py
@@ -0,0 +1,303 @@
+"""Results of scale runs: one JSON file a run, every field checked when it is written and when it is read.
+
+A run is a `Sweep` (values measured at several sizes of one variable) or a `FaultRun` (events played on a
+fleet). Whoever makes one leaves out `commit`, `date` and `machine`: `write` fills them in.
+
+    points = [Point(50, 11.0), Point(400, 20.0), Point(1000, 40.0), Point(3000, 99.0)]
+    sweep = Sweep(
+        name="module-call-by-servers",
+        what="Processor time of one call.",
+        command="...",
+        kind="module",
+        alone=True,
+        variable="servers",
+        variable_unit="servers",
+        fixed={"nodes": 420},
+        measures=[Measure(name="call_us", unit="us", control=False, plays=3, points=points)],
+    )
+    write(sweep)
+    sweep = read_sweep(FOLDER / "module-call-by-servers.json")
+"""
+
+import datetime
+import math
+import os
+import platform
+import re
+import subprocess
+from pathlib import Path
+from typing import Literal
+
+import msgspec
+
+FOLDER = Path(__file__).resolve().parents[3] / "benchmarks" / "scale" / "results"
+"""Where the results lie that docs/CAPACITY.md is made from."""
+
+FEWEST_SIZES = 4
+"""Fewer points than these tell no slope."""
+
+Kind = Literal["module", "reducer", "hollow", "real", "sockets"]
+
+NAME = re.compile(r"[a-z0-9][a-z0-9-]*")
+COMMIT = re.compile(r"[0-9a-f]{7,40}\+?")
+"""A trailing plus: the checkout differed from that commit."""
+
+PAIR = re.compile(rb"\[\s+([-+.\deE]+),\s+([-+.\deE]+)\s+\]")
+"""A point in indented JSON, which is put on one line."""
+
+
+class ResultError(ValueError):
+    """A result that cannot be used; the message begins with its file or name and names the field."""
+
+
+class Machine(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Where a run was made."""
+
+    cores: int
+    memory_gib: float
+    python: str
+
+
+class Point(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
+    """One measured value; in JSON `[size, value]`."""
+
+    size: float
+    value: float
+
+
+class Measure(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """What was measured at each size, sizes ascending."""
+
+    name: str
+    unit: str
+    control: bool
+    """True: control (list, configuration, health, membership). False: clients' lines."""
+    points: list[Point]
+    plays: int
+    """Plays that each point was made from."""
+
+
+class Run(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """The head of every result."""
+
+    name: str
+    what: str
+    """One sentence: what was done and counted."""
+    command: str
+    kind: Kind
+    alone: bool
+    """True: no other load was on the machine."""
+    commit: str = ""
+    date: str = ""
+    """Of the run's end, `YYYY-MM-DD`."""
+    machine: Machine | None = None
+
+
+class Sweep(
+    Run, kw_only=True, forbid_unknown_fields=True, tag_field="schema", tag="cottonspread-scale-sweep/1"
+):
+    """Values at several sizes of one variable, all else fixed."""
+
+    variable: str
+    variable_unit: str
+    fixed: dict[str, float | str | bool]
+    measures: list[Measure]
+
+    def measure(self, name: str) -> Measure:
+        """The measure of that name; ResultError where there is none."""
+        for measure in self.measures:
+            if measure.name == name:
+                return measure
+        raise ResultError(f"{self.name}: no measure {name!r}")
+
+
+class FaultRow(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """One event played on a fleet."""
+
+    event: str
+    figures: dict[str, float]
+    """Name with its unit at the end (`lost_connections`, `longest_silence_ms`) to value."""
+    seconds_until_whole: float | None
+    """None: it was not whole at the end of the play."""
+    rules_broken: int
+    notes: str
+
+
+class FaultRun(
+    Run, kw_only=True, forbid_unknown_fields=True, tag_field="schema", tag="cottonspread-scale-faults/1"
+):
+    """Events played on a fleet of `nodes` from a seed."""
+
+    nodes: int
+    seed: int
+    rows: list[FaultRow]
+
+    def row(self, event: str) -> FaultRow:
+        """The row of that event; ResultError where there is none."""
+        for row in self.rows:
+            if row.event == event:
+                return row
+        raise ResultError(f"{self.name}: no event {event!r}")
+
+
+Result = Sweep | FaultRun
+
+
+def current_machine() -> Machine:
+    """The machine that this process runs on."""
+    memory = os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
+    cores = len(os.sched_getaffinity(0))
+    return Machine(cores=cores, memory_gib=round(memory / 2**30, 1), python=platform.python_version())
+
+
+def current_commit() -> str:
+    """The commit of the checkout that this module lies in; with a plus where Python files differ from it."""
+    folder = Path(__file__).parent
+    commit = _git(folder, "rev-parse", "--short=12", "HEAD")
+    changed = _git(folder, "status", "--porcelain", "--untracked-files=no", "--", ":/*.py")
+    return commit + "+" if changed else commit
+
+
+def write(result: Result, folder: Path = FOLDER) -> Path:
+    """Fills in commit, date and machine where left out, checks, writes `NAME.json` whole; its path."""
+    result.commit = result.commit or current_commit()
+    result.date = result.date or datetime.date.today().isoformat()
+    result.machine = result.machine or current_machine()
+    text = PAIR.sub(rb"[\1, \2]", msgspec.json.format(msgspec.json.encode(result), indent=1))
+    _decode(text, result.name)
+    path = Path(folder) / f"{result.name}.json"
+    path.parent.mkdir(parents=True, exist_ok=True)
+    partial = path.with_suffix(".json.new")
+    partial.write_bytes(text + b"\n")
+    os.replace(partial, path)
+    return path
+
+
+def read(path: Path) -> Result:
+    """The result in the file; ResultError where it is missing, faulty, or named otherwise than its file."""
+    path = Path(path)
+    try:
+        text = path.read_bytes()
+    except OSError as fault:
+        raise ResultError(f"{path.name}: {fault.strerror}") from None
+    result = _decode(text, path.name)
+    if result.name != path.stem:
+        raise ResultError(f"{path.name}: name: {result.name!r} differs from the file's")
+    return result
+
+
+def read_sweep(path: Path) -> Sweep:
+    """As `read`; ResultError where it is no sweep."""
+    result = read(path)
+    if not isinstance(result, Sweep):
+        raise ResultError(f"{Path(path).name}: not a sweep")
+    return result
+
+
+def read_fault_run(path: Path) -> FaultRun:
+    """As `read`; ResultError where it is no fault run."""
+    result = read(path)
+    if not isinstance(result, FaultRun):
+        raise ResultError(f"{Path(path).name}: not a fault run")
+    return result
+
+
+def read_all(folder: Path = FOLDER) -> dict[str, Result]:
+    """All results of a folder by name."""
+    return {path.stem: read(path) for path in sorted(Path(folder).glob("*.json"))}
+
+
+def check(result: Result) -> None:
+    """Raises ResultError at the first field whose type is right and whose value is not."""
+    _check_head(result)
+    if isinstance(result, Sweep):
+        _check_sweep(result)
+    else:
+        _check_fault_run(result)
+
+
+def _decode(text: bytes, where: str) -> Result:
+    try:
+        result = msgspec.json.decode(text, type=Result)
+    except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+        raise ResultError(f"{where}: {fault}") from None
+    check(result)
+    return result
+
+
+def _check_head(result: Run) -> None:
+    _demand(result, "name", NAME.fullmatch(result.name) is not None, "lower case letters, digits and hyphens")
+    _demand(result, "what", result.what.strip() != "", "a sentence is wanted")
+    _demand(result, "command", result.command.strip() != "", "the command is wanted")
+    _demand(result, "commit", COMMIT.fullmatch(result.commit) is not None, "a commit is wanted")
+    _demand(result, "date", _is_date(result.date), "YYYY-MM-DD is wanted")
+    machine = result.machine
+    _demand(result, "machine", machine is not None, "is missing")
+    _demand(result, "machine.cores", machine.cores >= 1, "one at least")
+    _demand(result, "machine.memory_gib", _is_amount(machine.memory_gib) and machine.memory_gib > 0, "over 0")
+    _demand(result, "machine.python", machine.python.strip() != "", "a version is wanted")
+
+
+def _check_sweep(sweep: Sweep) -> None:
+    _demand(sweep, "variable", sweep.variable.strip() != "", "is empty")
+    _demand(sweep, "variable_unit", sweep.variable_unit.strip() != "", "is empty")
+    _demand(sweep, "measures", sweep.measures != [], "none")
+    names = [measure.name for measure in sweep.measures]
+    _demand(sweep, "measures", len(set(names)) == len(names), "a name is there twice")
+    for measure in sweep.measures:
+        _check_measure(sweep, measure)
+
+
+def _check_measure(sweep: Sweep, measure: Measure) -> None:
+    where = f"measures.{measure.name}"
+    _demand(
+        sweep, where, measure.name.strip() != "" and measure.unit.strip() != "", "name and unit are wanted"
+    )
+    _demand(sweep, where, measure.plays >= 1, "plays: one at least")
+    sizes = [point.size for point in measure.points]
+    _demand(sweep, where, len(sizes) >= FEWEST_SIZES, f"points: {FEWEST_SIZES} sizes at least")
+    _demand(sweep, where, all(map(_is_amount, sizes)) and sizes[0] > 0, "points: sizes over 0 are wanted")
+    _demand(sweep, where, sizes == sorted(set(sizes)), "points: sizes have to ascend")
+    _demand(
+        sweep, where, all(_is_amount(point.value) for point in measure.points), "points: a value is under 0"
+    )
+
+
+def _check_fault_run(run: FaultRun) -> None:
+    _demand(run, "nodes", run.nodes >= 1, "one at least")
+    _demand(run, "rows", run.rows != [], "none")
+    events = [row.event for row in run.rows]
+    _demand(run, "rows", len(set(events)) == len(events), "an event is there twice")
+    for row in run.rows:
+        where = f"rows.{row.event}"
+        _demand(run, where, row.event.strip() != "", "event: is empty")
+        _demand(
+            run, where, all(math.isfinite(value) for value in row.figures.values()), "figures: not finite"
+        )
+        whole = row.seconds_until_whole
+        _demand(run, where, whole is None or _is_amount(whole), "seconds_until_whole: under 0")
+        _demand(run, where, row.rules_broken >= 0, "rules_broken: under 0")
+
+
+def _demand(result: Run, field: str, held: bool, why: str) -> None:
+    if not held:
+        raise ResultError(f"{result.name}: {field}: {why}")
+
+
+def _is_amount(value: float) -> bool:
+    return math.isfinite(value) and value >= 0
+
+
+def _is_date(text: str) -> bool:
+    try:
+        return datetime.date.fromisoformat(text).isoformat() == text
+    except ValueError:
+        return False
+
+
+def _git(folder: Path, *arguments: str) -> str:
+    try:
+        done = subprocess.run(["git", *arguments], cwd=folder, capture_output=True, text=True, check=True)
+    except (OSError, subprocess.CalledProcessError) as fault:
+        raise ResultError(f"commit: git {arguments[0]}: {fault}") from None
+    return done.stdout.strip()
