Scale fits: relative least squares over four sizes or more, the term of growth named

A capacity figure past the sizes played needs to know how the cost grows. `fit` gives intercept, slope, largest relative residual, the exponent of a power fit and the term (constant, log n, linear, n log n, quadratic); it calls a cost linear unless another term brings the squares of the residuals to a quarter, flat where it changes by under a tenth.

--- /dev/null
+++ b/tests/scale/test_fit.py
@@ -0,0 +1,108 @@
+"""How a cost grows with a size, on data whose growth is known."""
+
+import math
+import random
+
+import pytest
+
+from cottonspread.lab.scale.fit import Fit, FitError, fit
+from cottonspread.lab.scale.results import Point
+
+SIZES = (1_000, 4_000, 10_000, 40_000, 76_190)
+
+
+def points(cost, sizes=SIZES, noise=0.0, seed=1):
+    chance = random.Random(seed)
+    return [Point(size, cost(size) * (1 + chance.uniform(-noise, noise))) for size in sizes]
+
+
+def test_a_line_gives_back_its_slope_and_intercept():
+    found = fit(points(lambda n: 500 + 1.19 * n))
+    assert found.term == "linear"
+    assert found.slope == pytest.approx(1.19) and found.intercept == pytest.approx(500)
+    assert found.residual < 1e-9
+    assert (found.smallest, found.largest) == (1_000, 76_190)
+    assert found.at(100_000) == pytest.approx(119_500)
+
+
+@pytest.mark.parametrize(
+    "cost, term, exponent",
+    [
+        (lambda n: 3 * n, "linear", 1.0),
+        (lambda n: 2 + 0.5 * n * math.log(n), "n log n", 1.1),
+        (lambda n: 7 + 1e-3 * n * n, "quadratic", 2.0),
+        (lambda n: 40 + 9 * math.log(n), "log n", 0.08),
+        (lambda n: 12.5, "constant", 0.0),
+        (lambda n: 0.0, "constant", 0.0),
+    ],
+)
+@pytest.mark.parametrize("noise", [0.0, 0.01])
+def test_the_term_is_named(cost, term, exponent, noise):
+    found = fit(points(cost, noise=noise))
+    assert found.term == term
+    assert found.exponent == pytest.approx(exponent, abs=0.1)
+    assert found.residual <= 0.03
+
+
+def test_a_line_with_noise_stays_a_line():
+    for seed in range(50):
+        assert fit(points(lambda n: 100 + 0.02 * n, noise=0.05, seed=seed)).term == "linear"
+
+
+def test_a_base_cost_is_not_taken_for_slow_growth():
+    found = fit(points(lambda n: 1e6 + 10 * n))
+    assert found.term == "linear" and found.exponent < 0.3
+    assert found.slope == pytest.approx(10)
+
+
+def test_the_residual_is_the_largest_relative_one():
+    measured = points(lambda n: 2 * n)
+    measured[2] = Point(measured[2].size, measured[2].value * 1.3)
+    found = fit(measured)
+    strays = [abs(p.value - found.at(p.size)) / p.value for p in measured]
+    assert found.residual == pytest.approx(max(strays)) and found.residual > 0.1
+
+
+def test_each_size_counts_alike():
+    """By plain squares the largest size alone would decide, and the smallest would lie far off the line."""
+    measured = points(lambda n: 2 * n)
+    measured[-1] = Point(measured[-1].size, measured[-1].value * 1.05)
+    found = fit(measured)
+    assert abs(found.at(1_000) - 2_000) < 60
+
+
+def test_how_far_the_target_lies_past_the_largest_size():
+    found = fit(points(lambda n: n, sizes=(50, 100, 200, 400)))
+    assert found.beyond(3_000) == 7.5
+    assert found.beyond(400) == 1.0
+    assert found.beyond(100) < 1
+
+
+def test_growth_beyond_a_term_is_told():
+    quadratic, line = fit(points(lambda n: n * n)), fit(points(lambda n: n))
+    assert quadratic.grows_faster_than("linear") and quadratic.grows_faster_than("n log n")
+    assert not quadratic.grows_faster_than("quadratic")
+    assert line.grows_faster_than("constant") and not line.grows_faster_than("linear")
+    falling = Fit("quadratic", 9.0, -1.0, 0.0, -1.0, 1.0, 2.0)
+    assert not falling.grows_faster_than("linear")
+
+
+def test_fewer_than_four_sizes_are_an_error():
+    with pytest.raises(FitError, match="3 sizes"):
+        fit(points(lambda n: n, sizes=(1, 2, 3)))
+    with pytest.raises(FitError, match="3 sizes"):
+        fit(points(lambda n: n, sizes=(1, 2, 3, 3)))
+    assert fit(points(lambda n: n, sizes=(1, 2, 3, 4))).slope == pytest.approx(1)
+
+
+@pytest.mark.parametrize("point", [Point(0, 1), Point(-1, 1), Point(9, math.nan), Point(math.inf, 1)])
+def test_points_that_are_no_numbers_are_an_error(point):
+    with pytest.raises(FitError, match="finite"):
+        fit([point, *points(lambda n: n)])
+
+
+def test_next_to_nothing_at_one_size_does_not_decide():
+    """400 in place of 20 where the largest is 152,380: held against a hundredth of that, a quarter."""
+    found = fit([Point(10, 400.0), *points(lambda n: 2 * n)])
+    assert found.term == "linear" and found.slope == pytest.approx(2, rel=0.01)
+    assert 0.2 < found.residual < 0.3
