Capacity page: rows with formulas over variables and slopes, verdicts, tables written between markers

A value is the fit of a result's measure at the target's size, its range that over the corners of the assumed variables.

--- /dev/null
+++ b/benchmarks/scale/page.py
@@ -0,0 +1,57 @@
+"""Writes the tables of docs/CAPACITY.md from rows.toml and results/*.json.
+
+    python benchmarks/scale/page.py            # writes the page
+    python benchmarks/scale/page.py --check    # exit 1 if page, rows and results differ; says where
+
+The check fails too where a result that a row names is missing, where a row says that it was not run although
+its results are there, and where the prose has a figure that is no variable of the page.
+"""
+
+import argparse
+import difflib
+import os
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT))
+
+from cottonspread.lab.scale import capacity, formula, results, tables  # noqa: E402  the checkout's own
+
+
+def faults_of(page: Path, rows: Path, folder: Path) -> tuple[list[str], str]:
+    """What is wrong with the page, nothing if it is sound; and the text that it should have."""
+    text = page.read_text(encoding="utf-8")
+    try:
+        worked = capacity.Capacity(capacity.read_book(rows), results.read_all(folder), ROOT)
+        wanted = tables.Page(worked, folder).write(text)
+        strays = tables.stray_figures(text, worked)
+    except (capacity.RowError, results.ResultError, formula.FormulaError) as fault:
+        return [str(fault)], text
+    differing = difflib.unified_diff(
+        text.splitlines(), wanted.splitlines(), "page", "results", n=0, lineterm=""
+    )
+    return [*differing, *(f"a figure in the prose without its run: {found}" for found in strays)], wanted
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """The command; its exit code."""
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("--check", action="store_true", help="write nothing; exit 1 if anything differs")
+    parser.add_argument("--page", type=Path, default=ROOT / "docs" / "CAPACITY.md")
+    parser.add_argument("--rows", type=Path, default=Path(__file__).with_name("rows.toml"))
+    parser.add_argument("--results", type=Path, default=results.FOLDER)
+    options = parser.parse_args(arguments)
+    faults, wanted = faults_of(options.page, options.rows, options.results)
+    if not options.check and wanted != options.page.read_text(encoding="utf-8"):
+        partial = options.page.with_suffix(".md.new")
+        partial.write_text(wanted, encoding="utf-8")
+        os.replace(partial, options.page)
+        faults, _ = faults_of(options.page, options.rows, options.results)
+    for fault in faults:
+        print(fault, file=sys.stderr)
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cottonspread/lab/scale/capacity.py
@@ -0,0 +1,357 @@
+"""The rows of the capacity page: read from TOML, every field checked, worked out from results and variables.
+
+A row has a formula over names. A name is a variable (told by the operators, assumed with a range, or
+derived), the `id` of another row, or one of the row's own `costs` (a fit of a result's measure, taken at a
+size) and `figures` (one value out of a result's fault rows or of an older results file).
+"""
+
+import itertools
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Literal
+
+import msgspec
+
+from cottonspread.lab.scale import formula
+from cottonspread.lab.scale.fit import Fit, fit
+from cottonspread.lab.scale.results import FaultRun, Result, ResultError, Sweep
+
+Aspect = Literal["state", "messages", "processor time", "memory", "descriptors", "bytes a second", "time"]
+
+AMPLE = 2.0
+"""A value under the budget by this factor holds; between, it holds with its factor."""
+
+
+class RowError(ValueError):
+    """A row that cannot be worked out; the message names it."""
+
+
+class Told(msgspec.Struct, forbid_unknown_fields=True):
+    """A variable that the operators gave."""
+
+    value: float
+    unit: str
+    why: str
+
+
+class Assumed(msgspec.Struct, forbid_unknown_fields=True):
+    """A variable that nobody told, with the range in which it may lie."""
+
+    value: float
+    low: float
+    high: float
+    unit: str
+    why: str
+
+
+class Derived(msgspec.Struct, forbid_unknown_fields=True):
+    """A variable that follows from others."""
+
+    formula: str
+    unit: str
+    why: str
+
+
+class Cost(msgspec.Struct, forbid_unknown_fields=True):
+    """The fit of a measure at a size (a formula); with `slope` that of the line, value a unit of size."""
+
+    name: str
+    result: str
+    measure: str
+    size: str
+    slope: bool = False
+
+
+class Figure(msgspec.Struct, forbid_unknown_fields=True):
+    """One value: of a fault run's event; out of a JSON file of the repository (`at`: keys joined by `/`); or out
+    of a page (`at`: words that stand there, in which `value` does)."""
+
+    name: str
+    result: str = ""
+    event: str = ""
+    figure: str = ""
+    file: str = ""
+    at: str = ""
+    value: str = ""
+
+
+class Row(msgspec.Struct, forbid_unknown_fields=True):
+    """One line of a role's table."""
+
+    role: str
+    control: bool
+    aspect: Aspect
+    what: str
+    unit: str
+    mechanism: str
+    formula: str = ""
+    budget: str = ""
+    id: str = ""
+    costs: list[Cost] = []
+    figures: list[Figure] = []
+    not_run: str = ""
+    """Why there is no run yet: the row has no value then."""
+
+
+class Line(msgspec.Struct, forbid_unknown_fields=True):
+    """One line of any other table; `{name}` in a cell stands for one of its `values`."""
+
+    table: str
+    cells: list[str]
+    values: dict[str, str] = {}
+    """Formulas by name."""
+    costs: list[Cost] = []
+    figures: list[Figure] = []
+    not_run: str = ""
+
+
+class Book(msgspec.Struct, forbid_unknown_fields=True):
+    """All that the page's tables are made from, but for the results."""
+
+    told: dict[str, Told]
+    assumed: dict[str, Assumed]
+    derived: dict[str, Derived]
+    tables: dict[str, list[str]]
+    """Columns by table."""
+    row: list[Row]
+    line: list[Line]
+
+
+@dataclass(frozen=True)
+class Used:
+    """A cost as a row used it."""
+
+    cost: Cost
+    fit: Fit
+    unit: str
+    size: float
+    value: float
+
+
+@dataclass(frozen=True)
+class Worked:
+    """A row worked out; all None where it was not run."""
+
+    row: Row
+    value: float | None
+    low: float | None
+    high: float | None
+    budget: float | None
+    used: tuple[Used, ...]
+
+    @property
+    def verdict(self) -> str:
+        """Holds, holds with a factor, does not hold; said of the value, and of the whole range besides."""
+        if self.value is None:
+            return "not run"
+        if self.budget is None:
+            return "no budget told"
+        if self.value > self.budget:
+            return f"**does not hold**: {_times(self.value, self.budget)} the budget"
+        said = "holds"
+        if self.value * AMPLE > self.budget:
+            said = f"holds with a factor of {self.budget / self.value:.2g}"
+        return said + "; not over the whole range" * (self.high > self.budget)
+
+    @property
+    def beyond(self) -> float:
+        """How many times the largest size played the target lies at, of the cost that is furthest."""
+        return max((used.fit.beyond(used.size) for used in self.used), default=0.0)
+
+
+def _times(value: float, budget: float) -> str:
+    return f"{value / budget:.3g} times" if budget else "with"
+
+
+def read_book(path: Path) -> Book:
+    """The TOML file's rows; RowError names what is wrong."""
+    try:
+        book = msgspec.toml.decode(path.read_bytes(), type=Book)
+    except (OSError, msgspec.DecodeError, UnicodeDecodeError) as fault:
+        raise RowError(f"{path.name}: {fault}") from None
+    variables = [*book.told, *book.assumed, *book.derived, *(row.id for row in book.row if row.id)]
+    doubled = {name for name in variables if variables.count(name) > 1}
+    if doubled:
+        raise RowError(f"{path.name}: names that are there twice: {sorted(doubled)}")
+    for name, one in book.assumed.items():
+        if not one.low <= one.value <= one.high:
+            raise RowError(f"{path.name}: assumed.{name}: value outside its range")
+    for line in book.line:
+        if len(line.cells) != len(book.tables.get(line.table, [])):
+            raise RowError(f"{path.name}: table {line.table!r}: {line.cells[:1]}: other than its columns")
+    return book
+
+
+class Sheet:
+    """Values of names under one choice of the assumed variables; remembers which of them were used."""
+
+    def __init__(self, book: Book, results: dict[str, Result], root: Path, chosen: dict[str, float]):
+        self.book, self.results, self.root, self.chosen = book, results, root, chosen
+        self.rows = {row.id: row for row in book.row if row.id}
+        self.touched: set[str] = set()
+        self.under_way: list[str] = []
+
+    def value(self, name: str) -> float:
+        """That of a variable or of a row's id."""
+        if name in self.under_way:
+            raise RowError(f"{name}: rests on itself")
+        if name in self.book.told:
+            return self.book.told[name].value
+        if name in self.book.assumed:
+            self.touched.add(name)
+            return self.chosen.get(name, self.book.assumed[name].value)
+        if name not in self.book.derived and name not in self.rows:
+            raise RowError(f"no variable or row is named {name!r}")
+        self.under_way.append(name)
+        try:
+            if name in self.book.derived:
+                return formula.evaluate(self.book.derived[name].formula, self.value)
+            return self.row_value(self.rows[name])
+        finally:
+            self.under_way.pop()
+
+    def row_value(self, row: Row) -> float:
+        """A row's value; RowError where it was not run."""
+        if row.not_run:
+            raise RowError(f"{row.what}: was not run, and another row rests on it")
+        own = self.own_values(row.costs, row.figures)
+        return formula.evaluate(row.formula, lambda name: own[name] if name in own else self.value(name))
+
+    def own_values(self, costs: list[Cost], figures: list[Figure]) -> dict[str, float]:
+        """The values of a row's costs and figures by name."""
+        own = {cost.name: self.used(cost).value for cost in costs}
+        return own | {figure.name: self.figure(figure) for figure in figures}
+
+    def used(self, cost: Cost) -> Used:
+        """A cost at its size."""
+        result = self.result(cost.result)
+        if not isinstance(result, Sweep):
+            raise RowError(f"{cost.result}: not a sweep")
+        measure = result.measure(cost.measure)
+        found = fit(measure.points)
+        size = formula.evaluate(cost.size, self.value)
+        if cost.slope and found.term not in ("linear", "constant"):
+            raise RowError(f"{cost.result}: {cost.measure}: grows by {found.term}, so that no slope tells it")
+        return Used(cost, found, measure.unit, size, found.slope if cost.slope else found.at(size))
+
+    def figure(self, figure: Figure) -> float:
+        """One value out of a result or of an older file."""
+        where = figure.result or figure.file
+        if figure.file:
+            value = self._quoted(figure) if figure.value else self._older(figure)
+        else:
+            result = self.result(figure.result)
+            if not isinstance(result, FaultRun):
+                raise RowError(f"{where}: not a fault run")
+            row = result.row(figure.event)
+            known = {**row.figures, "seconds_until_whole": row.seconds_until_whole}
+            known["rules_broken"] = row.rules_broken
+            if figure.figure not in known:
+                raise RowError(f"{where}: {figure.event}: no figure {figure.figure!r}")
+            value = known[figure.figure]
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise RowError(f"{where}: {figure.name}: {value!r} is no number")
+        return float(value)
+
+    def _older(self, figure: Figure) -> object:
+        try:
+            value = json.loads((self.root / figure.file).read_text())
+            for key in figure.at.split("/"):
+                value = value[int(key)] if isinstance(value, list) else value[key]
+        except (OSError, ValueError, LookupError, TypeError) as fault:
+            raise RowError(f"{figure.file}: {figure.at}: {type(fault).__name__}: {fault}") from None
+        return value
+
+    def _quoted(self, figure: Figure) -> float:
+        try:
+            text = (self.root / figure.file).read_text(encoding="utf-8")
+        except OSError as fault:
+            raise RowError(f"{figure.file}: {fault.strerror}") from None
+        if figure.at not in text or figure.value not in figure.at.split():
+            raise RowError(f"{figure.file}: {figure.value!r} in {figure.at!r} does not stand there")
+        return float(figure.value.replace(",", ""))
+
+    def result(self, name: str) -> Result:
+        """The result of that name; RowError where its file is missing."""
+        if name not in self.results:
+            raise RowError(f"{name}.json: no such result")
+        return self.results[name]
+
+
+class Capacity:
+    """The book worked out over the results."""
+
+    def __init__(self, book: Book, results: dict[str, Result], root: Path):
+        self.book, self.results, self.root = book, results, root
+
+    def sheet(self, chosen: dict[str, float] | None = None) -> Sheet:
+        """Values under a choice of the assumed variables; those left out have their stated value."""
+        return Sheet(self.book, self.results, self.root, chosen or {})
+
+    def rows(self, role: str, control: bool) -> list[Worked]:
+        """A role's rows, worked out."""
+        return [self.work(row) for row in self.book.row if (row.role, row.control) == (role, control)]
+
+    def work(self, row: Row) -> Worked:
+        """One row: value, the lowest and highest over the corners of the assumed ranges, budget."""
+        if row.not_run:
+            self._demand_missing(row.what, row.costs, row.figures)
+            return Worked(row, None, None, None, None, ())
+        try:
+            sheet = self.sheet()
+            value = sheet.row_value(row)
+            used = tuple(sheet.used(cost) for cost in row.costs)
+            corners = [self.sheet(chosen).row_value(row) for chosen in self.corners(sheet.touched)]
+            budget = formula.evaluate(row.budget, self.sheet().value) if row.budget else None
+        except (RowError, ResultError, formula.FormulaError) as fault:
+            raise RowError(f"{row.role}: {row.what}: {fault}") from None
+        return Worked(row, value, min(corners), max(corners), budget, used)
+
+    def line(self, line: Line) -> dict[str, float] | None:
+        """A line's values by name; None where it was not run."""
+        if line.not_run:
+            self._demand_missing(line.cells[0], line.costs, line.figures)
+            return None
+        sheet = self.sheet()
+        try:
+            own = sheet.own_values(line.costs, line.figures)
+            for name, text in line.values.items():
+                own[name] = formula.evaluate(text, lambda n: own[n] if n in own else sheet.value(n))
+        except (RowError, ResultError, formula.FormulaError) as fault:
+            raise RowError(f"{line.table}: {line.cells[0]}: {fault}") from None
+        return own
+
+    def corners(self, names: set[str]) -> Iterator[dict[str, float]]:
+        """Every choice of lowest and highest of these assumed variables."""
+        ordered = sorted(names)
+        ends = [(self.book.assumed[name].low, self.book.assumed[name].high) for name in ordered]
+        for choice in itertools.product(*ends):
+            yield dict(zip(ordered, choice, strict=True))
+
+    def costs(self) -> list[Used]:
+        """Every cost that a row or line uses, once each."""
+        found = {}
+        for one in [*self.book.row, *self.book.line]:
+            if one.not_run:
+                continue
+            for cost in one.costs:
+                key = cost.result, cost.measure, cost.size, cost.slope
+                found.setdefault(key, self.sheet().used(cost))
+        return [found[key] for key in sorted(found)]
+
+    def figures(self) -> list[tuple[Figure, float]]:
+        """Every figure of an older file that a row or line uses, once each."""
+        found = {}
+        for one in [*self.book.row, *self.book.line]:
+            for figure in one.figures if not one.not_run else ():
+                if figure.file:
+                    found.setdefault((figure.file, figure.at), (figure, self.sheet().figure(figure)))
+        return [found[key] for key in sorted(found)]
+
+    def _demand_missing(self, what: str, costs: list[Cost], figures: list[Figure]) -> None:
+        """A row that names only results that are there has been run, and may not say otherwise."""
+        wanted = {cost.result for cost in costs} | {figure.result for figure in figures if figure.result}
+        if wanted and wanted <= self.results.keys():
+            raise RowError(f"{what}: says that it was not run, and its results are there")
--- /dev/null
+++ b/tests/scale/test_capacity.py
@@ -0,0 +1,345 @@
+"""The rows of the capacity page: values, ranges, budgets and verdicts, and every fault told by its row."""
+
+import json
+
+import pytest
+
+from cottonspread.lab.scale import capacity, results, tables
+from cottonspread.lab.scale.capacity import Capacity, RowError
+from cottonspread.lab.scale.results import FaultRow, FaultRun, Measure, Point, Sweep
+
+ROWS = """
+[told.nodes]
+value = 420
+unit = "nodes"
+why = "the letter"
+
+[assumed.servers]
+value = 1000
+low = 400
+high = 3000
+unit = "servers"
+why = "not told"
+
+[derived.servers_a_node]
+formula = "servers / nodes"
+unit = "servers"
+why = "a mean"
+
+[tables]
+events = ["event", "lost", "test"]
+
+[[row]]
+id = "list_time"
+role = "node"
+control = true
+aspect = "processor time"
+what = "one change of the list"
+unit = "ms"
+formula = "change_us / 1000"
+budget = "17"
+mechanism = "`Balancer.listed`"
+costs = [{ name = "change_us", result = "module-servers", measure = "change_us", size = "servers" }]
+
+[[row]]
+role = "node"
+control = true
+aspect = "time"
+what = "two changes"
+unit = "ms"
+formula = "2 * list_time"
+mechanism = "the same"
+
+[[row]]
+role = "server"
+control = false
+aspect = "memory"
+what = "not looked at"
+unit = "MB"
+mechanism = "none"
+not_run = "no run of servers"
+
+[[line]]
+table = "events"
+cells = ["a zone", "{lost} of {nodes_told}", "tests/x.py"]
+values = { nodes_told = "nodes" }
+figures = [{ name = "lost", result = "fault-zone", event = "zone", figure = "lost" }]
+
+[[line]]
+table = "events"
+cells = ["a rack", "{lost}", ""]
+figures = [{ name = "lost", result = "fault-rack", event = "rack", figure = "lost" }]
+not_run = "no time"
+"""
+HEAD = dict(command="x", alone=True)
+SIZES = (50, 200, 400, 800)
+
+
+def sweep(cost=lambda n: 100 + 10 * n, name="module-servers"):
+    points = [Point(size, cost(size)) for size in SIZES]
+    measure = Measure(name="change_us", unit="us", control=True, points=points, plays=1)
+    told = dict(variable="servers", variable_unit="n", fixed={}, measures=[measure])
+    return Sweep(name=name, what="x", kind="module", **told, **HEAD)
+
+
+def zone(**figures):
+    row = FaultRow(event="zone", figures=figures, seconds_until_whole=None, rules_broken=0, notes="")
+    return FaultRun(name="fault-zone", what="x", kind="hollow", nodes=420, seed=1, rows=[row], **HEAD)
+
+
+@pytest.fixture
+def book(tmp_path):
+    """Makes a book of the rows, after the given changes of their text."""
+
+    def make(*changes):
+        text = ROWS
+        for old, new in changes:
+            assert old in text
+            text = text.replace(old, new, 1)
+        path = tmp_path / "rows.toml"
+        path.write_text(text)
+        return capacity.read_book(path)
+
+    return make
+
+
+def worked(book, tmp_path, *runs):
+    runs = runs or (sweep(), zone(lost=52.0))
+    return Capacity(book, {run.name: run for run in runs}, tmp_path)
+
+
+def first(capacity_, control=True, role="node"):
+    return capacity_.rows(role, control)[0]
+
+
+def test_a_row_has_value_range_budget_and_verdict(book, tmp_path):
+    row = first(worked(book(), tmp_path))
+    assert row.value == pytest.approx(10.1)
+    assert (row.low, row.high) == (pytest.approx(4.1), pytest.approx(30.1))
+    assert row.budget == 17
+    assert row.verdict == "holds with a factor of 1.7; not over the whole range"
+    assert row.beyond == pytest.approx(1.25)
+
+
+@pytest.mark.parametrize(
+    "budget, verdict",
+    [
+        ("61", "holds"),
+        ("20.3", "holds; not over the whole range"),
+        ("30.2", "holds"),
+        ("10.2", "holds with a factor of 1; not over the whole range"),
+        ("5.05", "**does not hold**: 2 times the budget"),
+        ("0", "**does not hold**: with the budget"),
+    ],
+)
+def test_the_verdict_follows_the_budget(book, tmp_path, budget, verdict):
+    row = first(worked(book(('budget = "17"', f'budget = "{budget}"')), tmp_path))
+    assert row.verdict == verdict
+
+
+def test_a_row_may_rest_on_another_and_have_no_budget(book, tmp_path):
+    row = worked(book(), tmp_path).rows("node", True)[1]
+    assert row.value == pytest.approx(20.2) and row.high == pytest.approx(60.2)
+    assert row.verdict == "no budget told"
+
+
+def test_a_row_that_was_not_run_says_so(book, tmp_path):
+    row = first(worked(book(), tmp_path), False, "server")
+    assert row.value is None and row.verdict == "not run"
+
+
+def test_a_slope_is_a_units_cost_and_none_where_the_cost_is_no_line(book, tmp_path):
+    change = 'size = "servers" }', 'size = "servers", slope = true }'
+    row = first(worked(book(change), tmp_path))
+    assert row.value == pytest.approx(0.01)
+    with pytest.raises(RowError, match="grows by quadratic"):
+        first(worked(book(change), tmp_path, sweep(lambda n: n * n)))
+
+
+def test_a_cost_that_is_no_line_is_taken_by_its_own_term(book, tmp_path):
+    row = first(worked(book(), tmp_path, sweep(lambda n: n * n / 100)))
+    assert row.value == pytest.approx(10)
+    assert row.used[0].fit.term == "quadratic"
+
+
+FAULTS = [
+    (('"change_us / 1000"', '"change_us / thousand"'), "no variable or row is named 'thousand'"),
+    (('"change_us / 1000"', '"change_us / (servers - servers)"'), "division by zero"),
+    (('"change_us / 1000"', '"list_time + 1"'), "rests on itself"),
+    (('measure = "change_us"', 'measure = "other"'), "no measure 'other'"),
+    (('result = "module-servers"', 'result = "fault-zone"'), "not a sweep"),
+    (('size = "servers"', 'size = "sizes"'), "'sizes'"),
+    (('formula = "servers / nodes"', 'formula = "servers_a_node"'), None),
+]
+
+
+@pytest.mark.parametrize("change, why", FAULTS)
+def test_a_faulty_row_is_told(book, tmp_path, change, why):
+    made = worked(book(change), tmp_path)
+    with pytest.raises(RowError, match=why or "rests on itself"):
+        first(made) if why else made.sheet().value("servers_a_node")
+
+
+def test_a_missing_result_is_told(book, tmp_path):
+    with pytest.raises(RowError, match="node: one change of the list: module-servers.json: no such result"):
+        first(worked(book(), tmp_path, zone(lost=1.0)))
+
+
+def test_a_row_cannot_rest_on_one_that_was_not_run(book, tmp_path):
+    made = worked(book(('budget = "17"', 'not_run = "later"')), tmp_path, zone(lost=1.0))
+    with pytest.raises(RowError, match="was not run, and another row rests on it"):
+        made.rows("node", True)
+
+
+def test_a_row_may_not_say_that_it_was_not_run_when_it_was(book, tmp_path):
+    with pytest.raises(RowError, match="its results are there"):
+        first(worked(book(('budget = "17"', 'not_run = "later"')), tmp_path))
+
+
+BOOK_FAULTS = [
+    (("value = 1000", "value = 9000"), "outside its range"),
+    (('id = "list_time"', 'id = "servers"'), "twice"),
+    (('cells = ["a rack", ', "cells = ["), "its columns"),
+    (('aspect = "memory"', 'aspect = "mood"'), "aspect"),
+    (('unit = "MB"\n', 'unit = "MB"\nunheard = 1\n'), "unheard"),
+    (('role = "server"\n', ""), "role"),
+    (("[tables]", "[tables"), "rows.toml"),
+]
+
+
+@pytest.mark.parametrize("change, why", BOOK_FAULTS)
+def test_a_faulty_book_is_told(book, change, why):
+    with pytest.raises(RowError, match=why):
+        book(change)
+
+
+def test_a_line_takes_its_figures_from_the_fault_run(book, tmp_path):
+    made = worked(book(), tmp_path)
+    assert made.line(made.book.line[0]) == {"lost": 52, "nodes_told": 420}
+    assert made.line(made.book.line[1]) is None
+    with pytest.raises(RowError, match="no figure 'lost'"):
+        worked(book(), tmp_path, sweep(), zone(gone=1.0)).line(made.book.line[0])
+    with pytest.raises(RowError, match="a zone: fault-zone.json: no such result"):
+        worked(book(), tmp_path, sweep()).line(made.book.line[0])
+
+
+def test_what_was_never_whole_is_no_number(book, tmp_path):
+    made = worked(book(('figure = "lost"', 'figure = "seconds_until_whole"')), tmp_path)
+    with pytest.raises(RowError, match="None is no number"):
+        made.line(made.book.line[0])
+
+
+def test_a_figure_of_an_older_file_is_read_by_its_keys(book, tmp_path):
+    (tmp_path / "old.json").write_text(json.dumps({"plays": [{"mb": 21.3}, {"mb": "x"}]}))
+    old = 'result = "fault-zone", event = "zone", figure = "lost"'
+    made = worked(book((old, 'file = "old.json", at = "plays/0/mb"')), tmp_path)
+    assert made.line(made.book.line[0])["lost"] == 21.3
+    assert [value for _, value in made.figures()] == [21.3]
+    for at in ("plays/1/mb", "plays/9/mb", "plays/0", "none"):
+        made = worked(book((old, f'file = "old.json", at = "{at}"')), tmp_path)
+        with pytest.raises(RowError, match="old.json"):
+            made.line(made.book.line[0])
+
+
+def test_a_figure_of_an_older_page_is_the_one_that_stands_there(book, tmp_path):
+    (tmp_path / "note.md").write_text("Idle, the supervisor takes 3 % of a core, 1,200 steps.\n")
+    old = 'result = "fault-zone", event = "zone", figure = "lost"'
+
+    def value(at, told):
+        made = worked(book((old, f'file = "note.md", at = "{at}", value = "{told}"')), tmp_path)
+        return made.line(made.book.line[0])["lost"]
+
+    assert value("takes 3 % of a core", "3") == 3
+    assert value("a core, 1,200 steps", "1,200") == 1200
+    for at, told in (("takes 4 % of a core", "4"), ("takes 3 % of a core", "30")):
+        with pytest.raises(RowError, match="does not stand there"):
+            value(at, told)
+
+
+# The page
+
+
+PROSE = """# Capacity
+
+Of 420 nodes. `code 77`, [a link](x-12.md), servers 400 to 3,000.
+
+"""
+
+
+@pytest.fixture
+def page(book, tmp_path):
+    """Makes (page, its text as written) of a book and runs."""
+
+    def make(*runs, text=None):
+        runs = runs or (sweep(), zone(lost=52.0))
+        folder = tmp_path / "results"
+        for run in runs:
+            results.write(run, folder)
+        made = tables.Page(Capacity(book(), results.read_all(folder), tmp_path), folder)
+        text = text or PROSE + "".join(f"<!-- table {name} -->\n<!-- end -->\n" for name in made.wanted())
+        return made, made.write(text)
+
+    return make
+
+
+def test_every_table_is_written_and_writing_again_changes_nothing(page):
+    made, text = page()
+    assert text.startswith(PROSE)
+    assert made.write(text) == text
+    assert "| a zone | 52 of 420 | tests/x.py |" in text
+    assert "| a rack | not run | not run: no time |" in text
+    assert (
+        "| processor time | one change of the list | `change_us / 1000` | 10.1 ms | 4.1 to 30.1 | 17 ms |"
+        in text
+    )
+    assert "holds with a factor of 1.7; not over the whole range | formula, 1.25 times past |" in text
+    assert "| memory | not looked at |  | not run |" in text
+    assert (
+        "| `module-servers` | change_us | 50 to 800 | linear | 100 + 10 n us | 0.94 | 0% "
+        "| 1,000 (`servers`) | 1.25 times |" in text
+    )
+
+
+def test_a_changed_figure_of_a_result_changes_the_page(page):
+    _, before = page()
+    changed = sweep()
+    changed.measures[0].points[0].value += 1e-9
+    _, after = page(changed, zone(lost=52.0))
+    assert after != before
+
+
+def test_a_table_without_a_place_an_unknown_and_a_doubled_one_are_told(page):
+    made, text = page()
+    with pytest.raises(RowError, match="without a place in the page: .*events"):
+        made.write(text.replace("<!-- table events -->", ""))
+    with pytest.raises(RowError, match="no table is named 'moods'"):
+        made.write(text + "<!-- table moods -->\n<!-- end -->\n")
+    with pytest.raises(RowError, match="twice.*events"):
+        made.write(text + "<!-- table events -->\n<!-- end -->\n")
+
+
+def test_a_figure_in_the_prose_is_told_unless_it_is_a_variable(page):
+    made, text = page()
+    assert tables.stray_figures(text, made.capacity) == []
+    for told in ("It takes 3.5 ms.", "some 12,345 of them", "(66)"):
+        assert tables.stray_figures(text + told, made.capacity) != []
+
+
+WRITTEN = [
+    (0, "0"),
+    (76190.476, "76,190"),
+    (32e6, "32,000,000"),
+    (6666.67, "6,667"),
+    (0.0123, "0.0123"),
+    (1.5, "1.5"),
+    (12.345, "12.3"),
+    (999.9, "1,000"),
+    (0.0000123, "1.2e-05"),
+    (-4.26, "-4.26"),
+    (100.4, "100"),
+]
+
+
+@pytest.mark.parametrize("value, text", WRITTEN)
+def test_figures_are_written_for_people(value, text):
+    assert tables.number(value) == text
