--- a/cottonspread/lab/scale/capacity.py
+++ b/cottonspread/lab/scale/capacity.py
@@ -65,8 +65,8 @@
 
 
 class Figure(msgspec.Struct, forbid_unknown_fields=True):
-    """One value: of a fault run's event; out of a JSON file of the repository (`at`: keys joined by `/`); or out
-    of a page (`at`: words that stand there, in which `value` does)."""
+    """One value: of a fault run's event; out of a JSON file of the repository (`at`: keys joined by `/`); or
+    out of a page (`at`: words that stand there, in which `value` does)."""
 
     name: str
     result: str = ""
@@ -309,6 +309,21 @@
             raise RowError(f"{row.role}: {row.what}: {fault}") from None
         return Worked(row, value, min(corners), max(corners), budget, used)
 
+    def allowed(self, row: Row, cost: Cost) -> float | None:
+        """What the cost may be until the row meets its budget, all else as it is; None: nothing tells it."""
+        if row.not_run or not row.budget:
+            return None
+        sheet = self.sheet()
+        own = sheet.own_values(row.costs, row.figures)
+
+        def total(tried: float) -> float:
+            tried_own = own | {cost.name: tried}
+            return formula.evaluate(row.formula, lambda n: tried_own[n] if n in own else sheet.value(n))
+
+        growth = total(1.0) - total(0.0)
+        budget = formula.evaluate(row.budget, sheet.value)
+        return (budget - total(0.0)) / growth if growth > 0 and budget > total(0.0) else None
+
     def line(self, line: Line) -> dict[str, float] | None:
         """A line's values by name; None where it was not run."""
         if line.not_run:
--- /dev/null
+++ b/cottonspread/lab/scale/plots.py
@@ -0,0 +1,151 @@
+"""Plots of cost against size: the points played, their fit on to the target, and the budget's line.
+
+paths = plots.write(results, folder)                      # one PNG a measure
+page = plots.report(results, folder, plots.marks(capacity))  # the PNGs, and scale.html that shows them all
+"""
+
+import base64
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+import jinja2
+import matplotlib
+import numpy as np
+
+from cottonspread.lab.scale.capacity import Capacity
+from cottonspread.lab.scale.fit import Fit, fit
+from cottonspread.lab.scale.results import Measure, Result, Sweep
+
+matplotlib.use("Agg")
+import matplotlib.pyplot as plt  # noqa: E402  the backend is chosen first
+
+PIXELS_AN_INCH = 110
+STEPS = 200
+"""Points of the fit's curve."""
+
+PAGE = jinja2.Environment(autoescape=True).from_string("""<!doctype html><meta charset="utf-8">
+<title>Cost against size</title><style>body{font:15px sans-serif;max-width:72em;margin:2em auto;color:#222}
+table{border-collapse:collapse;margin:1em 0}td,th{border:1px solid #ccc;padding:.25em .7em;text-align:left}
+img{max-width:32%}pre{white-space:pre-wrap;background:#f4f4f4;padding:.6em}</style>
+<h1>Cost against size</h1><p>Servers and clients are simulated, on one machine.</p>
+{% for sweep, rows in sweeps %}<h2>{{ sweep.name }}</h2><p>{{ sweep.what }}</p><pre>{{ sweep.command }}</pre>
+<p>{{ sweep.date }}, commit {{ sweep.commit }}, {{ "alone" if sweep.alone else "beside other load" }}</p>
+<table><tr><th>measure<th>unit<th>for<th>grows with<th>exponent<th>residual{% for measure, found in rows %}
+<tr><td>{{ measure.name }}<td>{{ measure.unit }}<td>{{ "control" if measure.control else "clients' lines" }}
+<td>{{ found.term }}<td>{{ "%.2f"|format(found.exponent) }}<td>{{ "%.0f%%"|format(100 * found.residual) }}
+{% endfor %}</table>{% for measure, found in rows %}
+<img alt="{{ measure.name }}" src="data:image/png;base64,{{ images[sweep.name, measure.name] }}">{% endfor %}
+{% endfor %}""")
+
+
+@dataclass(frozen=True)
+class Mark:
+    """Where a row of the capacity page wants a measure to be: under `allowed`, at the size `target`."""
+
+    label: str
+    target: float
+    allowed: float | None
+
+
+Marks = Mapping[tuple[str, str], list[Mark]]
+"""By result and measure."""
+
+
+def marks(capacity: Capacity) -> Marks:
+    """The targets and budgets that the capacity page's rows have for their costs."""
+    found = defaultdict(list)
+    for row in capacity.book.row:
+        for cost in row.costs if not row.not_run else ():
+            used = capacity.sheet().used(cost)
+            mark = Mark(f"{row.role}: {row.what}", used.size, capacity.allowed(row, cost))
+            found[cost.result, cost.measure].append(mark)
+    return found
+
+
+def write(results: Iterable[Result], folder: Path, wanted: Marks | None = None) -> list[Path]:
+    """A PNG of each measure of each sweep, in the folder; their paths."""
+    folder.mkdir(parents=True, exist_ok=True)
+    paths = []
+    for sweep in _sweeps(results):
+        for measure in sweep.measures:
+            path = folder / _file(sweep, measure)
+            draw(sweep, measure, path, (wanted or {}).get((sweep.name, measure.name), []))
+            paths.append(path)
+    return paths
+
+
+def report(results: Iterable[Result], folder: Path, wanted: Marks | None = None) -> Path:
+    """The plots, and `scale.html`, one file that shows them all without a network; its path."""
+    sweeps = _sweeps(results)
+    write(sweeps, folder, wanted)
+    images, shown = {}, []
+    for sweep in sweeps:
+        shown.append((sweep, [(measure, fit(measure.points)) for measure in sweep.measures]))
+        for measure in sweep.measures:
+            image = (folder / _file(sweep, measure)).read_bytes()
+            images[sweep.name, measure.name] = base64.b64encode(image).decode()
+    path = folder / "scale.html"
+    path.write_text(PAGE.render(sweeps=shown, images=images), encoding="utf-8")
+    return path
+
+
+def draw(sweep: Sweep, measure: Measure, path: Path, wanted: list[Mark]) -> None:
+    """One measure's plot, with logarithmic axes."""
+    found = fit(measure.points)
+    target = max([found.largest, *(mark.target for mark in wanted)])
+    figure, axis = plt.subplots(figsize=(7, 4.6))
+    sizes = [point.size for point in measure.points]
+    values = [point.value for point in measure.points]
+    axis.plot(sizes, values, "o", color="#1f4e79", label="measured", zorder=3)
+    _draw_fit(axis, found, target)
+    _draw_budgets(axis, wanted, max([*values, found.at(target)]))
+    axis.set_xscale("log")
+    if all(value > 0 for value in values):
+        axis.set_yscale("log")
+    else:
+        axis.set_ylim(bottom=0)
+    axis.set_xlabel(f"{sweep.variable.replace('_', ' ')} ({sweep.variable_unit})")
+    axis.set_ylabel(f"{measure.name} ({measure.unit})")
+    axis.set_title(f"{sweep.name}: {measure.name}, {found.term}, residual {found.residual:.0%}", fontsize=10)
+    axis.grid(alpha=0.3, which="both")
+    axis.legend(fontsize=8, framealpha=0.8)
+    figure.tight_layout()
+    figure.savefig(path, dpi=PIXELS_AN_INCH)
+    plt.close(figure)
+
+
+def _draw_fit(axis: plt.Axes, found: Fit, target: float) -> None:
+    """A line over the sizes played, dashes from there to the target."""
+    played = np.geomspace(found.smallest, found.largest, STEPS)
+    axis.plot(played, [found.at(size) for size in played], color="#1f4e79", label="fit")
+    if target > found.largest:
+        beyond = np.geomspace(found.largest, target, STEPS)
+        axis.plot(beyond, [found.at(size) for size in beyond], "--", color="#1f4e79", label="formula")
+        axis.plot([target], [found.at(target)], "D", mfc="white", mec="#1f4e79", label="target, not played")
+
+
+def _draw_budgets(axis: plt.Axes, wanted: list[Mark], largest: float) -> None:
+    """A line for each budget; one far over all values is told in the legend alone."""
+    drawn = set()
+    for mark in wanted:
+        if mark.allowed is None or (mark.label, mark.allowed) in drawn:
+            continue
+        drawn.add((mark.label, mark.allowed))
+        if mark.allowed <= 100 * largest:
+            axis.axhline(
+                mark.allowed, color="#a00", linewidth=1, label=f"budget {mark.allowed:.3g}: {mark.label}"
+            )
+        else:
+            axis.plot(
+                [], [], color="#a00", linewidth=1, label=f"budget {mark.allowed:.3g}, above: {mark.label}"
+            )
+
+
+def _sweeps(results: Iterable[Result]) -> list[Sweep]:
+    return [result for result in results if isinstance(result, Sweep)]
+
+
+def _file(sweep: Sweep, measure: Measure) -> str:
+    return f"{sweep.name}-{measure.name.replace('_', '-').replace(' ', '-')}.png"
--- /dev/null
+++ b/tests/scale/test_plots.py
@@ -0,0 +1,93 @@
+"""Plots of small results: a file for each measure, and one page that shows them."""
+
+import matplotlib.image
+import pytest
+
+from cottonspread.lab.scale import capacity, plots, results
+from cottonspread.lab.scale.plots import Mark
+from cottonspread.lab.scale.results import FaultRow, FaultRun, Measure, Point, Sweep
+
+HEAD = dict(what="x", command="cottonspread lab scale", alone=True, commit="d082d9a", date="2026-12-02")
+
+
+@pytest.fixture
+def sweep():
+    def measure(name, cost):
+        points = [Point(size, cost(size)) for size in (50, 200, 400, 800)]
+        return Measure(name=name, unit="us", control=True, points=points, plays=1)
+
+    measures = [measure("change_us", lambda n: 100 + 10 * n), measure("nothing", lambda n: 0.0)]
+    told = dict(variable="servers", variable_unit="listed", fixed={}, measures=measures)
+    return Sweep(name="module-servers", kind="module", **told, **HEAD)
+
+
+@pytest.fixture
+def faults():
+    row = FaultRow(event="zone", figures={"lost": 1.0}, seconds_until_whole=1.0, rules_broken=0, notes="")
+    return FaultRun(name="fault-zone", kind="hollow", nodes=420, seed=1, rows=[row], **HEAD)
+
+
+def test_each_measure_of_each_sweep_gets_a_plot(tmp_path, sweep, faults):
+    paths = plots.write([sweep, faults], tmp_path / "out")
+    assert [path.name for path in paths] == ["module-servers-change-us.png", "module-servers-nothing.png"]
+    for path in paths:
+        image = matplotlib.image.imread(path)
+        assert image.shape[0] > 300 and image.shape[1] > 500
+        assert image.std() > 0.05  # not one colour
+
+
+def test_a_budget_and_a_target_change_the_plot(tmp_path, sweep):
+    (plain, _) = plots.write([sweep], tmp_path / "plain")
+    wanted = {("module-servers", "change_us"): [Mark("node: one change", 3000.0, 17_000.0)]}
+    (marked, _) = plots.write([sweep], tmp_path / "marked", wanted)
+    assert plain.read_bytes() != marked.read_bytes()
+
+
+def test_the_report_shows_every_plot_without_other_files(tmp_path, sweep, faults):
+    results.write(sweep, tmp_path)
+    page = plots.report([sweep, faults], tmp_path / "out")
+    text = page.read_text()
+    assert text.count("data:image/png;base64,") == 2
+    assert "module-servers" in text and "linear" in text and "fault-zone" not in text
+
+
+def test_marks_are_the_rows_targets_and_what_their_budgets_allow(tmp_path, sweep):
+    path = tmp_path / "rows.toml"
+    path.write_text("""
+derived = {}
+line = []
+tables = {}
+[told.changes]
+value = 4
+unit = "changes/s"
+why = "x"
+[assumed.servers]
+value = 1000
+low = 50
+high = 3000
+unit = "servers"
+why = "x"
+[[row]]
+role = "node"
+control = true
+aspect = "processor time"
+what = "changes"
+unit = "ms/s"
+formula = "1 + changes * change_us / 1000"
+budget = "17"
+mechanism = "x"
+costs = [{ name = "change_us", result = "module-servers", measure = "change_us", size = "servers" }]
+[[row]]
+role = "node"
+control = true
+aspect = "time"
+what = "one change"
+unit = "us"
+formula = "change_us"
+mechanism = "x"
+costs = [{ name = "change_us", result = "module-servers", measure = "change_us", size = "3 * servers" }]
+""")
+    worked = capacity.Capacity(capacity.read_book(path), {sweep.name: sweep}, tmp_path)
+    first, second = plots.marks(worked)["module-servers", "change_us"]
+    assert first == Mark("node: changes", 1000.0, pytest.approx(4000.0))
+    assert second == Mark("node: one change", 3000.0, None)
