--- a/cottonspread/configstore/follower.py
+++ b/cottonspread/configstore/follower.py
@@ -23,6 +23,18 @@
 from enum import StrEnum
 
 from cottonspread.configstore import messages as m
+from cottonspread.configstore.watches import ANSWER_GRACE, Watches
+
+CUT_OFF = 20 * m.SECOND
+"""A node that heard of no replica with a majority for so long is cut off and says so: a watch of 10 s, its
+grace, a failure's pause and the age that a replica itself may tell, without a false alarm."""
+RECHECK = 60 * m.SECOND
+"""A refused record is asked for again after so long: a check costs a node some milliseconds."""
+HOLD = 1 * m.SECOND
+"""A node asks again once the record that it was told is in force or refused, so that its next watch reports
+it; no later than this, for a check or a disk may hang."""
+NEVER = 2**62
+"""A `wake_at` that nobody needs to meet."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,21 +169,252 @@
     """Since a replica with a majority was last heard; None: never."""
 
 
+class _Phase(StrEnum):
+    """Where the record under way is."""
+
+    CHECKING = "checking"
+    SAVING = "saving"
+    APPLYING = "applying"
+    RESTORING = "restoring"
+
+
 class Follower:
     """One node.
 
     `wake_at`: when `Tick` is wanted next.
     """
 
-    wake_at: int
-
     def __init__(self, node: str, replicas: tuple[str, ...], chance):
         """`chance()`: at least 0, below 1, from a seed."""
+        self.node, self.wake_at = node, 0
+        self._watches = Watches(node, replicas, chance)
+        self._in_force: m.Record | None = None
+        self._floor = 0  # no version below was ever in force here
+        self._considered = 0  # generation of the newest record that was looked at
+        self._refused: m.Record | None = None
+        self._refused_why, self._failing, self._failing_why = "", 0, ""
+        self._recheck_at: int | None = None
+        self._under_way: m.Record | None = None
+        self._phase: _Phase | None = None
+        self._starting = False  # the record under way is the saved one
+        self._waiting: m.Record | None = None  # the newest that came meanwhile
+        self._contact: int | None = None
+        self._started, self._was_cut_off, self._hold_until = 0, False, 0
+        self._out: list[Effect] = []
 
     def step(self, now: int, event: Event) -> list[Effect]:
         """What follows from an event."""
-        raise NotImplementedError
+        self._out = []
+        match event:
+            case Started():
+                self._start(now, event)
+            case Answered():
+                self._answered(now, event)
+            case Failed():
+                self._watches.failed(now, event.call)
+            case Checked() | Saved() | Applied():
+                self._go_on(now, event)
+            case Judged():
+                self._judged(event)
+        self._recheck(now)
+        self._notice_cut_off(now)
+        self._ask(now)
+        self._plan_wake(now)
+        return self._out
 
     def view(self, now: int) -> View:
         """How it stands."""
-        raise NotImplementedError
+        record = self._in_force
+        return View(
+            version=record.version if record else 0,
+            generation=record.generation if record else 0,
+            digest=record.digest if record else "",
+            refused=self._refused.version if self._refused else 0,
+            why=self._refused_why or self._failing_why,
+            cut_off=self.is_cut_off(now),
+            contact_age_us=None if self._contact is None else now - self._contact,
+        )
+
+    def is_cut_off(self, now: int) -> bool:
+        """No replica that is one of a majority was heard for `CUT_OFF`."""
+        return now - (self._started if self._contact is None else self._contact) > CUT_OFF
+
+    # Start
+
+    def _start(self, now: int, event: Started) -> None:
+        self._started = now
+        if event.saved is None:
+            return
+        if not event.saved.is_sound():
+            self._out.append(Notice(Told.DISTRUSTED, event.saved.version, "saved record is damaged"))
+            return
+        self._floor, self._considered = event.saved.version, event.saved.generation
+        self._starting = True
+        self._begin(event.saved)
+
+    # Answers
+
+    def _answered(self, now: int, event: Answered) -> None:
+        fault = self._fault_of(event.answer, self._watches.since_of(event.call))
+        if fault:
+            if self._watches.failed(now, event.call):
+                record = event.answer.record
+                self._out.append(Notice(Told.DISTRUSTED, record.version if record else 0, fault))
+            return
+        if not self._watches.answered(now, event.call):
+            return
+        self._hear(now, event.answer.majority_age_us)
+        if event.answer.record is not None:
+            self._hold_until = now + HOLD
+            self._consider(event.answer.record)
+
+    def _hear(self, now: int, age: int | None) -> None:
+        if age is not None and (self._contact is None or now - age > self._contact):
+            self._contact = now - age
+
+    def _fault_of(self, answer: m.Answer, since: int) -> str:
+        """Why the answer is not to be trusted, or empty."""
+        record = answer.record
+        if record is None:
+            return ""
+        if not record.is_sound():
+            return "damaged record"
+        if record.generation <= since:
+            return "older than asked for"
+        if not record.reaches(self.node):
+            return f"not for this node at stage {record.stage.name}"
+        for known in (self._in_force, self._under_way, self._waiting, self._refused):
+            if known is not None and known.version == record.version and known.digest != record.digest:
+                return "same version, other digest"
+        return ""
+
+    def _consider(self, record: m.Record) -> None:
+        if record.generation <= self._considered or record.version < self._floor:
+            return
+        self._considered = record.generation
+        if self._under_way is not None:
+            self._waiting = record
+        else:
+            self._take_up(record)
+
+    def _take_up(self, record: m.Record) -> None:
+        if self._in_force is not None and record.version == self._in_force.version:
+            self._in_force = record  # at another stage
+        else:
+            self._begin(record)
+
+    # One record at a time: check, save, apply
+
+    def _begin(self, record: m.Record) -> None:
+        self._under_way, self._phase = record, _Phase.CHECKING
+        self._out.append(Check(record))
+
+    def _go_on(self, now: int, event: Checked | Saved | Applied) -> None:
+        match (self._phase, event):
+            case (_Phase.CHECKING, Checked(ok=True)) if self._starting:
+                self._apply()
+            case (_Phase.CHECKING, Checked(ok=True)):
+                self._phase = _Phase.SAVING
+                self._out.append(Save(self._under_way))
+            case (_Phase.SAVING, Saved(ok=True)):
+                self._apply()
+            case (_Phase.APPLYING, Applied(ok=True)):
+                self._taken()
+            case (_Phase.APPLYING, Applied(ok=False, why=why)) if not self._starting:
+                self._refuse(now, why)
+                self._phase = _Phase.RESTORING
+                self._out.append(Save(self._in_force))
+            case (_Phase.CHECKING, Checked(why=why)) | (_Phase.SAVING, Saved(why=why)):
+                self._refuse(now, why)
+                self._next()
+            case (_Phase.APPLYING, Applied(why=why)):
+                self._refuse(now, why)
+                self._next()
+            case (_Phase.RESTORING, Saved()):
+                self._next()
+
+    def _apply(self) -> None:
+        self._phase = _Phase.APPLYING
+        self._out.append(Apply(self._under_way))
+
+    def _taken(self) -> None:
+        record = self._under_way
+        self._in_force, self._floor = record, record.version
+        self._considered = max(self._considered, record.generation)
+        self._refused, self._refused_why, self._recheck_at = None, "", None
+        self._failing, self._failing_why = 0, ""
+        self._out.append(Notice(Told.IN_FORCE, record.version))
+        self._watches.hurry()
+        self._next()
+
+    def _refuse(self, now: int, why: str) -> None:
+        self._refused, self._refused_why = self._under_way, (why or "no reason told")[: m.WHY_AT_MOST]
+        self._recheck_at = now + RECHECK
+        self._out.append(Notice(Told.REFUSED, self._refused.version, self._refused_why))
+        self._watches.hurry()
+
+    def _next(self) -> None:
+        self._under_way, self._phase, self._starting = None, None, False
+        if self._waiting is not None:
+            record, self._waiting = self._waiting, None
+            self._take_up(record)
+
+    def _recheck(self, now: int) -> None:
+        """A refusal may have had a cause that is gone, such as a full disk: what is newer than the version in
+        force is asked for again, and told if it still stands.
+        """
+        if self._recheck_at is None or self._recheck_at > now or self._under_way is not None:
+            return
+        self._recheck_at = None
+        self._considered = self._in_force.generation if self._in_force else 0
+
+    def _judged(self, event: Judged) -> None:
+        if self._in_force is None or event.version != self._in_force.version:
+            return
+        failing = 0 if event.ok else event.version
+        if failing != self._failing:
+            self._failing, self._failing_why = failing, event.why[: m.WHY_AT_MOST]
+            self._watches.hurry()
+
+    # Watches
+
+    def _ask(self, now: int) -> None:
+        if self._is_holding(now):
+            return
+        for call, replica, timeout in self._watches.due(now, self._considered):
+            request = m.WatchRequest(
+                since=self._considered,
+                timeout_ms=timeout // m.MILLISECOND,
+                report=self._report(now),
+            )
+            self._out.append(Ask(call, replica, request, now + timeout + ANSWER_GRACE))
+
+    def _is_holding(self, now: int) -> bool:
+        """The next watch waits a little, for it is to report what became of the record under way."""
+        return self._under_way is not None and now < self._hold_until
+
+    def _report(self, now: int) -> m.NodeReport:
+        return m.NodeReport(
+            node=self.node,
+            in_force=self._in_force.version if self._in_force else 0,
+            refused=self._refused.version if self._refused else 0,
+            failing=self._failing,
+            why=self._refused_why or self._failing_why,
+            cut_off=self.is_cut_off(now),
+        )
+
+    def _notice_cut_off(self, now: int) -> None:
+        cut_off = self.is_cut_off(now)
+        if cut_off != self._was_cut_off:
+            self._was_cut_off = cut_off
+            version = self._in_force.version if self._in_force else 0
+            self._out.append(Notice(Told.CUT_OFF if cut_off else Told.BACK, version))
+
+    def _plan_wake(self, now: int) -> None:
+        contact = self._started if self._contact is None else self._contact
+        times = [self._hold_until if self._is_holding(now) else self._watches.earliest()]
+        if not self._was_cut_off:
+            times.append(contact + CUT_OFF + 1)
+        if self._recheck_at is not None and self._under_way is None:
+            times.append(self._recheck_at)
+        self.wake_at = min((time for time in times if time is not None), default=NEVER)
--- a/cottonspread/configstore/messages.py
+++ b/cottonspread/configstore/messages.py
@@ -68,7 +68,8 @@
     generation: Number = 0
     version: Number = 0
     stage: Stage = Stage.EVERYWHERE
-    digest: Annotated[str, Meta(pattern=r"\A([0-9a-f]{64})?\Z")] = ""
+    seal: Annotated[str, Meta(pattern=r"\A([0-9a-f]{16})?\Z")] = ""
+    """Of the record: two proposals of one generation differ in it."""
 
 
 NOWHERE = Position()
@@ -92,9 +93,7 @@
     @property
     def position(self) -> Position:
         """The same without body."""
-        return Position(
-            generation=self.generation, version=self.version, stage=self.stage, digest=self.digest
-        )
+        return Position(generation=self.generation, version=self.version, stage=self.stage, seal=self.seal)
 
     def is_sound(self) -> bool:
         """Digest and seal fit what the record says."""
@@ -208,13 +207,18 @@
 
 
 class ReadState(Message, frozen=True, kw_only=True, omit_defaults=True):
-    """Asks for a replica's state. `since`: bodies of records up to this generation may be left out."""
+    """Asks for a replica's state."""
 
     since: Number = 0
+    """Records accepted or committed up to this generation are left out."""
+    good_since: Number = 0
+    """`good` up to this generation is left out."""
     timeout_ms: Annotated[int, Meta(ge=0, le=WATCH_AT_MOST_MS)] = 0
-    """Wait so long for a committed generation over `since` (the other replicas ask so); 0: answer now."""
+    """Wait so long for something committed over these (the other replicas ask so); 0: answer now."""
     reports: bool = False
     """With the nodes' reports."""
+    nodes: Annotated[list[Name], Meta(max_length=NODES_AT_MOST)] = []
+    """Reports of these alone; empty: of all."""
 
 
 class HeardReport(Message, frozen=True, kw_only=True, omit_defaults=True):
--- /dev/null
+++ b/cottonspread/configstore/watches.py
@@ -0,0 +1,141 @@
+"""Which replicas a follower watches, and when it asks.
+
+Two watches are open at two replicas, so that one that is dead or silent delays no change. The order of the
+replicas comes from the node's name, which spreads the nodes; what is third is the spare of both.
+"""
+
+import hashlib
+from dataclasses import dataclass
+
+from cottonspread.configstore.messages import MILLISECOND, SECOND
+
+WATCHES = 2
+WATCH = 10 * SECOND
+"""A watch without news. Two of some 500 bytes in 10 s are 100 bytes a second of the 6,000 that a node's whole
+control has; shorter ones would tell sooner only that a silent replica is silent, which delays no change."""
+WATCH_DRAWN = 0.2
+"""So much of it is drawn, or all nodes would ask in the same moment ever after a change."""
+ANSWER_GRACE = 2 * SECOND
+"""An answer may take so much longer, over regions and a busy replica, before the watch is given up."""
+ASK_APART = 50 * MILLISECOND
+"""Between two asks of a watch at least: a replica that always answers at once costs 20 calls a second."""
+RETRY = 250 * MILLISECOND
+RETRY_AT_MOST = 4 * SECOND
+"""After failures in a row the pause doubles from the one to the other, half of it drawn: 420 nodes come to
+a replica that returns within 4 s, 105 a second."""
+AWAY_AT_MOST = 6
+"""Answers of the spare after which a watch tries its own replica again: a minute, when nothing happens."""
+
+
+@dataclass(slots=True)
+class Watch:
+    """One of the two."""
+
+    home: str
+    at: str
+    ask_at: int = 0
+    asked_at: int = 0
+    call: int | None = None
+    since: int = 0
+    failures: int = 0
+    away: int = 0
+
+
+def order(node: str, replicas: tuple[str, ...]) -> list[str]:
+    """The replicas in the order in which this node prefers them."""
+    return sorted(replicas, key=lambda name: hashlib.sha256(f"{node} {name}".encode()).digest())
+
+
+class Watches:
+    """The calls of one follower."""
+
+    def __init__(self, node: str, replicas: tuple[str, ...], chance):
+        self._order = order(node, replicas)
+        self._watches = [Watch(name, name) for name in self._order[:WATCHES]]
+        self._calls: dict[int, Watch] = {}
+        self._chance, self._call = chance, 0
+        self._hurried, self._report_call = False, None
+
+    def hurry(self) -> None:
+        """There is something to report: with a watch that is about to ask, or else with a call of its own."""
+        self._hurried = True
+
+    def due(self, now: int, since: int):
+        """Whom to ask now, each as (call, replica, timeout). `since` is remembered for `since_of`."""
+        for watch in self._watches:
+            if watch.call is None and watch.ask_at <= now:
+                watch.call = self._new_call(watch)
+                watch.asked_at, watch.since = now, since
+                self._hurried = False
+                yield watch.call, watch.at, self._timeout()
+        if self._hurried and all(watch.call is not None for watch in self._watches):
+            self._hurried = False
+            if self._report_call is None:
+                self._call += 1
+                self._report_call = self._call
+                yield self._call, self._watches[0].at, 0
+
+    def _new_call(self, watch: Watch) -> int:
+        self._call += 1
+        self._calls[self._call] = watch
+        return self._call
+
+    def _timeout(self) -> int:
+        drawn = int(WATCH * WATCH_DRAWN * self._chance())
+        return (WATCH - drawn) // MILLISECOND * MILLISECOND
+
+    def since_of(self, call: int) -> int:
+        """What the call asked from; 0 for one that is not under way, or only reports."""
+        watch = self._calls.get(call)
+        return watch.since if watch else 0
+
+    def answered(self, now: int, call: int) -> bool:
+        """False: nobody waits for that call."""
+        if call == self._report_call:
+            self._report_call = None
+            return True
+        watch = self._calls.pop(call, None)
+        if watch is None:
+            return False
+        watch.call, watch.failures = None, 0
+        watch.ask_at = max(now, watch.asked_at + ASK_APART)
+        self._go_home(watch)
+        return True
+
+    def _go_home(self, watch: Watch) -> None:
+        if watch.at == watch.home:
+            return
+        watch.away += 1
+        if watch.away >= AWAY_AT_MOST and self._is_free(watch.home):
+            watch.at, watch.away = watch.home, 0
+
+    def failed(self, now: int, call: int) -> bool:
+        """The call has no answer, or one that is not to be trusted. False: nobody waits for that call."""
+        if call == self._report_call:
+            self._report_call = None
+            return True
+        watch = self._calls.pop(call, None)
+        if watch is None:
+            return False
+        watch.call = None
+        pause = min(RETRY << min(watch.failures, 16), RETRY_AT_MOST)
+        watch.failures += 1
+        watch.ask_at = now + pause // 2 + int(pause / 2 * self._chance())
+        self._move(watch)
+        return True
+
+    def _move(self, watch: Watch) -> None:
+        """To the next replica in order that the other watch is not at."""
+        start = self._order.index(watch.at) + 1
+        for step in range(len(self._order)):
+            name = self._order[(start + step) % len(self._order)]
+            if self._is_free(name):
+                watch.at, watch.away = name, 0
+                return
+
+    def _is_free(self, name: str) -> bool:
+        return all(watch.at != name for watch in self._watches)
+
+    def earliest(self) -> int | None:
+        """When the next of them asks; None: all wait for answers."""
+        return min((watch.ask_at for watch in self._watches if watch.call is None), default=None)
