--- /dev/null
+++ b/tests/configstore/drivers.py
@@ -0,0 +1,253 @@
+"""Cores driven by hand: each effect is carried out when the test says so."""
+
+from cottonspread.configstore import follower as fo
+from cottonspread.configstore import messages as m
+from cottonspread.configstore import publisher as pu
+from cottonspread.configstore import replica as re
+
+REPLICAS = "r1", "r2", "r3"
+EVERYWHERE, CANARY, WITHDRAWN = m.Stage.EVERYWHERE, m.Stage.CANARY, m.Stage.WITHDRAWN
+ALL = 2**32
+"""A canary threshold under which every node falls."""
+
+
+def half():
+    """Chance that is none."""
+    return 0.5
+
+
+def record(generation, version, stage=EVERYWHERE, body=None, below=ALL):
+    """A sound record."""
+    return m.make_record(generation, version, stage, below, f"body {version}" if body is None else body)
+
+
+class ReplicaDriver:
+    """A replica whose disk takes what it is given at once, unless `slow`, or fails, while `broken`."""
+
+    def __init__(self, name="r1", state=None, now=0):
+        self.name, self.now, self.number = name, now, 0
+        self.disk = state or m.ReplicaState()
+        self.slow = self.broken = False
+        self.stores, self.replies, self.turned_away, self.peer_calls = [], {}, {}, []
+        self.restart()
+
+    def restart(self):
+        """Only the disk is left."""
+        peers = tuple(name for name in REPLICAS if name != self.name)
+        self.core = re.Replica(self.name, peers, self.disk, half)
+        self.stores, self.replies, self.peer_calls = [], {}, []
+        self.tell(re.Tick())
+
+    def tell(self, event):
+        for effect in self.core.step(self.now, event):
+            self.carry_out(effect)
+
+    def carry_out(self, effect):
+        match effect:
+            case re.Store():
+                self.stores.append(effect)
+                if not self.slow:
+                    self.finish_store()
+            case re.Reply():
+                self.replies[effect.request] = effect.message
+            case re.TurnAway():
+                self.turned_away[effect.request] = effect.why
+            case re.AskPeer():
+                self.peer_calls.append(effect)
+
+    def finish_store(self):
+        store = self.stores.pop(0)
+        if not self.broken:
+            self.disk = m.decode(m.encode(store.state), m.ReplicaState)
+        self.tell(re.Stored(store.token, not self.broken, "disk full" if self.broken else ""))
+
+    def ask(self, message):
+        """The number of the request."""
+        self.number += 1
+        self.tell(re.Asked(self.number, message))
+        return self.number
+
+    def reply(self, message):
+        """Asks, and the reply or None."""
+        return self.replies.get(self.ask(message))
+
+    def watch(self, node="n1", since=0, timeout_ms=10_000, **said):
+        report = m.NodeReport(node=node, **said)
+        return self.ask(m.WatchRequest(since=since, timeout_ms=timeout_ms, report=report))
+
+    def state(self, **more):
+        return self.reply(m.ReadState(**more))
+
+    def pass_time(self, span):
+        until = self.now + span
+        while self.core.wake_at <= until:
+            self.now = max(self.now, self.core.wake_at)
+            self.tell(re.Tick())
+        self.now = until
+
+
+class FollowerDriver:
+    """A follower whose checks, saves and applies wait for the test."""
+
+    def __init__(self, node="n1", replicas=REPLICAS, saved=None, chance=half):
+        self.core, self.now = fo.Follower(node, replicas, chance), 0
+        self.asks, self.work, self.notices = {}, [], []
+        self.in_force, self.file = None, saved
+        self.tell(fo.Started(saved))
+
+    def tell(self, event):
+        for effect in self.core.step(self.now, event):
+            match effect:
+                case fo.Ask():
+                    self.asks[effect.call] = effect
+                case fo.Notice():
+                    self.notices.append(effect)
+                case _:
+                    self.work.append(effect)
+
+    def do(self, ok=True, why=""):
+        """Carries out the next piece of work; what it was."""
+        effect = self.work.pop(0)
+        match effect:
+            case fo.Check():
+                self.tell(fo.Checked(ok, why))
+            case fo.Save():
+                if ok:
+                    self.file = effect.record
+                self.tell(fo.Saved(ok, why))
+            case fo.Apply():
+                if ok:
+                    self.in_force = effect.record
+                self.tell(fo.Applied(ok, why))
+        return type(effect)
+
+    def do_all(self):
+        done = []
+        while self.work:
+            done.append(self.do())
+        return done
+
+    def answer(self, new=None, call=None, age=0, generation=None):
+        """Answers a call, the oldest where none is named."""
+        call = call or next(iter(self.asks))
+        ask = self.asks.pop(call)
+        generation = generation if generation is not None else new.generation if new else ask.request.since
+        self.tell(
+            fo.Answered(
+                call,
+                m.Answer(
+                    generation=generation,
+                    reset=new is not None,
+                    record=new,
+                    majority_age_us=age,
+                    replica=ask.replica,
+                ),
+            )
+        )
+
+    def fail(self, call=None):
+        call = call or next(iter(self.asks))
+        del self.asks[call]
+        self.tell(fo.Failed(call, "refused"))
+
+    def pass_time(self, span):
+        until = self.now + span
+        while self.core.wake_at <= until:
+            self.now = max(self.now, self.core.wake_at)
+            self.tell(fo.Tick())
+        self.now = until
+
+    def view(self):
+        return self.core.view(self.now)
+
+
+class Cluster:
+    """Three replicas, and publishers whose calls are delivered one by one."""
+
+    def __init__(self, nodes=10):
+        self.now = 0
+        self.replicas = {name: ReplicaDriver(name) for name in REPLICAS}
+        self.up = set(REPLICAS)
+        self.nodes = [f"n{number}" for number in range(nodes)]
+        self.said = {}
+        self.hear_nodes()
+
+    def hear_nodes(self):
+        """Each node reports to the first two replicas, with what `said` tells of it."""
+        for node in self.nodes:
+            for name in REPLICAS[:2]:
+                self.replicas[name].watch(node, since=2**40, timeout_ms=0, **self.said.get(node, {}))
+
+    def canaries(self, record):
+        return [node for node in self.nodes if record.reaches(node)]
+
+    def committed(self, name="r1"):
+        return self.replicas[name].disk.committed
+
+    def seed(self, *records):
+        """Every replica has accepted and committed these."""
+        for one in records:
+            for replica in self.replicas.values():
+                base = replica.disk.accepted.position if replica.disk.accepted else m.NOWHERE
+                assert replica.reply(m.Accept(base=base, record=one)).accepted
+                assert replica.reply(m.Commit(record=one)).committed
+
+    def set_now(self, now):
+        self.now = now
+        for replica in self.replicas.values():
+            replica.now = now
+
+
+class PublisherDriver:
+    """A publisher before a cluster."""
+
+    def __init__(self, cluster, order, chance=half):
+        self.cluster, self.core = cluster, pu.Publisher(REPLICAS, order, chance)
+        self.calls, self.progress, self.done = [], [], None
+        self.tell(pu.Started())
+
+    def tell(self, event):
+        for effect in self.core.step(self.cluster.now, event):
+            match effect:
+                case pu.Call():
+                    self.calls.append(effect)
+                case pu.Progress():
+                    self.progress.append(effect)
+                case pu.Done():
+                    self.done = effect
+
+    def deliver(self, index=0, lose_reply=False):
+        """The call at that place reaches its replica, and the reply comes back, or not."""
+        call = self.calls.pop(index)
+        replica = self.cluster.replicas[call.replica]
+        if call.replica not in self.cluster.up:
+            self.tell(pu.CallFailed(call.call, "refused"))
+            return
+        reply = replica.reply(call.message)
+        if lose_reply or reply is None:
+            self.tell(pu.CallFailed(call.call, "timed out"))
+        else:
+            self.tell(pu.Replied(call.call, reply))
+
+    def deliver_all(self):
+        while self.calls and self.done is None:
+            self.deliver()
+
+    def until(self, step):
+        """Delivers call by call until that step begins."""
+        while self.progress[-1].step != step:
+            assert self.calls and self.done is None
+            self.deliver()
+
+    def run(self, span=60 * m.SECOND):
+        """On, with time, until it is done."""
+        until = self.cluster.now + span
+        while self.done is None and self.cluster.now <= until:
+            if self.calls:
+                self.deliver()
+            else:
+                self.cluster.set_now(max(self.cluster.now, self.core.wake_at))
+                self.tell(pu.Tick())
+        while self.done is not None and self.calls:
+            self.deliver()  # what was under way arrives
+        return self.done
--- /dev/null
+++ b/tests/configstore/test_follower.py
@@ -0,0 +1,336 @@
+"""A follower: what it takes, what it keeps, when it asks whom, and what it says of itself."""
+
+import random
+
+import msgspec
+import pytest
+from drivers import ALL, CANARY, REPLICAS, WITHDRAWN, FollowerDriver, record
+
+from cottonspread.configstore import follower as fo
+from cottonspread.configstore import messages as m
+from cottonspread.configstore import watches
+
+STEPS = [fo.Check, fo.Save, fo.Apply]
+
+
+def holding(*records):
+    """A follower that has put these into force one after the other."""
+    driver = FollowerDriver()
+    for one in records:
+        driver.answer(one)
+        driver.do_all()
+    return driver
+
+
+def settle(driver):
+    """Lets the pause between asks pass."""
+    driver.pass_time(watches.ASK_APART)
+
+
+# What it takes
+
+
+def test_a_record_is_checked_then_saved_then_applied():
+    driver = FollowerDriver()
+    driver.answer(record(1, 1))
+    assert driver.do_all() == STEPS
+    assert driver.in_force == driver.file == record(1, 1)
+    assert driver.view().version == 1 and driver.view().generation == 1
+    assert [(one.what, one.version) for one in driver.notices] == [(fo.Told.IN_FORCE, 1)]
+
+
+def test_a_newer_record_replaces_it_and_the_same_one_does_no_work():
+    driver = holding(record(1, 1))
+    driver.answer(record(1, 1))  # of the second watch, asked from 0 as well
+    assert driver.work == []
+    settle(driver)
+    driver.answer(record(2, 2))
+    assert driver.do_all() == STEPS and driver.view().version == 2
+
+
+def test_the_same_version_at_its_next_stage_does_no_work():
+    driver = holding(record(1, 1, CANARY))
+    driver.answer(record(2, 1))
+    assert driver.work == [] and driver.view().generation == 2
+    settle(driver)
+    assert {ask.request.since for ask in driver.asks.values()} == {2}
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        msgspec.structs.replace(record(6, 6), body="flipped"),
+        msgspec.structs.replace(record(6, 6), version=7),
+        msgspec.structs.replace(record(6, 6), generation=7),
+        record(4, 4),
+        record(5, 5),
+        record(6, 5, body="other"),
+        record(6, 6, CANARY, below=0),
+        record(6, 6, WITHDRAWN),
+    ],
+    ids=["body", "version", "generation", "older", "same", "other digest", "not a canary", "withdrawn"],
+)
+def test_what_is_not_to_be_trusted_is_not_taken_and_costs_the_replica_the_watch(wrong):
+    driver = holding(record(5, 5))
+    driver.fail()  # the watch that asked from 0
+    settle(driver)
+    driver.pass_time(m.SECOND)
+    call, asked = next((call, ask) for call, ask in driver.asks.items() if ask.request.since == 5)
+    driver.answer(wrong, call)
+    assert driver.work == [] and driver.in_force == record(5, 5) and driver.view().version == 5
+    assert driver.notices[-1].what == fo.Told.DISTRUSTED
+    driver.pass_time(m.SECOND)
+    assert asked.replica not in [ask.replica for ask in driver.asks.values() if ask.call > call]
+
+
+def test_one_record_at_a_time_and_the_newest_that_came_meanwhile_next():
+    driver = FollowerDriver()
+    driver.answer(record(1, 1))
+    driver.answer(record(2, 2))
+    assert [type(work) for work in driver.work] == [fo.Check]
+    driver.pass_time(2 * m.SECOND)
+    driver.answer(record(3, 3))
+    assert driver.do_all() == STEPS * 2
+    assert driver.view().version == 3 and driver.in_force.version == 3
+
+
+def test_the_version_under_way_at_its_next_stage_is_not_begun_again():
+    driver = FollowerDriver()
+    driver.answer(record(1, 1, CANARY))
+    driver.answer(record(2, 1))
+    assert driver.do_all() == STEPS
+    assert driver.view().generation == 2
+
+
+# What it refuses
+
+
+@pytest.mark.parametrize("failing", [0, 1, 2], ids=["check", "save", "apply"])
+def test_a_step_that_fails_keeps_the_old_record_and_is_reported(failing):
+    driver = holding(record(1, 1))
+    settle(driver)
+    driver.answer(record(2, 2))
+    for _ in range(failing):
+        driver.do()
+    driver.do(ok=False, why="bad port")
+    assert driver.view().version == 1 and driver.in_force.version == 1
+    rest = driver.do_all()
+    assert rest == ([fo.Save] if failing == 2 else [])
+    assert driver.file == record(1, 1)
+    settle(driver)
+    report = list(driver.asks.values())[-1].request.report
+    assert (report.in_force, report.refused, report.why) == (1, 2, "bad port")
+    assert (driver.notices[-1].what, driver.notices[-1].why) == (fo.Told.REFUSED, "bad port")
+
+
+def test_a_first_record_that_cannot_be_applied_leaves_no_file():
+    driver = FollowerDriver()
+    driver.answer(record(1, 1))
+    driver.do(), driver.do(), driver.do(ok=False)
+    driver.do_all()
+    assert driver.file is None and driver.view().version == 0
+
+
+def test_a_refused_record_is_asked_for_again_after_a_while_and_forgotten_with_the_next_in_force():
+    driver = holding(record(1, 1))
+    settle(driver)
+    driver.answer(record(2, 2))
+    driver.do(ok=False)
+    settle(driver)
+    assert list(driver.asks.values())[-1].request.since == 2
+    for _ in range(12):
+        driver.pass_time(fo.RECHECK // 10)
+        for call in list(driver.asks):
+            driver.answer(call=call)
+    settle(driver)
+    ask = list(driver.asks.values())[-1]
+    assert ask.request.since == 1 and ask.request.report.refused == 2
+    driver.answer(record(2, 2), ask.call)
+    assert driver.do_all() == STEPS
+    settle(driver)
+    assert list(driver.asks.values())[-1].request.report == m.NodeReport(node="n1", in_force=2)
+
+
+def test_a_node_that_finds_itself_ill_says_so_at_once():
+    driver = holding(record(1, 1))
+    driver.answer(call=next(iter(driver.asks)))
+    settle(driver)
+    settle(driver)
+    calls = set(driver.asks)
+    driver.tell(fo.Judged(1, False, "many errors"))
+    (new,) = set(driver.asks) - calls
+    report = driver.asks[new].request.report
+    assert (report.failing, report.why) == (1, "many errors") and driver.asks[new].request.timeout_ms == 0
+    driver.tell(fo.Judged(7, False))
+    assert set(driver.asks) == calls | {new}
+    driver.answer(call=new)
+    driver.tell(fo.Judged(1, True))
+    assert list(driver.asks.values())[-1].request.report.failing == 0
+
+
+def test_the_next_watch_waits_for_the_end_of_the_record_but_not_for_ever():
+    driver = holding(record(1, 1))
+    settle(driver)
+    before = set(driver.asks)
+    driver.answer(record(2, 2), max(before))
+    driver.pass_time(fo.HOLD - 1)
+    assert set(driver.asks) == before - {max(before)}
+    driver.pass_time(2)
+    (new,) = set(driver.asks) - before
+    assert driver.asks[new].request.report.in_force == 1
+    driver.do_all()
+    (report,) = set(driver.asks) - before - {new}
+    assert driver.asks[report].request.report.in_force == 2
+
+
+# Start
+
+
+def test_it_starts_from_the_saved_record_without_saving_it_and_asks_from_there():
+    driver = FollowerDriver(saved=record(5, 5, CANARY, below=0))
+    assert {ask.request.since for ask in driver.asks.values()} == {5}
+    assert driver.do_all() == [fo.Check, fo.Apply] and driver.view().version == 5
+
+
+def test_a_newer_record_that_comes_while_it_starts_is_next():
+    driver = FollowerDriver(saved=record(5, 5))
+    driver.answer(record(6, 6))
+    assert driver.do_all() == [fo.Check, fo.Apply, *STEPS] and driver.view().version == 6
+
+
+def test_a_damaged_saved_record_is_said_and_not_used():
+    driver = FollowerDriver(saved=msgspec.structs.replace(record(5, 5), body="half"))
+    assert driver.work == [] and driver.notices[0].what == fo.Told.DISTRUSTED
+    assert {ask.request.since for ask in driver.asks.values()} == {0}
+    driver.answer(record(5, 5))
+    assert driver.do_all() == STEPS
+
+
+def test_after_a_restart_no_version_below_the_saved_one_is_taken_though_that_is_refused():
+    driver = FollowerDriver(saved=record(5, 5))
+    driver.do(ok=False, why="unknown key")
+    assert driver.view().version == 0 and driver.view().refused == 5
+    for _ in range(12):
+        driver.pass_time(fo.RECHECK // 10)
+        for call in list(driver.asks):
+            driver.answer(call=call)
+    settle(driver)
+    ask = list(driver.asks.values())[-1]
+    assert ask.request.since == 0
+    driver.answer(record(4, 4), ask.call)
+    assert driver.work == []
+    driver.pass_time(m.SECOND)
+    driver.answer(record(6, 6), max(driver.asks))
+    assert driver.do_all() == STEPS and driver.view().version == 6
+
+
+# Watches
+
+
+def test_two_watches_are_open_at_two_replicas_and_the_third_is_the_spare():
+    driver = FollowerDriver()
+    first, second = (ask.replica for ask in driver.asks.values())
+    (spare,) = set(REPLICAS) - {first, second}
+    driver.fail()
+    driver.pass_time(watches.RETRY)
+    assert {ask.replica for ask in driver.asks.values()} == {second, spare}
+
+
+def test_the_orders_of_many_nodes_spread_over_the_replicas():
+    firsts = [watches.order(f"n{number}", REPLICAS)[0] for number in range(300)]
+    assert all(80 <= firsts.count(name) <= 120 for name in REPLICAS)
+
+
+def test_a_watch_goes_home_after_a_while():
+    driver = FollowerDriver()
+    home = driver.asks[1].replica
+    driver.fail(1)
+    for _ in range(watches.AWAY_AT_MOST):
+        driver.pass_time(watches.RETRY)
+        assert driver.asks[max(driver.asks)].replica != home
+        driver.answer(call=max(driver.asks))
+    driver.pass_time(watches.RETRY)
+    assert driver.asks[max(driver.asks)].replica == home
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_failures_are_tried_again_ever_more_seldom_within_bounds(seed):
+    driver = FollowerDriver(chance=random.Random(seed).random)
+    for failures in range(30):
+        driver.fail(max(driver.asks))
+        most = min(watches.RETRY << failures, watches.RETRY_AT_MOST)
+        free = [watch for watch in driver.core._watches._watches if watch.call is None]
+        assert len(free) == 1 and most // 2 <= free[0].ask_at - driver.now <= most
+        driver.pass_time(most)
+    driver.answer(call=max(driver.asks))
+    driver.pass_time(watches.ASK_APART)
+    driver.fail(max(driver.asks))
+    driver.pass_time(watches.RETRY)
+    assert len(driver.asks) == 2
+
+
+def test_a_replica_that_answers_at_once_each_time_is_asked_at_a_bounded_rate():
+    driver = FollowerDriver()
+    for _ in range(100):
+        for call in list(driver.asks):
+            driver.answer(call=call)
+        driver.pass_time(10 * m.MILLISECOND)
+    assert max(driver.asks) <= 2 * (1 + 100 * 10 * m.MILLISECOND // watches.ASK_APART)
+
+
+def test_timeouts_are_drawn_within_bounds_and_each_call_has_its_deadline():
+    drawn = set()
+    for seed in range(50):
+        driver = FollowerDriver(chance=random.Random(seed).random)
+        for ask in driver.asks.values():
+            timeout = ask.request.timeout_ms * m.MILLISECOND
+            assert watches.WATCH * (1 - watches.WATCH_DRAWN) <= timeout <= watches.WATCH
+            assert ask.deadline == timeout + watches.ANSWER_GRACE
+            drawn.add(timeout)
+    assert len(drawn) > 50
+
+
+def test_late_and_doubled_answers_are_nothing():
+    driver = FollowerDriver()
+    answer = m.Answer(generation=1, reset=True, record=record(1, 1), replica="r1")
+    driver.fail(1)
+    driver.tell(fo.Answered(1, answer))
+    driver.tell(fo.Failed(1, "again"))
+    assert driver.work == [] and driver.view().contact_age_us is None
+
+
+# Cut off
+
+
+def test_it_says_when_it_is_cut_off_and_when_it_is_back():
+    driver = holding(record(1, 1))
+    for _ in range(2):
+        driver.pass_time(fo.CUT_OFF)
+        assert not driver.view().cut_off
+        driver.pass_time(1)
+        assert driver.view().cut_off and driver.notices[-1].what == fo.Told.CUT_OFF
+        driver.fail(min(driver.asks))
+        driver.pass_time(watches.RETRY)
+        assert driver.asks[max(driver.asks)].request.report.cut_off
+        driver.answer(call=max(driver.asks))
+        assert not driver.view().cut_off and driver.notices[-1].what == fo.Told.BACK
+    assert driver.view().version == 1
+
+
+@pytest.mark.parametrize("age", [None, fo.CUT_OFF + 1])
+def test_a_replica_without_a_majority_does_not_count_as_contact(age):
+    driver = FollowerDriver()
+    driver.pass_time(fo.CUT_OFF)
+    driver.answer(age=age)
+    driver.pass_time(1)
+    assert driver.view().cut_off
+    driver.pass_time(m.SECOND)
+    driver.answer(age=m.SECOND, call=max(driver.asks))
+    assert not driver.view().cut_off and driver.view().contact_age_us == m.SECOND
+
+
+def test_a_cut_off_node_takes_what_it_is_told():
+    driver = FollowerDriver()
+    driver.pass_time(fo.CUT_OFF + 1)
+    driver.answer(record(1, 1, below=ALL), age=None)
+    assert driver.do_all() == STEPS and driver.view().cut_off
