--- a/cottonspread/configstore/follower.py
+++ b/cottonspread/configstore/follower.py
@@ -11,6 +11,8 @@
   `Saved`; `Apply` (put into force) -> `Applied`. One record at a time; each step begins only after the
   step before was told as ok. Saved stands before applied, so that after a crash the version in force is
   never older than before it.
+- Each step is ended by exactly one event, `STEP_AT_MOST` after its effect at the latest: what hangs is
+  told as ok=False, and what comes of it later is dropped by the shell.
 - A step that fails is told with ok=False and a `why`: the old record stays in force, the new one is
   reported as refused and tried again after `RECHECK` at the earliest or at a newer record. A failed
   `Apply` is followed by a `Save` of the old record.
@@ -33,6 +35,9 @@
 HOLD = 1 * m.SECOND
 """A node asks again once the record that it was told is in force or refused, so that its next watch reports
 it; no later than this, for a check or a disk may hang."""
+STEP_AT_MOST = 5 * m.SECOND
+"""The shell ends a check, save or apply that takes longer as failed: half of what a publisher waits for its
+canaries, so that one that hangs is refused and not merely silent."""
 NEVER = 2**62
 """A `wake_at` that nobody needs to meet."""
 
--- /dev/null
+++ b/cottonspread/lab/scale/configuration_network.py
@@ -0,0 +1,240 @@
+"""Simulated time for the configuration store: places, latencies, losses, cuts, and calls with their bytes.
+
+A message is the real JSON in a real HTTP/1.1 request or response on a kept connection; headers of TCP and IP
+are not counted. What is lost is lost: nothing sends it again below, so that a call ends at its deadline.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from cottonspread.configstore import messages as m
+
+MILLISECOND = 1_000
+
+
+@dataclass(frozen=True)
+class Shape:
+    """The fleet and its network; spans in microseconds. All are assumptions and stand in the results."""
+
+    nodes: int = 420
+    zones: tuple[int, ...] = (3, 3, 2)
+    """Zones of each region; the first of each has the region's replica."""
+    within_zone: int = 300
+    within_region: int = 1 * MILLISECOND
+    between_regions: int = 40 * MILLISECOND
+    """One way."""
+    jitter: float = 0.2
+    """A message takes up to so much longer."""
+    loss: float = 0.0
+    """Share of messages that never arrive."""
+    check: int = 20 * MILLISECOND
+    save: int = 10 * MILLISECOND
+    apply: int = 30 * MILLISECOND
+    """Steps of a node; each takes up to twice as long."""
+    store: int = 5 * MILLISECOND
+    """A replica's write with its fsyncs; up to twice as long."""
+    replica_message: int = 200
+    """Processor time of a replica for a message; one after the other."""
+    body_bytes: int = 4_096
+
+    def fixed(self) -> dict:
+        """For a result."""
+        return {
+            "nodes": self.nodes,
+            "zones": sum(self.zones),
+            "regions": len(self.zones),
+            "within_zone_ms": self.within_zone / 1000,
+            "within_region_ms": self.within_region / 1000,
+            "between_regions_ms": self.between_regions / 1000,
+            "loss": self.loss,
+            "check_ms": self.check / 1000,
+            "save_ms": self.save / 1000,
+            "apply_ms": self.apply / 1000,
+            "store_ms": self.store / 1000,
+            "replica_message_us": self.replica_message,
+            "body_bytes": self.body_bytes,
+        }
+
+
+@dataclass(frozen=True)
+class Place:
+    """Where a machine stands."""
+
+    region: int
+    zone: int
+
+
+def places(shape: Shape) -> list[Place]:
+    """Of every zone, in order."""
+    found = []
+    for region, zones in enumerate(shape.zones):
+        found += [Place(region, len(found) + zone) for zone in range(zones)]
+    return found
+
+
+class Host:
+    """A machine with one process. `epoch` changes with each process."""
+
+    def __init__(self, name: str, place: Place):
+        self.name, self.place, self.epoch = name, place, 0
+        self.is_running, self.is_silent = True, False
+        self.bytes_in = self.bytes_out = self.messages = 0
+
+    def asked(self, call: "Call") -> None:
+        """A request came in."""
+
+    def gone(self, call: "Call") -> None:
+        """Who asked has closed."""
+
+
+class Call:
+    """One request and its reply, over the network."""
+
+    def __init__(self, network, caller: Host, callee: Host, request: bytes, then):
+        self.network, self.caller, self.callee, self.request = network, caller, callee, request
+        self.then, self.epoch, self.is_over = then, caller.epoch, False
+        self.callee_epoch = None
+
+    def arrive(self):
+        """The request reaches the other machine."""
+        callee = self.callee
+        if callee.is_silent or not self.network.reaches(self.caller, callee):
+            return
+        if not callee.is_running:
+            self.network.carry(callee, self.caller, 0, self.end, None, "refused")
+            return
+        callee.bytes_in += len(self.request)
+        callee.messages += 1
+        self.callee_epoch = callee.epoch
+        callee.asked(self)
+
+    def reply(self, response: bytes):
+        """The reply is sent."""
+        if self.callee.epoch == self.callee_epoch and self.callee.is_running:
+            self.network.carry(self.callee, self.caller, len(response), self.end, response, "")
+
+    def close(self, why):
+        """The other process has ended."""
+        self.network.carry(self.callee, self.caller, 0, self.end, None, why)
+
+    def end(self, response: bytes | None, why: str):
+        """The end, at the caller: once."""
+        if self.is_over or self.caller.epoch != self.epoch or not self.caller.is_running:
+            return
+        self.is_over = True
+        if response is not None:
+            self.caller.bytes_in += len(response)
+            self.caller.messages += 1
+        self.then(response, why)
+
+    def expire(self):
+        """The deadline."""
+        if not self.is_over and self.caller.epoch == self.epoch:
+            self.network.carry(self.caller, self.callee, 0, self.leave)
+            self.end(None, "deadline")
+
+    def leave(self):
+        """The callee sees the connection closed."""
+        if self.callee.is_running and self.callee.epoch == self.callee_epoch:
+            self.callee.gone(self)
+
+
+class Network:
+    """Carries messages between hosts."""
+
+    def __init__(self, world, shape: Shape):
+        self.world, self.shape, self.loss = world, shape, shape.loss
+        self._draws = world.draws("network")
+        self.cuts: set[frozenset[int]] = set()
+        self.counts = Counter()
+
+    def reaches(self, one: Host, other: Host) -> bool:
+        """No cut lies between them, and neither machine is off."""
+        if one.is_silent or other.is_silent:
+            return False
+        return frozenset((one.place.region, other.place.region)) not in self.cuts
+
+    def cut_region(self, region: int) -> None:
+        """Off from all other regions."""
+        self.cuts |= {frozenset((region, other)) for other in range(len(self.shape.zones)) if other != region}
+
+    def mend(self) -> None:
+        """No cut any more."""
+        self.cuts.clear()
+
+    def latency(self, one: Host, other: Host) -> int:
+        """One way, drawn."""
+        if one.place.zone == other.place.zone:
+            least = self.shape.within_zone
+        elif one.place.region == other.place.region:
+            least = self.shape.within_region
+        else:
+            least = self.shape.between_regions
+        return least + int(least * self.shape.jitter * self._draws.part())
+
+    def carry(self, one: Host, other: Host, size: int, then, *args) -> None:
+        """A message of `size` bytes, or a word of TCP's own where it is 0."""
+        self.counts["messages"] += 1
+        one.bytes_out += size
+        if size:
+            one.messages += 1
+        latency = self.latency(one, other)
+        self.world.note("net", one.name, other.name, size)
+        if not self.reaches(one, other):
+            self.counts["cut"] += 1
+        elif self.loss and self._draws.part() < self.loss:
+            self.counts["lost"] += 1
+        else:
+            self.world.after(latency, self._deliver, one, other, then, args)
+
+    def _deliver(self, one: Host, other: Host, then, args):
+        if self.reaches(one, other):
+            then(*args)
+
+    def call(self, caller: Host, callee: Host, request: bytes, deadline: int, then) -> None:
+        """A request; `then(response, why)` once, by the deadline."""
+        call = Call(self, caller, callee, request, then)
+        self.world.at(deadline, call.expire)
+        self.carry(caller, callee, len(request), call.arrive)
+
+
+PATHS = {m.Accept: "accept", m.Commit: "commit", m.ReadState: "state"}
+KINDS = {path: kind for kind, path in PATHS.items()}
+
+
+def to_request(replica: str, message) -> bytes:
+    """The bytes of a request."""
+    host = f"Host: {replica}.control.example:7400\r\n"
+    if isinstance(message, m.WatchRequest):
+        return f"GET /api/configuration?{m.to_query(message)} HTTP/1.1\r\n{host}\r\n".encode()
+    body = m.encode(message)
+    head = f"POST /api/configuration/{PATHS[type(message)]} HTTP/1.1\r\n{host}"
+    head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def from_request(request: bytes):
+    """The message in it; MessageError."""
+    head, _, body = request.partition(b"\r\n\r\n")
+    target = head.split(b" ", 2)[1].decode()
+    path, _, query = target.partition("?")
+    if query:
+        return m.from_query(query)
+    return m.decode(body, KINDS[path.rsplit("/", 1)[1]])
+
+
+def to_response(message) -> bytes:
+    """The bytes of a response; None is 503."""
+    if message is None:
+        return b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
+    body = m.encode(message)
+    head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + f"Content-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def from_response(response: bytes, kind):
+    """The message in it; MessageError."""
+    head, _, body = response.partition(b"\r\n\r\n")
+    if not head.startswith(b"HTTP/1.1 200 "):
+        raise m.MessageError("turned away")
+    return m.decode(body, kind)
