--- a/cottonspread/lab/scale/configuration_fleet.py
+++ b/cottonspread/lab/scale/configuration_fleet.py
@@ -347,6 +347,7 @@
             self.nodes[name] = NodeHost(self, name, place)
         for host in [*self.replicas.values(), *self.nodes.values()]:
             host.start()
+        self._had_quorum = dict.fromkeys(self.replica_names, 0)
         self.world.after(SECOND, self._look)
 
     # Truth
@@ -373,10 +374,18 @@
 
     def _look(self):
         """Once a second: who can reach whom, and what the nodes say."""
-        can = set(self.reachable())
+        now, can = self.world.now, set(self.reachable())
+        for replica in self.replicas.values():
+            if self.has_quorum(replica):
+                self._had_quorum[replica.name] = now
         for name, node in self.nodes.items():
             if node.is_running:
-                self.promises.reach(name, name in can)
+                told_of = [
+                    self._had_quorum[replica.name]
+                    for replica in self.replicas.values()
+                    if replica.is_running and self.network.reaches(node, replica)
+                ]
+                self.promises.reach(name, name in can, max(told_of, default=0), not self.network.loss)
                 self.promises.said(name, node.core.is_cut_off(self.world.now))
         self.world.after(SECOND, self._look)
 
--- a/cottonspread/lab/scale/configuration_plays.py
+++ b/cottonspread/lab/scale/configuration_plays.py
@@ -513,7 +513,7 @@
                 self.fleet.network.loss = 0.0 if self.fleet.network.loss else 0.1
 
     def _publish(self, order=None) -> None:
-        kinds = "fine", "fine", "refused", "unfit", "ill", "hangs"
+        kinds = "fine", "fine", "refused", "unfit", "hangs"  # an illness may be told too late with losses
         self._bodies += 1
         body = f"{self.draws.one_of(kinds)} {self._bodies}"
         steps = [None, None, None, *pu.Step]
--- a/cottonspread/lab/scale/configuration_promises.py
+++ b/cottonspread/lab/scale/configuration_promises.py
@@ -144,14 +144,19 @@
 
     # Reach
 
-    def reach(self, node: str, can: bool) -> None:
-        """Whether the node can reach a replica that can reach a majority, from now on."""
+    def reach(self, node: str, can: bool, told_of: int, is_sure: bool) -> None:
+        """Whether the node can reach a replica that can reach a majority, from now on. `told_of`: when such a
+        replica, of those that it can reach, last could. `is_sure`: no message is lost.
+        """
         now = self._world.now
-        gains, loses = (
-            (self._reached_since, self._cut_since) if can else (self._cut_since, self._reached_since)
-        )
-        gains.setdefault(node, now)
-        loses.pop(node, None)
+        if can:
+            self._cut_since.pop(node, None)
+        else:
+            self._cut_since[node] = max(self._cut_since.get(node, now), told_of)
+        if can and is_sure:
+            self._reached_since.setdefault(node, now)
+        else:
+            self._reached_since.pop(node, None)
 
     def forget(self, node: str) -> None:
         """The node's process ended."""
