--- a/cottonspread/configstore/watches.py
+++ b/cottonspread/configstore/watches.py
@@ -15,6 +15,9 @@
 control has; shorter ones would tell sooner only that a silent replica is silent, which delays no change."""
 WATCH_DRAWN = 0.2
 """So much of it is drawn, or all nodes would ask in the same moment ever after a change."""
+PROBE = 1 * SECOND
+"""A watch after a failure: soon answered or given up, so that a node that was cut off knows early that it is
+back, and does not hold on to a replica that swallows its calls."""
 ANSWER_GRACE = 2 * SECOND
 """An answer may take so much longer, over regions and a busy replica, before the watch is given up."""
 ASK_APART = 50 * MILLISECOND
@@ -67,7 +70,7 @@
                 watch.call = self._new_call(watch)
                 watch.asked_at, watch.since = now, since
                 self._hurried = False
-                yield watch.call, watch.at, self._timeout()
+                yield watch.call, watch.at, PROBE if watch.failures else self._timeout()
         if self._hurried and all(watch.call is not None for watch in self._watches):
             self._hurried = False
             if self._report_call is None:
--- a/cottonspread/lab/scale/configuration_promises.py
+++ b/cottonspread/lab/scale/configuration_promises.py
@@ -13,9 +13,9 @@
 SAYS_SO_WITHIN = 24 * SECOND
 """A node that no majority can be reached from says so by then: 20 s, as its core states, and what a replica
 without a majority may still have told of an age when it was cut."""
-BACK_WITHIN = 20 * SECOND
-"""A node is no longer cut off so long after it can reach a majority again: a call into the void ends after
-12 s, then a pause of up to 4, and a replica needs up to 4 itself."""
+BACK_WITHIN = 16 * SECOND
+"""A node is no longer cut off so long after it can reach a majority again: a watch into the void ends after
+12 s, a replica needs up to 4 s itself."""
 
 
 def digest(body: str) -> str:
--- a/tests/configstore/test_follower.py
+++ b/tests/configstore/test_follower.py
@@ -290,6 +290,19 @@
     assert len(drawn) > 50
 
 
+def test_a_watch_after_a_failure_is_short_until_one_is_answered():
+    driver = FollowerDriver()
+    for _ in range(3):
+        driver.fail(max(driver.asks))
+        driver.pass_time(watches.RETRY_AT_MOST)
+        ask = driver.asks[max(driver.asks)]
+        assert ask.request.timeout_ms * m.MILLISECOND == watches.PROBE
+        assert ask.deadline <= driver.now + watches.PROBE + watches.ANSWER_GRACE
+    driver.answer(call=max(driver.asks))
+    driver.pass_time(watches.ASK_APART)
+    assert driver.asks[max(driver.asks)].request.timeout_ms * m.MILLISECOND > 5 * watches.PROBE
+
+
 def test_late_and_doubled_answers_are_nothing():
     driver = FollowerDriver()
     answer = m.Answer(generation=1, reset=True, record=record(1, 1), replica="r1")
