--- a/cottonspread/configstore/watches.py
+++ b/cottonspread/configstore/watches.py
@@ -16,8 +16,8 @@
 WATCH_DRAWN = 0.2
 """So much of it is drawn, or all nodes would ask in the same moment ever after a change."""
 PROBE = 1 * SECOND
-"""A watch after a failure: soon answered or given up, so that a node that was cut off knows early that it is
-back, and does not hold on to a replica that swallows its calls."""
+"""The first watch at a replica, and each after a failure: soon answered or given up, so that a node that was
+cut off knows early that it is back, and does not hold on to a replica that swallows its calls."""
 ANSWER_GRACE = 2 * SECOND
 """An answer may take so much longer, over regions and a busy replica, before the watch is given up."""
 ASK_APART = 50 * MILLISECOND
@@ -41,6 +41,8 @@
     call: int | None = None
     since: int = 0
     failures: int = 0
+    is_sure: bool = False
+    """The replica answered the watch before."""
     away: int = 0
 
 
@@ -70,7 +72,7 @@
                 watch.call = self._new_call(watch)
                 watch.asked_at, watch.since = now, since
                 self._hurried = False
-                yield watch.call, watch.at, PROBE if watch.failures else self._timeout()
+                yield watch.call, watch.at, self._timeout() if watch.is_sure else PROBE
         if self._hurried and all(watch.call is not None for watch in self._watches):
             self._hurried = False
             if self._report_call is None:
@@ -100,7 +102,7 @@
         watch = self._calls.pop(call, None)
         if watch is None:
             return False
-        watch.call, watch.failures = None, 0
+        watch.call, watch.failures, watch.is_sure = None, 0, True
         watch.ask_at = max(now, watch.asked_at + ASK_APART)
         self._go_home(watch)
         return True
@@ -110,7 +112,7 @@
             return
         watch.away += 1
         if watch.away >= AWAY_AT_MOST and self._is_free(watch.home):
-            watch.at, watch.away = watch.home, 0
+            watch.at, watch.away, watch.is_sure = watch.home, 0, False
 
     def failed(self, now: int, call: int) -> bool:
         """The call has no answer, or one that is not to be trusted. False: nobody waits for that call."""
@@ -120,7 +122,7 @@
         watch = self._calls.pop(call, None)
         if watch is None:
             return False
-        watch.call = None
+        watch.call, watch.is_sure = None, False
         pause = min(RETRY << min(watch.failures, 16), RETRY_AT_MOST)
         watch.failures += 1
         watch.ask_at = now + pause // 2 + int(pause / 2 * self._chance())
--- /dev/null
+++ b/cottonspread/lab/scale/configuration.py
@@ -0,0 +1,245 @@
+"""The configuration store at size, in simulated time: plays of faults, sweeps of cost, results as JSON.
+
+    python -m cottonspread.lab.scale.configuration [--small] [--seed N] [--out DIR] [--only NAME ...]
+
+`--small` ends in seconds. Everything but the processor times and memory of `config-replica` and
+`config-body` is counted in simulated time and comes out the same for the same seed on every machine.
+"""
+
+import argparse
+import sys
+import time
+import tracemalloc
+from pathlib import Path
+
+from cottonspread.configstore import follower as fo
+from cottonspread.configstore import messages as m
+from cottonspread.configstore import replica as re
+from cottonspread.lab.scale import results
+from cottonspread.lab.scale.configuration_network import Shape, to_response
+from cottonspread.lab.scale.configuration_plays import PLAYS, Play, RandomPlay, idle_size, replica_with
+from cottonspread.lab.sim.world import SECOND
+
+COMMAND = "python -m cottonspread.lab.scale.configuration"
+SMALL = Shape(nodes=24, body_bytes=512)
+IDLE_SIZES = 52, 105, 210, 420
+REPLICA_SIZES = 105, 210, 420, 840, 1_680
+BODY_SIZES = 1_024, 4_096, 16_384, 65_536
+RANDOM_SEEDS, RANDOM_SEEDS_SMALL = 1_000, 20
+PLAYS_OF_A_TIME = 5
+"""The least of so many processor times is taken."""
+
+
+def plays(shape: Shape, seed: int, small: bool, names) -> list[results.FaultRow]:
+    """A row for each play, told as it ends."""
+    rows = []
+    for play in PLAYS:
+        if names and play.__name__ not in names:
+            continue
+        row = play(Play(f"{seed}:{play.__name__}", shape, small))
+        rows.append(row)
+        _tell(row)
+    return rows
+
+
+def random_row(first: int, count: int) -> results.FaultRow:
+    """Plays of faults drawn from so many seeds, with 8 nodes each."""
+    broken, events, checks, bad = 0, 0, 0, []
+    for seed in range(first, first + count):
+        play = RandomPlay(seed)
+        faults = play.run()
+        events += play.fleet.world.events
+        checks += play.fleet.promises.steps
+        broken += len(faults)
+        bad += [str(seed)] if faults else []
+    row = results.FaultRow(
+        event="random faults, 8 nodes",
+        figures={"plays": count, "plays_broken": len(bad), "events": events, "checks": checks},
+        seconds_until_whole=None if bad else 20,
+        rules_broken=broken,
+        notes=f"seeds {first} to {first + count - 1}" + (f"; broken: {' '.join(bad[:10])}" if bad else ""),
+    )
+    _tell(row)
+    return row
+
+
+def _tell(row: results.FaultRow) -> None:
+    verdict = "broken " + str(row.rules_broken) if row.rules_broken else "holds"
+    whole = "-" if row.seconds_until_whole is None else f"{row.seconds_until_whole:.2f} s"
+    figures = ", ".join(f"{name} {value:g}" for name, value in row.figures.items())
+    print(f"{verdict:9} whole {whole:8} {row.event}: {figures}", flush=True)
+    if row.rules_broken:
+        print(f"          {row.notes}", flush=True)
+
+
+def idle_sweep(seed: int, sizes) -> results.Sweep:
+    """Bytes and messages of an idle fleet against its nodes."""
+    told = {nodes: idle_size(nodes, seed) for nodes in sizes}
+    measures = [
+        _measure(f"{name}_s", "B/s" if "bytes" in name else "messages/s", {n: told[n][name] for n in sizes})
+        for name in told[sizes[0]]
+    ]
+    return _sweep(
+        "config-idle",
+        "Watches of an idle fleet: mean of a node and the busiest of three replicas, both directions.",
+        measures,
+        "nodes",
+        Shape().fixed() | {"seed": seed, "watch_s": 10},
+        sizes,
+    )
+
+
+def _measure(name, unit, values: dict[int, float], plays=1) -> results.Measure:
+    points = [results.Point(size, value) for size, value in sorted(values.items())]
+    return results.Measure(name=name, unit=unit, control=True, plays=plays, points=points)
+
+
+def _sweep(name, what, measures, variable, fixed, sizes) -> results.Sweep:
+    return results.Sweep(
+        name=name,
+        what=what,
+        command=COMMAND,
+        kind="hollow",
+        alone=False,
+        variable=variable,
+        variable_unit=variable,
+        fixed={key: value for key, value in fixed.items() if key != variable},
+        measures=measures,
+    )
+
+
+def replica_sweep(sizes) -> results.Sweep:
+    """Memory of a replica, and its processor time for a change and a watch, against its nodes."""
+    memory = {nodes: _memory_of_replica(nodes) for nodes in sizes}
+    change = {nodes: _least(_change_at_replica, nodes) * 1000 for nodes in sizes}
+    watch = {nodes: _least(_watches_at_replica, nodes) * 1e6 / (2 * nodes) for nodes in sizes}
+    measures = [
+        _measure("state_kb", "KB", memory),
+        _measure("change_cpu_ms", "ms", change, PLAYS_OF_A_TIME),
+        _measure("watch_cpu_us", "us", watch, PLAYS_OF_A_TIME),
+    ]
+    what = (
+        "One replica with two watches of every node: memory, processor time of one change told to all, of one"
+    )
+    return _sweep(
+        "config-replica", f"{what} watch that ends.", measures, "nodes", {"body_bytes": 4096}, sizes
+    )
+
+
+def _memory_of_replica(nodes: int) -> float:
+    tracemalloc.start()
+    replica = replica_with(nodes)
+    held = tracemalloc.get_traced_memory()[0] / 1000
+    tracemalloc.stop()
+    assert replica.watches == 2 * nodes
+    return round(held, 1)
+
+
+def _least(measure, size) -> float:
+    return min(measure(size) for _ in range(PLAYS_OF_A_TIME))
+
+
+def _record(generation: int, body_bytes: int) -> m.Record:
+    return m.make_record(generation, generation, m.Stage.EVERYWHERE, 0, "x" * body_bytes)
+
+
+def _change_at_replica(nodes: int) -> float:
+    """Processor seconds from the commit to all answers' bytes."""
+    replica = replica_with(nodes)
+    effects = replica.step(0, re.Asked(10**6, m.Commit(record=_record(2, 4_096))))
+    token = next(effect.token for effect in effects if isinstance(effect, re.Store))
+    began = time.process_time()
+    told = [
+        to_response(e.message) for e in replica.step(1, re.Stored(token, True)) if isinstance(e, re.Reply)
+    ]
+    taken = time.process_time() - began
+    assert len(told) == 2 * nodes + 1
+    return taken
+
+
+def _watches_at_replica(nodes: int) -> float:
+    """Processor seconds until all watches have ended without news and been asked again."""
+    replica, number = replica_with(nodes), 10**6
+    began = time.process_time()
+    for effect in replica.step(11 * SECOND, re.Tick()):
+        if isinstance(effect, re.Reply):
+            to_response(effect.message)
+            number += 1
+            query = f"since=1&timeout_ms=10000&node=z1-node-{number % nodes:03}&in_force=1"
+            replica.step(11 * SECOND, re.Asked(number, m.from_query(query)))
+    return time.process_time() - began
+
+
+def body_sweep(sizes) -> results.Sweep:
+    """What a change costs a node against the size of its body, the node's own check left out."""
+    cost = {size: _least(_change_at_node, size) * 1e6 for size in sizes}
+    told = {size: float(len(to_response(_answer(size)))) for size in sizes}
+    measures = [
+        _measure("node_change_cpu_us", "us", cost, PLAYS_OF_A_TIME),
+        _measure("answer_bytes", "B", told),
+    ]
+    what = "One change at one node: its answer read, checked for damage, carried through save and apply."
+    return _sweep("config-body", what, measures, "body_bytes", {"nodes": 1}, sizes)
+
+
+def _answer(size: int) -> m.Answer:
+    return m.Answer(generation=1, reset=True, record=_record(1, size), majority_age_us=0, replica="r1")
+
+
+def _change_at_node(size: int) -> float:
+    data = m.encode(_answer(size))
+    follower = fo.Follower("n1", ("r1", "r2", "r3"), lambda: 0.5)
+    follower.step(0, fo.Started(None))
+    began = time.process_time()
+    follower.step(1, fo.Answered(1, m.decode(data, m.Answer)))
+    for event in (fo.Checked(True), fo.Saved(True), fo.Applied(True)):
+        follower.step(2, event)
+    taken = time.process_time() - began
+    assert follower.view(2).version == 1
+    return taken
+
+
+def main(given=None) -> int:
+    """0: nothing broken."""
+    parser = argparse.ArgumentParser(prog=COMMAND, description=__doc__.splitlines()[0])
+    parser.add_argument("--small", action="store_true", help="24 nodes, a few seeds; ends in seconds")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--out", type=Path, default=results.FOLDER, help="folder of the results")
+    parser.add_argument("--only", nargs="*", default=[], metavar="NAME", help="plays or sweeps")
+    args = parser.parse_args(given)
+    shape = SMALL if args.small else Shape()
+    written, rows = [], plays(shape, args.seed, args.small, args.only)
+    if _wants(args, "random"):
+        rows.append(random_row(args.seed, RANDOM_SEEDS_SMALL if args.small else RANDOM_SEEDS))
+    if rows:
+        written.append(_fault_run(shape, args.seed, rows))
+    if _wants(args, "idle"):
+        written.append(idle_sweep(args.seed, (6, 12, 18, 24) if args.small else IDLE_SIZES))
+    if _wants(args, "replica"):
+        written.append(replica_sweep((6, 12, 18, 24) if args.small else REPLICA_SIZES))
+    if _wants(args, "body"):
+        written.append(body_sweep(BODY_SIZES))
+    for result in written:
+        print(results.write(result, args.out))
+    return 1 if any(row.rules_broken for row in rows) else 0
+
+
+def _wants(args, name: str) -> bool:
+    return not args.only or name in args.only
+
+
+def _fault_run(shape: Shape, seed: int, rows) -> results.FaultRun:
+    return results.FaultRun(
+        name="config-faults",
+        what="Changes of configuration through three replicas to all nodes under faults, in simulated time.",
+        command=COMMAND,
+        kind="hollow",
+        alone=False,
+        nodes=shape.nodes,
+        seed=seed,
+        rows=rows,
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/cottonspread/lab/scale/configuration_promises.py
+++ b/cottonspread/lab/scale/configuration_promises.py
@@ -57,6 +57,7 @@
         self.in_force: dict[str, int] = {}
         self.reached_by_faulty: set[str] = set()
         self.changes: dict[int, Change] = {}
+        self._open: dict[int, Change] = {}
         self.steps = 0
         self._cut_since: dict[str, int] = {}
         self._reached_since: dict[str, int] = {}
@@ -131,16 +132,18 @@
         self.need(not refuses(record.body), node, "a faulty version in force", version)
         if record.stage != EVERYWHERE:
             self.need(is_canary(node, version, record.canary_below), node, "no canary of", version)
-        for change in list(self.changes.values()):
+        for change in list(self._open.values()):
             if change.version <= version and node in change.waiting:
                 change.waiting.discard(node)
                 change.times[node] = now - change.began
+                if not change.waiting:
+                    del self._open[change.version]
 
     def change_begins(self, version: int, began: int, nodes) -> None:
         """A publisher, started at `began`, has a majority's word for this version."""
         if version not in self.changes:
             waiting = {node for node in nodes if self.in_force.get(node, 0) < version}
-            self.changes[version] = Change(version, began, waiting)
+            self.changes[version] = self._open[version] = Change(version, began, waiting)
 
     # Reach
 
--- a/tests/configstore/test_follower.py
+++ b/tests/configstore/test_follower.py
@@ -282,14 +282,34 @@
     drawn = set()
     for seed in range(50):
         driver = FollowerDriver(chance=random.Random(seed).random)
+        driver.answer(), driver.answer()
+        settle(driver)
+        assert len(driver.asks) == 2
         for ask in driver.asks.values():
             timeout = ask.request.timeout_ms * m.MILLISECOND
             assert watches.WATCH * (1 - watches.WATCH_DRAWN) <= timeout <= watches.WATCH
-            assert ask.deadline == timeout + watches.ANSWER_GRACE
+            assert ask.deadline == watches.ASK_APART + timeout + watches.ANSWER_GRACE
             drawn.add(timeout)
     assert len(drawn) > 50
 
 
+def test_a_watch_at_another_replica_than_before_is_short():
+    driver = FollowerDriver()
+    assert {ask.request.timeout_ms * m.MILLISECOND for ask in driver.asks.values()} == {watches.PROBE}
+    home = driver.asks[1].replica
+    driver.fail(1)
+    driver.pass_time(watches.RETRY)
+    for _ in range(watches.AWAY_AT_MOST):
+        driver.answer(call=max(driver.asks))
+        driver.pass_time(watches.ASK_APART)
+    ask = driver.asks[max(driver.asks)]
+    assert ask.replica == home and ask.request.timeout_ms * m.MILLISECOND == watches.PROBE
+    driver.answer(call=max(driver.asks))
+    driver.pass_time(watches.ASK_APART)
+    ask = driver.asks[max(driver.asks)]
+    assert ask.replica == home and ask.request.timeout_ms * m.MILLISECOND > 5 * watches.PROBE
+
+
 def test_a_watch_after_a_failure_is_short_until_one_is_answered():
     driver = FollowerDriver()
     for _ in range(3):
