--- /dev/null
+++ b/benchmarks/configstore/mutants.py
@@ -0,0 +1,361 @@
+"""Mutants of the configuration store: one line changed on a scratch copy, and the tests that must notice.
+
+    python benchmarks/configstore/mutants.py [RESULT.json]
+
+Two run at a time; the end is 0 if each was noticed.
+"""
+
+import json
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+AT_ONCE, WAIT = 2, 600
+REPLICA, FOLLOWER, PUBLISHER, PLAYS = (
+    f"tests/configstore/test_{name}.py"
+    for name in ("replica", "follower", "publisher", "configuration_plays")
+)
+
+MUTANTS = [  # what, file in configstore, its text, the text instead, tests
+    ("compare-and-set of a proposal", "register.py", "if highest != base:", "if False:", REPLICA),
+    (
+        "a generation goes back",
+        "register.py",
+        "if record.generation <= highest.generation:",
+        "if False:",
+        REPLICA,
+    ),
+    (
+        "a version or stage goes back at a proposal",
+        "register.py",
+        "if (record.version, record.stage) < (highest.version, highest.stage):",
+        "if False:",
+        REPLICA,
+    ),
+    (
+        "a committed version goes back",
+        "register.py",
+        "if (record.version, record.stage) < (committed.version, committed.stage):",
+        "if False:",
+        REPLICA,
+    ),
+    (
+        "a commit of the same generation with another record",
+        "register.py",
+        "if record.seal != committed.seal:",
+        "if False:",
+        REPLICA,
+    ),
+    (
+        "a later proposal is kept at a commit",
+        "register.py",
+        "if generation_of(state.accepted) > record.generation:",
+        "if False:",
+        REPLICA,
+    ),
+    (
+        "the missed good version beside a canary",
+        "register.py",
+        "return msgspec.structs.replace(state, good=good)",
+        "return state",
+        REPLICA,
+    ),
+    (
+        "stored before acknowledged",
+        "replica.py",
+        "            self._out.append(Store(self._token, state))",
+        "            self._out.append(Store(self._token, state))\n            self._acknowledge(write)",
+        REPLICA,
+    ),
+    (
+        "told only once stored",
+        "replica.py",
+        "            self._storing = write, state\n",
+        "            self._storing = write, state\n            self.state = state\n",
+        REPLICA,
+    ),
+    (
+        "a failed store",
+        "replica.py",
+        "        if event.ok:\n            self.state",
+        "        if True:\n            self.state",
+        REPLICA,
+    ),
+    (
+        "one store at a time",
+        "replica.py",
+        "while self._storing is None and self._writes:",
+        "while self._writes:",
+        REPLICA,
+    ),
+    (
+        "canaries alone",
+        "replica.py",
+        "if committed is not None and committed.reaches(node):",
+        "if committed is not None:",
+        REPLICA,
+    ),
+    (
+        "the bound on watches",
+        "replica.py",
+        "elif len(self._watches) >= WATCHES_AT_MOST:",
+        "elif False:",
+        REPLICA,
+    ),
+    ("the bound on reports", "reports.py", "len(self._heard) >= NODES_AT_MOST", "False", REPLICA),
+    ("old reports", "reports.py", "if now - heard <= KEPT:", "if True:", REPLICA),
+    (
+        "the heap of waits",
+        "waiting.py",
+        "if len(self._heap) > 2 * len(self._waits) + SLACK:",
+        "if False:",
+        REPLICA,
+    ),
+    ("quorum age of one", "peers.py", "needed = (len(self._peers) + 1) // 2", "needed = 0", REPLICA),
+    (
+        "a pause between calls of a peer",
+        "peers.py",
+        "peer.ask_at = now + PEER_PAUSE",
+        "peer.ask_at = now",
+        REPLICA,
+    ),
+    ("a damaged body", "messages.py", "return self.digest == digest_of(self.body) and", "return", FOLLOWER),
+    (
+        "a damaged number",
+        "messages.py",
+        "self.digest == digest_of(self.body) and self.seal == seal_of(",
+        "self.digest == digest_of(self.body) and seal_of(",
+        FOLLOWER,
+    ),
+    ("same version, other digest", "follower.py", "known.digest != record.digest:", "False:", FOLLOWER),
+    (
+        "a stage that is not for this node",
+        "follower.py",
+        "if not record.reaches(self.node):",
+        "if False:",
+        FOLLOWER,
+    ),
+    ("an older answer", "follower.py", "if record.generation <= since:", "if False:", FOLLOWER),
+    ("the floor after a restart", "follower.py", "or record.version < self._floor:", "or False:", FOLLOWER),
+    (
+        "saved before applied",
+        "follower.py",
+        "                self._phase = _Phase.SAVING\n                self._out.append(Save(self._under_way))",
+        "                self._apply()",
+        FOLLOWER,
+    ),
+    (
+        "the old file after a failed apply",
+        "follower.py",
+        "                self._out.append(Save(self._in_force))",
+        "                self._next()",
+        FOLLOWER,
+    ),
+    ("a damaged saved record", "follower.py", "if not event.saved.is_sound():", "if False:", FOLLOWER),
+    (
+        "asked again after a refusal",
+        "follower.py",
+        "        self._recheck_at = now + RECHECK",
+        "        self._recheck_at = None",
+        FOLLOWER,
+    ),
+    (
+        "the report goes at once",
+        "follower.py",
+        "return self._under_way is not None and now < self._hold_until",
+        "return False",
+        FOLLOWER,
+    ),
+    (
+        "the hold has an end",
+        "follower.py",
+        "return self._under_way is not None and now < self._hold_until",
+        "return self._under_way is not None",
+        FOLLOWER,
+    ),
+    (
+        "contact without a majority",
+        "follower.py",
+        "if age is not None and (",
+        "age = age or 0\n        if (",
+        FOLLOWER,
+    ),
+    ("two watches", "watches.py", "WATCHES = 2\n", "WATCHES = 1\n", FOLLOWER),
+    (
+        "the bound on pauses",
+        "watches.py",
+        "min(RETRY << min(watch.failures, 16), RETRY_AT_MOST)",
+        "RETRY << min(watch.failures, 16)",
+        FOLLOWER,
+    ),
+    ("the spare", "watches.py", "        self._move(watch)\n", "", FOLLOWER),
+    (
+        "a short first watch",
+        "watches.py",
+        "self._timeout() if watch.is_sure else PROBE",
+        "self._timeout()",
+        FOLLOWER,
+    ),
+    ("a pause between asks", "watches.py", "max(now, watch.asked_at + ASK_APART)", "now", FOLLOWER),
+    (
+        "a majority of acceptances",
+        "publisher.py",
+        "        self._agreed.add(replica)\n        if len(self._agreed) >= self._majority:\n            self._begin_committing(now)",
+        "        self._agreed.add(replica)\n        if True:\n            self._begin_committing(now)",
+        PUBLISHER,
+    ),
+    ("a majority of states", "publisher.py", "if len(self._reads) >= self._majority:", "if True:", PUBLISHER),
+    (
+        "a majority of commits",
+        "publisher.py",
+        "        if len(self._agreed) >= self._majority:\n            self._committed(now)",
+        "        if True:\n            self._committed(now)",
+        PUBLISHER,
+    ),
+    (
+        "a version of its own",
+        "publisher.py",
+        "version = highest.version + 1",
+        "version = highest.version",
+        PUBLISHER,
+    ),
+    (
+        "what comes after what was told late",
+        "publisher.py",
+        "return known.version < record.version",
+        "return False",
+        PUBLISHER,
+    ),
+    (
+        "another's canaries",
+        "publisher.py",
+        "        if _is_at_canaries(seen):\n            self._end(",
+        "        if False:\n            self._end(",
+        PUBLISHER,
+    ),
+    (
+        "superseded at canaries",
+        "publisher.py",
+        "if reply.committed_generation > self._record.generation:",
+        "if False:",
+        PUBLISHER,
+    ),
+    (
+        "the disputed stage",
+        "publisher.py",
+        "m.Stage.WITHDRAWN if seen.is_disputed else seen.highest.stage",
+        "seen.highest.stage",
+        PUBLISHER,
+    ),
+    ("no quorum has an end", "publisher.py", "elif now >= self._deadline:", "elif False:", PUBLISHER),
+    (
+        "one refusal",
+        "canaries.py",
+        "if self._version in (report.refused, report.failing):",
+        "if False:",
+        PUBLISHER,
+    ),
+    ("illness", "canaries.py", "in (report.refused, report.failing):", "== report.refused:", PUBLISHER),
+    ("enough canaries", "canaries.py", "len(self.in_force) >= self._enough:", "self.in_force:", PUBLISHER),
+    ("the settle time", "canaries.py", "now >= self._enough_at + SETTLE:", "True:", PUBLISHER),
+    (
+        "silence has an end",
+        "canaries.py",
+        "if self._enough_at is None and now >= self._since + CANARY_WAIT:",
+        "if False:",
+        PUBLISHER,
+    ),
+    (
+        "nodes that are gone as canaries",
+        "seen.py",
+        "(heard.watching or heard.age_us <= RECENT) and",
+        "",
+        PUBLISHER,
+    ),
+    (
+        "two canaries at least",
+        "seen.py",
+        "max(CANARIES_AT_LEAST, -(-len(nodes) * CANARIES_PERCENT // 100))",
+        "-(-len(nodes) * CANARIES_PERCENT // 100)",
+        PUBLISHER,
+    ),
+    (
+        "a call again after a failure",
+        "calls.py",
+        "wanted.call, wanted.failures = None, wanted.failures + 1",
+        "wanted.failures += 1",
+        PUBLISHER,
+    ),
+    ("play: compare-and-set", "register.py", "if highest != base:", "if False:", PLAYS),
+    (
+        "play: a majority of acceptances",
+        "publisher.py",
+        "        self._agreed.add(replica)\n        if len(self._agreed) >= self._majority:\n            self._begin_committing(now)",
+        "        self._agreed.add(replica)\n        if True:\n            self._begin_committing(now)",
+        PLAYS,
+    ),
+    (
+        "play: stage of a node",
+        "replica.py",
+        "if committed is not None and committed.reaches(node):",
+        "if committed is not None:",
+        PLAYS,
+    ),
+    ("play: cut off", "follower.py", "CUT_OFF = 20 * m.SECOND", "CUT_OFF = 200 * m.SECOND", PLAYS),
+    (
+        "play: replicas catch up",
+        "replica.py",
+        "            self._write(now, _Write(None, reply))",
+        "            pass",
+        PLAYS,
+    ),
+    ("play: told at the commit", "replica.py", "            self._tell_news(now)", "            pass", PLAYS),
+]
+
+
+def play(mutant):
+    """Whether the tests notice."""
+    what, file, text, other, tests = mutant
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(folder) / "tree"
+        for part in ("cottonspread", "tests/configstore"):
+            shutil.copytree(ROOT / part, copy / part, ignore=shutil.ignore_patterns("__pycache__"))
+        for part in ("pyproject.toml", "tests/conftest.py", "tests/known_red.py"):
+            shutil.copy(ROOT / part, copy / part)
+        path = copy / "cottonspread" / "configstore" / file
+        source = path.read_text()
+        if source.count(text) != 1:
+            why = f"its text stands there {source.count(text)} times"
+            return {"mutant": what, "file": file, "noticed": False, "why": why}
+        path.write_text(source.replace(text, other))
+        command = [sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider", tests]
+        try:
+            done = subprocess.run(command, cwd=copy, capture_output=True, text=True, timeout=WAIT)
+        except subprocess.TimeoutExpired:
+            return {"mutant": what, "file": file, "noticed": True, "why": f"hung for {WAIT} s"}
+        lines = [line for line in done.stdout.splitlines() if line.startswith("FAILED")]
+        why = lines[0].split("::")[-1][:120] if lines else done.stdout.strip()[-120:]
+        return {"mutant": what, "file": file, "noticed": done.returncode == 1 and bool(lines), "why": why}
+
+
+def main(given):
+    """Plays all, or those whose name contains the words after the result's path."""
+    words = given[1:]
+    chosen = [one for one in MUTANTS if not words or any(word in one[0] for word in words)]
+    told = []
+    with ThreadPoolExecutor(AT_ONCE) as pool:
+        for one in pool.map(play, chosen):
+            told.append(one)
+            verdict = "noticed" if one["noticed"] else "NOT NOTICED"
+            print(f"{verdict}: {one['mutant']} ({one['file']}): {one['why']}", flush=True)
+    if given:
+        Path(given[0]).write_text(json.dumps(told, indent=1) + "\n")
+    return 0 if all(one["noticed"] for one in told) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
