--- a/cottonspread/lab/scale/configuration_fleet.py
+++ b/cottonspread/lab/scale/configuration_fleet.py
@@ -26,6 +26,7 @@
 from cottonspread.lab.sim.world import SECOND, World
 
 FAR = 2**61
+TICKS_AT_ONE_TIME = 1_000
 
 
 class CoreHost(Host):
@@ -37,7 +38,7 @@
         super().__init__(name, place)
         self.fleet, self.world = fleet, fleet.world
         self.chance = self.world.draws(name).part
-        self.core, self._wakes_at = None, FAR
+        self.core, self._wakes_at, self._ticks_at = None, FAR, (0, 0)
 
     def tell(self, event) -> None:
         """An event, and what follows."""
@@ -61,9 +62,16 @@
         self._wakes_at = FAR
         if self.core.wake_at <= self.world.now:
             self.tell(self.tick)
+            self._check_pace(at)
         else:
             self._plan_wake()
 
+    def _check_pace(self, at):
+        """A core that wants `Tick` at once again, time after time, would take its whole processor."""
+        self._ticks_at = (at, self._ticks_at[1] + 1) if self._ticks_at[0] == at else (at, 1)
+        if self._ticks_at[1] > TICKS_AT_ONE_TIME:
+            raise RuntimeError(f"{self.name} wants ticks without pause")
+
     def later(self, least: int, event) -> None:
         """An event of this process after `least`, or up to twice that."""
         self.world.after(least + int(least * self.chance()), self._told, self.epoch, event)
--- a/tests/configstore/drivers.py
+++ b/tests/configstore/drivers.py
@@ -11,6 +11,10 @@
 """A canary threshold under which every node falls."""
 
 
+TICKS_AT_MOST = 10_000
+"""Of one passing of time: a core that wants more asks for them without pause."""
+
+
 def half():
     """Chance that is none."""
     return 0.5
@@ -80,7 +84,10 @@
 
     def pass_time(self, span):
         until = self.now + span
+        ticks = 0
         while self.core.wake_at <= until:
+            ticks += 1
+            assert ticks < TICKS_AT_MOST, "wants ticks without pause"
             self.now = max(self.now, self.core.wake_at)
             self.tell(re.Tick())
         self.now = until
@@ -152,7 +159,10 @@
 
     def pass_time(self, span):
         until = self.now + span
+        ticks = 0
         while self.core.wake_at <= until:
+            ticks += 1
+            assert ticks < TICKS_AT_MOST, "wants ticks without pause"
             self.now = max(self.now, self.core.wake_at)
             self.tell(fo.Tick())
         self.now = until
