--- a/benchmarks/configstore/mutants.py
+++ b/benchmarks/configstore/mutants.py
@@ -246,9 +246,9 @@
     ),
     (
         "the disputed stage",
-        "publisher.py",
-        "m.Stage.WITHDRAWN if seen.is_disputed else seen.highest.stage",
-        "seen.highest.stage",
+        "seen.py",
+        "(position.generation, position.version, position.stage)",
+        "(position.generation, position.version)",
         PUBLISHER,
     ),
     ("no quorum has an end", "publisher.py", "elif now >= self._deadline:", "elif False:", PUBLISHER),
--- a/cottonspread/configstore/publisher.py
+++ b/cottonspread/configstore/publisher.py
@@ -308,15 +308,12 @@
         elif committed.stage == m.Stage.WITHDRAWN:
             self._resume_way_back(committed)
         elif highest.generation > committed.generation:
-            self._goal = _ChangeStage(committed, self._stage_begun(seen))
+            # What another publisher proposed may be chosen already, and is gone on with.
+            self._goal = _ChangeStage(committed, highest.stage)
         else:
             self._record = committed
             self._begin_canaries(now, canaries_of(seen.nodes, committed))
 
-    def _stage_begun(self, seen: Seen) -> m.Stage:
-        """What another publisher proposed may be chosen already; of two such, to withdraw is harmless."""
-        return m.Stage.WITHDRAWN if seen.is_disputed else seen.highest.stage
-
     def _resume_way_back(self, committed: m.Record) -> None:
         self._record, self._withdrawn_why = committed, "withdrawn before"
         if self._good is None or self._good.version >= committed.version:
--- a/cottonspread/configstore/seen.py
+++ b/cottonspread/configstore/seen.py
@@ -16,12 +16,11 @@
     """States of a majority, summed up."""
 
     highest: m.Position
-    """The highest that any of them accepted."""
+    """The highest that any of them accepted. Of two of one generation the later stage: where it is disputed
+    whether a version goes everywhere or is withdrawn, to withdraw it is harmless."""
     committed: m.Record | None
     good: m.Record | None
     """The newest record at stage EVERYWHERE, committed or accepted: its canaries had it in force."""
-    is_disputed: bool
-    """Two replicas accepted different records of the highest generation."""
     nodes: tuple[str, ...]
     """Nodes heard lately, by name."""
 
@@ -42,9 +41,6 @@
         highest=highest,
         committed=committed,
         good=_newest([reply.good for reply in replies] + everywhere),
-        is_disputed=any(
-            one.generation == highest.generation and one.seal != highest.seal for one in positions
-        ),
         nodes=_recent_nodes(replies),
     )
 
--- a/tests/configstore/test_publisher.py
+++ b/tests/configstore/test_publisher.py
@@ -185,6 +185,18 @@
     assert cluster.committed(dead).version == 1
 
 
+@pytest.mark.parametrize("step, kind", [("proposing", m.Accept), ("committing", m.Commit)])
+def test_one_reply_is_no_majority(step, kind):
+    cluster = cluster_with(record(1, 1))
+    driver = published(cluster, without_canaries=True)
+    driver.until(step)
+    driver.calls = [call for call in driver.calls if isinstance(call.message, kind)]
+    driver.deliver()
+    assert driver.progress[-1].step == step and driver.done is None
+    driver.deliver()
+    assert driver.progress[-1].step != step or driver.done.outcome == pu.Outcome.IN_FORCE
+
+
 def test_with_two_of_three_gone_it_says_no_quorum_and_commits_nothing():
     cluster = cluster_with(record(1, 1))
     cluster.up = {"r1"}
@@ -379,6 +391,7 @@
     driver = at_canaries(cluster)
     PublisherDriver(cluster, pu.Withdraw()).run()
     assert driver.run().outcome == pu.Outcome.SUPERSEDED
+    assert cluster.now < 2 * pu.POLL  # at its next look, not at the end of its wait
 
 
 def test_an_uncommitted_leftover_is_superseded_and_its_version_is_not_used_again():
