--- a/tests/configstore/drivers.py
+++ b/tests/configstore/drivers.py
@@ -251,8 +251,10 @@
 
     def run(self, span=60 * m.SECOND):
         """On, with time, until it is done."""
-        until = self.cluster.now + span
+        until, turns = self.cluster.now + span, 0
         while self.done is None and self.cluster.now <= until:
+            turns += 1
+            assert turns < TICKS_AT_MOST, "wants ticks without pause"
             if self.calls:
                 self.deliver()
             else:
--- a/tests/configstore/test_publisher.py
+++ b/tests/configstore/test_publisher.py
@@ -252,7 +252,9 @@
     made = 0
     while driver.done is None:
         made += len(driver.calls)
+        assert made < 1_000
         driver.deliver_all()
+        assert driver.core.wake_at > cluster.now
         cluster.set_now(driver.core.wake_at)
         driver.tell(pu.Tick())
     assert 15 <= made <= 45
