--- a/cottonspread/configstore/register.py
+++ b/cottonspread/configstore/register.py
@@ -1,10 +1,11 @@
 """The register of one replica: what it accepted, what is committed, and which writes it takes.
 
-A proposal is accepted as a compare-and-set: its publisher names the highest position that this replica had
-when it was asked, and it is taken only if that is still so. Of two proposals that a majority accepted
-each, some replica accepted both, so the publisher of the later had seen the earlier, or one after it,
-there. It takes a higher generation and no lower version; hence what is committed has one record for each
-generation, one digest for each version, and versions that never go back.
+Of two proposals that a majority accepted each, some replica accepted both, one after the other, and it
+takes only a higher generation, no lower version or stage, and no other digest for a version. Hence what is
+committed has one record for each generation, one digest for each version, and versions that never go back.
+
+Besides, a proposal is a compare-and-set: its publisher names the highest position that this replica had
+when it was asked, and it is taken only if that is still so. So no publisher replaces what it has not seen.
 """
 
 import msgspec
--- a/cottonspread/lab/scale/configuration.py
+++ b/cottonspread/lab/scale/configuration.py
@@ -208,6 +208,7 @@
     parser.add_argument("--only", nargs="*", default=[], metavar="NAME", help="plays or sweeps")
     args = parser.parse_args(given)
     shape = SMALL if args.small else Shape()
+    commit = results.current_commit()  # of the code that runs, whatever is committed meanwhile
     written, rows = [], plays(shape, args.seed, args.small, args.only)
     if _wants(args, "random"):
         rows.append(random_row(args.seed, RANDOM_SEEDS_SMALL if args.small else RANDOM_SEEDS))
@@ -220,6 +221,7 @@
     if _wants(args, "body"):
         written.append(body_sweep(BODY_SIZES))
     for result in written:
+        result.commit = commit
         print(results.write(result, args.out))
     return 1 if any(row.rules_broken for row in rows) else 0
 
