--- a/cottonspread/lab/scale/configuration_plays.py
+++ b/cottonspread/lab/scale/configuration_plays.py
@@ -479,6 +479,8 @@
         self.fleet = Fleet(f"random:{seed}", self.shape)
         self.draws = self.fleet.world.draws("faults")
         self._bodies = 0
+        self.whole: float | None = None
+        """Seconds from the last change's end until no node lagged."""
 
     def run(self, actions=25) -> list[str]:
         """Broken promises."""
@@ -496,7 +498,7 @@
         fleet.promises.need(
             done is not None and done.outcome == pu.Outcome.IN_FORCE, "the last change ended", done
         )
-        whole = fleet.run_until_whole(20)
+        self.whole = whole = fleet.run_until_whole(20)
         fleet.promises.need(whole is not None, "nodes lag:", *fleet.lagging())
         return fleet.promises.broken
 
