--- a/benchmarks/lab/make_trace.py
+++ b/benchmarks/lab/make_trace.py
@@ -22,7 +22,7 @@
     path,
     [
         trace.Entry(at_us=int(a), type=str(n), life_us=int(v), group=f"g{g}")
-        for a, n, v, g in zip(at, names, life, rng.integers(0, 5000, count))
+        for a, n, v, g in zip(at, names, life, rng.integers(0, 5000, count), strict=True)
     ],
 )
 print(f"{count} connections in {seconds} s, the second with most: {np.bincount(at // 1_000_000).max()}")
--- a/benchmarks/operating/calls.py
+++ b/benchmarks/operating/calls.py
@@ -50,9 +50,9 @@
             json.dumps(
                 json.loads((ROOT / "examples" / "node.json").read_text())
                 | {
-                    "discovery": "%s:%d" % discovery.getsockname(),
-                    "listen": "%s:%d" % listen,
-                    "operator": "%s:%d" % operator,
+                    "discovery": "{}:{}".format(*discovery.getsockname()),
+                    "listen": "{}:{}".format(*listen),
+                    "operator": "{}:{}".format(*operator),
                 }
             )
         )
--- a/benchmarks/sizes/instances.py
+++ b/benchmarks/sizes/instances.py
@@ -33,7 +33,7 @@
         (Path(folder) / "node.json").write_text(
             json.dumps(
                 json.loads((ROOT / "examples" / "node.json").read_text())
-                | {"discovery": "%s:%d" % discovery.getsockname(), "operator": None}
+                | {"discovery": "{}:{}".format(*discovery.getsockname()), "operator": None}
             )
         )
         file = Path(folder) / "o.toml"
--- a/benchmarks/sizes/lists.py
+++ b/benchmarks/sizes/lists.py
@@ -77,7 +77,7 @@
                 since = re.search(rb"since=(\d+)", line)
                 with self.news:
                     if since:
-                        self.news.wait_for(lambda: self.version > int(since[1]), 4)
+                        self.news.wait_for(lambda since=int(since[1]): self.version > since, 4)
                         said = {"generation": self.version, "reset": False, "instances": self.servers[:1]}
                     else:
                         said = {"generation": self.version, "reset": True, "instances": self.servers}
@@ -123,7 +123,7 @@
         socket.create_server(("127.0.0.1", 0), backlog=512),
         socket.create_server(("127.0.0.1", 0)),
     )
-    listing = Listing(servers, "%s:%d" % hosts.getsockname(), form)
+    listing = Listing(servers, "{}:{}".format(*hosts.getsockname()), form)
     serve(hosts, host)
     serve(discovery, listing.one)
     with tempfile.TemporaryDirectory() as folder:
@@ -132,8 +132,8 @@
             json.dumps(
                 json.loads((ROOT / "examples" / "node.json").read_text())
                 | {
-                    "discovery": "%s:%d" % discovery.getsockname(),
-                    "listen": "%s:%d" % listen,
+                    "discovery": "{}:{}".format(*discovery.getsockname()),
+                    "listen": "{}:{}".format(*listen),
                     "operator": None,
                 }
             )
--- a/cottonspread/cli/fleet.py
+++ b/cottonspread/cli/fleet.py
@@ -2,6 +2,7 @@
 (`instance` is what the supervisor starts.)
 """
 
+import contextlib
 import heapq
 import json
 import os
@@ -89,7 +90,7 @@
 def print_table(rows):
     widths = [max(len(row[n]) for row in rows) for n in range(len(rows[0]))]
     for row in rows:
-        print("  ".join(cell.ljust(width) for cell, width in zip(row, widths)).rstrip())
+        print("  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip())
 
 
 def status(given):
@@ -121,18 +122,20 @@
     names = (
         [f"{given.name}.log"] if given.name else sorted(f for f in os.listdir(where) if f.endswith(".log"))
     )
-    try:
-        control.raise_descriptors(len(names) + 32)  # a thousand files are over the usual limit
-        files = [open(os.path.join(where, name), encoding="utf-8", errors="replace") for name in names]
-    except OSError as fault:
-        raise config.Senseless(f"logs: {fault}") from fault
-    for line in list(heapq.merge(*(file.readlines() for file in files)))[-given.lines :] if files else ():
-        sys.stdout.write(line)
-    while given.follow:
-        for file in files:
-            sys.stdout.writelines(file.readlines())
-        sys.stdout.flush()
-        time.sleep(0.2)
+    paths = [os.path.join(where, name) for name in names]
+    with contextlib.ExitStack() as opened:
+        try:
+            control.raise_descriptors(len(names) + 32)  # a thousand files are over the usual limit
+            files = [opened.enter_context(open(p, encoding="utf-8", errors="replace")) for p in paths]
+        except OSError as fault:
+            raise config.Senseless(f"logs: {fault}") from fault
+        lines = list(heapq.merge(*(file.readlines() for file in files)))
+        sys.stdout.writelines(lines[-given.lines :])
+        while given.follow:
+            for file in files:
+                sys.stdout.writelines(file.readlines())
+            sys.stdout.flush()
+            time.sleep(0.2)
     return 0
 
 
--- a/cottonspread/cli/instance.py
+++ b/cottonspread/cli/instance.py
@@ -60,7 +60,7 @@
         self.turn("waiting")
         try:
             while not self.node.join(0):
-                for key, mask in self.selector.select(
+                for key, _ in self.selector.select(
                     LOOK if self.state in ("waiting", "prepared", "leaving") else BEAT / 2
                 ):
                     self.welcome() if key.data is None else self.hear(key.data)
--- a/cottonspread/cli/node.py
+++ b/cottonspread/cli/node.py
@@ -1,5 +1,6 @@
 """`serve`, `check` and `version`: one node."""
 
+import contextlib
 import errno
 import logging
 import os
@@ -29,8 +30,8 @@
     return read_text(text_of(path), os.environ)
 
 
-def read_text(text, environment={}):
-    parts = config.read_node(text, environment)
+def read_text(text, environment=None):
+    parts = config.read_node(text, environment or {})
     try:
         discovery.read_list(parts[-1], parts[2])
     except discovery.BadList as fault:
@@ -81,13 +82,11 @@
                 follows.look(node)
             if manager.address:
                 told = report(manager, node, told)
-            try:
+            with contextlib.suppress(queue.Empty):
                 asked.get(timeout=0.1 if not follows or follows.state == "serving" else 0.02)(node, force)
-            except queue.Empty:
-                pass
         return 0
     except OSError as fault:
-        where = fault.filename or "listen: %s:%d" % parts[0].listen
+        where = fault.filename or "listen: {}:{}".format(*parts[0].listen)
         what = "address in use" if fault.errno == errno.EADDRINUSE else fault.strerror or fault
         print(f"cottonspread: {where}: {what}", file=sys.stderr)
         return 1
@@ -161,7 +160,10 @@
     log.info(
         "reload",
         extra={
-            "pairs": {"discovery": "%s:%d" % place.discovery, "types": ",".join(t.name for t in begin.types)}
+            "pairs": {
+                "discovery": "{}:{}".format(*place.discovery),
+                "types": ",".join(t.name for t in begin.types),
+            }
             | ({"at_next_start": ",".join(kept)} if kept else {})
         },
     )
@@ -175,14 +177,14 @@
         specs = plan.read(operators, (sys.executable, ""), read_text).specs
         print(
             f"{len(specs)} instances: "
-            + ", ".join("%s on %s:%d" % (s.name, *s.address) for s in specs.values())
+            + ", ".join("{} on {}:{}".format(s.name, *s.address) for s in specs.values())
         )
         return 0
     place, room, names, _, begin, known = read(named(path))
     print(
         f"{place.name}: listens on {place.listen[0]}:{place.listen[1]}, "
         f"discovery at {place.discovery[0]}:{place.discovery[1]}, "
-        + ("operators at %s:%d" % place.operator if place.operator else "no address for operators")
+        + ("operators at {}:{}".format(*place.operator) if place.operator else "no address for operators")
     )
     print(
         f"{len(names.types)} traffic types, node {begin.me} of {begin.nodes or 'an untold number'}, "
--- a/cottonspread/cli/succession.py
+++ b/cottonspread/cli/succession.py
@@ -196,7 +196,5 @@
 
     @staticmethod
     def remove(path):
-        try:
+        with contextlib.suppress(OSError):
             os.unlink(path)
-        except OSError:
-            pass
--- a/cottonspread/config/operator.py
+++ b/cottonspread/config/operator.py
@@ -235,7 +235,7 @@
 
 def in_force(parts, whole, path):
     """(key, value, where it is from, what a reload does) for every key of every section that is there."""
-    for (name, kind), section in zip(SECTIONS.items(), parts):
+    for (name, kind), section in zip(SECTIONS.items(), parts, strict=True):
         for word, _, meta in fields(kind) if section else ():
             yield (
                 f"{name}.{word}",
--- a/cottonspread/fleet/control.py
+++ b/cottonspread/fleet/control.py
@@ -2,6 +2,7 @@
 state folder; locks and pid files there.
 """
 
+import contextlib
 import fcntl
 import json
 import os
@@ -72,10 +73,8 @@
 
 def unlink(path):
     """Whoever ends removes its own socket too, perhaps just now."""
-    try:
+    with contextlib.suppress(FileNotFoundError):
         os.unlink(path)
-    except FileNotFoundError:
-        pass
 
 
 def listening(path):
--- a/cottonspread/fleet/core.py
+++ b/cottonspread/fleet/core.py
@@ -434,7 +434,9 @@
     def worse(self, p):
         """Whether calls end badly more often than in those not yet changed."""
         fleet = self.plan.fleet
-        ended, bad = (p.seen.get(k, 0) - was for k, was in zip(("ended", "bad"), p.at_ready or (0, 0)))
+        ended, bad = (
+            p.seen.get(k, 0) - was for k, was in zip(("ended", "bad"), p.at_ready or (0, 0), strict=True)
+        )
         if ended < fleet.worse_of:
             return ""
         # Those not yet changed meet the same trouble now; of the last ones there are none left,
--- a/cottonspread/fleet/supervisor.py
+++ b/cottonspread/fleet/supervisor.py
@@ -6,6 +6,7 @@
 supervisor with one thread has no order of events that its tests do not have.
 """
 
+import contextlib
 import heapq
 import json
 import logging
@@ -364,10 +365,8 @@
     def end(self, name, generation):
         fd = self.pidfds.get((name, generation))
         if fd is not None:
-            try:
+            with contextlib.suppress(ProcessLookupError):
                 signal.pidfd_send_signal(fd, signal.SIGKILL)
-            except ProcessLookupError:
-                pass
 
     def hear(self, name, generation, line):
         said, stands = line.read()
@@ -422,10 +421,8 @@
         sock.setblocking(False)
         guest = Guest(sock)
         if at_once:  # its line is here, or it comes too late
-            try:
+            with contextlib.suppress(OSError):
                 guest.data = sock.recv(4096)
-            except OSError:
-                pass
             self.turn_away(guest)
             sock.close()
             return True
@@ -584,7 +581,7 @@
             rows.append(
                 {
                     "instance": slot.name,
-                    "address": "%s:%d" % slot.spec.address,
+                    "address": "{}:{}".format(*slot.spec.address),
                     "pid": seen.get("pid"),
                     "state": self.core.state_of(slot),
                     "generation": p.generation if p else None,
--- a/cottonspread/lab/experiment.py
+++ b/cottonspread/lab/experiment.py
@@ -48,7 +48,7 @@
             played[variant.name].append(result)
             cut = play.cut
             print("\n".join(results.lines(result)), flush=True)
-    pairs = list(zip(*(played[v.name] for v in variants[:2]))) if len(variants) > 1 else []
+    pairs = list(zip(*(played[v.name] for v in variants[:2]), strict=False)) if len(variants) > 1 else []
     if pairs:
         show_pairs(pairs, variants[0].name, variants[1].name)
     print(report.write(out))
@@ -81,7 +81,7 @@
 
 
 def compare(a, b):
-    pairs = list(zip(results.plays(a), results.plays(b)))
+    pairs = list(zip(results.plays(a), results.plays(b), strict=False))
     for one, other in pairs:
         if one.schedule_sha256 != other.schedule_sha256:
             print(f"seeds {one.seed} and {other.seed}: schedules differ: no pair", file=sys.stderr)
--- a/cottonspread/lab/loop.py
+++ b/cottonspread/lab/loop.py
@@ -99,7 +99,7 @@
         sock.bind(address)
     except OSError as fault:
         sock.close()
-        raise OSError("%s: %s:%d: %s" % (whose, *address, fault.strerror)) from None
+        raise OSError("{}: {}:{}: {}".format(whose, *address, fault.strerror)) from None
     sock.listen(backlog)
     sock.setblocking(False)
     return sock
--- a/cottonspread/lab/plan.py
+++ b/cottonspread/lab/plan.py
@@ -417,7 +417,7 @@
     for shape in load.shapes:
         if shape.kind == "trace":
             parts.append(trace.columns(trace.read(shape.file), [k.name for k in load.types], shape.start))
-    columns = [np.concatenate(column) for column in zip(*parts)]
+    columns = [np.concatenate(column) for column in zip(*parts, strict=True)]
     order = np.argsort(columns[0], kind="stable")
     columns = [column[order] for column in columns]
     return Schedule(
--- a/cottonspread/lab/process.py
+++ b/cottonspread/lab/process.py
@@ -67,7 +67,7 @@
                 tell_parent("counts " + json.dumps(counts))
             except BrokenPipeError:
                 self.loop.stop()
-                sys.stdout = open(os.devnull, "w")
+                sys.stdout = open(os.devnull, "w")  # noqa: SIM115  it stays open until the process ends
         self.loop.at(now() + 1_000_000, self.second)
 
     # A part's own
--- a/cottonspread/lab/record.py
+++ b/cottonspread/lab/record.py
@@ -4,6 +4,7 @@
 """
 
 import glob
+import io
 import os
 import queue
 import threading
@@ -20,12 +21,8 @@
     """
 
     def __init__(self, path):
-        self.file, self.kept, self.size, self.encode = (
-            open(path, "ab", buffering=0),
-            [],
-            0,
-            msgspec.json.Encoder().encode,
-        )
+        self.file, self.encode = io.FileIO(path, "ab"), msgspec.json.Encoder().encode
+        self.kept, self.size = [], 0
         self.full = queue.SimpleQueue()
         self.writer = threading.Thread(target=self.write, daemon=True)
         self.writer.start()
--- a/cottonspread/lab/results.py
+++ b/cottonspread/lab/results.py
@@ -222,7 +222,7 @@
             if len(known) % 2
             else (round((known[len(known) // 2 - 1] + known[len(known) // 2]) / 2, 4) if known else None)
         )
-        rows.append((name, [(a, b, r) for (a, b), r in zip(values, ratios)], median))
+        rows.append((name, [(a, b, r) for (a, b), r in zip(values, ratios, strict=True)], median))
     return rows
 
 
--- a/cottonspread/lab/run.py
+++ b/cottonspread/lab/run.py
@@ -6,6 +6,7 @@
 kernel tells that their parent is gone.
 """
 
+import contextlib
 import ctypes
 import heapq
 import json
@@ -54,10 +55,8 @@
         self.rest, self.ready, self.fault, self.counts, self.ended = b"", False, "", {}, False
 
     def say(self, line):
-        try:
+        with contextlib.suppress(OSError):
             self.process.stdin.write(line.encode() + b"\n")
-        except OSError:
-            pass
 
     def read(self):
         """False at its end."""
@@ -155,7 +154,7 @@
                     **environment,
                     "PROXY_CONFIG": path,
                     "PYTHONPATH": checkout,
-                    "PROXY_OPERATOR": "%s:%d" % self.operator,
+                    "PROXY_OPERATOR": "{}:{}".format(*self.operator),
                 },
                 preexec_fn=lambda: prepare_child(self.play.node_cores(self.number)),
             )
@@ -497,10 +496,8 @@
                 node.process.kill()
                 node.process.wait()
         for child in self.children:
-            try:
+            with contextlib.suppress(OSError):
                 child.process.stdin.close()
-            except OSError:
-                pass
             try:
                 child.process.wait(3)
             except subprocess.TimeoutExpired:
--- a/cottonspread/lab/sim/clients.py
+++ b/cottonspread/lab/sim/clients.py
@@ -2,6 +2,8 @@
 them; and clients that are no players.
 """
 
+import contextlib
+
 import numpy as np
 
 from cottonspread.lab import wire
@@ -136,10 +138,8 @@
             return
         self.line += 1
         self.asked.append(world.now)
-        try:
+        with contextlib.suppress(BrokenPipeError):  # it hears of its end in a moment
             self.side.send(b"e%d\r\n" % self.line)
-        except BrokenPipeError:
-            pass  # it hears of its end in a moment
 
     def leave(self):
         if not self.done:
@@ -315,7 +315,7 @@
     # No players
 
     def bad(self, kinds, rate, span):
-        for n in range(round(rate * span / SECOND)):
+        for _ in range(round(rate * span / SECOND)):
             self.world.after(self.draws.below(span), self.bad_one, self.draws.one_of(kinds or ALL_BAD))
 
     def bad_one(self, kind):
--- a/cottonspread/lab/sim/node.py
+++ b/cottonspread/lab/sim/node.py
@@ -6,6 +6,7 @@
 clocks, threads' turns, sockets, and death.
 """
 
+import contextlib
 import json
 import traceback
 from collections import Counter, deque
@@ -215,14 +216,16 @@
     def room(self, side):
         pass
 
-    def end(self, ending, report={}):
+    def end(self, ending, report=None):
         if self.done or self.process.dead:
             return
         self.done = True
         self.process.probes.pop(self, None)
         if self.side is not None:
             self.side.close()
-        self.process.post(ev.Asked(self.order.host, ending, report, self.process.world.now - self.began))
+        self.process.post(
+            ev.Asked(self.order.host, ending, report or {}, self.process.world.now - self.began)
+        )
 
 
 class Process:
@@ -462,10 +465,8 @@
 
     def turn_away(self, side, reason, retry_after):
         line = lines.busy(retry_after)
-        try:
+        with contextlib.suppress(BrokenPipeError):
             side.send(line)
-        except BrokenPipeError:
-            pass
         self.node.fleet.promises.turned_away(self, side, line)
         self.reducer.figures.turned_away(lines.type_named(side.take()))
         side.close()
@@ -562,7 +563,7 @@
             worker.gone = True
         standing = handover.unpack_standing(handover.pack_standing(order.standing))
         ends, new = (ev.End(True), ev.End(False)), []
-        for end, worker in zip(ends, workers):
+        for end, worker in zip(ends, workers, strict=True):
             new.append(Worker(heir, end, worker.side))
             new[-1].borrowed = True  # the old process has it too until it is told
             heir.live[new[-1]] = None
@@ -576,7 +577,7 @@
 
     def given(self, order, taken, new, heir):
         workers = order.client.worker, order.host.worker
-        for worker, other in zip(workers, new):
+        for worker, other in zip(workers, new, strict=True):
             other.borrowed = False
             if not taken:
                 worker.gone, worker.side.owner, other.gone = False, worker, True
--- a/cottonspread/lab/sim/promises.py
+++ b/cottonspread/lab/sim/promises.py
@@ -440,7 +440,7 @@
             )
 
     def bad(self, one):
-        if one.kind not in ("hangs-up", "crowd") and not (one.kind == "same-id"):
+        if one.kind not in ("hangs-up", "crowd") and one.kind != "same-id":
             self.world.after(BAD + SLACK, self.bad_waited, one)
 
     def bad_waited(self, one):
--- a/cottonspread/lab/standin.py
+++ b/cottonspread/lab/standin.py
@@ -4,6 +4,7 @@
 each client goes to the servers in turn. `sabotage` names what is done to every third call or so.
 """
 
+import contextlib
 import json
 import os
 import socket
@@ -162,10 +163,8 @@
                 target.sendall(data)
         except OSError:
             pass
-        try:
+        with contextlib.suppress(OSError):
             target.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass
 
 
 def main(sabotage):
--- a/cottonspread/lists/saved.py
+++ b/cottonspread/lists/saved.py
@@ -2,6 +2,7 @@
 with, draining servers marked as such.
 """
 
+import contextlib
 import json
 import logging
 import os
@@ -22,10 +23,8 @@
             os.fsync(file.fileno())
         os.replace(beside, path)
     except OSError:
-        try:
+        with contextlib.suppress(OSError):
             os.unlink(beside)
-        except OSError:
-            pass
         raise
 
 
--- a/cottonspread/net/admin.py
+++ b/cottonspread/net/admin.py
@@ -6,6 +6,7 @@
 callers who never finish keep nobody out.
 """
 
+import contextlib
 import logging
 import selectors
 import socket
@@ -34,7 +35,7 @@
         try:
             self.listener = socket.create_server(address, backlog=BACKLOG)
         except OSError as fault:
-            fault.filename = "operator: %s:%d" % address  # which of the node's two addresses it is
+            fault.filename = "operator: {}:{}".format(*address)  # which of the node's two addresses it is
             raise
         self.listener.setblocking(False)
         self.give, self.callers, self.ended = answer, {}, False
@@ -67,10 +68,8 @@
     def stop(self):
         """From another thread."""
         self.ended = True
-        try:
+        with contextlib.suppress(OSError):
             self.listener.shutdown(socket.SHUT_RDWR)  # wakes `run`
-        except OSError:
-            pass
 
     def welcome(self):
         sock, _ = self.listener.accept()
@@ -114,10 +113,8 @@
         self.write(caller)
 
     def write(self, caller):
-        try:
+        with contextlib.suppress(BlockingIOError):
             caller.answer = caller.answer[caller.sock.send(caller.answer) :]
-        except BlockingIOError:
-            pass
         if caller.answer:
             self.selector.modify(caller.sock, selectors.EVENT_WRITE)
         else:
--- a/cottonspread/net/discovery.py
+++ b/cottonspread/net/discovery.py
@@ -43,7 +43,7 @@
 FAULTS = KeyError, TypeError, ValueError, AttributeError, OverflowError
 
 
-def read_list(said, names, news=None, before={}):
+def read_list(said, names, news=None, before=None):
     """An answer as JSON: (version, Listed, addresses by server, {server: why its entry could not be read}).
 
     An entry that cannot be read costs its own news alone: its server stays as it was told `before`
@@ -69,7 +69,7 @@
             entry, address = read_entry(one, names, state)
         except FAULTS as fault:
             unread[str(name)] = f"{type(fault).__name__}: {fault}"
-            entry, address = before.get(name, (None, None))
+            entry, address = (before or {}).get(name, (None, None))
             if entry is None:
                 continue
             entry = entry._replace(state=state or entry.state)
--- a/cottonspread/net/http.py
+++ b/cottonspread/net/http.py
@@ -1,5 +1,6 @@
 """A small HTTP/1.1 client for one address: GET only, answers bounded in size and time."""
 
+import contextlib
 import socket
 import time
 
@@ -22,10 +23,8 @@
         """From another thread: a call that is out ends at once, and none begins."""
         self.given_up, sock = True, self.sock
         if sock is not None:
-            try:
+            with contextlib.suppress(OSError):  # ended already
                 sock.shutdown(socket.SHUT_RDWR)
-            except OSError:  # ended already
-                pass
 
     def close(self):
         if self.sock is not None:
@@ -58,7 +57,7 @@
             self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if self.given_up:  # just while it was connecting
             raise ConnectionAbortedError("given up")
-        host = "%s:%d" % self.address
+        host = "{}:{}".format(*self.address)
         self.sock.sendall(f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode())
         status, headers = self.head()
         while 100 <= status < 200:
--- a/cottonspread/net/logfmt.py
+++ b/cottonspread/net/logfmt.py
@@ -1,5 +1,6 @@
 """Log lines as key=value pairs, or as JSON lines with the same keys."""
 
+import contextlib
 import json
 import logging
 import logging.handlers
@@ -56,10 +57,8 @@
         return record
 
     def enqueue(self, record):
-        try:
+        with contextlib.suppress(queue.Full):
             self.queue.put_nowait(record)
-        except queue.Full:
-            pass
 
 
 FORMATS = {"pairs": KeyValue, "json": JsonLines}
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -1,5 +1,6 @@
 """A node: the reducer, the workers, discovery and the listening socket put together. It can be embedded."""
 
+import contextlib
 import errno
 import fcntl
 import logging
@@ -82,12 +83,10 @@
     """The kernel's table of descriptors at its full size before there are threads: each time that it grows
     later, whoever opens the next one, the reducer among them, waits 10 to 25 ms for every core to pass by.
     """
-    try:
+    with contextlib.suppress(OSError):  # no descriptor 0, or fewer than that: it grows as it must
         os.close(
             fcntl.fcntl(0, fcntl.F_DUPFD, min(sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - 1)
         )
-    except OSError:  # no descriptor 0, or fewer than that: it grows as it must
-        pass
 
 
 class Node:
@@ -139,7 +138,9 @@
         # Before there are threads: said after, the list's first word could stand in the log before it.
         log.info(
             "listening",
-            extra={"pairs": {"address": "%s:%d" % self.listener.getsockname()[:2], "most_ends": self.most}},
+            extra={
+                "pairs": {"address": "{}:{}".format(*self.listener.getsockname()[:2]), "most_ends": self.most}
+            },
         )
         self.workers.start()
         workers.start_thread(self.closer.run)
@@ -174,10 +175,8 @@
     def hasten(self, event):
         """For the reducer before all that waits in its queue, and without waiting for room there."""
         self.urgent.put((self.clock.now(), event))
-        try:
+        with contextlib.suppress(queue.Full):  # it is awake
             self.events.put_nowait((self.clock.now(), ev.Tick()))  # wakes it
-        except queue.Full:  # it is awake
-            pass
 
     def follow(self, address, anew=False):
         """Another discovery from now on, or the whole list of this one anew;
@@ -226,7 +225,7 @@
     def adopt(self, standing, client, host):
         """A standing connection of the process before this one, with its two sockets. Whether it is taken."""
         ends = ev.End(True), ev.End(False)
-        for end, sock in zip(ends, (client, host)):
+        for end, sock in zip(ends, (client, host), strict=True):
             if not self.workers.begin(end, sock):
                 for left in (client, host):
                     left.close()
@@ -450,10 +449,8 @@
             sock.shutdown(socket.SHUT_WR)
         except OSError:
             pass
-        try:
+        with contextlib.suppress(OSError):  # it has not come yet
             self.reducer.figures.turned_away(lines.type_named(sock.recv(4096, socket.MSG_DONTWAIT)))
-        except OSError:  # it has not come yet
-            pass
         self.closer.take(sock)
         self.ended[reason] += 1
         log.info("closed", extra={"pairs": {"reason": reason}})
--- a/cottonspread/net/notes.py
+++ b/cottonspread/net/notes.py
@@ -111,12 +111,17 @@
             for when, claimed, *_ in self.claims
         ):
             return self.take(now, took)  # grown by just the time passed: it answers nothing
-        if self.beat < 0 and line.held and took > slow and fits:
-            # The module does nothing yet on a first word so small; and loads don't fall so deep at once.
-            if took < 12 * slow or value < heard.load / 100:
-                taken = self.take(now, took)
-                self.alone = line
-                return taken
+        # The module does nothing yet on a first word so small; and loads don't fall so deep at once.
+        if (
+            self.beat < 0
+            and line.held
+            and took > slow
+            and fits
+            and (took < 12 * slow or value < heard.load / 100)
+        ):
+            taken = self.take(now, took)
+            self.alone = line
+            return taken
         if not grown and (self.beat < 0 or due):
             self.claims.append((now, took, heard, heard.load, 3 * slow if due else SECOND // 2))
         self.lines.append(line)
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -8,6 +8,7 @@
 ends a connection. `stop N` makes server N silent, as a machine that vanished.
 """
 
+import contextlib
 import json
 import secrets
 import socket
@@ -29,7 +30,7 @@
             self.servers.append(
                 {
                     "instanceId": f"toy-{n + 1}",
-                    "hostPort": "%s:%d" % listener.getsockname(),
+                    "hostPort": "{}:{}".format(*listener.getsockname()),
                     "zone": "here",
                     "machineType": "toy",
                     "cell": 0,
@@ -46,10 +47,8 @@
             threading.Thread(target=what, args=(sock, *args), daemon=True).start()
 
     def serve(self, sock, n):
-        try:
+        with contextlib.suppress(ConnectionError):  # the node was first
             self.echo(sock, n)
-        except ConnectionError:  # the node was first
-            pass
 
     def echo(self, sock, n):
         with sock, sock.makefile("rwb") as file:
@@ -96,7 +95,7 @@
     print(
         "servers:",
         ", ".join(s["instanceId"] for s in toy.servers),
-        "- discovery at %s:%d" % DISCOVERY,
+        "- discovery at {}:{}".format(*DISCOVERY),
         flush=True,
     )
     for line in sys.stdin:
--- a/tests/crossings/standins.py
+++ b/tests/crossings/standins.py
@@ -125,7 +125,7 @@
             name,
             {
                 "instanceId": name,
-                "hostPort": "%s:%d" % self.listener.getsockname(),
+                "hostPort": "{}:{}".format(*self.listener.getsockname()),
                 "zone": "here",
                 "machineType": "toy",
                 "cell": 0,
@@ -256,7 +256,7 @@
         {
             "name": "n1",
             "listen": "127.0.0.1:0",
-            "discovery": "%s:%d" % agent.address,
+            "discovery": "{}:{}".format(*agent.address),
             "seed": "7",
             "limits": {"memory_mb": 192, "sockets": sockets},
             "known": {"generation": 0, "reset": True, "instances": list(known)},
--- a/tests/crossings/test_floods.py
+++ b/tests/crossings/test_floods.py
@@ -2,6 +2,7 @@
 every parser meets bytes of any kind.
 """
 
+import contextlib
 import json
 import socket
 import threading
@@ -79,7 +80,7 @@
         listed(node)
         for n in range(60):
             one = client(node)
-            try:
+            with contextlib.suppress(OSError):
                 one.sock.sendall(
                     [
                         b"x" * 20_000,
@@ -88,8 +89,6 @@
                         b"PING\r\n" * 500,
                     ][n % 4]
                 )
-            except OSError:
-                pass
             one.close("reset" if n % 3 else "close")
         until(lambda: not node.reducer.conns and not node.workers.live, "a descriptor is kept")
         assert not any(h.waits() and h.take().rest() for h in hosts)
@@ -222,10 +221,8 @@
     thread = threading.Thread(target=serve)
     thread.start()
     http = Http(listener.getsockname(), 1)
-    try:
+    with contextlib.suppress(BadAnswer, OSError):
         assert isinstance(http.get("/", 1), bytes)
-    except (BadAnswer, OSError):
-        pass
     http.close()
     thread.join(WAIT)
     listener.close()
@@ -298,7 +295,7 @@
     whole = {
         "name": "n",
         "listen": "127.0.0.1:0",
-        "discovery": "%s:%d" % agent.address,
+        "discovery": "{}:{}".format(*agent.address),
         "settings": SETTINGS | change,
     }
     file.write_text(json.dumps(whole))
--- a/tests/crossings/test_handover.py
+++ b/tests/crossings/test_handover.py
@@ -3,6 +3,7 @@
 Beside `tests/test_succession.py`.
 """
 
+import contextlib
 import socket
 
 import pytest
@@ -25,13 +26,8 @@
     for end, _ in ends:
         end.close()  # the dead one's copies
     taken = []
-    with ours:
-        try:
-            passing.take_over(
-                ours, lambda standing, client, host: taken.append((standing, client, host)) or True
-            )
-        except OSError:  # nobody hears the answer
-            pass
+    with ours, contextlib.suppress(OSError):  # nobody hears the answer
+        passing.take_over(ours, lambda standing, client, host: taken.append((standing, client, host)) or True)
     return taken, [other for _, other in ends]
 
 
@@ -39,7 +35,7 @@
     taken, others = on_its_way(STANDING)
     ((standing, *mine),) = taken
     assert standing.id == "id"
-    for one, other in zip(mine, others):
+    for one, other in zip(mine, others, strict=True):
         other.settimeout(WAIT)
         one.sendall(b"M 1\r\n")
         assert other.recv(10) == b"M 1\r\n"
--- a/tests/crossings/test_shutdown.py
+++ b/tests/crossings/test_shutdown.py
@@ -269,7 +269,7 @@
     address = free.getsockname()
     free.close()
     file = tmp_path / "node.json"
-    file.write_text(json.dumps(json.loads(settings(agent)) | {"listen": "%s:%d" % address}))
+    file.write_text(json.dumps(json.loads(settings(agent)) | {"listen": "{}:{}".format(*address)}))
     process = subprocess.Popen(
         [sys.executable, "-m", "cottonspread", "serve", "--config", str(file)],
         cwd=ROOT,
--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -2,6 +2,7 @@
 its promises. FLEET_SEQUENCES=5000 plays so many.
 """
 
+import itertools
 import os
 
 import pytest
@@ -229,7 +230,7 @@
         if world is None:
             return
         core = world.core
-        for name, slot in core.slots.items():
+        for name in core.slots:
             serving = [k for k, p in world.alive.items() if k[0] == name and p["state"] == "serving"]
             assert len(serving) <= 1, f"two holders of {name}"
         known = {(p.name, p.generation) for p in core.processes()}
@@ -316,7 +317,7 @@
             if world.alive[key]["state"] != "serving" or not times:
                 times.append(world.now)
                 world.exit(key, "exit 1")
-    gaps = [round((b - a) / SECOND, 1) for a, b in zip(times, times[1:])]
+    gaps = [round((b - a) / SECOND, 1) for a, b in itertools.pairwise(times)]
     assert gaps[:4] == [0.1, 0.5, 1.0, 2.0] or gaps[:4] == [0.0, 0.5, 1.0, 2.0], gaps
 
 
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -31,7 +31,7 @@
     spec.loader.exec_module(module)
     one, listener = module.Toy(count), socket.create_server(("127.0.0.1", 0))
     threading.Thread(target=one.accept, args=(listener, one.discover), daemon=True).start()
-    return one, "%s:%d" % listener.getsockname()
+    return one, "{}:{}".format(*listener.getsockname())
 
 
 def free_ports(count):
@@ -89,9 +89,10 @@
         ]
 
     def run(self, **more):
-        log = open(self.folder / "run.log", "ab")
-        self.processes.append(subprocess.Popen(self.words("run"), cwd=ROOT, stdout=log, stderr=log, **more))
-        log.close()
+        with open(self.folder / "run.log", "ab") as log:
+            self.processes.append(
+                subprocess.Popen(self.words("run"), cwd=ROOT, stdout=log, stderr=log, **more)
+            )
         return self.processes[-1]
 
     def command(self, *words):
@@ -333,9 +334,8 @@
     assert one.command("upgrade", "--checkout", str(one.folder / "new")).returncode == 0
     after = one.up()
     assert not set(after.values()) & set(before.values())
-    assert open(f"/proc/{after['f-0']}/environ").read().split("PYTHONPATH=")[1].split("\0")[0] == str(
-        one.folder / "new"
-    )
+    environment = Path(f"/proc/{after['f-0']}/environ").read_text()
+    assert environment.split("PYTHONPATH=")[1].split("\0")[0] == str(one.folder / "new")
     process.kill()
     process.wait()
     one.run()
@@ -404,7 +404,7 @@
         spoil(template, operators)
         count = one.log().count('kept="the old configuration"')
         process.send_signal(signal.SIGHUP)
-        one.until(lambda: one.log().count('kept="the old configuration"') > count, "told")
+        one.until(lambda before=count: one.log().count('kept="the old configuration"') > before, "told")
         assert said in one.log().splitlines()[-1] or said in one.log(), said
     spoil(*good)
     assert one.up() == before and kept
--- a/tests/fleet/test_operator.py
+++ b/tests/fleet/test_operator.py
@@ -62,7 +62,7 @@
     with pytest.raises(op.Faults) as told:
         op.read(str(file))
     assert len(told.value.faults) == len(keys)
-    for line, key in zip(told.value.faults, keys):
+    for line, key in zip(told.value.faults, keys, strict=True):
         assert line.startswith(f"{file}: {key}"), line
     assert cli.main(["check", "--operator", str(file)]) == 2
     said = capsys.readouterr().err.splitlines()
--- a/tests/lab/test_lab_parts.py
+++ b/tests/lab/test_lab_parts.py
@@ -1,5 +1,7 @@
 """The lab's pure parts: parsers, model, list, schedules, traces, limits."""
 
+import itertools
+
 import numpy as np
 import pytest
 import zstandard
@@ -20,7 +22,7 @@
     data = b"OPEN a b c=x,d=5\r\n\nPING\r\nlast"
     whole, parts = wire.Lines(), wire.Lines()
     expected, got, cuts = whole.take(data), [], sorted({min(c, len(data)) for c in cuts} | {0, len(data)})
-    for start, end in zip(cuts, cuts[1:]):
+    for start, end in itertools.pairwise(cuts):
         got += parts.take(data[start:end])
     assert got == expected == [b"OPEN a b c=x,d=5", b"", b"PING"] and parts.rest == whole.rest == b"last"
 
--- a/tests/notation.py
+++ b/tests/notation.py
@@ -66,7 +66,7 @@
 def same(expected, words, bound):
     if len(expected) != len(words):
         return False
-    for want, got in zip(expected, words):
+    for want, got in zip(expected, words, strict=True):
         if want.startswith("!"):
             if bound.get(want[1:], want[1:]) == got:
                 return False
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -73,7 +73,9 @@
 def test_the_table_of_descriptors_has_its_size_before_there_are_threads():
     """It grew under them, and whoever opened the next one, the reducer too, waited 10 to 25 ms."""
     grow_table(3000)
-    size = next(line for line in open("/proc/self/status") if line.startswith("FDSize"))
+    size = next(
+        line for line in Path("/proc/self/status").read_text().splitlines() if line.startswith("FDSize")
+    )
     assert int(size.split()[1]) >= 3000
 
 
@@ -333,9 +335,9 @@
     """One such entry among sixty, and the whole list was turned down, for good."""
     names = config.Names({}, {"here": 0}, {}, {})
 
-    def read(*instances, before={}):
+    def read(*instances, before=None):
         version, listed, addresses, unread = discovery.read_list(
-            {"generation": 3, "reset": True, "instances": list(instances)}, names, before=before
+            {"generation": 3, "reset": True, "instances": list(instances)}, names, before=before or {}
         )
         return {entry.host: entry for entry in listed.entries}, addresses, unread
 
@@ -545,9 +547,7 @@
     file = tmp_path / "node.json"
     for key, other in (("listen", "operator"), ("operator", "listen")):
         file.write_text(
-            json.dumps(
-                json.loads(NODE) | {key: "127.0.0.1:%d" % taken.getsockname()[1], other: "127.0.0.1:0"}
-            )
+            json.dumps(json.loads(NODE) | {key: f"127.0.0.1:{taken.getsockname()[1]}", other: "127.0.0.1:0"})
         )
         assert cli.main(["serve", "--config", str(file)]) == 1
         said = capsys.readouterr().err.splitlines()[-1]
@@ -699,7 +699,7 @@
             wait_for("list", news="full")
             stands = Client((address[0], int(address[1])), b"OPEN 01 02 c=chat,d=2000,g=0a")
             rest.append(stands.hear()[:3])
-            for text in ("{", json.dumps(config_of | {"discovery": "%s:%d" % discovery_of(second)})):
+            for text in ("{", json.dumps(config_of | {"discovery": "{}:{}".format(*discovery_of(second))})):
                 file.write_text(text)
                 os.kill(os.getpid(), signal.SIGHUP)
                 rest.append(sorted(wait_for("reload")))
@@ -712,7 +712,7 @@
     config_of = json.loads(NODE) | {
         "listen": "127.0.0.1:0",
         "operator": "127.0.0.1:0",
-        "discovery": "%s:%d" % discovery_of(first),
+        "discovery": "{}:{}".format(*discovery_of(first)),
     }
     file = tmp_path / "node.json"
     file.write_text(json.dumps(config_of))
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -3,6 +3,7 @@
 """
 
 import copy
+import io
 import json
 import os
 import signal
@@ -252,11 +253,11 @@
             self.operators = free.getsockname()
         values = (
             {key: value for key, value in WHOLE.items() if key != "operator"}
-            | {"discovery": "%s:%d" % discovery_at, "listen": "%s:%d" % listener.getsockname()}
+            | {"discovery": "{}:{}".format(*discovery_at), "listen": "{}:{}".format(*listener.getsockname())}
             | more
         )
         (folder / "node.json").write_text(json.dumps(values))
-        self.log = open(folder / f"{len(list(folder.glob('*.log')))}.log", "w+b")
+        self.log = io.FileIO(folder / f"{len(list(folder.glob('*.log')))}.log", "w+b")
         self.process = subprocess.Popen(
             [sys.executable, "-m", "cottonspread", "serve", "--config", str(folder / "node.json")],
             cwd=ROOT,
@@ -266,7 +267,7 @@
             | {
                 "TMPDIR": str(folder),
                 "PROXY_INHERITED_FD": str(listener.fileno()),
-                "PROXY_OPERATOR": "%s:%d" % self.operators,
+                "PROXY_OPERATOR": "{}:{}".format(*self.operators),
             },
         )
 
@@ -375,7 +376,9 @@
             heard.append(client.hear())
             n += 1
 
-    talkers = [threading.Thread(target=talk, args=pair, daemon=True) for pair in zip(stands, said)]
+    talkers = [
+        threading.Thread(target=talk, args=pair, daemon=True) for pair in zip(stands, said, strict=True)
+    ]
     for one in talkers:
         one.start()
     first.process.send_signal(signal.SIGTERM)
