Exceptions have names that say so: ConfigurationError, LineError, ResponseError and others (N818)

One name for one class everywhere: Senseless is ConfigurationError, Faults OperatorFileError, BadLine LineError, LetGo SocketReleasedError, BadList ListError, BadAnswer ResponseError, Unreadable DecodeError, BrokenFraming FramingError; in the lab Fault is PlanError, Broken StartError, TooLarge LimitExceededError, BadTrace TraceError; in the simulated fleet Fault is NodeError, Broken BrokenPromiseError, Breach ContractError. No message that anybody reads changes.

--- a/benchmarks/crossings/mutants.py
+++ b/benchmarks/crossings/mutants.py
@@ -159,7 +159,7 @@
     (
         "the bound on a line",
         "net/lines.py",
-        '                raise BadLine("long-line")',
+        '                raise LineError("long-line")',
         "                self.filled = 0",
         [f"{CLOSING}::test_an_answer_that_never_ends_is_given_up"],
     ),
--- a/cottonspread/cli/__init__.py
+++ b/cottonspread/cli/__init__.py
@@ -17,7 +17,7 @@
     given = parser.parse_args(arguments)
     try:
         return given.run(given)
-    except config.Senseless as fault:
+    except config.ConfigurationError as fault:
         for line in str(fault).split("\n"):
             print(f"cottonspread: {line}", file=sys.stderr)
         return 2
--- a/cottonspread/cli/fleet.py
+++ b/cottonspread/cli/fleet.py
@@ -60,13 +60,13 @@
         sock.sendall(json.dumps(said).encode() + b"\n")
         answer = sock.makefile("rb").readline()
     except TimeoutError:
-        raise config.Senseless(
+        raise config.ConfigurationError(
             f"fleet: no answer after {wait:g} s; `fleet status` tells how far it is"
         ) from None
     except OSError as fault:
-        raise config.Senseless(f"fleet: no supervisor answers at {path}: {fault}") from fault
+        raise config.ConfigurationError(f"fleet: no supervisor answers at {path}: {fault}") from fault
     if not answer:
-        raise config.Senseless("fleet: the supervisor ended before it answered")
+        raise config.ConfigurationError("fleet: the supervisor ended before it answered")
     return json.loads(answer)
 
 
@@ -78,9 +78,9 @@
             os.path.abspath(given.checkout) if given.checkout else "",
         )
         if not os.access(python, os.X_OK):
-            raise config.Senseless(f"--python: {python}: not a program that can be run")
+            raise config.ConfigurationError(f"--python: {python}: not a program that can be run")
         if checkout and not os.path.isdir(os.path.join(checkout, "cottonspread")):
-            raise config.Senseless(f"--checkout: {checkout}: has no folder cottonspread")
+            raise config.ConfigurationError(f"--checkout: {checkout}: has no folder cottonspread")
         said |= {"python": os.path.abspath(python), "checkout": checkout}
     answer = asked(given, said, given.wait)
     print(f"{given.what}: {answer['why']}", file=sys.stdout if answer["ok"] else sys.stderr)
@@ -128,7 +128,7 @@
             control.raise_descriptors(len(names) + 32)  # a thousand files are over the usual limit
             files = [opened.enter_context(open(p, encoding="utf-8", errors="replace")) for p in paths]
         except OSError as fault:
-            raise config.Senseless(f"logs: {fault}") from fault
+            raise config.ConfigurationError(f"logs: {fault}") from fault
         lines = list(heapq.merge(*(file.readlines() for file in files)))
         sys.stdout.writelines(lines[-given.lines :])
         while given.follow:
--- a/cottonspread/cli/instance.py
+++ b/cottonspread/cli/instance.py
@@ -182,7 +182,7 @@
     )
     try:
         return Instance(told).run()
-    except (config.Senseless, OSError) as fault:
+    except (config.ConfigurationError, OSError) as fault:
         log.error("not-started", extra={"pairs": {"why": fault}})
         return 2
     finally:
--- a/cottonspread/cli/known.py
+++ b/cottonspread/cli/known.py
@@ -14,7 +14,7 @@
     known = parts[-1]
     try:
         version = discovery.read_list(saved, parts[2])[0] if saved else -1
-    except discovery.BadList as fault:
+    except discovery.ListError as fault:
         log.warning("saved-list", extra={"pairs": {"why": fault, "kept": "none"}})
         return known
     return saved if version >= discovery.read_list(known, parts[2])[0] else known
--- a/cottonspread/cli/lab.py
+++ b/cottonspread/cli/lab.py
@@ -89,7 +89,7 @@
         return 2
     try:
         return run(given)
-    except (plan.Fault, limits.TooLarge, trace.BadTrace, runner.Broken) as fault:
+    except (plan.PlanError, limits.LimitExceededError, trace.TraceError, runner.StartError) as fault:
         print(f"cottonspread: lab: {fault}", file=sys.stderr)
         return 2
 
--- a/cottonspread/cli/node.py
+++ b/cottonspread/cli/node.py
@@ -23,7 +23,7 @@
         with open(path, encoding="utf-8") as file:
             return file.read()
     except (OSError, UnicodeDecodeError) as fault:
-        raise config.Senseless(f"configuration: {path}: {fault}") from fault
+        raise config.ConfigurationError(f"configuration: {path}: {fault}") from fault
 
 
 def read(path):
@@ -34,8 +34,8 @@
     parts = config.read_node(text, environment or {})
     try:
         discovery.read_list(parts[-1], parts[2])
-    except discovery.BadList as fault:
-        raise config.Senseless(f"known: {fault}") from fault
+    except discovery.ListError as fault:
+        raise config.ConfigurationError(f"known: {fault}") from fault
     return parts
 
 
@@ -133,7 +133,7 @@
     try:
         values, parts = force.read()
         config.complete(force.values, values)
-    except config.Senseless as fault:
+    except config.ConfigurationError as fault:
         node.hasten(ev.NotRetuned())
         log.error("reload", extra={"pairs": {"why": fault, "kept": "the old configuration"}})
         return
@@ -219,7 +219,7 @@
 
 def named(path):
     if not path:
-        raise config.Senseless("configuration: no file named: give --config or set PROXY_CONFIG")
+        raise config.ConfigurationError("configuration: no file named: give --config or set PROXY_CONFIG")
     return path
 
 
--- a/cottonspread/cli/succession.py
+++ b/cottonspread/cli/succession.py
@@ -16,7 +16,7 @@
 from urllib.parse import quote
 
 from cottonspread.cli.known import Known
-from cottonspread.config import Senseless
+from cottonspread.config import ConfigurationError
 from cottonspread.fleet import control
 from cottonspread.front import handover
 from cottonspread.lists import saved
@@ -39,10 +39,10 @@
             socket.SOL_SOCKET, socket.SO_ACCEPTCONN
         )
     except (ValueError, OSError) as fault:
-        raise Senseless(f"PROXY_INHERITED_FD: {word!r}: {fault}") from fault
+        raise ConfigurationError(f"PROXY_INHERITED_FD: {word!r}: {fault}") from fault
     if not listens:
         listener.detach()  # it is not ours to close
-        raise Senseless(f"PROXY_INHERITED_FD: {word!r} is no listening socket")
+        raise ConfigurationError(f"PROXY_INHERITED_FD: {word!r} is no listening socket")
     return listener
 
 
--- a/cottonspread/config/__init__.py
+++ b/cottonspread/config/__init__.py
@@ -5,11 +5,11 @@
 """
 
 from cottonspread.config.platform import (
+    ConfigurationError,
     Hearing,
     Names,
     Place,
     Room,
-    Senseless,
     complete,
     micros,
     parse,
@@ -22,7 +22,7 @@
     "Names",
     "Place",
     "Room",
-    "Senseless",
+    "ConfigurationError",
     "complete",
     "micros",
     "parse",
--- a/cottonspread/config/operator.py
+++ b/cottonspread/config/operator.py
@@ -1,9 +1,9 @@
 """The operator's file: one TOML file with a section for each subsystem. Types and ranges are msgspec's.
 
-`read(path)` gives the sections, or raises `Faults` with every fault that the file has. A key tells in its
-metadata what a reload does with it: "live" (taken over at once), "restart" (each instance is replaced by a
-successor, one after the other), or "new" (only a new supervisor takes it: a reload that changes it is turned
-down). Imported only where a file is named, so a node without one needs no msgspec.
+`read(path)` gives the sections, or raises `OperatorFileError` with every fault that the file has. A key tells
+in its metadata what a reload does with it: "live" (taken over at once), "restart" (each instance is replaced
+by a successor, one after the other), or "new" (only a new supervisor takes it: a reload that changes it is
+turned down). Imported only where a file is named, so a node without one needs no msgspec.
 """
 
 import difflib
@@ -14,7 +14,7 @@
 import msgspec
 from msgspec import Meta
 
-from cottonspread.config.platform import Senseless
+from cottonspread.config.platform import ConfigurationError
 
 MOST = 4096  # instances of a machine; a figure far over it is a slip, and is told
 
@@ -130,7 +130,7 @@
 SECTIONS = {"log": Log, "instance": Instance, "fleet": Fleet}
 
 
-class Faults(Senseless):
+class OperatorFileError(ConfigurationError):
     """Every fault of a file, a line each: FILE: KEY: what was expected."""
 
     def __init__(self, faults):
@@ -178,7 +178,7 @@
     try:
         whole = tomllib.loads(text)
     except (tomllib.TOMLDecodeError, RecursionError) as fault:
-        raise Faults([f"{path}: no TOML: {fault}"]) from fault
+        raise OperatorFileError([f"{path}: no TOML: {fault}"]) from fault
     faults = [(word, "unknown section" + near(word, SECTIONS)) for word in whole.keys() - SECTIONS.keys()]
     parts = [
         read_section(name, kind, whole.get(name, {}), faults) if name in whole or name != "fleet" else None
@@ -188,7 +188,7 @@
     if fleet:
         faults += [(f"fleet.{k}", what) for k, what in across(fleet)]
     if faults:
-        raise Faults([f"{path}: {k}: {what}" for k, what in sorted(faults)])
+        raise OperatorFileError([f"{path}: {k}: {what}" for k, what in sorted(faults)])
     return *parts, whole
 
 
@@ -221,7 +221,7 @@
         with open(path, encoding="utf-8") as file:
             text = file.read()
     except (OSError, UnicodeDecodeError) as fault:
-        raise Faults([f"{path}: {fault}"]) from fault
+        raise OperatorFileError([f"{path}: {fault}"]) from fault
     return read_text(text, path)
 
 
@@ -229,7 +229,7 @@
     """As `read`, of a file that must have the section [fleet]: (Log, Instance, Fleet)."""
     log, instance, fleet, _ = read(path)
     if fleet is None:
-        raise Faults([f"{path}: fleet: missing: this command needs the section [fleet]"])
+        raise OperatorFileError([f"{path}: fleet: missing: this command needs the section [fleet]"])
     return log, instance, fleet
 
 
--- a/cottonspread/config/platform.py
+++ b/cottonspread/config/platform.py
@@ -18,7 +18,7 @@
 MISSING = object()
 
 
-class Senseless(ValueError):
+class ConfigurationError(ValueError):
     """Configuration under which no node can run; the message begins with the key."""
 
 
@@ -34,7 +34,7 @@
 
     def __init__(self, values, path):
         if not isinstance(values, dict):
-            raise Senseless(f"{path or 'configuration'}: not an object")
+            raise ConfigurationError(f"{path or 'configuration'}: not an object")
         self.values, self.path = {k: v for k, v in values.items() if v is not None}, path
 
     def at(self, key):
@@ -43,11 +43,11 @@
     def take(self, key, default, what, read):
         value = self.values.get(key, default)
         if value is MISSING:
-            raise Senseless(f"{self.at(key)}: missing")
+            raise ConfigurationError(f"{self.at(key)}: missing")
         try:
             return read(value)
         except (TypeError, ValueError, OverflowError, KeyError, AttributeError) as fault:
-            raise Senseless(f"{self.at(key)}: {value!r} is not {what}") from fault
+            raise ConfigurationError(f"{self.at(key)}: {value!r} is not {what}") from fault
 
     def whole(self, key, default=MISSING, least=0):
         def read(value):
@@ -128,7 +128,7 @@
     try:
         return json.loads(text)
     except (ValueError, RecursionError) as fault:
-        raise Senseless(f"{what}: no JSON: {fault}") from fault
+        raise ConfigurationError(f"{what}: no JSON: {fault}") from fault
 
 
 def read_type(t, message_target):
@@ -157,9 +157,9 @@
     report = c.part("LoadReport")
     probes, how, told = limits.flag("Probes"), report.choice("How", "none", HOW), report.plain("Names", str)
     if not types:
-        raise Senseless(f"{c.at('TrafficTypes')}: names no traffic type")
+        raise ConfigurationError(f"{c.at('TrafficTypes')}: names no traffic type")
     if len({t.name for t in types}) < len(types):
-        raise Senseless(f"{c.at('TrafficTypes')}: names a traffic type twice")
+        raise ConfigurationError(f"{c.at('TrafficTypes')}: names a traffic type twice")
     tenants = tuple(
         i.Tenant(
             t.text("Name", str(n)),
@@ -300,14 +300,14 @@
         or isinstance(was, list)
         and not isinstance(now, list)
     ):
-        raise Senseless(
+        raise ConfigurationError(
             f"{path or 'configuration'}: not {'an object' if isinstance(was, dict) else 'a list'}"
         )
     if isinstance(was, dict):
         for key, value in was.items():
             at = f"{path}.{key}" if path else key
             if value is not None and now.get(key) is None:
-                raise Senseless(f"{at}: missing, and the configuration in force has it")
+                raise ConfigurationError(f"{at}: missing, and the configuration in force has it")
             if value is not None and at != "known":
                 complete(value, now[key], at)
     elif isinstance(was, list) and was and all(isinstance(one, dict) for one in was):
@@ -319,7 +319,7 @@
         keyed = [key for key in KEYED if in_all(key, [one for one in was if one.get("Effect") == "keyed"])]
         for n, one in enumerate(now):
             if not isinstance(one, dict):
-                raise Senseless(f"{path}[{n}]: not an object")
+                raise ConfigurationError(f"{path}[{n}]: not an object")
             for key in common + keyed * (one.get("Effect") == "keyed"):
                 if one.get(key) is None:
-                    raise Senseless(f"{path}[{n}].{key}: missing")
+                    raise ConfigurationError(f"{path}[{n}].{key}: missing")
--- a/cottonspread/drill/codec.py
+++ b/cottonspread/drill/codec.py
@@ -29,7 +29,7 @@
 RETURNED, HINTED = 16, 1
 
 
-class Unreadable(ValueError):
+class DecodeError(ValueError):
     """A line that cannot be understood; the rest of its batch can."""
 
 
@@ -47,7 +47,7 @@
     try:
         return name, {**dict([part.split("=", 1) for part in rest.split("\t") if part]), **last}
     except ValueError:
-        raise Unreadable(f"part without '=': {rest!r}") from None
+        raise DecodeError(f"part without '=': {rest!r}") from None
 
 
 def entry(f):
@@ -118,14 +118,14 @@
     try:
         return reader(fields) if reader else None
     except (KeyError, ValueError) as fault:
-        raise Unreadable(f"{name}: {fault!r}") from fault
+        raise DecodeError(f"{name}: {fault!r}") from fault
 
 
 def read_list(fields, lines):
     try:
         return i.Listed(NEWS[fields["Scope"]], int(fields.get("Index", 0)), tuple(entry(f) for f in lines))
     except (KeyError, ValueError) as fault:
-        raise Unreadable(f"view: {fault!r}") from fault
+        raise DecodeError(f"view: {fault!r}") from fault
 
 
 def read_begin(fields):
--- a/cottonspread/drill/hosting.py
+++ b/cottonspread/drill/hosting.py
@@ -3,13 +3,13 @@
 import sys
 import traceback
 
-from cottonspread.config import Senseless, micros
+from cottonspread.config import ConfigurationError, micros
 from cottonspread.decide import Balancer
 from cottonspread.drill import codec
 from cottonspread.interface import Arrived
 
 
-class BrokenFraming(Exception):
+class FramingError(Exception):
     pass
 
 
@@ -27,7 +27,7 @@
         try:
             now, serial = micros(clock["Now"]), clock["serial"]
         except (KeyError, ValueError) as wrong:
-            raise BrokenFraming(f"clock line without a readable time or number: {wrong!r}") from wrong
+            raise FramingError(f"clock line without a readable time or number: {wrong!r}") from wrong
         replies, node, spoke, at = [], None, None, 0
         while at < len(lines):
             line, first = lines[at], at
@@ -43,7 +43,7 @@
                     node = int(fields["Node"])
                     continue
                 actions = self.event(now, node, name, fields, entries)
-            except (codec.Unreadable, KeyError, ValueError) as wrong:
+            except (codec.DecodeError, KeyError, ValueError) as wrong:
                 self.complain(f"batch {serial} line {first + 1}: {wrong}")
             if actions and node != spoke:
                 replies.append(f"by\tNode={node}")
@@ -58,7 +58,7 @@
         if name == "begin":
             try:
                 self.nodes[node] = Balancer(now, codec.read_begin(fields))
-            except Senseless as wrong:
+            except ConfigurationError as wrong:
                 self.complain(str(wrong))
                 return [fault(str(wrong))]
             return [codec.write(a) for a in self.nodes[node].actions()]
@@ -66,7 +66,7 @@
         if event is None or node not in self.nodes:
             return []
         if isinstance(event, Arrived) and not 0 <= event.type < len(self.nodes[node].types):
-            raise codec.Unreadable(f"{name}: no traffic type {event.type}")
+            raise codec.DecodeError(f"{name}: no traffic type {event.type}")
         try:
             return [codec.write(a) for a in self.nodes[node].handle(now, event)]
         except Exception as wrong:  # a fault in the decisions ends the day, in plain sight
@@ -84,11 +84,11 @@
             if name == "clock" and clock is None:
                 clock, lines = codec.split(line)[1], []
             elif name == "clock":
-                raise BrokenFraming("a clock line inside a batch")
+                raise FramingError("a clock line inside a batch")
             elif not line:
                 continue
             elif clock is None:
-                raise BrokenFraming(f"no clock line before {name!r}")
+                raise FramingError(f"no clock line before {name!r}")
             elif name == "go":
                 sink.write("\n".join(hosting.answer(clock, lines)) + "\n")
                 sink.flush()
@@ -96,8 +96,8 @@
             else:
                 lines.append(line)
         if clock is not None:
-            raise BrokenFraming("input ends inside a batch")
-    except (BrokenFraming, codec.Unreadable) as wrong:
+            raise FramingError("input ends inside a batch")
+    except (FramingError, codec.DecodeError) as wrong:
         complain(f"broken framing: {wrong}")
         return 2
     return 0
--- a/cottonspread/fleet/plan.py
+++ b/cottonspread/fleet/plan.py
@@ -62,8 +62,8 @@
 def read(path, program, check=lambda text: config.read_node(text, {})):
     """The plan that the files give now.
 
-    Raises config.Senseless, naming file and key. `check(text)` reads an instance's JSON: the parts of
-    config.read_node, or config.Senseless.
+    Raises config.ConfigurationError, naming file and key. `check(text)` reads an instance's JSON: the parts
+    of config.read_node, or config.ConfigurationError.
     """
     log, instance, fleet = op.read_fleet(path)
     template = beside(path, fleet.config)
@@ -71,12 +71,12 @@
         with open(template, encoding="utf-8") as file:
             text = file.read()
     except (OSError, UnicodeDecodeError) as fault:
-        raise op.Faults([f"{path}: fleet.config: {template}: {fault}"]) from fault
+        raise op.OperatorFileError([f"{path}: fleet.config: {template}: {fault}"]) from fault
     whole = config.parse(text, template)
     if not isinstance(whole, dict) or not isinstance(whole.get("settings"), dict):
-        raise op.Faults([f"{template}: settings: expected an object"])
+        raise op.OperatorFileError([f"{template}: settings: expected an object"])
     if not isinstance(whole.get("discovery"), str):
-        raise op.Faults([f"{template}: discovery: expected HOST:PORT"])
+        raise op.OperatorFileError([f"{template}: discovery: expected HOST:PORT"])
     specs = {}
     for n in range(fleet.instances):
         name = f"{fleet.name}-{n}"
@@ -101,8 +101,8 @@
             if "seed" in whole:
                 own["seed"] = "%x" % (int(whole["seed"], 16) + n)
             place = check(canonical(own))[0]
-        except (config.Senseless, ValueError, TypeError) as fault:
-            raise op.Faults([f"{template}: {fault} (instance {name})"]) from fault
+        except (config.ConfigurationError, ValueError, TypeError) as fault:
+            raise op.OperatorFileError([f"{template}: {fault} (instance {name})"]) from fault
         live = {key: own.pop(key) for key in LIVE} | {"level": log.level}
         start = {
             "config": own,
@@ -140,5 +140,5 @@
     if faults:
         for sock in taken.values():
             sock.close()
-        raise op.Faults(faults)
+        raise op.OperatorFileError(faults)
     return taken
--- a/cottonspread/fleet/supervisor.py
+++ b/cottonspread/fleet/supervisor.py
@@ -62,10 +62,10 @@
             os.makedirs(self.folder, exist_ok=True)
             os.makedirs(self.logs, exist_ok=True)
         except OSError as fault:
-            raise op.Faults([f"{self.path}: fleet.state: {fault}"]) from fault
+            raise op.OperatorFileError([f"{self.path}: fleet.state: {fault}"]) from fault
         longest = os.path.join(self.folder, f"{self.fleet.name}-255.{10**6}.sock")
         if len(longest) > control.LONGEST_PATH:
-            raise op.Faults(
+            raise op.OperatorFileError(
                 [
                     f"{self.path}: fleet.state: {self.folder}: too long a path for sockets: "
                     f"{len(longest)} bytes with their names, {control.LONGEST_PATH} are possible"
@@ -73,7 +73,7 @@
             )
         self.lock = control.Lock(os.path.join(self.folder, "fleet.pid"))
         if not self.lock.take():
-            raise op.Faults(
+            raise op.OperatorFileError(
                 [
                     f"{self.path}: fleet.state: {self.folder}: a supervisor runs there already, "
                     f"pid {self.lock.holder()}"
@@ -106,7 +106,7 @@
         need = 5 * instances + MOST_AT_DOOR + 32
         hard = control.raise_descriptors(need)
         if hard < need:
-            raise op.Faults(
+            raise op.OperatorFileError(
                 [
                     f"{self.path}: fleet.instances: {instances} need {need} descriptors; "
                     f"the limit is {hard} (ulimit -n)"
@@ -500,7 +500,7 @@
         for one in said:
             try:
                 self.obey(line, one)
-            except config.Senseless as fault:
+            except config.ConfigurationError as fault:
                 line.say({"ok": False, "why": str(fault)})
             except Exception as fault:  # our own: told, and the fleet goes on
                 log.exception("fault", extra={"pairs": {"while": one.get("do")}})
@@ -512,7 +512,7 @@
     def obey(self, line, one):
         do, name = one.get("do"), one.get("name")
         if name is not None and name not in self.core.slots:
-            raise config.Senseless(f"{name}: no such instance" + op.near(str(name), self.core.slots))
+            raise config.ConfigurationError(f"{name}: no such instance" + op.near(str(name), self.core.slots))
         if do == "status":
             line.say({"ok": True, "status": self.status()})
         elif do == "reload":
@@ -529,14 +529,14 @@
             self.manager.stopping()
             self.tell("stop")
         else:
-            raise config.Senseless(f"{do}: no such command")
+            raise config.ConfigurationError(f"{do}: no such command")
 
     def reload(self, line):
         self.manager.reloading()
         try:
             pending = self.core.pending
             self.change((pending[0] if pending else self.core.plan).program, "reload", line)
-        except config.Senseless as fault:
+        except config.ConfigurationError as fault:
             log.error("reload", extra={"pairs": {"why": fault, "kept": "the old configuration"}})
             self.manager.ready(self.summary())
             if line:
@@ -544,7 +544,7 @@
 
     def change(self, program, why, line):
         if self.core.stopping:
-            raise config.Senseless("the fleet is stopping")
+            raise config.ConfigurationError("the fleet is stopping")
         plan = plans.read(self.path, program, self.check)
         fixed = [
             key
@@ -552,7 +552,7 @@
             if meta.extra["reload"] == "new" and getattr(plan.fleet, key) != getattr(self.fleet, key)
         ]
         if fixed:
-            raise op.Faults(
+            raise op.OperatorFileError(
                 [f"{self.path}: fleet.{key}: only a new supervisor takes this over" for key in fixed]
             )
         self.bind(plan)
--- a/cottonspread/lab/experiment.py
+++ b/cottonspread/lab/experiment.py
@@ -24,7 +24,7 @@
         x = plans.check(msgspec.structs.replace(x, seconds=seconds))
     variants = x.variants or [plans.Variant(name="only")]
     if os.path.exists(os.path.join(out, "0-" + variants[0].name)):
-        raise plans.Fault(f"--out {out}: holds plays already")
+        raise plans.PlanError(f"--out {out}: holds plays already")
     played = {v.name: [] for v in variants}
     console, cut = Console(stderr=True), ""
     for repeat in range(repeats or x.repeats):
--- a/cottonspread/lab/limits.py
+++ b/cottonspread/lab/limits.py
@@ -12,7 +12,7 @@
 MOST_GROWN = 65_536
 
 
-class TooLarge(ValueError):
+class LimitExceededError(ValueError):
     """The run would not fit; the message names the limit, what is needed and what there is."""
 
 
@@ -45,21 +45,21 @@
 
 
 def check(plan, schedule, hard=None, local_ports=None, cores=None):
-    """TooLarge if descriptors or ports cannot do; else what is to be said of cores, a list of lines."""
+    """What is to be said of cores, a list of lines; LimitExceededError if descriptors or ports cannot do."""
     x = plan.experiment
     hard, local_ports = hard or raise_descriptors(), local_ports or ports()
     standing = most_standing(schedule)
     reconnects = sum(standing * s.share for s in x.load.shapes if s.kind == "reconnect")
     need = standing // x.load.processes + SPARE
     if need > hard:
-        raise TooLarge(
+        raise LimitExceededError(
             f"descriptors: {need} connections stand at once in each of {x.load.processes} load processes, "
             f"and the limit of open files (ulimit -Hn) is {hard}: "
             f"raise load.processes to {standing // (hard - SPARE) + 1}"
         )
     need = standing // x.hosts.processes + SPARE
     if need > hard and x.audited:
-        raise TooLarge(
+        raise LimitExceededError(
             f"descriptors: {need} connections stand at once in each of {x.hosts.processes} host processes, "
             f"and the limit of open files (ulimit -Hn) is {hard}: "
             f"raise hosts.processes to {standing // (hard - SPARE) + 1}"
@@ -71,7 +71,7 @@
     taken += round(reconnects)
     pairs = len(plan.sources) * len(plan.nodes)
     if taken / pairs > local_ports * 0.9:
-        raise TooLarge(
+        raise LimitExceededError(
             f"local ports: {taken} are taken within a minute from {len(plan.sources)} addresses "
             f"to {len(plan.nodes)} nodes, and ip_local_port_range gives {local_ports} for each pair: "
             "raise load.sources to "
--- a/cottonspread/lab/plan.py
+++ b/cottonspread/lab/plan.py
@@ -44,7 +44,7 @@
 FIRST_PORT = 9000  # under the local ports that the kernel gives out
 
 
-class Fault(ValueError):
+class PlanError(ValueError):
     """An experiment that cannot be played; the message begins with the key."""
 
 
@@ -211,7 +211,7 @@
 
 
 def read(path, simulated=False):
-    """An experiment; Fault names the key."""
+    """An experiment; PlanError names the key."""
     try:
         with open(path, "rb") as file:
             return check(
@@ -220,9 +220,9 @@
                 simulated,
             )
     except OSError as fault:
-        raise Fault(f"{path}: {fault.strerror}") from None
+        raise PlanError(f"{path}: {fault.strerror}") from None
     except (msgspec.DecodeError, msgspec.ValidationError) as fault:
-        raise Fault(f"{path}: {fault}") from None
+        raise PlanError(f"{path}: {fault}") from None
 
 
 def check(x, folder=".", simulated=False):
@@ -230,7 +230,7 @@
 
     def need(true, key, what):
         if not true:
-            raise Fault(f"{key}: {what}")
+            raise PlanError(f"{key}: {what}")
 
     need(x.seconds > 0, "seconds", "over 0 expected")
     most = 2000 if simulated else 200
--- a/cottonspread/lab/run.py
+++ b/cottonspread/lab/run.py
@@ -34,7 +34,7 @@
 libc = ctypes.CDLL(None)
 
 
-class Broken(RuntimeError):
+class StartError(RuntimeError):
     """The run could not begin; the message names what was in the way."""
 
 
@@ -257,11 +257,11 @@
             self.hear(0.2)
             for child in self.children:
                 if child.fault:
-                    raise Broken(f"{child.name}: {child.fault}")
+                    raise StartError(f"{child.name}: {child.fault}")
                 if child.ended and not child.ready:
-                    raise Broken(f"{child.name}: ended before it was ready")
+                    raise StartError(f"{child.name}: ended before it was ready")
             if time.monotonic() > until:
-                raise Broken(
+                raise StartError(
                     "not ready after 30 s: " + ", ".join(c.name for c in self.children if not c.ready)
                 )
         if x.nodes.fleet:
@@ -276,13 +276,13 @@
         while not all(node.up for node in self.nodes) and not self.cut:
             for node in self.nodes:
                 if node.process.poll() is not None:
-                    raise Broken(
+                    raise StartError(
                         f"{node.node.name}: ended with {node.process.returncode} at its start, "
                         f"see {node.node.name}.log"
                     )
                 node.up = node.up or node.answers_ping()
             if time.monotonic() > until + READY_WAIT:
-                raise Broken(
+                raise StartError(
                     "no PONG after 30 s from " + ", ".join(n.node.name for n in self.nodes if not n.up)
                 )
             self.hear(0.02)
--- a/cottonspread/lab/sim/node.py
+++ b/cottonspread/lab/sim/node.py
@@ -31,7 +31,7 @@
 STOPPED, KILLED = "stopped", "killed"
 
 
-class Fault(AssertionError):
+class NodeError(AssertionError):
     """The node's own code has raised."""
 
 
@@ -351,7 +351,7 @@
         try:
             effects = self.reducer.step(self.clock(), event, at)
         except Exception as fault:
-            raise Fault(
+            raise NodeError(
                 f"{self.node.name}: {type(event).__name__}: {fault!r}\n{traceback.format_exc(limit=-6)}"
             ) from fault
         self.world.note(self.node.name, self.label(event), *map(self.label, effects))
@@ -516,7 +516,7 @@
         try:
             parts = config.read_node(json.dumps(values), {})
             config.complete(self.values, values)
-        except config.Senseless:
+        except config.ConfigurationError:
             self.hasten(ev.NotRetuned())
             return
         self.values, self.discovery.names = values, parts[2]
--- a/cottonspread/lab/sim/promises.py
+++ b/cottonspread/lab/sim/promises.py
@@ -3,7 +3,7 @@
 
 No code is shared with the node, and none of its words is believed but where its own books are counted
 over (`books`). Times allow the 50 ms that sockets get. The first promise that breaks ends the play:
-`Broken` says which, of whom, and when.
+`BrokenPromiseError` says which, of whom, and when.
 """
 
 from collections import Counter, defaultdict, deque
@@ -29,7 +29,7 @@
 )
 
 
-class Broken(AssertionError):
+class BrokenPromiseError(AssertionError):
     """A promise did not hold."""
 
     def __init__(self, promise, what, at, full):
@@ -97,7 +97,7 @@
         self.drains, self.shaky, self.came = {}, set(), defaultdict(deque)
 
     def broken(self, promise, what, *full):
-        raise Broken(promise, what, self.world.now, full)
+        raise BrokenPromiseError(promise, what, self.world.now, full)
 
     def need(self, true, promise, what, *full):
         self.seen[promise] += 1
--- a/cottonspread/lab/sim/scenario.py
+++ b/cottonspread/lab/sim/scenario.py
@@ -17,9 +17,9 @@
 
 from cottonspread.lab import plan as plans
 from cottonspread.lab.sim.fleet import Fleet
-from cottonspread.lab.sim.node import Fault
-from cottonspread.lab.sim.promises import Broken
-from cottonspread.lab.sim.seam import Breach
+from cottonspread.lab.sim.node import NodeError
+from cottonspread.lab.sim.promises import BrokenPromiseError
+from cottonspread.lab.sim.seam import ContractError
 
 HOLDS = "holds"
 TRIAL_BLOCK = 64, 0  # of its addresses, which nobody binds
@@ -57,7 +57,7 @@
         try:
             return plans.check(msgspec.convert(nested, plans.Experiment, strict=False), simulated=True)
         except msgspec.ValidationError as fault:
-            raise plans.Fault(str(fault)) from None
+            raise plans.PlanError(str(fault)) from None
 
     def plan(self):
         x = self.experiment()
@@ -65,7 +65,7 @@
 
 
 def read(text):
-    """Fault names the line."""
+    """PlanError names the line."""
     trial = Trial({}, [], [], [], remarks=[])
     for number, line in enumerate(text.splitlines(), 1):
         if line.startswith("#"):
@@ -99,7 +99,7 @@
                     )
                 )
         except (ValueError, IndexError, msgspec.ValidationError) as fault:
-            raise plans.Fault(f"line {number}: {fault}") from None
+            raise plans.PlanError(f"line {number}: {fault}") from None
     return trial
 
 
@@ -163,11 +163,11 @@
     try:
         fleet.run()
         fleet.stop_all()
-    except Broken as fault:
+    except BrokenPromiseError as fault:
         return Outcome(f"{fault.promise}: {fault.what}", str(fault), fleet)
-    except Breach as fault:
+    except ContractError as fault:
         return Outcome(f"seam: {fault}", f"seam: {fault}, at {fleet.world.now / 1e6:.6f} s", fleet)
-    except Fault as fault:
+    except NodeError as fault:
         return Outcome(
             "fault: " + str(fault).split("\n")[0].split(": ", 1)[1],
             f"{fault}, at {fleet.world.now / 1e6:.6f} s",
--- a/cottonspread/lab/sim/seam.py
+++ b/cottonspread/lab/sim/seam.py
@@ -6,7 +6,7 @@
 from cottonspread.net import events as ev
 
 
-class Breach(AssertionError):
+class ContractError(AssertionError):
     """The contract was broken; the message says by whom and how."""
 
 
@@ -32,7 +32,7 @@
 
     def need(self, true, who, what, one):
         if not true:
-            raise Breach(f"{who}: {what}: {type(one).__name__}")
+            raise ContractError(f"{who}: {what}: {type(one).__name__}")
 
     def known(self, who, end, one):
         state = self.ends.get(end)
--- a/cottonspread/net/discovery.py
+++ b/cottonspread/net/discovery.py
@@ -14,7 +14,7 @@
 STATES = {"Ready": io.State.UP, "Terminating": io.State.DRAINING, "Gone": io.State.GONE}
 
 
-class BadList(ValueError):
+class ListError(ValueError):
     """An answer that is no list of servers."""
 
 
@@ -56,7 +56,7 @@
         if not isinstance(instances, list):
             raise TypeError("instances: not a list")
     except FAULTS as fault:
-        raise BadList(f"{type(fault).__name__}: {fault}") from fault
+        raise ListError(f"{type(fault).__name__}: {fault}") from fault
     entries, addresses, unread = {}, {}, {}
     for one in instances:
         name, state = None, None
@@ -171,7 +171,7 @@
             if not isinstance(fault, (OSError, ValueError)):  # our own: in plain sight, and the list lives on
                 log.exception("fault")
             # What cannot be read would come again: the whole list mends it.
-            self.whole |= isinstance(fault, BadList)
+            self.whole |= isinstance(fault, ListError)
             if self.failures in (1, 10, 100):
                 log.warning("discovery-fails", extra={"pairs": {"why": fault, "times": self.failures}})
             if self.ask:  # the module is told and asks again in its own time
@@ -193,7 +193,7 @@
         try:
             said = json.loads(body)
         except (ValueError, RecursionError) as fault:
-            raise BadList(f"no JSON: {fault}") from fault
+            raise ListError(f"no JSON: {fault}") from fault
         version, listed, addresses, unread = read_list(said, self.names, before=self.told)
         full = listed.news is io.News.FULL
         if version < self.version:
@@ -201,11 +201,11 @@
             # begun anew says it again and again.
             self.whole, self.lower = True, self.lower + full
             if self.lower < self.LOWER:
-                raise BadList(f"version {version} after {self.version}")
+                raise ListError(f"version {version} after {self.version}")
         elif version == self.version and not self.whole:
             return  # nothing new
         elif self.whole and not full:
-            raise BadList("changes where the whole list was asked")
+            raise ListError("changes where the whole list was asked")
         self.version, self.whole, self.lower, self.waiting = version, False, 0, None
         self.take(listed, addresses, unread)
         self.post(events.Heard(listed, addresses))
--- a/cottonspread/net/http.py
+++ b/cottonspread/net/http.py
@@ -7,7 +7,7 @@
 MOST_HEAD, MOST_BODY = 16 * 1024, 8 * 1024 * 1024
 
 
-class BadAnswer(ValueError):
+class ResponseError(ValueError):
     """What came back is no HTTP answer that can be used."""
 
 
@@ -33,20 +33,20 @@
 
     def get(self, path, wait):
         """The body of the answer, within `wait` seconds for all of it; OSError or
-        BadAnswer if there is none.
+        ResponseError if there is none.
         """
         kept = self.sock is not None
         try:
             try:
                 return self.call(path, wait)
-            except (ConnectionError, BadAnswer):
+            except (ConnectionError, ResponseError):
                 # Only a kept connection may have been closed in the meantime, which tells nothing. An answer
                 # that says no, or is none, would only be had again.
                 if not kept or self.heard or self.given_up:
                     raise
                 self.close()
                 return self.call(path, wait)
-        except (OSError, BadAnswer):
+        except (OSError, ResponseError):
             self.close()
             raise
 
@@ -67,7 +67,7 @@
         if not keep:
             self.close()
         if status != 200:
-            raise BadAnswer(f"status {status}")
+            raise ResponseError(f"status {status}")
         return body
 
     def more(self):
@@ -83,14 +83,14 @@
     def line(self, most):
         while (end := self.rest.find(b"\n")) < 0:
             if len(self.rest) > most or not self.more():
-                raise BadAnswer("cut off or too long in its head")
+                raise ResponseError("cut off or too long in its head")
         line, self.rest = self.rest[:end].rstrip(b"\r"), self.rest[end + 1 :]
         return line
 
     def head(self):
         words = self.line(MOST_HEAD).split(None, 2)
         if len(words) < 2 or not words[0].startswith(b"HTTP/1.") or not words[1].isdigit():
-            raise BadAnswer("no status line")
+            raise ResponseError("no status line")
         headers, size = {}, 0
         if words[0] == b"HTTP/1.0":
             headers["connection"] = "close"
@@ -98,16 +98,16 @@
             size += len(line)
             name, colon, value = line.decode("latin-1").partition(":")
             if not colon or size > MOST_HEAD:
-                raise BadAnswer("headers cannot be read")
+                raise ResponseError("headers cannot be read")
             headers[name.strip().lower()] = value.strip()
         return int(words[1]), headers
 
     def exactly(self, count):
         if count > MOST_BODY:
-            raise BadAnswer("body too large")
+            raise ResponseError("body too large")
         while len(self.rest) < count:
             if not self.more():
-                raise BadAnswer("body cut off")
+                raise ResponseError("body cut off")
         taken, self.rest = self.rest[:count], self.rest[count:]
         return taken
 
@@ -116,11 +116,11 @@
             return self.chunks(), keep
         if "content-length" in headers:
             if not headers["content-length"].isdigit():
-                raise BadAnswer("length cannot be read")
+                raise ResponseError("length cannot be read")
             return self.exactly(int(headers["content-length"])), keep
         while self.more():  # up to the end of the connection
             if len(self.rest) > MOST_BODY:
-                raise BadAnswer("body too large")
+                raise ResponseError("body too large")
         return self.rest, False
 
     def chunks(self):
@@ -129,10 +129,10 @@
             try:
                 count = int(self.line(1024).split(b";")[0], 16)
             except ValueError:
-                raise BadAnswer("chunk size cannot be read") from None
+                raise ResponseError("chunk size cannot be read") from None
             size += count
             if count < 0 or size > MOST_BODY:
-                raise BadAnswer("body too large")
+                raise ResponseError("body too large")
             if not count:
                 while self.line(MOST_HEAD):
                     pass
--- a/cottonspread/net/lines.py
+++ b/cottonspread/net/lines.py
@@ -21,7 +21,7 @@
 OLDEST = 20_000_000  # microseconds; what seems to have lain longer was stamped before the clock was set
 
 
-class BadLine(ValueError):
+class LineError(ValueError):
     """What came is no line of the protocol; its text is the reason code."""
 
 
@@ -37,7 +37,7 @@
     return 0
 
 
-class LetGo(Exception):
+class SocketReleasedError(Exception):
     """The socket is another process's now."""
 
 
@@ -56,7 +56,7 @@
     def lines(self):
         """All whole lines that are there, at least one, as they came; b"" at the end of the connection.
 
-        LetGo: see `let_go`.
+        SocketReleasedError: see `let_go`.
         """
         while True:
             try:
@@ -71,9 +71,9 @@
             except BlockingIOError:  # the socket's own time-out has passed
                 if self.buffer is None or time.monotonic() - self.since < self.wait:
                     continue
-                raise BadLine("half-line") from None
+                raise LineError("half-line") from None
             if not got:
-                raise BadLine("half-line")
+                raise LineError("half-line")
             self.filled += got
             end = self.buffer.rfind(b"\n", 0, self.filled) + 1
             if end:
@@ -86,7 +86,7 @@
                     self.drop()
                 return whole
             if self.filled == len(self.buffer):
-                raise BadLine("long-line")
+                raise LineError("long-line")
 
     def peek(self):
         """Wait until there is something. b"": the end."""
@@ -98,7 +98,7 @@
             with self.lock:
                 self.idle = False
                 if self.gone:
-                    raise LetGo
+                    raise SocketReleasedError
 
     def take_back(self):
         """After `let_go`. True if whoever waited here has left meanwhile."""
@@ -141,26 +141,26 @@
 
 
 def read_opening(line, types, tenants, grouped, longest_wait):
-    """`OPEN ID KEY NAME=VALUE,..` with the numbers that the module gives names; BadLine with its reason."""
+    """`OPEN ID KEY NAME=VALUE,..` with the numbers that the module gives names; LineError with its reason."""
     try:
         words = line.rstrip(b"\r\n").decode("ascii").split(" ")
     except UnicodeDecodeError:
-        raise BadLine("garbled") from None
+        raise LineError("garbled") from None
     if len(words) != 4 or words[0] != "OPEN" or not all(WORD.fullmatch(w) for w in words[1:3]):
-        raise BadLine("garbled")
+        raise LineError("garbled")
     pairs = dict(part.partition("=")[::2] for part in words[3].split(","))
     if "c" not in pairs or not ("d" in pairs or "at" in pairs):
-        raise BadLine("lacks-field")
+        raise LineError("lacks-field")
     if pairs["c"] not in types:
-        raise BadLine("unknown-type")
+        raise LineError("unknown-type")
     try:
         wait = NUMBER.fullmatch(pairs.get("d", "0"))[0]
         load = float(pairs.get("h", 0))
     except (TypeError, ValueError):
-        raise BadLine("garbled") from None
+        raise LineError("garbled") from None
     # A host answers a wait of years with ERR, and each host asked looked broken for it.
     if not 0 <= load < 1e15 or len(wait) > 15 or "at" not in pairs and int(wait) * 1000 > longest_wait:
-        raise BadLine("garbled")
+        raise LineError("garbled")
     wait = int(wait) * 1000
     who = pairs.get("g")
     return Opening(
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -295,7 +295,7 @@
                 self.begin.groups_share_work,
                 self.longest_wait,
             )
-        except lines.BadLine as fault:
+        except lines.LineError as fault:
             self.turn_out(conn, str(fault))
             return
         # Ids are new with every connection. Hosts answer one that is open already, here or at another node,
--- a/cottonspread/net/workers.py
+++ b/cottonspread/net/workers.py
@@ -114,9 +114,9 @@
                 if data
                 else (ev.Over(self.end, "end"))
             )
-        except lines.LetGo:
+        except lines.SocketReleasedError:
             return None
-        except lines.BadLine as fault:
+        except lines.LineError as fault:
             return ev.Over(self.end, str(fault))
         except OSError:
             return ev.Over(self.end, "reset")
