--- a/benchmarks/operating/calls.py
+++ b/benchmarks/operating/calls.py
@@ -70,13 +70,17 @@
             node.wait()
 
 
-def measure(seconds, listen, operator):
+def wait_until_healthy(operator):
     while True:
         try:
             if call(operator, b"health")[1].startswith(b"200"):
-                break
+                return
         except OSError:
             time.sleep(0.02)
+
+
+def measure(seconds, listen, operator):
+    wait_until_healthy(operator)
     seen, lock, end = {"UP": 0, "BUSY": 0, "other": 0}, threading.Lock(), time.monotonic() + seconds
 
     def client():
--- a/cottonspread/config/platform.py
+++ b/cottonspread/config/platform.py
@@ -294,32 +294,37 @@
     change: every key that the file in force has stands in the new one too. Of a list's objects it
     is those keys that all of them have.
     """
-    if (
-        isinstance(was, dict)
-        and not isinstance(now, dict)
-        or isinstance(was, list)
-        and not isinstance(now, list)
-    ):
-        raise ConfigurationError(
-            f"{path or 'configuration'}: not {'an object' if isinstance(was, dict) else 'a list'}"
-        )
     if isinstance(was, dict):
-        for key, value in was.items():
-            at = f"{path}.{key}" if path else key
-            if value is not None and now.get(key) is None:
-                raise ConfigurationError(f"{at}: missing, and the configuration in force has it")
-            if value is not None and at != "known":
-                complete(value, now[key], at)
-    elif isinstance(was, list) and was and all(isinstance(one, dict) for one in was):
-
-        def in_all(key, among):
-            return among and all(one.get(key) is not None for one in among)
-
-        common = [key for key in was[0] if key not in KEYED and in_all(key, was)]
-        keyed = [key for key in KEYED if in_all(key, [one for one in was if one.get("Effect") == "keyed"])]
-        for n, one in enumerate(now):
-            if not isinstance(one, dict):
-                raise ConfigurationError(f"{path}[{n}]: not an object")
-            for key in common + keyed * (one.get("Effect") == "keyed"):
-                if one.get(key) is None:
-                    raise ConfigurationError(f"{path}[{n}].{key}: missing")
+        if not isinstance(now, dict):
+            raise ConfigurationError(f"{path or 'configuration'}: not an object")
+        complete_object(was, now, path)
+    elif isinstance(was, list):
+        if not isinstance(now, list):
+            raise ConfigurationError(f"{path or 'configuration'}: not a list")
+        if was and all(isinstance(one, dict) for one in was):
+            complete_list(was, now, path)
+
+
+def complete_object(was, now, path):
+    for key, value in was.items():
+        at = f"{path}.{key}" if path else key
+        if value is not None and now.get(key) is None:
+            raise ConfigurationError(f"{at}: missing, and the configuration in force has it")
+        if value is not None and at != "known":
+            complete(value, now[key], at)
+
+
+def complete_list(was, now, path):
+    """Both are lists of objects."""
+
+    def in_all(key, among):
+        return among and all(one.get(key) is not None for one in among)
+
+    common = [key for key in was[0] if key not in KEYED and in_all(key, was)]
+    keyed = [key for key in KEYED if in_all(key, [one for one in was if one.get("Effect") == "keyed"])]
+    for n, one in enumerate(now):
+        if not isinstance(one, dict):
+            raise ConfigurationError(f"{path}[{n}]: not an object")
+        for key in common + keyed * (one.get("Effect") == "keyed"):
+            if one.get(key) is None:
+                raise ConfigurationError(f"{path}[{n}].{key}: missing")
--- a/cottonspread/drill/codec.py
+++ b/cottonspread/drill/codec.py
@@ -134,28 +134,32 @@
     )
 
 
-def write(a):
+def reject_line(action):
+    told = f"\tComeBack={millis(action.retry_after)}" if action.retry_after else ""
+    return f"bounce\tCall={action.call}{told}"
+
+
+def tell_line(action):
+    return f"publish\tDest={action.peer}\tBytes={base64.b64encode(action.data).decode() or '-'}"
+
+
+LINES = {
+    i.Send: lambda a: f"route\tCall={a.call}\tUntil={millis(a.until)}\tHost={a.host}",
+    i.Reject: reject_line,
+    i.Release: lambda a: f"end_failed\tCall={a.call}",
+    i.Cancel: lambda a: f"undo_send\tCall={a.call}\tTrial={a.leg}",
+    i.Move: lambda a: f"move\tCall={a.call}",
+    i.Timer: lambda a: f"set_timer\tFromNow={millis(a.after)}\tCookie={a.token}",
+    i.Probe: lambda a: f"sample\tHost={a.host}",
+    i.Follow: lambda a: "listen\tWant=1",
+    i.Tell: tell_line,
+    i.Log: lambda a: "note_down\tMessage=" + " ".join(a.text.split()),
+}
+
+
+def write(action):
     """One action as a line."""
-    match a:
-        case i.Send():
-            return f"route\tCall={a.call}\tUntil={millis(a.until)}\tHost={a.host}"
-        case i.Reject():
-            told = f"\tComeBack={millis(a.retry_after)}" if a.retry_after else ""
-            return f"bounce\tCall={a.call}{told}"
-        case i.Release():
-            return f"end_failed\tCall={a.call}"
-        case i.Cancel():
-            return f"undo_send\tCall={a.call}\tTrial={a.leg}"
-        case i.Move():
-            return f"move\tCall={a.call}"
-        case i.Timer():
-            return f"set_timer\tFromNow={millis(a.after)}\tCookie={a.token}"
-        case i.Probe():
-            return f"sample\tHost={a.host}"
-        case i.Follow():
-            return "listen\tWant=1"
-        case i.Tell():
-            return f"publish\tDest={a.peer}\tBytes={base64.b64encode(a.data).decode() or '-'}"
-        case i.Log():
-            return "note_down\tMessage=" + " ".join(a.text.split())
-    raise TypeError(f"no line for {a!r}")
+    line = LINES.get(type(action))
+    if line is None:
+        raise TypeError(f"no line for {action!r}")
+    return line(action)
--- a/cottonspread/fleet/core.py
+++ b/cottonspread/fleet/core.py
@@ -530,23 +530,11 @@
     def keep_up(self, slot):
         old, new, spec = slot.holder, slot.next, slot.spec
         if new is not None and not new.killed:
-            if new.spec != spec:
-                self.kill(new, "another plan")
-            elif new.state == PREPARED and not new.told_take:
-                if old is not None and not old.told_leave:
-                    old.told_leave = self.now
-                    self.out.append(Leave(slot.name, old.generation, True))
-                elif old is None:
-                    new.told_take = self.now
-                    self.set_door(slot, False)  # before the other takes
-                    self.out.append(Take(slot.name, new.generation))
+            self.bring_in(slot)
             return
         if new is not None or old is not None and old.killed and not old.told_leave:
             return  # one goes, then the next comes
-        if old is None:
-            if not slot.given_up and self.now >= slot.not_before:
-                self.start(slot)
-        elif not old.told_leave and (old.spec.start != spec.start or slot.anew):
+        if old is None or not old.told_leave and (old.spec.start != spec.start or slot.anew):
             if self.now >= slot.not_before and not slot.given_up:
                 self.start(slot)
         elif old.spec.live != spec.live and old.applied != spec and not old.told_leave:
@@ -560,6 +548,20 @@
         ):
             old.spec, old.applied = old.applied, None
 
+    def bring_in(self, slot):
+        """A successor that is prepared takes over once the holder has left, and one of another plan goes."""
+        old, new = slot.holder, slot.next
+        if new.spec != slot.spec:
+            self.kill(new, "another plan")
+        elif new.state == PREPARED and not new.told_take:
+            if old is not None and not old.told_leave:
+                old.told_leave = self.now
+                self.out.append(Leave(slot.name, old.generation, True))
+            elif old is None:
+                new.told_take = self.now
+                self.set_door(slot, False)  # before the other takes
+                self.out.append(Take(slot.name, new.generation))
+
     def start(self, slot):
         # Forty interpreters that start at once are none of them ready in time.
         if (
--- a/cottonspread/fleet/supervisor.py
+++ b/cottonspread/fleet/supervisor.py
@@ -53,6 +53,18 @@
         self.children, self.pidfds, self.channels = {}, {}, {}  # by (name, generation)
         self.waiting = {}  # control sockets not yet there
         self.answers, self.was_ready, self.done, self.began = [], False, False, time.monotonic()
+        self.handlers = {
+            Start: self.start,
+            Take: lambda effect: self.order(effect, {"do": "take"}),
+            Leave: lambda effect: self.order(effect, {"do": "leave", "handed": effect.handed}),
+            Apply: lambda effect: self.order(effect, {"do": "apply", "live": effect.spec.live}),
+            Kill: lambda effect: self.end(effect.name, effect.generation),
+            Door: self.turn_door,
+            Forget: self.forget,
+            Say: self.say,
+            Outcome: self.outcome,
+            Over: self.over,
+        }
 
     # The start
 
@@ -258,34 +270,24 @@
             self.manager.ready(self.summary())
 
     def carry_out(self, effect):
-        match effect:
-            case Start():
-                self.start(effect)
-            case Take():
-                self.order(effect, {"do": "take"})
-            case Leave():
-                self.order(effect, {"do": "leave", "handed": effect.handed})
-            case Apply():
-                self.order(effect, {"do": "apply", "live": effect.spec.live})
-            case Kill():
-                self.end(effect.name, effect.generation)
-            case Door():
-                self.close_door(effect.name)
-                if effect.open:
-                    self.open_door(effect.name)
-            case Forget():
-                self.close_door(effect.name)
-                self.drop_sockets()
-            case Say():
-                log.log(
-                    logging.getLevelName(effect.level.upper()), effect.event, extra={"pairs": effect.pairs}
-                )
-            case Outcome():
-                self.outcome(effect)
-            case Over():
-                log.info("stopped")
-                self.answer({"ok": True, "why": "stopped"}, "stop")
-                self.done = True
+        self.handlers[type(effect)](effect)
+
+    def turn_door(self, effect):
+        self.close_door(effect.name)
+        if effect.open:
+            self.open_door(effect.name)
+
+    def forget(self, effect):
+        self.close_door(effect.name)
+        self.drop_sockets()
+
+    def say(self, effect):
+        log.log(logging.getLevelName(effect.level.upper()), effect.event, extra={"pairs": effect.pairs})
+
+    def over(self, effect):
+        log.info("stopped")
+        self.answer({"ok": True, "why": "stopped"}, "stop")
+        self.done = True
 
     # Processes
 
--- a/cottonspread/lab/experiment.py
+++ b/cottonspread/lab/experiment.py
@@ -34,12 +34,7 @@
             for tried in range(again + 1):
                 folder = os.path.join(out, f"{repeat}-{variant.name}")
                 play = Play(x, variant, x.seed + repeat, folder)
-                if quiet or not console.is_terminal:
-                    play.run()
-                else:
-                    with Live(console=console, refresh_per_second=4) as live:
-                        play.show = lambda play, line, live=live: live.update(progress(play, line))
-                        play.run()
+                run_play(play, None if quiet or not console.is_terminal else console)
                 result = results.judge(play, repeat)
                 if play.cut or result.lateness.p999 <= LATE or tried == again:
                     break
@@ -58,6 +53,16 @@
     return 0 if all(r.usable for r in everything) else 3
 
 
+def run_play(play, console):
+    """Its progress is shown on the console, if there is one."""
+    if console is None:
+        play.run()
+        return
+    with Live(console=console, refresh_per_second=4) as live:
+        play.show = lambda play, line: live.update(progress(play, line))
+        play.run()
+
+
 def progress(play, line):
     table = Table(
         title=f"{play.plan.experiment.name} {play.plan.variant.name}, {line['s']} of "
--- a/cottonspread/lab/ledger.py
+++ b/cottonspread/lab/ledger.py
@@ -19,6 +19,7 @@
 SILENCE = 7_000_000
 SECOND = 1_000_000
 SHOWN = 5  # offences of each kind that are kept in full
+LEG_EVENTS = ("leg", "ran", "up", "full", "late", "end", "swallowed")  # what hosts tell of one leg
 MEANINGS = {
     1: "one final answer in time",
     2: "no effect twice",
@@ -55,50 +56,13 @@
 
     def read(self, records):
         for line in records("nodes"):
-            t = line["t"] - self.start
-            if line["k"] == "killed" or line["k"] == "died":
-                self.deaths[line["node"]].append(t)
-            elif line["k"] == "freeze":
-                self.freezes[line["node"]].append([t, float("inf")])
-            elif line["k"] == "thaw" and self.freezes[line["node"]]:
-                self.freezes[line["node"]][-1][1] = t
+            self.read_node(line)
         open_legs = {}
         for line in sorted((x for x in records("hosts")), key=lambda x: x["t"]):
-            kind, t, host = line["k"], line["t"] - self.start, line.get("host")
-            if kind == "leg":
-                leg = {
-                    "t": t,
-                    "host": host,
-                    "end": None,
-                    "how": "",
-                    "ran": None,
-                    "up": None,
-                    "never": None,
-                    "cold": line["cold"],
-                    "load": 0,
-                }
-                self.legs[line["id"]].append(leg)
-                open_legs[line["id"], host] = leg
-            elif kind in ("ran", "up", "full", "late", "end", "swallowed"):
-                leg = open_legs.get((line["id"], host))
-                if leg is None:
-                    continue
-                if kind == "ran":
-                    leg["ran"], leg["load"] = t, line["v"]
-                elif kind == "up":
-                    leg["up"] = t, line["receipt"]
-                elif kind == "end":
-                    leg["end"], leg["how"] = t, line["how"]
-                elif kind != "swallowed":
-                    leg["never"] = t
-            elif kind == "started":
-                self.starts[host].append(t)
-            elif kind in ("fault", "mend", "down"):
-                self.troubled[host].append((t, kind, line.get("kind")))
-            elif kind == "tipped":
-                self.offence(4, "tipped", {"host": host, "t": t, "sent_us": line["v"]})
-            elif kind == "syntax":
-                self.offence(1, "a host could not read its first line", line)
+            if line["k"] in LEG_EVENTS:
+                self.read_leg(line, open_legs)
+            else:
+                self.read_host(line)
         for line in records("list"):
             if line["k"] == "told":
                 self.told[line["node"]].append((line["t"] - self.start, line["whole"], line["hosts"]))
@@ -107,6 +71,55 @@
                 self.calls[line["id"]] = line
                 self.ends_at = max(self.ends_at, line["end"])
 
+    def read_node(self, line):
+        kind, t, node = line["k"], line["t"] - self.start, line["node"]
+        if kind in ("killed", "died"):
+            self.deaths[node].append(t)
+        elif kind == "freeze":
+            self.freezes[node].append([t, float("inf")])
+        elif kind == "thaw" and self.freezes[node]:
+            self.freezes[node][-1][1] = t
+
+    def read_leg(self, line, open_legs):
+        kind, t, key = line["k"], line["t"] - self.start, (line["id"], line.get("host"))
+        if kind == "leg":
+            leg = {
+                "t": t,
+                "host": line.get("host"),
+                "end": None,
+                "how": "",
+                "ran": None,
+                "up": None,
+                "never": None,
+                "cold": line["cold"],
+                "load": 0,
+            }
+            self.legs[line["id"]].append(leg)
+            open_legs[key] = leg
+            return
+        leg = open_legs.get(key)
+        if leg is None:
+            return
+        if kind == "ran":
+            leg["ran"], leg["load"] = t, line["v"]
+        elif kind == "up":
+            leg["up"] = t, line["receipt"]
+        elif kind == "end":
+            leg["end"], leg["how"] = t, line["how"]
+        elif kind != "swallowed":
+            leg["never"] = t
+
+    def read_host(self, line):
+        kind, t, host = line["k"], line["t"] - self.start, line.get("host")
+        if kind == "started":
+            self.starts[host].append(t)
+        elif kind in ("fault", "mend", "down"):
+            self.troubled[host].append((t, kind, line.get("kind")))
+        elif kind == "tipped":
+            self.offence(4, "tipped", {"host": host, "t": t, "sent_us": line["v"]})
+        elif kind == "syntax":
+            self.offence(1, "a host could not read its first line", line)
+
     def offence(self, rule, what, full):
         self.offences[rule, what] += 1
         if len(self.shown[rule, what]) < SHOWN:
@@ -158,39 +171,42 @@
         if not call["sent"]:
             return  # its node's machine never took it
         self.checked[1] += 1
-        answers, sent, guard = call["answers"], call["sent"], call["sent"] + round(call["d"] * 1000)
+        answers, guard = call["answers"], call["sent"] + round(call["d"] * 1000)
         if len(answers) > 1:
             self.offence(1, "more than one final answer", self.full(call))
-        if not answers:
-            if self.died(call["node"], sent - SLACK, call["end"] + SLACK):
-                self.excused += 1  # its node was killed with it
-            elif self.frozen(call["node"], guard - SLACK, guard + SLACK):
-                self.excused += 1  # its node was stopped over its guard time
-            elif call["how"] == "cut":
-                if call["end"] > guard + SLACK:
-                    self.offence(1, "no answer before the guard time", self.full(call))
-            elif call["how"] == "gave-up":
-                self.offence(1, "no answer before the guard time", self.full(call))
-            else:
-                self.offence(1, "ended without an answer", self.full(call))
-            last = call["end"]
+        if answers:
+            self.answered(call, guard)
         else:
-            last, what, value = answers[0]
-            if last > guard + SLACK and not self.frozen(call["node"], guard - SLACK, guard + SLACK):
-                self.offence(1, "answered after the guard time", self.full(call))
-            if what == "UP" and not any(
-                leg["up"] and leg["up"][1] == value for leg in self.legs.get(call["id"], ())
-            ):
-                self.offence(1, "UP that no host gave", self.full(call))
-        for leg in self.legs.get(call["id"], ()):
-            if leg["t"] > min(last, guard) + SLACK:
-                self.offence(1, "a leg after the final answer", self.full(call))
-                break
-        if call["how"] in ("end", "reset") and answers and answers[0][1] == "UP":
-            self.cut_off(call)
+            self.unanswered(call, guard)
+        last = answers[0][0] if answers else call["end"]
+        if any(leg["t"] > min(last, guard) + SLACK for leg in self.legs.get(call["id"], ())):
+            self.offence(1, "a leg after the final answer", self.full(call))
         if answers and answers[0][1] == "UP":
+            if call["how"] in ("end", "reset"):
+                self.cut_off(call)
             self.passed_on(call)
 
+    def answered(self, call, guard):
+        at, what, value = call["answers"][0]
+        if at > guard + SLACK and not self.frozen(call["node"], guard - SLACK, guard + SLACK):
+            self.offence(1, "answered after the guard time", self.full(call))
+        legs = self.legs.get(call["id"], ())
+        if what == "UP" and not any(leg["up"] and leg["up"][1] == value for leg in legs):
+            self.offence(1, "UP that no host gave", self.full(call))
+
+    def unanswered(self, call, guard):
+        if self.died(call["node"], call["sent"] - SLACK, call["end"] + SLACK):
+            self.excused += 1  # its node was killed with it
+        elif self.frozen(call["node"], guard - SLACK, guard + SLACK):
+            self.excused += 1  # its node was stopped over its guard time
+        elif call["how"] == "cut":
+            if call["end"] > guard + SLACK:
+                self.offence(1, "no answer before the guard time", self.full(call))
+        elif call["how"] == "gave-up":
+            self.offence(1, "no answer before the guard time", self.full(call))
+        else:
+            self.offence(1, "ended without an answer", self.full(call))
+
     def cut_off(self, call):
         """The node ended a standing connection without MOVE: had its host ended it?"""
         node, end = call["node"], call["end"]
@@ -233,16 +249,9 @@
             else:
                 self.twice += 1
         for n, leg in enumerate(legs):
-            for earlier in legs[:n]:
-                if (
-                    earlier["end"] is None
-                    and earlier["never"] is None
-                    and not self.gone(earlier, leg["t"])
-                    or (earlier["end"] or 0) > leg["t"] + SLACK
-                    and earlier["never"] is None
-                ):
-                    self.offence(2, "two legs at once", self.full(call))
-                    return
+            if any(self.still_open(earlier, leg["t"]) for earlier in legs[:n]):
+                self.offence(2, "two legs at once", self.full(call))
+                return
             open_before = [one for one in legs[:n] if one["never"] is None]
             if not open_before or kind.effect == "repeatable":
                 continue
@@ -263,6 +272,14 @@
         ):
             self.offence(2, "rejected though it may have run", self.full(call))
 
+    def still_open(self, leg, at):
+        """Whether another leg at that time is a second one at once."""
+        if leg["never"] is not None:
+            return False
+        if leg["end"] is None:
+            return not self.gone(leg, at)
+        return leg["end"] > at + SLACK
+
     def gone(self, leg, before):
         """Its host vanished, so that it saw no end."""
         return any(
--- a/cottonspread/lab/results.py
+++ b/cottonspread/lab/results.py
@@ -85,11 +85,8 @@
     return plan, audit, told, [line for line in load if line["k"] == "sum"]
 
 
-def judge(play, repeat=0):
-    """Reads what the play left in its folder; writes `results.json` there, whole or not at all."""
-    folder = play.folder
-    plan, audit, told, sums = audited(folder)
-    kinds = {k.name: k for k in plan.experiment.load.types}
+def histograms(sums):
+    """(latency by type and of all, lateness, echo), of all load processes together."""
     latency, lateness, echo = {"all": histogram()}, histogram(), histogram()
     for one in sums:
         for name, text in one["latency"].items():
@@ -98,9 +95,13 @@
             latency["all"].add(h)
         lateness.add(decoded(one["lateness"]))
         echo.add(decoded(one["echo"]))
-    first = [c for c in audit.calls.values() if not c["retry"] and not c["again"]]
+    return latency, lateness, echo
+
+
+def tally(calls, kinds):
+    """({answer: calls}, revenue asked for, revenue earned, keys of those that came up)."""
     answers, asked, earned, came_up = {}, 0.0, 0.0, set()
-    for call in audit.calls.values():
+    for call in calls:
         kind = kinds[call["type"]]
         up = call["answers"][0][0] if call["answers"] and call["answers"][0][1] == "UP" else None
         reason = "up" if up is not None else call["answers"][0][1].lower() if call["answers"] else call["how"]
@@ -111,6 +112,17 @@
             asked += kind.revenue
             if up is not None and up - call["intended"] <= kind.target_ms * 1000:
                 earned += kind.revenue
+    return answers, asked, earned, came_up
+
+
+def judge(play, repeat=0):
+    """Reads what the play left in its folder; writes `results.json` there, whole or not at all."""
+    folder = play.folder
+    plan, audit, told, sums = audited(folder)
+    kinds = {k.name: k for k in plan.experiment.load.types}
+    latency, lateness, echo = histograms(sums)
+    first = [c for c in audit.calls.values() if not c["retry"] and not c["again"]]
+    answers, asked, earned, came_up = tally(audit.calls.values(), kinds)
     reasons, late = list(play.reasons), spread(lateness)
     faults = {name: n for one in sums for name, n in one["faults"].items()}
     if late.p999 > LATE:
--- a/cottonspread/lab/run.py
+++ b/cottonspread/lab/run.py
@@ -243,6 +243,17 @@
         self.cut = self.cut or signal.Signals(number).name
 
     def begin(self, path):
+        until = time.monotonic() + READY_WAIT
+        self.start_children(path, until)
+        self.start_nodes(until + READY_WAIT)
+        self.start = now() + 300_000
+        with open(os.path.join(self.folder, "start.json"), "w", encoding="utf-8") as file:
+            json.dump({"start": self.start}, file)  # the record's times are on the machine's clock
+        for child in self.children:
+            child.say(f"begin {self.start}")
+
+    def start_children(self, path, until):
+        """Hosts, list and load as processes, each of which has said that it is ready."""
         x = self.plan.experiment
         self.children = [
             Child(f"{kind} {n}", [kind, "--plan", path, "--number", str(n)], self.child_cores(kind, n))
@@ -252,7 +263,6 @@
         self.selector = selectors.DefaultSelector()
         for child in self.children:
             self.selector.register(child.process.stdout, selectors.EVENT_READ, child)
-        until = time.monotonic() + READY_WAIT
         while not all(c.ready for c in self.children) and not self.cut:
             self.hear(0.2)
             for child in self.children:
@@ -264,7 +274,10 @@
                 raise StartError(
                     "not ready after 30 s: " + ", ".join(c.name for c in self.children if not c.ready)
                 )
-        if x.nodes.fleet:
+
+    def start_nodes(self, until):
+        """The nodes, each of which has answered a PING."""
+        if self.plan.experiment.nodes.fleet:
             from cottonspread.lab import fleet
 
             self.fleet = fleet.FleetProcess(self)
@@ -281,18 +294,13 @@
                         f"see {node.node.name}.log"
                     )
                 node.up = node.up or node.answers_ping()
-            if time.monotonic() > until + READY_WAIT:
+            if time.monotonic() > until:
                 raise StartError(
                     "no PONG after 30 s from " + ", ".join(n.node.name for n in self.nodes if not n.up)
                 )
             self.hear(0.02)
         for node in self.nodes:
             node.sample()
-        self.start = now() + 300_000
-        with open(os.path.join(self.folder, "start.json"), "w", encoding="utf-8") as file:
-            json.dump({"start": self.start}, file)  # the record's times are on the machine's clock
-        for child in self.children:
-            child.say(f"begin {self.start}")
 
     def hear(self, wait):
         for key, _ in self.selector.select(wait):
--- a/cottonspread/lab/selfcheck.py
+++ b/cottonspread/lab/selfcheck.py
@@ -43,33 +43,42 @@
                 select.select([poll.fileno()], [], [], wait - 0.0003)
             for fd, _ in poll.poll(0):
                 if fd == self.listener.fileno():
-                    try:
-                        sock = self.listener.accept()[0]
-                    except BlockingIOError:
-                        continue
-                    sock.setblocking(False)
-                    conns[sock.fileno()] = sock
-                    poll.register(sock, select.EPOLLIN)
-                    continue
-                came = now()
-                try:
-                    data = conns[fd].recv(4096)
-                except OSError:
-                    data = b""
-                if not data:
-                    poll.unregister(fd)
-                    conns.pop(fd).close()
-                elif data.startswith(b"OPEN "):
-                    waiting.append((came + self.delay, fd, data.split(b" ")[1].decode(), came))
+                    self.accept(poll, conns)
+                else:
+                    self.read(poll, conns, fd, waiting)
             while waiting and waiting[0][0] <= now():
                 _, fd, name, came = waiting.pop(0)
                 if fd in conns:
-                    answered = now()
-                    try:
-                        conns[fd].send(b"UP 1\r\n")
-                    except OSError:
-                        continue
-                    self.seen.append((name, came, answered))
+                    self.answer(conns[fd], name, came)
+
+    def accept(self, poll, conns):
+        try:
+            sock = self.listener.accept()[0]
+        except BlockingIOError:
+            return
+        sock.setblocking(False)
+        conns[sock.fileno()] = sock
+        poll.register(sock, select.EPOLLIN)
+
+    def read(self, poll, conns, fd, waiting):
+        came = now()
+        try:
+            data = conns[fd].recv(4096)
+        except OSError:
+            data = b""
+        if not data:
+            poll.unregister(fd)
+            conns.pop(fd).close()
+        elif data.startswith(b"OPEN "):
+            waiting.append((came + self.delay, fd, data.split(b" ")[1].decode(), came))
+
+    def answer(self, sock, name, came):
+        answered = now()
+        try:
+            sock.send(b"UP 1\r\n")
+        except OSError:
+            return
+        self.seen.append((name, came, answered))
 
 
 def measure(rate, seconds, delay_ms):
--- a/cottonspread/lab/sim/drawing.py
+++ b/cottonspread/lab/sim/drawing.py
@@ -64,12 +64,7 @@
             at = max(0.1, at)
     elif kind in plans.NODE_FAULTS or kind in ("late-writes", "crowding"):
         on = draws.some_of(nodes, draws.one_of((0.1, 0.3, 0.6)))
-        if kind == "freeze":
-            seconds = draws.one_of((0.05, 0.3, 1.0, 3.0, 6.0))
-        elif kind in ("reload", "retune", "replace"):
-            seconds, factor = 0.0, draws.one_of((0.0, 3.0))
-        elif kind == "quiesce":
-            seconds = max(seconds, 0.5)
+        seconds, factor = of_a_node(draws, kind, seconds, factor)
     elif kind in plans.LIST_FAULTS or kind in ("list-late", "contradict"):
         on = draws.some_of(nodes, draws.one_of((0.3, 1.0)))
         factor = draws.one_of((1.0, 3.0, 8.0))
@@ -83,6 +78,17 @@
     return plans.Happening(at=at, kind=kind, seconds=seconds, on=on, factor=factor)
 
 
+def of_a_node(draws, kind, seconds, factor):
+    """How long a node's own trouble lasts, and its factor."""
+    if kind == "freeze":
+        return draws.one_of((0.05, 0.3, 1.0, 3.0, 6.0)), factor
+    if kind in ("reload", "retune", "replace"):
+        return 0.0, draws.one_of((0.0, 3.0))
+    if kind == "quiesce":
+        return max(seconds, 0.5), factor
+    return seconds, factor
+
+
 def last(troubles):
     return max([one.at + one.seconds for one in troubles] or [0.0])
 
--- a/cottonspread/lab/sim/node.py
+++ b/cottonspread/lab/sim/node.py
@@ -71,10 +71,19 @@
             return
         while self.draining and side.inbox:
             side.take()
-        while not self.draining:
-            took = side.take(SIZE - len(self.buffer)) if side.inbox else b""
-            if not took:
-                break
+        if not self.draining and self.gather():
+            return
+        if side.broke:
+            self.over("reset")
+        elif side.ended or self.cut:
+            self.over("half-line" if self.buffer and not self.draining else "end")
+        elif self.buffer and not self.draining:
+            process.world.at(self.since + HALF_LINE_WAIT * SECOND, self.too_old, self.since)
+
+    def gather(self):
+        """Takes what is there; whether the reducer was told of a whole line, or of one too long."""
+        side, process = self.side, self.process
+        while took := side.take(SIZE - len(self.buffer)) if side.inbox else b"":
             if not self.buffer:
                 self.since = process.world.now
             self.buffer += took
@@ -84,16 +93,11 @@
                 del self.buffer[:end]
                 self.since = process.world.now
                 self.say(ev.Got(self.end, whole, bool(self.buffer), process.clock(side.came_at)))
-                return
+                return True
             if len(self.buffer) == SIZE:
                 self.over("long-line")
-                return
-        if side.broke:
-            self.over("reset")
-        elif side.ended or self.cut:
-            self.over("half-line" if self.buffer and not self.draining else "end")
-        elif self.buffer and not self.draining:
-            process.world.at(self.since + HALF_LINE_WAIT * SECOND, self.too_old, self.since)
+                return True
+        return False
 
     def too_old(self, since):
         if self.reading and self.buffer and self.since == since and not self.process.dead and not self.gone:
--- a/cottonspread/lab/sim/seam.py
+++ b/cottonspread/lab/sim/seam.py
@@ -91,15 +91,27 @@
                     self.need(not state.writing and not state.cut, who, "passed on in use", effect)
                 self.passing = client, host
 
+    def came(self, who, event):
+        fresh = event.end not in self.ends and event.end.client
+        self.need(fresh, who, "an end that came twice, or a host's", event)
+        self.ends[event.end] = EndState()
+
+    def passed(self, who, event):
+        ordered = self.passing is not None and self.passing[0].conn is event.conn
+        self.need(ordered, who, "passed on without an order", event)
+        for end in self.passing if event.taken else ():
+            state = self.ends[end]
+            idle = state.reading and not state.writing and not state.over
+            self.need(idle, who, "passed on in use", event)
+            state.reading = False
+        self.passing = None
+
     def told(self, event):
         """A word of the workers, before the reducer has it."""
         who = "workers"
         match event:
-            case ev.Came(end=end):
-                self.need(
-                    end not in self.ends and end.client, who, "an end that came twice, or a host's", event
-                )
-                self.ends[end] = EndState()
+            case ev.Came():
+                self.came(who, event)
             case ev.Connected(end=end, ok=ok):
                 state = self.known(who, end, event)
                 self.need(state.connecting, who, "connected twice", event)
@@ -120,20 +132,8 @@
             case ev.Asked(host=host):
                 self.need(self.probes.get(host, 0) > 0, who, "a probe that nobody ordered", event)
                 self.probes[host] -= 1
-            case ev.Passed(conn=conn, taken=taken):
-                self.need(
-                    self.passing is not None and self.passing[0].conn is conn,
-                    who,
-                    "passed on without an order",
-                    event,
-                )
-                for end in self.passing if taken else ():
-                    state = self.ends[end]
-                    self.need(
-                        state.reading and not state.writing and not state.over, who, "passed on in use", event
-                    )
-                    state.reading = False
-                self.passing = None
+            case ev.Passed():
+                self.passed(who, event)
             case ev.Adopted(client=client, host=host):
                 for end in (client, host):
                     self.need(end not in self.ends, who, "an end that came twice", event)
--- a/cottonspread/lab/standin.py
+++ b/cottonspread/lab/standin.py
@@ -82,72 +82,84 @@
 
     def serve(self, sock):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        first = b""
-        while not first.endswith(b"\n"):
-            got = sock.recv(4096)
-            if not got:
-                return
-            first += got
+        first = self.first_line(sock)
+        if not first:
+            return
         if first.strip() == b"PING":
             sock.sendall(b"PONG\r\n" if self.servers else b"ERR\r\n")
             return
         with self.lock:
             self.count += 1
             number = self.count
-        struck = number % 3 == 0
-        kind = next(p[2:] for p in first.decode().split()[3].split(",") if p.startswith("c="))
-        if struck and self.sabotage == "lost":
-            return
-        if struck and self.sabotage == "invented":
-            sock.sendall(b"UP 123\r\n")
-            return
-        if struck and self.sabotage == "late":
-            time.sleep(self.guards[kind] + 0.2)
-            sock.sendall(b"BUSY\r\n")
+        sabotage = self.sabotage if number % 3 == 0 else ""  # it strikes every third call
+        if self.spoiled_before(sock, first, sabotage):
             return
         name = self.choose(number)
         if name is None:
             sock.sendall(b"BUSY\r\n")
-            return
-        if struck and self.sabotage == "after":
+        elif sabotage == "after":
             sock.sendall(b"BUSY\r\n")
             time.sleep(0.2)
             self.leg(name, first)[0].close()
-            return
+        else:
+            self.set_up(sock, first, sabotage, number, name)
+
+    @staticmethod
+    def first_line(sock):
+        """b"" if the client ended before."""
+        first = b""
+        while not first.endswith(b"\n"):
+            got = sock.recv(4096)
+            if not got:
+                return b""
+            first += got
+        return first
+
+    def spoiled_before(self, sock, first, sabotage):
+        """The sabotages that need no host; whether it was one of them."""
+        if sabotage == "invented":
+            sock.sendall(b"UP 123\r\n")
+        elif sabotage == "late":
+            kind = next(p[2:] for p in first.decode().split()[3].split(",") if p.startswith("c="))
+            time.sleep(self.guards[kind] + 0.2)
+            sock.sendall(b"BUSY\r\n")
+        return sabotage in ("lost", "invented", "late")
+
+    def set_up(self, sock, first, sabotage, number, name):
+        """A leg, and what becomes of it."""
         try:
             other, file = self.leg(name, first)
         except OSError:
             sock.sendall(b"ERR\r\n")
             return
-        if struck and self.sabotage == "two":
+        if sabotage == "two":
             self.leg(self.choose(number, but=(name,)), first)[1].readline()
         try:
             answer = file.readline() or b"ERR\r\n"
         except OSError:
             answer = b"ERR\r\n"
-        if struck and self.sabotage in ("again", "rejected"):
+        if sabotage in ("again", "rejected"):
             other.close()  # it has run; its answer is thrown away
-            if self.sabotage == "rejected":
+            if sabotage == "rejected":
                 sock.sendall(b"BUSY\r\n")
                 return
             other, file = self.leg(self.choose(number, but=(name,)), first)
             answer = file.readline()
         with other:
-            sock.sendall(
-                answer
-                + (b"UP 99\r\n" if struck and self.sabotage == "twice" and answer.startswith(b"UP") else b"")
-            )
-            if not answer.startswith(b"UP"):
-                return
-            if struck and self.sabotage == "cut":
-                time.sleep(0.1)
-                return
-            threading.Thread(target=self.relay, args=(sock, other), daemon=True).start()
-            try:
-                while data := file.read1(65536):
-                    sock.sendall(data)
-            except OSError:
-                pass
+            up = answer.startswith(b"UP")
+            sock.sendall(answer + (b"UP 99\r\n" if sabotage == "twice" and up else b""))
+            if up:
+                self.stand(sock, other, file, sabotage)
+
+    def stand(self, sock, other, file, sabotage):
+        """Lines go both ways until one side ends."""
+        if sabotage == "cut":
+            time.sleep(0.1)
+            return
+        threading.Thread(target=self.relay, args=(sock, other), daemon=True).start()
+        with contextlib.suppress(OSError):
+            while data := file.read1(65536):
+                sock.sendall(data)
 
     def leg(self, name, first):
         sock = socket.create_connection(self.servers[name], timeout=5)
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -771,17 +771,28 @@
         elif end.finish:
             self.close(end)
         elif not e.ok:
-            if end.client:
-                self.client_over(conn, "reset")
-            elif e.why == "client-gone":  # its own end comes as well, perhaps behind much else
-                self.client_over(conn, "end")
-            elif e.why:
-                self.not_begun(end.leg, e.why)
-            elif not end.leg.written:
-                self.end_leg(end.leg, Ending.CONNECT_FAILED)
-            else:
-                self.host_over(end.leg, "reset")
-        elif first:
+            self.write_failed(end, e.why)
+        else:
+            self.read_on(end, first)
+
+    def write_failed(self, end, why):
+        """`why`: the reason if an attempt's first line was not begun, else ""."""
+        conn = end.conn
+        if end.client:
+            self.client_over(conn, "reset")
+        elif why == "client-gone":  # its own end comes as well, perhaps behind much else
+            self.client_over(conn, "end")
+        elif why:
+            self.not_begun(end.leg, why)
+        elif not end.leg.written:
+            self.end_leg(end.leg, Ending.CONNECT_FAILED)
+        else:
+            self.host_over(end.leg, "reset")
+
+    def read_on(self, end, first):
+        """What was written is out: whose lines are read next. `first`: it was an attempt's first line."""
+        conn = end.conn
+        if first:
             self.read(end)
         elif not end.client:
             self.read(conn.client)  # the next lines only once these are out: nothing piles up here
--- a/cottonspread/net/workers.py
+++ b/cottonspread/net/workers.py
@@ -263,27 +263,31 @@
             if worker is None:  # freed already
                 continue
             try:
-                if isinstance(effect, ev.Write):
-                    why = self.must_not_begin(effect) if effect.attempt else ""
-                    if why:
-                        self.post(ev.Written(effect.end, False, why=why))
-                    else:
-                        self.write(worker.sock, effect)
-                elif isinstance(effect, ev.Free):  # behind the others: no order may meet a number used again
-                    if worker.gatherer is not None and worker.gatherer.gone:
-                        worker.sock.close()  # its thread looks up only when something comes to the new owner
-                    worker.orders.put(effect)
-                elif isinstance(effect, ev.Finish):
-                    worker.sock.shutdown(socket.SHUT_WR)
-                elif effect.broken:
-                    worker.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-                    worker.sock.shutdown(socket.SHUT_RD)  # wakes its reader; the reset goes out at the close
-                else:
-                    worker.sock.shutdown(socket.SHUT_RDWR)
+                self.write_one(worker, effect)
             except (OSError, RuntimeError):  # the other side was first, or no thread is to be had
                 if isinstance(effect, ev.Write):
                     self.post(ev.Written(effect.end, False))
 
+    def write_one(self, worker, effect):
+        """One order that belongs to an end: what is to be sent, or how its sending ends."""
+        if isinstance(effect, ev.Write):
+            why = self.must_not_begin(effect) if effect.attempt else ""
+            if why:
+                self.post(ev.Written(effect.end, False, why=why))
+            else:
+                self.write(worker.sock, effect)
+        elif isinstance(effect, ev.Free):  # behind the others: no order may meet a number used again
+            if worker.gatherer is not None and worker.gatherer.gone:
+                worker.sock.close()  # its thread looks up only when something comes to the new owner
+            worker.orders.put(effect)
+        elif isinstance(effect, ev.Finish):
+            worker.sock.shutdown(socket.SHUT_WR)
+        elif effect.broken:
+            worker.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            worker.sock.shutdown(socket.SHUT_RD)  # wakes its reader; the reset goes out at the close
+        else:
+            worker.sock.shutdown(socket.SHUT_RDWR)
+
     def must_not_begin(self, effect):
         """What the reducer could not know yet when it ordered an attempt's first line: its
         client has left, which lies in the queue behind much else on a busy node, or its time has
--- a/tests/test_many_nodes.py
+++ b/tests/test_many_nodes.py
@@ -214,16 +214,21 @@
                     nodes[n].handle(now, io.Accepted(id, 0, 0))
                     sent.setdefault(action.host, []).append(now)
                     ends.append((now + LASTS, nodes[n], id))
-    over, carried = (
-        [],
-        sum(len(times) for name, times in sent.items() if name[0] == "w") / 8 * LASTS / (20 * SECOND),
-    )
-    for host in [f"s{n}" for n in range(4)]:
-        for at in sent.get(host, []):
-            part = COLD + (1 - COLD) * max(0, at - SECOND) / WARM
-            allowed = MULTIPLE * part * carried
-            over.append(sum(at <= t < at + WINDOW for t in sent[host]) - allowed - 2 * allowed**0.5 - 2)
-    return max(over), sum(len(sent.get(f"s{n}", [])) for n in range(4))
+    carried = sum(len(times) for name, times in sent.items() if name[0] == "w") / 8 * LASTS / (20 * SECOND)
+    cold = [times for name, times in sent.items() if name[0] == "s"]
+    return max(over_budget(times, carried) for times in cold), sum(len(times) for times in cold)
+
+
+def over_budget(times, carried):
+    """By how many calls the worst window of one cold server, begun at 1 s, passes its budget and chance;
+    `carried`: what a warm one carries.
+    """
+    over = []
+    for at in times:
+        part = COLD + (1 - COLD) * max(0, at - SECOND) / WARM
+        allowed = MULTIPLE * part * carried
+        over.append(sum(at <= t < at + WINDOW for t in times) - allowed - 2 * allowed**0.5 - 2)
+    return max(over)
 
 
 @pytest.mark.parametrize("unequal, restarts", ((False, False), (True, False), (False, True), (True, True)))
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -67,6 +67,19 @@
         self.whole = set()  # hosts' ends that got a first line whole
         self.adopted = set()  # clients that stood when they came here
         self.now = 0
+        self.handlers = {
+            ev.Connect: self.connect,
+            ev.Read: self.read,
+            ev.Drain: self.read,
+            ev.Write: self.write,
+            ev.Finish: lambda effect, end, name: self.out.append(["finish", name]),
+            ev.Cut: lambda effect, end, name: self.out.append(["cut", name] + ["broken"] * effect.broken),
+            ev.Free: self.free,
+            ev.Pass: self.pass_on,
+            ev.Ask: self.ask,
+            ev.Say: self.log,
+            ev.Stop: lambda effect, end, name: self.out.append(["stop"]),
+        }
         self.perform(self.reducer.step(0, ev.Tick()))
 
     def named(self, end, name):
@@ -81,53 +94,8 @@
             end = getattr(effect, "end", None)
             name = self.names.get(end)
             assert end is None or end not in self.freed, f"{effect} after {name} was given back"
-            match effect:
-                case ev.Connect():
-                    name = f"h{1 + sum(n[0] == 'h' for n in self.ends)}"
-                    self.named(end, name)
-                    self.out.append(["connect", name, effect.address[0]])
-                case ev.Read() | ev.Drain():
-                    assert end not in self.reading, f"two reads on {name}"
-                    self.reading.add(end)
-                case ev.Write():
-                    assert end not in self.writing, f"two writes on {name}"
-                    self.writing.add(end)
-                    if end.client and effect.data.split()[0] != b"PONG":
-                        self.said.setdefault(name, []).append(effect.data)
-                    self.out += [["write", name, *line.split()] for line in effect.data.decode().splitlines()]
-                case ev.Finish():
-                    self.out.append(["finish", name])
-                case ev.Cut():
-                    self.out.append(["cut", name] + ["broken"] * effect.broken)
-                case ev.Free():
-                    assert end not in self.reading and end not in self.writing, f"{name} given back in use"
-                    self.freed.add(end)
-                    if end in self.passed:
-                        self.out.append(["free", name])
-                case ev.Pass():
-                    assert {effect.client, effect.host} <= self.reading, "passed on while nobody reads it"
-                    assert not {effect.client, effect.host} & self.writing and not self.away
-                    self.away = effect
-                    one = effect.standing
-                    self.out.append(
-                        ["pass", self.names[effect.client], one.id, one.type, one.host, str(len(one.waiting))]
-                    )
-                case ev.Ask():
-                    self.asks.append(effect.host)
-                    self.out.append(["ask", effect.host])
-                case ev.Say(event="closed"):
-                    client = next(
-                        n
-                        for n, e in self.ends.items()
-                        if e.client
-                        and e.conn is not None
-                        and e.freed
-                        and n not in self.said.get("closed", [])
-                    )
-                    self.said.setdefault("closed", []).append(client)
-                    self.out.append(["closed", client, effect.pairs["reason"]])
-                case ev.Stop():
-                    self.out.append(["stop"])
+            if handler := self.handlers.get(type(effect)):
+                handler(effect, end, name)
         for effect in effects:
             end = getattr(effect, "end", None)
             if isinstance(effect, ev.Cut) and end in self.reading:  # wakes its reader
@@ -136,6 +104,52 @@
             elif isinstance(effect, ev.Write) and end in self.writing and self.names[end] not in self.held:
                 self.written(end, True)
 
+    def connect(self, effect, end, _):
+        name = f"h{1 + sum(n[0] == 'h' for n in self.ends)}"
+        self.named(end, name)
+        self.out.append(["connect", name, effect.address[0]])
+
+    def read(self, _, end, name):
+        assert end not in self.reading, f"two reads on {name}"
+        self.reading.add(end)
+
+    def write(self, effect, end, name):
+        assert end not in self.writing, f"two writes on {name}"
+        self.writing.add(end)
+        if end.client and effect.data.split()[0] != b"PONG":
+            self.said.setdefault(name, []).append(effect.data)
+        self.out += [["write", name, *line.split()] for line in effect.data.decode().splitlines()]
+
+    def free(self, _, end, name):
+        assert end not in self.reading and end not in self.writing, f"{name} given back in use"
+        self.freed.add(end)
+        if end in self.passed:
+            self.out.append(["free", name])
+
+    def pass_on(self, effect, *_):
+        assert {effect.client, effect.host} <= self.reading, "passed on while nobody reads it"
+        assert not {effect.client, effect.host} & self.writing and not self.away
+        self.away = effect
+        one = effect.standing
+        self.out.append(
+            ["pass", self.names[effect.client], one.id, one.type, one.host, str(len(one.waiting))]
+        )
+
+    def ask(self, effect, *_):
+        self.asks.append(effect.host)
+        self.out.append(["ask", effect.host])
+
+    def log(self, effect, *_):
+        """Of what is logged, the ends of clients are minded."""
+        if effect.event != "closed":
+            return
+        told = self.said.setdefault("closed", [])
+        client = next(
+            n for n, e in self.ends.items() if e.client and e.conn is not None and e.freed and n not in told
+        )
+        told.append(client)
+        self.out.append(["closed", client, effect.pairs["reason"]])
+
     def written(self, end, ok, why=""):
         self.writing.discard(end)
         if ok and not end.client:
@@ -165,109 +179,139 @@
         if verb == "at":
             at, verb, *args = ms(args[0]), *args[1:]
         end = self.ends.get(args[0]) if args else None
-        match verb:
-            case "list":
-                listed = io.Listed(
-                    io.News.SAVED if args[0] == "saved" else io.News[args[0].upper()],
-                    1,
-                    tuple(entry(word) for word in args[1:]),
-                )
-                ports = {
-                    word.partition(":")[0]: pairs(word.partition(":")[2].split(",")).get("port", 80)
-                    for word in args[1:]
-                }
-                self.step(ev.Heard(listed, {e.host: (e.host, int(ports[e.host])) for e in listed.entries}))
-            case "down":
-                self.step(ev.ListFailed())
-            case "came":
-                self.step(ev.Came(self.named(ev.End(True), args[0])))
-            case "got" | "half":
-                assert end in self.reading, f"nobody reads {args[0]}"
-                self.reading.discard(end)
-                data = "".join(text.strip() + "\r\n" for text in " ".join(args[1:]).split("|"))
-                self.step(ev.Got(end, data.encode(), verb == "half", at), at)
-            case "up" | "fail":
-                self.step(ev.Connected(end, verb == "up"))
-            case "hold":
-                self.held.add(args[0])
-            case "wrote":
-                self.held.discard(args[0])
-                self.written(end, len(args) == 1, "".join(args[1:]).replace("broken", ""))
-            case "passed":
-                effect, self.away = self.away, None
-                assert effect.client is end
-                if args[1] == "taken":
-                    self.passed |= {effect.client, effect.host}
-                    self.reading -= self.passed
-                self.step(ev.Passed(effect.conn, args[1] == "taken", args[1] == "again"))
-            case "adopt":
-                ends = self.named(ev.End(True), args[0]), self.named(ev.End(False), args[1])
-                key, load = [*args[5:], None, 0][:2]
-                self.adopted.update(ends)
-                self.step(
-                    ev.Adopted(
-                        *ends,
-                        handover.Standing(args[2], args[3], args[4], now, 0, key, key, load=float(load or 0)),
-                        lambda taken: self.out.append(["adopted", "yes" if taken else "no"]),
-                    )
-                )
-            case "over":
-                assert end in self.reading, f"nobody reads {args[0]}"
-                self.reading.discard(end)
-                self.step(ev.Over(end, args[1] if len(args) > 1 else "end"))
-            case "asked":
-                self.asks.remove(args[0])
-                report = {"x0": float(args[2])} if len(args) > 2 else {}
-                self.step(ev.Asked(args[0], io.Ending[args[1].upper()], report))
-            case "stop":
-                self.step(ev.StopAsked("handed" in args, "heir" in args))
-            case "retune" if not args:
-                self.step(ev.NotRetuned())
-            case "retune":
-                site, *types = [part.split() for part in " ".join(args).split("|")]
-                types = [traffic_type(words[0], pairs(words[1:])) for words in types]
-                self.step(ev.Retuned(begin(pairs(site), types), names_of(types), self.reducer.hearing))
-            case "handed":
-                words = [word.partition("=")[::2] for word in args]
-                self.step(
-                    ev.Inherited(
-                        handover.HandOver(
-                            50,
-                            "draining" in args,
-                            tuple(v for k, v in words if k == "id"),
-                            tuple((k, v) for k, v in words if v and k != "id"),
-                        )
-                    )
-                )
-            case "handover":
-                self.step(
-                    ev.HandOverAsked(
-                        lambda handed: self.out.append(
-                            [
-                                "handed",
-                                f"room={handed.room}",
-                                *handed.ids,
-                                *(f"{k}={h}" for k, h in handed.records),
-                                *(f"{h}:{n}" for h, _, n in handed.sent),
-                                *["draining"] * handed.draining,
-                            ]
-                        )
-                    )
-                )
-            case "drain" | "resume":
-                self.step(ev.DrainAsked(verb == "drain"))
-            case "figures":
-                told = {
-                    name + "." * bool(labels) + labels[7:-2]: value
-                    for name, labels, value in self.reducer.figures.numbers(len(self.reducer.by_id))
-                }
-                for word in args:
-                    assert told[word.split("=")[0]] == int(word.split("=")[1]), (word, told)
-            case "tick" | "asleep":
-                self.step(ev.Tick())
+        getattr(self, "on_" + verb)(end, args, at)  # a verb that is none is an error, and no silence
         out, self.out = self.out, []
         return out
 
+    def on_list(self, end, args, at):
+        listed = io.Listed(
+            io.News.SAVED if args[0] == "saved" else io.News[args[0].upper()],
+            1,
+            tuple(entry(word) for word in args[1:]),
+        )
+        ports = {
+            word.partition(":")[0]: pairs(word.partition(":")[2].split(",")).get("port", 80)
+            for word in args[1:]
+        }
+        self.step(ev.Heard(listed, {e.host: (e.host, int(ports[e.host])) for e in listed.entries}))
+
+    def on_down(self, end, args, at):
+        self.step(ev.ListFailed())
+
+    def on_came(self, end, args, at):
+        self.step(ev.Came(self.named(ev.End(True), args[0])))
+
+    def on_got(self, end, args, at, more=False):
+        assert end in self.reading, f"nobody reads {args[0]}"
+        self.reading.discard(end)
+        data = "".join(text.strip() + "\r\n" for text in " ".join(args[1:]).split("|"))
+        self.step(ev.Got(end, data.encode(), more, at), at)
+
+    def on_half(self, end, args, at):
+        self.on_got(end, args, at, more=True)
+
+    def on_up(self, end, args, at):
+        self.step(ev.Connected(end, True))
+
+    def on_fail(self, end, args, at):
+        self.step(ev.Connected(end, False))
+
+    def on_hold(self, end, args, at):
+        self.held.add(args[0])
+
+    def on_wrote(self, end, args, at):
+        self.held.discard(args[0])
+        self.written(end, len(args) == 1, "".join(args[1:]).replace("broken", ""))
+
+    def on_passed(self, end, args, at):
+        effect, self.away = self.away, None
+        assert effect.client is end
+        if args[1] == "taken":
+            self.passed |= {effect.client, effect.host}
+            self.reading -= self.passed
+        self.step(ev.Passed(effect.conn, args[1] == "taken", args[1] == "again"))
+
+    def on_adopt(self, end, args, at):
+        ends = self.named(ev.End(True), args[0]), self.named(ev.End(False), args[1])
+        key, load = [*args[5:], None, 0][:2]
+        self.adopted.update(ends)
+        self.step(
+            ev.Adopted(
+                *ends,
+                handover.Standing(args[2], args[3], args[4], self.now, 0, key, key, load=float(load or 0)),
+                lambda taken: self.out.append(["adopted", "yes" if taken else "no"]),
+            )
+        )
+
+    def on_over(self, end, args, at):
+        assert end in self.reading, f"nobody reads {args[0]}"
+        self.reading.discard(end)
+        self.step(ev.Over(end, args[1] if len(args) > 1 else "end"))
+
+    def on_asked(self, end, args, at):
+        self.asks.remove(args[0])
+        report = {"x0": float(args[2])} if len(args) > 2 else {}
+        self.step(ev.Asked(args[0], io.Ending[args[1].upper()], report))
+
+    def on_stop(self, end, args, at):
+        self.step(ev.StopAsked("handed" in args, "heir" in args))
+
+    def on_retune(self, end, args, at):
+        if not args:
+            self.step(ev.NotRetuned())
+            return
+        site, *types = [part.split() for part in " ".join(args).split("|")]
+        types = [traffic_type(words[0], pairs(words[1:])) for words in types]
+        self.step(ev.Retuned(begin(pairs(site), types), names_of(types), self.reducer.hearing))
+
+    def on_handed(self, end, args, at):
+        words = [word.partition("=")[::2] for word in args]
+        self.step(
+            ev.Inherited(
+                handover.HandOver(
+                    50,
+                    "draining" in args,
+                    tuple(v for k, v in words if k == "id"),
+                    tuple((k, v) for k, v in words if v and k != "id"),
+                )
+            )
+        )
+
+    def on_handover(self, end, args, at):
+        self.step(
+            ev.HandOverAsked(
+                lambda handed: self.out.append(
+                    [
+                        "handed",
+                        f"room={handed.room}",
+                        *handed.ids,
+                        *(f"{k}={h}" for k, h in handed.records),
+                        *(f"{h}:{n}" for h, _, n in handed.sent),
+                        *["draining"] * handed.draining,
+                    ]
+                )
+            )
+        )
+
+    def on_drain(self, end, args, at):
+        self.step(ev.DrainAsked(True))
+
+    def on_resume(self, end, args, at):
+        self.step(ev.DrainAsked(False))
+
+    def on_figures(self, end, args, at):
+        told = {
+            name + "." * bool(labels) + labels[7:-2]: value
+            for name, labels, value in self.reducer.figures.numbers(len(self.reducer.by_id))
+        }
+        for word in args:
+            assert told[word.split("=")[0]] == int(word.split("=")[1]), (word, told)
+
+    def on_tick(self, end, args, at):
+        self.step(ev.Tick())
+
+    on_asleep = on_tick
+
     def finish(self):
         """Everybody leaves: nothing may be left, and each call had its one answer."""
         for name in list(self.asks):
