A reload cannot give up the new list, and two silences take no longer than one

Read in the code, then forced: three crossings of the list's calls that no test met. - Discovery.follow set the new target and then gave up whatever connection was in use: if the list's thread had moved on between the two, that was the new one, and Http.given_up is for good, so the list was dead until the next reload. It gives up any but the new one. - Http.get gave the repeat on a new connection its whole time again: a silence, a reset just before the time was up and a second silence took 6 s and a pause, where a change counts after 6 s. The time is one for both. - In ask mode a failed call is followed by up to 4.5 s until the module asks again; a reload waited for that as well (4 s are allowed). Tests: the three fail on the text before, each passes now; so do a late silence after watches that were answered, and whole lists (a host missing, draining, moved) as a watch's answer or by a reload while a connection comes up, which the text met already. tests/crossings/test_list.py and tests/test_net.py pass on a machine with other load.

--- a/cottonspread/net/discovery.py
+++ b/cottonspread/net/discovery.py
@@ -106,9 +106,14 @@
         self.target = self.http  # what is to be followed from now on
 
     def follow(self, address):
-        """From another thread: what the new address tells counts at once, so no watch at the old one is waited for."""
-        self.target = Http(address, self.CONNECT)
-        self.http.give_up()
+        """From another thread: what the new address tells counts at once, so neither a watch at the old one nor the wait for the next
+        time to ask is waited for."""
+        self.target = target = Http(address, self.CONNECT)
+        current = self.http
+        # The thread may have moved on just now, and a connection that was given up is given up for good: the list died.
+        if current is not target:
+            current.give_up()
+        self.wanted.set()
         self.hurry.set()
 
     def begin(self, listed, addresses, unread, trusted):
--- a/cottonspread/net/http.py
+++ b/cottonspread/net/http.py
@@ -38,9 +38,10 @@
     def get(self, path, wait):
         """The body of the answer, within `wait` seconds for all of it; OSError or BadAnswer if there is none."""
         kept = self.sock is not None
+        self.until = time.monotonic() + wait
         try:
             try:
-                return self.call(path, wait)
+                return self.call(path)
             except BadStatus:
                 raise
             except (ConnectionError, BadAnswer):
@@ -48,15 +49,17 @@
                 if not kept or self.sock is None or self.rest or self.given_up:
                     raise
                 self.close()
-                return self.call(path, wait)
+                return self.call(
+                    path
+                )  # in what is left: two silences, one behind the other, were waited out in full
         except (OSError, BadAnswer):
             self.close()
             raise
 
-    def call(self, path, wait):
-        self.until = time.monotonic() + wait
+    def call(self, path):
         if self.sock is None:
-            self.sock = socket.create_connection(self.address, timeout=min(wait, self.connect_wait))
+            wait = min(self.left(), self.connect_wait)
+            self.sock = socket.create_connection(self.address, timeout=wait)
             self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if self.given_up:  # just while it was connecting
             raise ConnectionAbortedError("given up")
@@ -73,11 +76,15 @@
             raise BadStatus(f"status {status}")
         return body
 
-    def more(self):
+    def left(self):
+        """Seconds left for the answer; TimeoutError if there are none."""
         left = self.until - time.monotonic()
         if left <= 0:
             raise TimeoutError("the answer takes too long")
-        self.sock.settimeout(left)
+        return left
+
+    def more(self):
+        self.sock.settimeout(self.left())
         got = self.sock.recv(65536)
         self.rest += got
         return bool(got)
--- a/tests/crossings/test_list.py
+++ b/tests/crossings/test_list.py
@@ -7,10 +7,25 @@
 import time
 
 import pytest
-from standins import SETTINGS, WAIT, Agent, Host, client, listed, ok, opening, running, until
-
-from cottonspread.net import discovery
+from standins import (
+    SETTINGS,
+    WAIT,
+    Agent,
+    Gate,
+    Host,
+    client,
+    hold_connects,
+    listed,
+    ok,
+    opening,
+    running,
+    until,
+)
+
+from cottonspread import interface as io
+from cottonspread.net import discovery, http
 from cottonspread.net import events as ev
+from cottonspread.net.http import Http
 
 TOLD = 6.0 / 10
 ROOM = 0.25  # for a machine that is busy with other tests; the bound itself is reckoned below
@@ -260,3 +275,153 @@
         assert "since=" not in first.path and "since=1" in watch.path
         node.seen.wait(ev.Heard, lambda e: e.listed.entries)
         assert not any(isinstance(e, ev.ListFailed) for e in node.seen.told)
+
+
+def test_a_reload_between_its_two_halves_does_not_give_the_new_list_up(hosts, agent, monkeypatch):
+    """The list's thread moves on right behind the first half of `follow`: the new address was given up in place of the old, for good."""
+    second, made, follow = (
+        Agent(version=40).list(hosts[1]),
+        threading.Event(),
+        discovery.Discovery.__setattr__,
+    )
+
+    def setting(self, name, value):
+        follow(self, name, value)
+        if name == "target" and hasattr(self, "hurry") and not made.is_set():
+            made.set()
+            agent.change(hosts[0], "Ready")
+            until(lambda: self.http is value, "the thread does not move")
+
+    with running(agent) as node:
+        listed(node)
+        monkeypatch.setattr(discovery.Discovery, "__setattr__", setting)
+        node.follow(second.address)
+        monkeypatch.undo()
+        assert made.is_set()
+        listed(node, 40)
+        second.change(hosts[0], "Ready")
+        listed(node, 41)
+
+
+def test_a_reload_asks_the_new_list_at_once_while_the_next_time_to_ask_is_far(hosts):
+    """Where lists are asked for, a call that failed is followed by a wait that the module chooses: here it never ends."""
+    old, new = Agent().list(hosts[0]), Agent(version=40).list(*hosts)
+    old.always = refused
+
+    def before(node):
+        node.reducer.handlers[ev.ListFailed] = lambda e: None
+
+    with running(old, before, settings=SETTINGS | {"MembershipMode": "ask", "AskEvery": 10_000}) as node:
+        node.seen.wait(ev.ListFailed)
+        node.follow(new.address)
+        listed(node, 40)
+
+
+def test_a_reset_in_a_call_gives_the_next_one_no_longer_time(monkeypatch):
+    """A silence, a reset just before its time was up and a second silence were waited out one behind the other: 6 s and a pause."""
+    clock = Clock()
+    monkeypatch.setattr(http, "time", clock)
+    agent, calls = Agent(), []
+
+    def first(call):
+        call.say(ok({}))
+
+    def second(call):
+        calls.append(call)
+        clock.now += 2.9
+        call.reset()
+
+    def third(call):
+        calls.append(call)
+        clock.now += 0.2
+        call.hold()
+
+    for script in (first, second, third):
+        agent.scripted.put(script)
+    one = Http(agent.address, 0.5)
+    one.get("/", 3.0)
+    with pytest.raises(TimeoutError):
+        one.get("/", 3.0)
+    assert len(calls) <= 2 and one.until == 3.0
+
+
+class Clock:
+    """Stands still until the test moves it."""
+
+    now = 0.0
+
+    def monotonic(self):
+        return self.now
+
+
+@pytest.mark.parametrize("answered", (1, 6))
+def test_a_silence_after_watches_that_were_answered_is_a_silence(hosts, agent, scaled, answered):
+    """Late in a connection's life, with a drain right behind it: the watch is opened anew, on a connection of its own."""
+    silences = []
+
+    def no_news(call):
+        call.say(ok({"generation": agent.version, "reset": False, "instances": []}))
+
+    def falls_silent(call):
+        silences.append(call)
+        agent.change(hosts[0], "Terminating")
+        call.hold()
+
+    with running(agent) as node:
+        listed(node)
+        for _ in range(answered):
+            agent.scripted.put(no_news)
+        agent.scripted.put(falls_silent)
+        agent.change(hosts[1], "Ready")
+        node.seen.wait(ev.Heard, lambda e: any(one.state is io.State.DRAINING for one in e.listed.entries))
+        assert len(silences) == 1
+        one = client(node, opening(1))
+        peer = hosts[1].take()
+        assert peer.hear().startswith(b"OPEN ") and not hosts[0].waits()
+        peer.close()
+        one.close()
+
+
+def ready(host, **changed):
+    return host.entry | {"lifecycle": "Ready"} | changed
+
+
+def without(host, other):
+    return [ready(other)]
+
+
+def drains(host, other):
+    return [ready(host, lifecycle="Terminating"), ready(other)]
+
+
+def moved(host, other):
+    """Another server stands under its name by now."""
+    return [ready(host, hostPort="127.0.0.1:1"), ready(other)]
+
+
+@pytest.mark.parametrize("kind", (without, drains, moved), ids=lambda kind: kind.__name__)
+@pytest.mark.parametrize("reload", (False, True), ids=("watch", "reload"))
+def test_a_whole_list_in_the_midst_of_an_attempt_is_kept_to(hosts, agent, monkeypatch, kind, reload):
+    """The answer to a watch is the whole list, or a reload brings it, while a connection comes up: nothing goes where it led."""
+    gate = hold_connects(monkeypatch, lambda nth: nth == 1)
+    with running(agent) as node:
+        listed(node)
+        one = client(node, opening(1, "once"))
+        assert gate.here.wait(WAIT)
+        first, other = sorted(hosts, key=lambda h: not h.waits())
+        whole = ok({"generation": 40, "reset": True, "instances": kind(first, other)})
+        if reload:
+            second = Agent(version=40)
+            second.scripted.put(lambda call: call.say(whole))
+            node.follow(second.address)
+        else:
+            agent.scripted.put(lambda call: (setattr(agent, "version", 40), call.say(whole)))
+            agent.change(other, "Ready")  # ends the watch that is out
+        listed(node, 40)
+        gate.open.set()
+        assert first.take().rest() == b""
+        peer = other.take()
+        assert peer.hear().startswith(b"OPEN 00000001 ")
+        peer.say(b"UP r")
+        assert one.hear() == b"UP r"
+        peer.close()
