--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -194,3 +194,115 @@
         assert said in (b"UP r", b"ERR", b"BUSY")
         if said != b"UP r":
             assert one.hear() == b"" and peer.rest() == b""
+
+
+@pytest.mark.parametrize("kind", ("plain", "once", "marked"))
+def test_a_host_killed_right_behind_its_accept_was_never_asked(hosts, agent, monkeypatch, kind):
+    """The connection is up and is reset before the first byte: nothing ran, so also a call that must not run twice goes elsewhere."""
+    gate = hold_connects(monkeypatch, lambda nth: nth == 1)
+    with running(agent) as node:
+        listed(node)
+        one = client(node, opening(1, kind))
+        assert gate.here.wait(10)
+        first, other = sorted(hosts, key=lambda h: not h.waits())
+        first.take().close("reset")
+        gate.open.set()
+        peer = other.take()
+        assert peer.hear().startswith(b"OPEN 00000001 ")
+        peer.say(b"UP r")
+        assert one.hear() == b"UP r"
+        peer.close()
+
+
+@pytest.mark.parametrize("how", ("reset", "half"))
+def test_a_host_killed_over_a_line_that_it_has_not_read_may_have_run_it(hosts, agent, how):
+    """Its machine had taken the whole line: a call that must not run twice is answered as failed, and stays where it was."""
+    with running(agent) as node:
+        listed(node)
+        one = client(node, opening(1, "once"))
+        until(lambda: any(h.waits() for h in hosts), "nobody came")
+        first, other = sorted(hosts, key=lambda h: not h.waits())
+        peer = first.take()
+        node.seen.wait(ev.Written, lambda e: not e.end.client)
+        peer.close(how)
+        assert one.hear() == b"ERR" and one.hear() == b""
+        assert not other.waits()
+
+
+def test_a_client_killed_right_behind_its_accept_leaves_nothing_behind(hosts, agent):
+    """Its reset, or its line and then the reset, is here before the node looks at the connection at all."""
+    gate = Gate()
+
+    def before(node):
+        accepted = node.accepted
+
+        def held(sock):
+            gate.wait()
+            accepted(sock)
+
+        node.accepted = held
+
+    with running(agent, before) as node:
+        listed(node)
+        many = [client(node) if n % 2 else client(node, opening(n)) for n in range(20)]
+        assert gate.here.wait(10)
+        for one in many:
+            one.close("reset")
+        gate.open.set()
+        last = client(node, opening(99))  # behind them in the listener's queue: they have all been accepted
+        while not (peer := serve(hosts)).line:  # a connection was begun, and nothing sent on it
+            pass
+        assert peer.line.startswith(b"OPEN 00000063 "), "sent for nobody"
+        peer.say(b"UP r")
+        assert last.hear() == b"UP r"
+        last.close()
+        assert peer.rest() == b""
+        until(lambda: not node.reducer.conns and not node.workers.live, "a descriptor is kept")
+        for host in hosts:
+            while host.waits():
+                assert host.take().rest() == b""
+
+
+def test_every_call_is_answered_whatever_its_hosts_do(hosts, agent):
+    """Sixty calls at hosts that say nothing, break, refuse, say nonsense or half a line: each has one last line, and in its time,
+    which the node counts itself (`overdue`)."""
+    stop, held = threading.Event(), []
+
+    def play(host):
+        while not stop.is_set():
+            try:
+                peer = host.take()
+            except OSError:
+                return
+            held.append(peer)
+            line = peer.hear()
+            said = (
+                (None, b"", b"BUSY\r\n", b"\x00\xff\r\n", b"UP", b"ERR\r\n")[len(held) % 6] if line else b""
+            )
+            if said is None:  # it hangs
+                continue
+            peer.sock.sendall(said)
+            if len(held) % 4 or said == b"":
+                peer.close("reset" if len(held) % 2 else "close")
+
+    threads = [threading.Thread(target=play, args=(host,), daemon=True) for host in hosts]
+    for thread in threads:
+        thread.start()
+    with running(agent) as node:
+        listed(node)
+        many = [
+            client(node, opening(n, ("plain", "once", "marked")[n % 3], wait=300 + 40 * (n % 10)))
+            for n in range(60)
+        ]
+        for one in many:
+            assert one.hear().split()[:1] in ([b"BUSY"], [b"ERR"])
+            assert one.hear() == b""
+            one.close()
+        assert sum(node.ended.values()) <= 60 and not node.ended["overdue"]
+        until(lambda: sum(node.ended.values()) == 60, "not all ended")
+        assert not node.ended["overdue"]
+    stop.set()
+    for host in hosts:
+        host.close()
+    for peer in held:
+        peer.close()
--- a/tests/crossings/test_list.py
+++ b/tests/crossings/test_list.py
@@ -11,7 +11,6 @@
     SETTINGS,
     WAIT,
     Agent,
-    Gate,
     Host,
     client,
     hold_connects,
