--- a/benchmarks/crossings/mutants.py
+++ b/benchmarks/crossings/mutants.py
@@ -19,6 +19,11 @@
     f"tests/crossings/test_{name}.py" for name in ("attempts", "closing", "shutdown", "list", "floods")
 )
 SCENARIO = "tests/test_reducer.py::test_scenario"
+PIECES, DRAWN = (
+    "tests/crossings/test_pieces.py",
+    "tests/test_reducer.py::test_whatever_comes_is_answered_once_and_given_back",
+)
+POLICY = "policy"  # the decisions: whichever of their files has the line
 
 # (what is taken out, file, the line as it stands, the line in its place, tests of which one must fail)
 MUTANTS = [
@@ -49,7 +54,7 @@
     ),
     (
         "the window for repeats in that look",
-        "decide.py",
+        POLICY,
         "result = yield io.Send(call.id, host.name, until, remembered_until(call))",
         "result = yield io.Send(call.id, host.name, until)",
         [
@@ -128,8 +133,8 @@
     (
         "an answer to a line too long",
         "net/reducer.py",
-        'if how.endswith("-line"):            # it is still there',
-        "if False:            # it is still there",
+        '        if how.endswith(\n            "-line"\n        ):',
+        "        if False:",
         [f"{CLOSING}::test_what_is_no_first_line_is_answered_and_read_to_its_end"],
     ),
     (
@@ -198,8 +203,8 @@
     (
         "the last moment for answers",
         "net/reducer.py",
-        "                self.end_leg(leg, Ending.TIMEOUT)      # and no other",
-        "                pass      # and no other",
+        "                self.end_leg(leg, Ending.TIMEOUT)  # and no other",
+        "                pass  # and no other",
         [f"{SCENARIO}[stop_long_call]"],
     ),
     (
@@ -236,8 +241,8 @@
     (
         "a pause cut short",
         "net/discovery.py",
-        "        self.http.give_up()\n        self.hurry.set()\n\n    def begin",
-        "        self.http.give_up()\n\n    def begin",
+        "        self.wanted.set()\n        self.hurry.set()\n\n    def begin",
+        "        self.wanted.set()\n\n    def begin",
         [f"{LIST}::test_sighup_moves_the_list_at_once_whatever_the_call_to_the_old_one_does"],
     ),
     (
@@ -256,7 +261,7 @@
     ),
     (
         "the bound on waits for an asked list",
-        "decide.py",
+        POLICY,
         "most = max(SECOND, min(self.every, self.LONGEST_WAY - took))",
         "most = max(SECOND, self.every)",
         [
@@ -265,8 +270,8 @@
     ),
     (
         "a number of nodes that is not told",
-        "decide.py",
-        "    UNTOLD = 30 ",
+        POLICY,
+        "    UNTOLD = 256 ",
         "    UNTOLD = 1 ",
         [
             "tests/test_many_nodes.py::test_what_all_processes_send_a_cold_server_stays_within_its_budget_and_chance"
@@ -286,15 +291,122 @@
         "return Keys(dict(self.values.get(key, {} if default is MISSING else default)), self.at(key))",
         [f"{FLOODS}::test_settings_that_make_no_sense_stop_the_start_and_change_nothing_at_sighup"],
     ),
+    (
+        "which connection a reload gives up",
+        "net/discovery.py",
+        "        if current is not target:\n            current.give_up()",
+        "        self.http.give_up()",
+        [f"{LIST}::test_a_reload_between_its_two_halves_does_not_give_the_new_list_up"],
+    ),
+    (
+        "asking at a reload",
+        "net/discovery.py",
+        "        self.wanted.set()\n        self.hurry.set()\n\n    def begin",
+        "        self.hurry.set()\n\n    def begin",
+        [f"{LIST}::test_a_reload_asks_the_new_list_at_once_while_the_next_time_to_ask_is_far"],
+    ),
+    (
+        "one time for a call and its repeat",
+        "net/http.py",
+        "# In what is left of the time: two silences, one behind the other, were waited out in full.\n",
+        "self.until = time.monotonic() + wait\n",
+        [f"{LIST}::test_a_reset_in_a_call_gives_the_next_one_no_longer_time"],
+    ),
+    (
+        "who is not in a whole list",
+        "net/reducer.py",
+        "            gone |= self.servers.keys() - e.addresses.keys()",
+        "            pass",
+        [f"{LIST}::test_a_whole_list_in_the_midst_of_an_attempt_is_kept_to"],
+    ),
+    (
+        "a watch that is silent late",
+        "net/http.py",
+        "        self.sock.settimeout(self.left())\n        got",
+        "        self.sock.settimeout(None if self.rest == b'' else self.left())\n        got",
+        [f"{LIST}::test_a_silence_after_watches_that_were_answered_is_a_silence"],
+    ),
+    (
+        "a first line whose last byte is not out",
+        "net/reducer.py",
+        "            elif not end.leg.written:\n                self.end_leg(end.leg, Ending.CONNECT_FAILED)",
+        '            elif not end.leg.written:\n                self.host_over(end.leg, "reset")',
+        [f"{ATTEMPTS}::test_a_host_killed_right_behind_its_accept_was_never_asked"],
+    ),
+    (
+        "a first line that is out",
+        "net/reducer.py",
+        '            self.end_leg(leg, Ending.ERROR if how.endswith("-line") else Ending.RESET)',
+        "            self.end_leg(leg, Ending.CONNECT_FAILED)",
+        [f"{ATTEMPTS}::test_a_host_killed_over_a_line_that_it_has_not_read_may_have_run_it"],
+    ),
+    (
+        "a client that is gone at once",
+        "net/node.py",
+        "        except OSError:  # gone already\n            sock.close()\n            return",
+        "        except ZeroDivisionError:\n            return",
+        [f"{ATTEMPTS}::test_a_client_killed_right_behind_its_accept_leaves_nothing_behind"],
+    ),
+    (
+        "an answer for a call whose host says nothing",
+        POLICY,
+        "return min(last, self.now + call.type.setup_target)",
+        "return last + SECOND",
+        [f"{ATTEMPTS}::test_every_call_is_answered_whatever_its_hosts_do", DRAWN],
+    ),
+    (
+        "the time that a client gives",
+        POLICY,
+        "last = call.guard - 2 * self.tick ",
+        "last = call.guard + 2 * self.tick ",
+        [DRAWN],
+    ),
+    (
+        "the settings that a first line is read under",
+        "net/reducer.py",
+        "        self.names, self.hearing = e.names, e.hearing\n",
+        "        self.hearing = e.hearing\n",
+        [f"{PIECES}::test_a_first_line_whose_end_comes_after_a_reload_is_read_under_the_new_settings"],
+    ),
+    (
+        "whole lines alone",
+        "net/lines.py",
+        '            end = self.buffer.rfind(b"\\n", 0, self.filled) + 1',
+        "            end = self.filled",
+        [f"{PIECES}::test_half_a_line_is_not_passed_on_before_a_move"],
+    ),
+    (
+        "one process",
+        "cli/node.py",
+        "    force = InForce(path)\n",
+        '    __import__("subprocess").run(["true"])\n    force = InForce(path)\n',
+        ["tests/crossings/test_one_process.py"],
+    ),
+    (
+        "no small write held back",
+        "net/workers.py",
+        "    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)\n",
+        "",
+        [f"{PIECES}::test_no_small_write_is_held_back"],
+    ),
 ]
 
 
+def place(package, file, line):
+    """The file that the line stands in."""
+    if file != POLICY:
+        return package / file
+    files = [package / "decide.py", *sorted((package / "policy").glob("*.py"))]
+    files = [one for one in files if one.exists()]
+    return next((one for one in files if line in one.read_text()), files[0])
+
+
 def play(mutant):
     what, file, line, other, tests = mutant
     with tempfile.TemporaryDirectory() as folder:
         copy = Path(folder) / "tree"
         shutil.copytree(ROOT, copy, ignore=shutil.ignore_patterns(".git", ".venv", "journal", "__pycache__"))
-        path = copy / "cottonspread" / file
+        path = place(copy / "cottonspread", file, line)
         text = path.read_text()
         if text.count(line) != 1:
             return {
--- a/cottonspread/net/http.py
+++ b/cottonspread/net/http.py
@@ -49,9 +49,8 @@
                 if not kept or self.sock is None or self.rest or self.given_up:
                     raise
                 self.close()
-                return self.call(
-                    path
-                )  # in what is left: two silences, one behind the other, were waited out in full
+                # In what is left of the time: two silences, one behind the other, were waited out in full.
+                return self.call(path)
         except (OSError, BadAnswer):
             self.close()
             raise
--- /dev/null
+++ b/tests/crossings/test_one_process.py
@@ -0,0 +1,71 @@
+"""What the bench refuses: a node that serves is one process of any number of threads, and starts no other program."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import tomllib
+from pathlib import Path
+
+from standins import WAIT, Peer, opening, serve, settings
+
+ROOT = Path(__file__).parent.parent.parent
+WATCHED = """
+import os, sys
+REFUSED = {"subprocess.Popen", "os.fork", "os.forkpty", "os.exec", "os.posix_spawn", "os.spawn", "os.system"}
+def watch(event, args):
+    if event in REFUSED:
+        os.write(2, ("REFUSED %s\\n" % event).encode())
+sys.addaudithook(watch)
+from cottonspread import cli
+sys.exit(cli.main(sys.argv[1:]))
+"""
+
+
+def test_run_ends_in_one_process():
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    assert run.split()[0] == "exec" and not set(run) & set(";&|")
+
+
+def test_a_process_that_serves_reloads_and_stops_starts_no_other(hosts, agent, tmp_path):
+    free = socket.create_server(("127.0.0.1", 0))
+    address = free.getsockname()
+    free.close()
+    file = tmp_path / "node.json"
+    file.write_text(json.dumps(json.loads(settings(agent)) | {"listen": "%s:%d" % address}))
+    process = subprocess.Popen(
+        [sys.executable, "-c", WATCHED, "serve", "--config", str(file)],
+        cwd=ROOT,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    said = []
+
+    def log_until(word):
+        for line in process.stderr:
+            said.append(line)
+            if word in line:
+                return
+        raise AssertionError(f"ended without {word}: {said}")
+
+    try:
+        log_until("event=list news=full")
+        one = Peer(socket.create_connection(address, timeout=WAIT))
+        one.say(opening(1))
+        peer = serve(hosts)
+        peer.say(b"UP r")
+        assert one.hear() == b"UP r"
+        process.send_signal(signal.SIGHUP)
+        log_until("event=reload")
+        process.send_signal(signal.SIGTERM)
+        rest = threading.Thread(target=lambda: said.extend(process.stderr), daemon=True)
+        rest.start()
+        assert one.hear() == b"MOVE"
+        assert process.wait(WAIT) == 0
+        rest.join(WAIT)
+        assert not [line for line in said if line.startswith("REFUSED")]
+    finally:
+        process.kill()
+        process.wait()
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -18,7 +18,7 @@
 Ends to hosts are named h1, h2, .. as they are made. Writes are done at once unless held.
 
 The world below checks of every scenario: one order to read and one to write at a time on each end, nothing after
-an end is given back, each call exactly one final answer, in the end no descriptor, call or leg left, and that the node's
+an end is given back, each call exactly one final answer and in its time (unless the node stood still), in the end no descriptor, call or leg left, and that the node's
 figures are what the lines on its connections say.
 """
 
@@ -58,6 +58,10 @@
         self.whole = set()  # hosts' ends that got a first line whole
         self.adopted = set()  # clients that stood when they came here
         self.now = 0
+        self.answered, self.stood_still = (
+            {},
+            False,
+        )  # when each client had its first answer; whether a node that sleeps is played
         self.perform(self.reducer.step(0, ev.Tick()))
 
     def named(self, end, name):
@@ -85,6 +89,7 @@
                     self.writing.add(end)
                     if end.client and effect.data.split()[0] != b"PONG":
                         self.said.setdefault(name, []).append(effect.data)
+                        self.answered.setdefault(name, self.now)
                     self.out += [["write", name, *line.split()] for line in effect.data.decode().splitlines()]
                 case ev.Finish():
                     self.out.append(["finish", name])
@@ -255,6 +260,7 @@
                 for word in args:
                     assert told[word.split("=")[0]] == int(word.split("=")[1]), (word, told)
             case "tick" | "asleep":
+                self.stood_still |= verb == "asleep"
                 self.step(ev.Tick())
         out, self.out = self.out, []
         return out
@@ -285,6 +291,13 @@
                 )  # after UP lines are only passed
                 gone = end.conn.reason == "left-in-setup"  # one that was handed over has its UP
                 assert finals + gone == 1, f"{name}: {said}, {end.conn.reason}"
+                in_time = (
+                    gone
+                    or self.stood_still
+                    or end.conn.opening.held_by
+                    or self.answered[name] <= end.conn.guard
+                )
+                assert in_time, f"{name}: answered {self.answered[name] - end.conn.guard} us after its time"
         assert self.figures() == self.recount()
 
 
