--- a/cottonspread/net/http.py
+++ b/cottonspread/net/http.py
@@ -36,24 +36,27 @@
         ResponseError if there is none.
         """
         kept = self.sock is not None
+        self.until = time.monotonic() + wait
         try:
             try:
-                return self.call(path, wait)
+                return self.call(path)
             except (ConnectionError, ResponseError):
                 # Only a kept connection may have been closed in the meantime, which tells nothing. An answer
                 # that says no, or is none, would only be had again.
                 if not kept or self.heard or self.given_up:
                     raise
                 self.close()
-                return self.call(path, wait)
+                # In what is left of the time: two silences, one behind the other, were waited out in full.
+                return self.call(path)
         except (OSError, ResponseError):
             self.close()
             raise
 
-    def call(self, path, wait):
-        self.until, self.heard = time.monotonic() + wait, bool(self.rest)
+    def call(self, path):
+        self.heard = bool(self.rest)
         if self.sock is None:
-            self.sock = socket.create_connection(self.address, timeout=min(wait, self.connect_wait))
+            wait = min(self.left(), self.connect_wait)
+            self.sock = socket.create_connection(self.address, timeout=wait)
             self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if self.given_up:  # just while it was connecting
             raise ConnectionAbortedError("given up")
@@ -70,11 +73,15 @@
             raise ResponseError(f"status {status}")
         return body
 
-    def more(self):
+    def left(self):
+        """Seconds left for the answer; TimeoutError if there are none."""
         left = self.until - time.monotonic()
         if left <= 0:
             raise TimeoutError("the answer takes too long")
-        self.sock.settimeout(left)
+        return left
+
+    def more(self):
+        self.sock.settimeout(self.left())
         got = self.sock.recv(65536)
         self.rest += got
         self.heard = self.heard or bool(got)
