--- a/cottonspread/lab/plan.py
+++ b/cottonspread/lab/plan.py
@@ -230,7 +230,8 @@
     need(x.seconds > 0, "seconds", "over 0 expected")
     most = 2000 if simulated else 200
     need(1 <= x.nodes.count <= most, "nodes.count", f"1 to {most} expected")
-    need(1 <= x.hosts.count <= 2000, "hosts.count", "1 to 2000 expected")
+    most_hosts = 3600 if simulated else 2000
+    need(1 <= x.hosts.count <= most_hosts, "hosts.count", f"1 to {most_hosts} expected")
     need(x.load.types, "load.types", "at least one traffic type expected")
     need(x.load.zipf > 1, "load.zipf", "over 1 expected")
     need(x.load.groups > 0, "load.groups", "at least 1 expected")
--- /dev/null
+++ b/cottonspread/lab/scale/hollow_sweeps.py
@@ -0,0 +1,249 @@
+"""Sweeps of hollow fleets: what control costs an instance and a list machine, by nodes, by changes a minute and by servers.
+
+Counts (bytes, messages, entries, ticks) are the same in every play of a seed. Processor times are the thread's own. Each point of a
+sweep is played in a process of its own, so that its memory is its alone.
+"""
+
+import gc
+import multiprocessing
+import os
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, fields, replace
+
+from cottonspread.lab.scale.hollow import HollowFleet, MachineMeter, Meter
+from cottonspread.lab.scale.hollow_plans import WARM_S, Size, plan
+from cottonspread.lab.scale.results import Measure, Point, Sweep
+from cottonspread.lab.sim.world import SECOND
+
+PAGE = os.sysconf("SC_PAGE_SIZE")
+MIB = 2**20
+NS_A_MS = 1e6
+
+
+@dataclass(frozen=True)
+class Figure:
+    """One measured value: its unit, and whether it is control or clients' lines."""
+
+    value: float
+    unit: str
+    control: bool = True
+
+
+def resident() -> int:
+    """Bytes of this process in memory."""
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * PAGE
+
+
+def between(after, before):
+    """What a meter has counted between two looks."""
+    return type(after)(*(getattr(after, f.name) - getattr(before, f.name) for f in fields(after)))
+
+
+class Playing:
+    """A hollow fleet that is up, and what it counts from one look to the next."""
+
+    def __init__(self, size: Size):
+        self.size = size
+        seconds = WARM_S + size.seconds
+        self.fleet = HollowFleet(plan(size, seconds), checked=False)
+        self.looked, self.machine_looked = Meter(), MachineMeter()
+
+    def until(self, seconds: float) -> None:
+        self.fleet.world.run(round(seconds * SECOND))
+
+    def look(self) -> tuple[Meter, MachineMeter]:
+        """What was done since the last look, by all instances and by all list machines."""
+        meter, machines = self.fleet.metered(), MachineMeter()
+        for machine in self.fleet.list_machines:
+            for field in fields(machines):
+                now = getattr(machines, field.name) + getattr(machine.meter, field.name)
+                setattr(machines, field.name, now)
+        done = between(meter, self.looked), between(machines, self.machine_looked)
+        self.looked, self.machine_looked = meter, machines
+        return done
+
+    def change(self, number: int) -> None:
+        """The next change: a server drains, or the one that drained last is ready again."""
+        server = f"h{number // 2 % self.size.servers}"
+        self.fleet.change_lists(server, "Ready" if number % 2 else "Terminating")
+
+    def change_evenly(self, start: float, count: int, gap: float) -> None:
+        for number in range(count):
+            self.fleet.world.at(round((start + number * gap) * SECOND), self.change, number)
+
+
+def idle_and_changes(size: Size) -> dict[str, Figure]:
+    """An instance's control work a second at this size."""
+    playing, before = Playing(size), resident()
+    playing.until(WARM_S)
+    assert playing.fleet.listed() == size.nodes
+    playing.look()
+    gap = 60 / size.changes_a_minute if size.changes_a_minute else 0
+    changes = round(size.seconds / gap) if gap else 0
+    playing.change_evenly(WARM_S + min(gap, 1) / 2, changes, gap)
+    playing.until(WARM_S + size.seconds)
+    done, machines = playing.look()
+    gc.collect()
+    span = size.nodes * size.seconds
+    memory = (resident() - before) / size.nodes / MIB
+    up = playing.fleet.clients.counts["up"]
+    figures = {
+        "control_bytes_in": Figure(done.bytes_in / span, "B/s an instance"),
+        "control_bytes_out": Figure(done.bytes_out / span, "B/s an instance"),
+        "control_messages": Figure((done.requests + done.answers) / span, "messages/s an instance"),
+        "entries_read": Figure(done.entries / span, "entries/s an instance"),
+        "list_processor": Figure(done.list_control_ns / NS_A_MS / span, "ms/s an instance"),
+        "ticks": Figure(done.ticks / span, "ticks/s an instance"),
+        "tick_processor": Figure(done.tick_ns / NS_A_MS / span, "ms/s an instance"),
+        "memory": Figure(memory, "MiB an instance"),
+        "list_machine_bytes_out": Figure(
+            machines.bytes_out / size.seconds / len(playing.fleet.list_machines), "B/s a list machine"
+        ),
+        "list_machine_answers": Figure(
+            machines.answers / size.seconds / len(playing.fleet.list_machines), "answers/s a list machine"
+        ),
+    }
+    if size.connections:
+        figures["connections_up"] = Figure(up / size.nodes, "connections an instance", False)
+        figures["line_processor"] = Figure(done.line_ns / NS_A_MS / span, "ms/s an instance", False)
+        figures["line_steps"] = Figure(done.line_steps / span, "steps/s an instance", False)
+    return figures
+
+
+CHANGES = 10
+"""Changes that a change's cost is the mean of."""
+
+
+def whole_and_change(size: Size) -> dict[str, Figure]:
+    """What a whole list costs an instance, what one change costs it, and its ticks, at this many servers."""
+    playing, before = Playing(size), resident()
+    playing.until(WARM_S)
+    gc.collect()
+    memory = (resident() - before) / size.nodes / MIB
+    first, _ = playing.look()
+    playing.until(WARM_S + 0.05)
+    playing.look()
+    fleet = playing.fleet
+    for process in fleet.processes():  # as after an answer that could not be read
+        process.discovery.whole = True
+    playing.until(WARM_S + 2.55)
+    whole, _ = playing.look()
+    playing.change_evenly(WARM_S + 2.65, CHANGES, 1.0)
+    playing.until(WARM_S + 2.6 + CHANGES)
+    change, _ = playing.look()
+    nodes, events = size.nodes, size.nodes * CHANGES
+    idle = (first.bytes_in - whole.bytes_in) / nodes
+    assert idle < whole.bytes_in / nodes, "a whole list was not asked for"
+    return {
+        "whole_list_bytes": Figure(whole.bytes_in / nodes, "B a whole list"),
+        "whole_list_entries": Figure(whole.entries / nodes, "entries a whole list"),
+        "whole_list_client": Figure(whole.client_ns / NS_A_MS / nodes, "ms a whole list"),
+        "whole_list_module": Figure(whole.list_ns / NS_A_MS / nodes, "ms a whole list"),
+        "first_list_processor": Figure(first.list_control_ns / NS_A_MS / nodes, "ms the first list"),
+        "change_bytes": Figure(change.bytes_in / events, "B a change"),
+        "change_entries": Figure(change.entries / events, "entries a change"),
+        "change_client": Figure(change.client_ns / NS_A_MS / events, "ms a change"),
+        "change_module": Figure(change.list_ns / NS_A_MS / events, "ms a change"),
+        "ticks": Figure(change.ticks / events, "ticks/s an instance"),
+        "tick_processor": Figure(change.tick_ns / NS_A_MS / events, "ms/s an instance"),
+        "memory": Figure(memory, "MiB an instance"),
+    }
+
+
+@dataclass(frozen=True)
+class SweepPlan:
+    """A sweep: sizes that differ in one variable, and what plays each."""
+
+    name: str
+    what: str
+    variable: str
+    unit: str
+    values: tuple
+    base: Size
+    play: object
+
+
+SWEEPS = (
+    SweepPlan(
+        "hollow-nodes",
+        "Control of an idle instance and of a list machine, and clients' lines, by nodes of the fleet.",
+        "nodes",
+        "nodes",
+        (10, 50, 150, 420),
+        Size(servers=80, connections=10, seconds=10.0),
+        idle_and_changes,
+    ),
+    SweepPlan(
+        "hollow-changes",
+        "Control of an instance by changes of the list a minute; window of one minute.",
+        "changes_a_minute",
+        "changes/min",
+        (1, 6, 60, 600),
+        Size(nodes=12, servers=300, seconds=60.0),
+        idle_and_changes,
+    ),
+    SweepPlan(
+        "hollow-servers",
+        "A whole list and one change at an instance, and its ticks, by servers listed.",
+        "servers",
+        "servers",
+        (50, 300, 1000, 3000),
+        Size(nodes=12, seconds=20.0),
+        whole_and_change,
+    ),
+)
+
+
+def small(sweep: SweepPlan) -> SweepPlan:
+    """The same sweep at sizes that are played in a second or two."""
+    values = {"nodes": (2, 4, 8, 16), "changes_a_minute": (6, 60, 120, 600), "servers": (10, 20, 40, 80)}
+    base = replace(sweep.base, nodes=3, servers=min(sweep.base.servers, 20), connections=min(2, sweep.base.connections))
+    if sweep.variable != "servers":
+        base = replace(base, seconds=10.0)
+    return replace(sweep, values=values[sweep.variable], base=base)
+
+
+def played(sweep: SweepPlan, value: float, seed: int) -> dict[str, Figure]:
+    """One point, in this process. A small play before it fills what every play shares."""
+    sweep.play(replace(sweep.base, nodes=1, servers=4, connections=0, changes_a_minute=0, seconds=1.0))
+    gc.collect()
+    return sweep.play(replace(sweep.base, **{sweep.variable: value}, seed=seed))
+
+
+def apart(what, *arguments):
+    """Calls it in a process of its own, and waits."""
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(1, mp_context=context) as pool:
+        return pool.submit(what, *arguments).result()
+
+
+def sweep(one: SweepPlan, command: str, seed: int, alone: bool, tell=lambda value, figures: None) -> Sweep:
+    """Plays every size of it; `tell` is called with each point."""
+    points = {}
+    for value in one.values:
+        points[value] = apart(played, one, value, seed)
+        tell(value, points[value])
+    base = replace(one.base, seed=seed)
+    fixed = {f.name: getattr(base, f.name) for f in fields(base) if f.name != one.variable}
+    first = points[one.values[0]]
+    return Sweep(
+        name=one.name,
+        what=one.what,
+        command=command,
+        kind="hollow",
+        alone=alone,
+        variable=one.variable,
+        variable_unit=one.unit,
+        fixed=fixed,
+        measures=[
+            Measure(
+                name=name,
+                unit=figure.unit,
+                control=figure.control,
+                plays=1,
+                points=[Point(value, float(points[value][name].value)) for value in one.values],
+            )
+            for name, figure in first.items()
+        ],
+    )
--- a/cottonspread/lab/sim/agent.py
+++ b/cottonspread/lab/sim/agent.py
@@ -48,9 +48,13 @@
             caller.look()
 
     def serve(self, process):
-        self.callers.append(Caller(self, process))
+        self.callers.append(self.caller(process))
         return self.callers[-1]
 
+    def caller(self, process):
+        """The list client's carrier for a process that starts."""
+        return Caller(self, process)
+
 
 class Caller:
     """One process's calls: in the place of `http.Http`."""
@@ -110,14 +114,22 @@
         ):
             return
         self.call += 1
-        pause = found.turn()
+        pause = self.take_turn()
         if found.wanted.is_set():
             self.world.after(round(pause * SECOND) + 1, self.process.alive, self.ask)
 
+    def take_turn(self):
+        """The list client's own turn; how many seconds it pauses then."""
+        return self.process.discovery.turn()
+
     def get(self, path, wait):
         """The body of an answer."""
         if self.answer is not None:
             raise self.answer
+        return self.body(path)
+
+    def body(self, path):
+        """What the list has to say to this call now."""
         agent, book = self.agent, self.agent.book
         if agent.garbage:
             agent.garbage -= 1
@@ -132,7 +144,7 @@
             {
                 "k": "told",
                 "t": self.world.now,
-                "node": agent.name,
+                "node": self.process.node.name,
                 "version": said["generation"],
                 "whole": said["reset"],
                 "hosts": hosts,
--- a/cottonspread/lab/sim/fleet.py
+++ b/cottonspread/lab/sim/fleet.py
@@ -37,7 +37,7 @@
         )
         self.shared = any(f.kind == "replace" and self.name in f.on for f in fleet.plan.faults)
         self.wanted, self.down_at, self.saved, self.generation = True, None, {}, 0
-        self.agent = Agent(fleet, self.name, fleet.entries, round(x.listing.lag_ms * 1000))
+        self.agent = fleet.agent_of(self)
 
     def start(self):
         """A process as `serve` makes one."""
@@ -51,7 +51,7 @@
                 "reset": True,
                 "instances": list(self.saved.values()),
             }
-        process = Process(self, values, self.shared)
+        process = self.fleet.process_type(self, values, self.shared)
         self.processes.append(process)
         process.takes = not self.shared
         if self.shared:
@@ -123,6 +123,9 @@
 
 
 class Fleet:
+    process_type = Process  # what a node starts
+    clients_type = Clients
+
     def __init__(self, plan, only=None, traced=False, policy=(), checked=True, seed=None):
         """`only`: see `Clients`. `policy`: a class in the place of the Balancer. `checked`: whether promises are looked at."""
         self.plan, x = expanded(plan), plan.experiment
@@ -135,7 +138,7 @@
         self.addresses = {(h.machine.ip, h.machine.port): h.place for h in self.hosts.values()}
         self.nodes = [Node(self, n) for n in range(len(plan.nodes))]
         self.by_name = {node.name: node for node in self.nodes}
-        self.clients = Clients(self, plans.schedule(plan), only)
+        self.clients = self.clients_type(self, plans.schedule(plan), only)
         self.over = False
         for node in self.nodes:
             # They start together, as a fleet's machines do: not in the same microsecond.
@@ -149,6 +152,16 @@
                 round(x.listing.weights_ms * 1000), self.weigh, round(x.listing.weights_ms * 1000)
             )
 
+    def agent_of(self, node):
+        """Where the node hears the list; nodes may share one."""
+        lag = round(self.plan.experiment.listing.lag_ms * 1000)
+        return Agent(self, node.name, self.entries, lag)
+
+    @property
+    def agents(self):
+        """Each that a node has, once, in the nodes' order."""
+        return list(dict.fromkeys(node.agent for node in self.nodes))
+
     @staticmethod
     def entry(m):
         return {
@@ -165,16 +178,16 @@
     def change(self, after, name, lifecycle, started):
         machine = self.hosts[name].machine
         at = None if started is None else (EPOCH + round(started)) // 1000
-        for node in self.nodes:
-            self.world.at(after, node.agent.change, name, lifecycle, at, self.entry(machine))
+        for agent in self.agents:
+            self.world.at(after, agent.change, name, lifecycle, at, self.entry(machine))
 
     def weigh(self, every):
         held = {
             m.name: (m.traits.cores * m.traits.speed, len(self.hosts[m.name].model.conns) / m.traits.cores)
             for m in self.plan.machines
         }
-        for node in self.nodes:
-            node.agent.weigh(held)
+        for agent in self.agents:
+            agent.weigh(held)
         self.world.after(every, self.weigh, every)
 
     # The record
--- a/cottonspread/lab/sim/node.py
+++ b/cottonspread/lab/sim/node.py
@@ -340,7 +340,7 @@
         fleet = self.node.fleet
         self.steps += 1
         try:
-            effects = self.reducer.step(self.clock(), event, at)
+            effects = self.decide(event, at)
         except Exception as fault:
             raise Fault(
                 f"{self.node.name}: {type(event).__name__}: {fault!r}\n{traceback.format_exc(limit=-6)}"
@@ -351,6 +351,10 @@
             self.carry_out(effect)
         fleet.stepped(self, event, effects)
 
+    def decide(self, event, at):
+        """The reducer's step alone."""
+        return self.reducer.step(self.clock(), event, at)
+
     @staticmethod
     def label(one):
         end = getattr(one, "end", None)
--- a/cottonspread/lab/sim/troubles.py
+++ b/cottonspread/lab/sim/troubles.py
@@ -199,7 +199,7 @@
 
 
 def agents(fleet, one):
-    return [node.agent for node in fleet.nodes if not one.on or node.name in one.on]
+    return list(dict.fromkeys(node.agent for node in fleet.nodes if not one.on or node.name in one.on))
 
 
 def list_cut(fleet, one, span):
