--- a/cottonspread/cli/lab.py
+++ b/cottonspread/cli/lab.py
@@ -53,6 +53,20 @@
     command("report", "report.html of a folder's plays", report, argument("folder"))
     command("audit", "the ledger of one play's folder, printed anew", audit, argument("folder"))
     command("trace", "export a play's connections as a trace", trace, argument("folder"), argument("file"))
+    command(
+        "scale",
+        "hollow fleets and other scale runs: counts and times by size, faults at size",
+        scale,
+        argument("--small", action="store_true", help="sizes that are played in some seconds"),
+        argument("--nodes", type=int, help="in the place of each run's own"),
+        argument("--servers", type=int, help="in the place of each run's own"),
+        argument("--seed", type=int, default=1),
+        argument("--only", nargs="+", default=[], metavar="NAME", help="these runs alone"),
+        argument("--out", help="the folder for results; default: benchmarks/scale/results"),
+        argument(
+            "--alone", action="store_true", help="say in the results that no other load is on the machine"
+        ),
+    )
     command(
         "selfcheck",
         "the generator against a server of known delay, timed by that server",
@@ -158,6 +172,22 @@
     return 0
 
 
+def scale(given):
+    from pathlib import Path
+
+    from cottonspread.lab.scale import command, results
+
+    out = Path(given.out) if given.out else results.FOLDER
+    asked = command.Asked(
+        given.small, given.nodes, given.servers, given.seed, tuple(given.only), out, given.alone
+    )
+    try:
+        return command.main(asked)
+    except (command.ScaleError, results.ResultError) as fault:
+        print(f"cottonspread: lab: scale: {fault}", file=sys.stderr)
+        return 2
+
+
 def selfcheck(given):
     from cottonspread.lab import selfcheck as check
 
--- a/cottonspread/lab/scale/hollow.py
+++ b/cottonspread/lab/scale/hollow.py
@@ -1,11 +1,13 @@
-"""Hollow nodes: a simulated fleet (`lab/sim`) whose control work is counted and timed apart from its clients' lines.
+"""Hollow nodes: a simulated fleet (`lab/sim`) whose control work is counted apart from its clients' lines.
 
-A hollow node is the node's own reducer, decision module, list client (`net/discovery.py`) and HTTP client (`net/http.py`); sockets,
-threads and clocks are simulated, so that hundreds share a process. Hollow list machines answer many nodes from one book each; a node
-asks one of them, as it knows one address. Bytes are those of the HTTP messages, without TCP's and IP's headers.
+A hollow node is the node's own reducer, decision module, list client (`net/discovery.py`) and HTTP client
+(`net/http.py`); sockets, threads and clocks are simulated, so that hundreds share a process. Hollow list
+machines answer many nodes from one book each; a node asks one of them, as it knows one address. Bytes are
+those of the HTTP messages, without TCP's and IP's headers.
 
-Control is what a node does that is no client's line: its list client's turns, the reducer's steps for what the list tells, and ticks
-of its timers. More control clients are given to every process by `HollowFleet(control=...)`: see `ControlClient`.
+Control is what a node does that is no client's line: its list client's turns, the reducer's steps for what
+the list tells, and ticks of its timers. More control clients are given to every process by
+`HollowFleet(control=...)`: see `ControlClient`.
 """
 
 import time
@@ -68,8 +70,10 @@
 
 
 class ControlClient(Protocol):
-    """A further control client of a hollow node, made by `factory(process)` as the process starts. It follows simulated time through
-    `process.world`, does nothing once `process.dead` is set, and counts its work on `process.meter`."""
+    """A further control client of a hollow node, made by `factory(process)` as the process starts.
+
+    It follows simulated time through `process.world`, does nothing once `process.dead` is set, and counts
+    its work on a meter of its own or on `process.meter`."""
 
     def begin(self) -> None: ...
 
@@ -204,7 +208,8 @@
         return ConnectionRefusedError("refused") if self.ended else None
 
     def vanish(self, span):
-        """The machine is lost and tells nobody: calls that are out run out, new connections are not answered. Back after `span`."""
+        """The machine is lost for `span` and tells nobody: calls that are out run out, and new connections
+        are not answered."""
         self.world.note(self.name, "vanished")
         self.gone = True
         for caller in self.callers:
@@ -275,9 +280,12 @@
 
 
 class HollowFleet(Fleet):
-    """`control`: factories of further control clients. `machines`: how many list machines share the nodes, one by one."""
+    """`control`: factories of further control clients. `machines`: list machines that share the nodes."""
 
     process_type = HollowProcess
+    starts_over = (
+        2 * SECOND
+    )  # one watch: the nodes' watches end evenly, as in a fleet that was released node by node
 
     def __init__(self, plan, control=(), machines=LIST_MACHINES, **options):
         self.control, self.machine_count, self.list_machines = tuple(control), machines, []
@@ -288,9 +296,7 @@
     def agent_of(self, node):
         if not self.list_machines:
             lag = round(self.plan.experiment.listing.lag_ms * 1000)
-            self.list_machines = [
-                ListMachine(self, n, self.entries, lag) for n in range(self.machine_count)
-            ]
+            self.list_machines = [ListMachine(self, n, self.entries, lag) for n in range(self.machine_count)]
         return self.list_machines[node.number % self.machine_count]
 
     def processes(self):
@@ -323,4 +329,3 @@
     def listed(self):
         """How many nodes know a server that is ready."""
         return sum(process.reducer.listed for process in self.processes())
-
--- a/cottonspread/lab/scale/hollow_plans.py
+++ b/cottonspread/lab/scale/hollow_plans.py
@@ -31,16 +31,19 @@
     seed: int = 1
 
 
-WARM_S = 4.0
+WARM_S = 5.0
 """Until every node knows the list, and every client has come."""
 
+COMING_S = 2.5
+"""When the first client comes: every node has started."""
+
 SOCKETS = 4096
 
 
 def experiment(size: Size, seconds: float, faults: list[plans.Happening] | tuple = ()) -> plans.Experiment:
     """An experiment in which all clients come in the first seconds and stay."""
-    coming = WARM_S - 1
-    shape = {"kind": "burst", "start": 0.5, "seconds": coming - 0.5, "count": size.nodes * size.connections}
+    count = size.nodes * size.connections
+    shape = {"kind": "burst", "start": COMING_S, "seconds": WARM_S - 1 - COMING_S, "count": count}
     shapes = [shape] if size.connections else []
     asked = {
         "name": "hollow",
--- a/cottonspread/lab/scale/hollow_sweeps.py
+++ b/cottonspread/lab/scale/hollow_sweeps.py
@@ -1,10 +1,12 @@
-"""Sweeps of hollow fleets: what control costs an instance and a list machine, by nodes, by changes a minute and by servers.
+"""Sweeps of hollow fleets: what control costs an instance and a list machine, by nodes, by changes a minute
+and by servers.
 
-Counts (bytes, messages, entries, ticks) are the same in every play of a seed. Processor times are the thread's own. Each point of a
-sweep is played in a process of its own, so that its memory is its alone.
+Counts (bytes, messages, entries, ticks) are the same in every play of a seed. Processor times are the
+thread's own. Each point of a sweep is played in a process of its own, so that its memory is its alone.
 """
 
 import gc
+import logging
 import multiprocessing
 import os
 from concurrent.futures import ProcessPoolExecutor
@@ -122,10 +124,7 @@
     gc.collect()
     memory = (resident() - before) / size.nodes / MIB
     first, _ = playing.look()
-    playing.until(WARM_S + 0.05)
-    playing.look()
-    fleet = playing.fleet
-    for process in fleet.processes():  # as after an answer that could not be read
+    for process in playing.fleet.processes():  # as after an answer that could not be read
         process.discovery.whole = True
     playing.until(WARM_S + 2.55)
     whole, _ = playing.look()
@@ -133,8 +132,7 @@
     playing.until(WARM_S + 2.6 + CHANGES)
     change, _ = playing.look()
     nodes, events = size.nodes, size.nodes * CHANGES
-    idle = (first.bytes_in - whole.bytes_in) / nodes
-    assert idle < whole.bytes_in / nodes, "a whole list was not asked for"
+    assert whole.entries == nodes * size.servers, "each asks for one whole list"
     return {
         "whole_list_bytes": Figure(whole.bytes_in / nodes, "B a whole list"),
         "whole_list_entries": Figure(whole.entries / nodes, "entries a whole list"),
@@ -195,18 +193,37 @@
 )
 
 
+SMALL_VALUES = {"nodes": (2, 4, 8, 16), "changes_a_minute": (6, 60, 120, 600), "servers": (10, 20, 40, 80)}
+
+
 def small(sweep: SweepPlan) -> SweepPlan:
     """The same sweep at sizes that are played in a second or two."""
-    values = {"nodes": (2, 4, 8, 16), "changes_a_minute": (6, 60, 120, 600), "servers": (10, 20, 40, 80)}
-    base = replace(sweep.base, nodes=3, servers=min(sweep.base.servers, 20), connections=min(2, sweep.base.connections))
+    base = sweep.base
+    base = replace(base, nodes=3, servers=min(base.servers, 20), connections=min(2, base.connections))
     if sweep.variable != "servers":
         base = replace(base, seconds=10.0)
-    return replace(sweep, values=values[sweep.variable], base=base)
+    if hasattr(base, "phases"):
+        base = replace(base, phases=2)
+    return replace(sweep, values=SMALL_VALUES.get(sweep.variable, sweep.values), base=base)
+
+
+def reached(sweep: SweepPlan, **tops: int | None) -> SweepPlan:
+    """The sweep with other sizes: a variable that is swept goes up to its top by doubling; one that is fixed
+    takes it as it is."""
+    for name, top in tops.items():
+        if top is None:
+            continue
+        if name == sweep.variable:
+            sweep = replace(sweep, values=tuple(max(n, top * n // 8) for n in (1, 2, 4, 8)))
+        else:
+            sweep = replace(sweep, base=replace(sweep.base, **{name: top}))
+    return sweep
 
 
 def played(sweep: SweepPlan, value: float, seed: int) -> dict[str, Figure]:
     """One point, in this process. A small play before it fills what every play shares."""
-    sweep.play(replace(sweep.base, nodes=1, servers=4, connections=0, changes_a_minute=0, seconds=1.0))
+    logging.getLogger("cottonspread").addHandler(logging.NullHandler())  # failed calls are played, not news
+    whole_and_change(Size(nodes=1, servers=4))
     gc.collect()
     return sweep.play(replace(sweep.base, **{sweep.variable: value}, seed=seed))
 
@@ -218,11 +235,16 @@
         return pool.submit(what, *arguments).result()
 
 
-def sweep(one: SweepPlan, command: str, seed: int, alone: bool, tell=lambda value, figures: None) -> Sweep:
-    """Plays every size of it; `tell` is called with each point."""
+def here(what, *arguments):
+    """Calls it in this process: quicker, and its memory is not its alone."""
+    return what(*arguments)
+
+
+def sweep(one: SweepPlan, command: str, seed: int, alone: bool, tell=lambda *_: None, call=apart) -> Sweep:
+    """Plays every size of it; `tell` is given each value of the variable with its figures."""
     points = {}
     for value in one.values:
-        points[value] = apart(played, one, value, seed)
+        points[value] = call(played, one, value, seed)
         tell(value, points[value])
     base = replace(one.base, seed=seed)
     fixed = {f.name: getattr(base, f.name) for f in fields(base) if f.name != one.variable}
--- a/cottonspread/lab/sim/fleet.py
+++ b/cottonspread/lab/sim/fleet.py
@@ -125,6 +125,7 @@
 class Fleet:
     process_type = Process  # what a node starts
     clients_type = Clients
+    starts_over = SECOND // 10  # the nodes start within so long
 
     def __init__(self, plan, only=None, traced=False, policy=(), checked=True, seed=None):
         """`only`: see `Clients`. `policy`: a class in the place of the Balancer. `checked`: whether promises are looked at."""
@@ -142,7 +143,7 @@
         self.over = False
         for node in self.nodes:
             # They start together, as a fleet's machines do: not in the same microsecond.
-            self.world.at(node.draws.below(SECOND // 10), node.start)
+            self.world.at(node.draws.below(self.starts_over), node.start)
         for after, name, lifecycle, started in listing.changes(self.plan):
             self.change(after - round(x.listing.lag_ms * 1000), name, lifecycle, started)
         for one in self.plan.faults:
