--- a/cottonspread/lab/scale/command.py
+++ b/cottonspread/lab/scale/command.py
@@ -10,7 +10,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from cottonspread.lab.scale import hollow_news, hollow_sweeps
+from cottonspread.lab.scale import hollow_news, hollow_sockets, hollow_sweeps
 from cottonspread.lab.scale.hollow_sweeps import Figure, SweepPlan, apart, here, reached, small, sweep
 from cottonspread.lab.scale.results import FOLDER, Result, write
 
@@ -53,6 +53,8 @@
 
     name: str
     play: Callable[[Asked, Tell], Result]
+    quick: bool = True
+    """False: it takes real time at any size; `--small` plays it only where it is named."""
 
 
 def sweep_run(plan: SweepPlan) -> Run:
@@ -66,12 +68,12 @@
         call = here if asked.small else apart
         return sweep(one, asked.command(plan.name), asked.seed, asked.alone, show, call)
 
-    return Run(plan.name, play)
+    return Run(plan.name, play, quick=plan.kind == "hollow")
 
 
 def runs() -> list[Run]:
     """All runs, in the order in which they are played."""
-    return [sweep_run(plan) for plan in (*hollow_sweeps.SWEEPS, *hollow_news.SWEEPS)]
+    return [sweep_run(plan) for plan in (*hollow_sweeps.SWEEPS, *hollow_news.SWEEPS, *hollow_sockets.SWEEPS)]
 
 
 def chosen(asked: Asked) -> list[Run]:
@@ -79,7 +81,9 @@
     unknown = [name for name in asked.only if name not in known]
     if unknown:
         raise ScaleError(f"--only {unknown[0]}: one of {', '.join(known)} expected")
-    return [known[name] for name in asked.only] if asked.only else list(known.values())
+    if asked.only:
+        return [known[name] for name in asked.only]
+    return [run for run in known.values() if run.quick or not asked.small]
 
 
 def shown(console: Console, name: str, where: str, figures: dict[str, Figure], seconds: float) -> None:
--- /dev/null
+++ b/cottonspread/lab/scale/hollow_sockets.py
@@ -0,0 +1,261 @@
+"""Control over real sockets: many real list clients against three list stand-ins on loopback.
+
+The clients are `net/discovery.py` with `net/http.py`, each in a thread as in a node, some hundred in a
+process; what a node does with a list is left out. Bytes are counted at the sockets, segments by the kernel.
+"""
+
+import multiprocessing
+import socket
+import struct
+import tempfile
+import threading
+import time
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import SimpleNamespace
+
+from cottonspread.lab.scale.hollow import LIST_MACHINES
+from cottonspread.lab.scale.hollow_news import Spread
+from cottonspread.lab.scale.hollow_plans import ZONES, Size
+from cottonspread.lab.scale.hollow_sweeps import Figure, SweepPlan, idle_and_changes
+from cottonspread.lab.scale.processes import ListStandIn
+from cottonspread.lab.sim.world import SECOND
+from cottonspread.net import events as ev
+from cottonspread.net.discovery import Discovery
+from cottonspread.net.http import Http
+
+STARTS_OVER_S = 2.0
+"""The clients start evenly over one watch."""
+
+WARM_S = 3.0
+CLIENT_PROCESSES = 3
+STACK = 256 * 1024
+HEADERS = 20 + 32
+"""Bytes of IP's and TCP's headers in a segment, with time stamps as Linux sends them."""
+
+TCP_INFO_SEGMENTS = 136
+"""Where `struct tcp_info` of Linux has the count of segments sent, then of those received."""
+
+
+def segments(sock: socket.socket) -> tuple[int, int]:
+    """Segments that the kernel has sent and received on a connection, without data ones included."""
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 256)
+    return struct.unpack_from("II", info, TCP_INFO_SEGMENTS)
+
+
+@dataclass
+class Counts:
+    """What clients have sent and received."""
+
+    requests: int = 0
+    answers: int = 0
+    entries: int = 0
+    bytes_out: int = 0
+    bytes_in: int = 0
+    segments_out: int = 0
+    segments_in: int = 0
+
+    def combined(self, other: "Counts", sign: int) -> "Counts":
+        return Counts(*(a + sign * b for a, b in zip(vars(self).values(), vars(other).values(), strict=True)))
+
+
+class CountedSocket:
+    """A connection whose bytes are counted."""
+
+    def __init__(self, sock, counts):
+        self.sock, self.counts = sock, counts
+
+    def sendall(self, data):
+        self.counts.requests += 1
+        self.counts.bytes_out += len(data)
+        self.sock.sendall(data)
+
+    def recv(self, most):
+        data = self.sock.recv(most)
+        self.counts.bytes_in += len(data)
+        return data
+
+    def __getattr__(self, name):
+        return getattr(self.sock, name)
+
+
+class CountedHttp(Http):
+    """The real client on a counted connection."""
+
+    def __init__(self, address, counts):
+        super().__init__(address, Discovery.CONNECT)
+        self.counts = counts
+
+    def call(self, path, wait):
+        if self.sock is None:
+            sock = socket.create_connection(self.address, timeout=min(wait, self.connect_wait))
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.sock = CountedSocket(sock, self.counts)
+        return super().call(path, wait)
+
+
+@dataclass
+class Client:
+    """One real list client, and what it heard: (version, microseconds of the monotonic clock)."""
+
+    address: tuple[str, int]
+    counts: Counts = field(default_factory=Counts)
+    heard: list[tuple[int, int]] = field(default_factory=list)
+
+    def __post_init__(self):
+        names = SimpleNamespace(zones={f"z{n}": n for n in range(ZONES)}, kinds={"lab": 0})
+        self.discovery = Discovery(self.address, names, self.post, 0)
+        self.discovery.http = self.discovery.target = CountedHttp(self.address, self.counts)
+        self.discovery.wanted.set()
+
+    def post(self, event):
+        if isinstance(event, ev.Heard):
+            self.heard.append((event.listed.version, time.monotonic_ns() // 1000))
+            self.counts.entries += len(event.listed.entries)
+        else:
+            raise AssertionError("a list stand-in did not answer")
+
+    def now(self) -> Counts:
+        """Its counts, with the kernel's."""
+        sock = self.discovery.http.sock
+        out, received = segments(sock) if sock is not None else (0, 0)
+        known = self.counts
+        return Counts(
+            known.requests, known.requests, known.entries, known.bytes_out, known.bytes_in, out, received
+        )
+
+
+@dataclass
+class Told:
+    """What one process's clients counted within the window, their processor time, and their news."""
+
+    counts: Counts
+    processor_ns: int
+    heard: list[list[tuple[int, int]]]
+
+
+def clients(addresses: list[tuple[str, int]], begin: float, look: float, end: float) -> Told:
+    """Runs a client for each address from `begin` on, and counts from `look` to `end` (monotonic seconds)."""
+    threading.stack_size(STACK)
+    all_clients = [Client(address) for address in addresses]
+    for number, client in enumerate(all_clients):
+        time.sleep(max(0.0, begin + STARTS_OVER_S * number / len(all_clients) - time.monotonic()))
+        threading.Thread(target=client.discovery.run, daemon=True).start()
+    time.sleep(max(0.0, look - time.monotonic()))
+    before, processor = total(all_clients), time.process_time_ns()
+    time.sleep(max(0.0, end - time.monotonic()))
+    counts = total(all_clients).combined(before, -1)
+    processor = time.process_time_ns() - processor
+    for client in all_clients:
+        client.discovery.stop()
+    return Told(counts, processor, [client.heard for client in all_clients])
+
+
+def total(all_clients: list[Client]) -> Counts:
+    whole = Counts()
+    for client in all_clients:
+        whole = whole.combined(client.now(), 1)
+    return whole
+
+
+def over_sockets(size: Size) -> dict[str, Figure]:
+    """`size.nodes` clients with `size.changes_a_minute`, beside a hollow fleet of the same size."""
+    count = round(size.seconds * size.changes_a_minute / 60)
+    changes = [WARM_S + size.seconds * (n + 0.5) / count for n in range(count)]
+    with tempfile.TemporaryDirectory(prefix="cottonspread-scale-") as folder:
+        lists = []
+        try:
+            for number in range(LIST_MACHINES):
+                lists.append(ListStandIn(Path(folder), number, size.servers, changes))
+            told, list_ns = run_clients(size, lists)
+        finally:
+            for one in lists:
+                one.end()
+        heard = Spread.of(spans(told, lists)).figures() if count else {}
+    return figures(size, told, list_ns) | heard | hollow_beside(size)
+
+
+def run_clients(size: Size, lists: list[ListStandIn]) -> tuple[list[Told], int]:
+    """All clients in a few processes, and the list stand-ins' processor time within the window."""
+    addresses = [lists[n % len(lists)].address for n in range(size.nodes)]
+    parts = [addresses[n::CLIENT_PROCESSES] for n in range(CLIENT_PROCESSES)]
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(CLIENT_PROCESSES, mp_context=context) as pool:
+        list(pool.map(time.sleep, [0.5] * CLIENT_PROCESSES))  # they are up
+        begin = time.monotonic() + 0.5
+        look, end = begin + WARM_S, begin + WARM_S + size.seconds
+        for one in lists:
+            one.begin(begin)
+        asked = [pool.submit(clients, part, begin, look, end) for part in parts if part]
+        time.sleep(max(0.0, look - time.monotonic()))
+        before = sum(one.processor_ns() for one in lists)
+        time.sleep(max(0.0, end - time.monotonic()))
+        list_ns = sum(one.processor_ns() for one in lists) - before
+        return [one.result() for one in asked], list_ns
+
+
+def spans(told: list[Told], lists: list[ListStandIn]) -> list[float]:
+    """Seconds from each change to each client, which hears every version. The same plan made them all, and
+    each list machine told its own moments; the earliest counts."""
+    made = [one.made() for one in lists]
+    at = {version: min(times[version] for times in made) for version in made[0]}
+    out = []
+    for part in told:
+        for heard in part.heard:
+            news = [(version, when) for version, when in heard if version in at]
+            assert [version for version, _ in news] == sorted(at), "a client missed a change"
+            out += [(when - at[version]) / SECOND for version, when in news]
+    return out
+
+
+def figures(size: Size, told: list[Told], list_ns: int) -> dict[str, Figure]:
+    whole, processor = Counts(), sum(part.processor_ns for part in told)
+    for part in told:
+        whole = whole.combined(part.counts, 1)
+    span = size.nodes * size.seconds
+    messages = whole.requests + whole.answers
+    wire = whole.bytes_in + whole.bytes_out + HEADERS * (whole.segments_in + whole.segments_out)
+    return {
+        "control_bytes_in": Figure(whole.bytes_in / span, "B/s an instance"),
+        "control_bytes_out": Figure(whole.bytes_out / span, "B/s an instance"),
+        "control_bytes_on_the_wire": Figure(wire / span, "B/s an instance"),
+        "control_messages": Figure(messages / span, "messages/s an instance"),
+        "segments": Figure((whole.segments_in + whole.segments_out) / span, "segments/s an instance"),
+        "entries_read": Figure(whole.entries / span, "entries/s an instance"),
+        "client_processor": Figure(processor / 1e6 / span, "ms/s an instance"),
+        "list_machine_processor": Figure(list_ns / 1e6 / size.seconds / LIST_MACHINES, "ms/s a list machine"),
+    }
+
+
+def hollow_beside(size: Size) -> dict[str, Figure]:
+    """The hollow fleet's counts at the same size, for comparison."""
+    hollow = idle_and_changes(size)
+    names = ("control_bytes_in", "control_bytes_out", "control_messages", "entries_read")
+    return {f"hollow_{name}": hollow[name] for name in names}
+
+
+SWEEPS = (
+    SweepPlan(
+        "sockets-changes",
+        "Real list clients against three list stand-ins on loopback, 60 changes a minute, by clients; the "
+        "hollow fleet's counts beside.",
+        "nodes",
+        "clients",
+        (10, 50, 150, 420),
+        Size(servers=50, changes_a_minute=60, seconds=12.0),
+        over_sockets,
+        "sockets",
+    ),
+    SweepPlan(
+        "sockets-idle",
+        "Real list clients against three list stand-ins on loopback, no change, by clients; the hollow "
+        "fleet's counts beside.",
+        "nodes",
+        "clients",
+        (10, 50, 150, 420),
+        Size(servers=50, seconds=12.0),
+        over_sockets,
+        "sockets",
+    ),
+)
--- a/cottonspread/lab/scale/hollow_sweeps.py
+++ b/cottonspread/lab/scale/hollow_sweeps.py
@@ -9,12 +9,13 @@
 import logging
 import multiprocessing
 import os
+from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, fields, replace
 
 from cottonspread.lab.scale.hollow import HollowFleet, MachineMeter, Meter
 from cottonspread.lab.scale.hollow_plans import WARM_S, Size, plan
-from cottonspread.lab.scale.results import Measure, Point, Sweep
+from cottonspread.lab.scale.results import Kind, Measure, Point, Sweep
 from cottonspread.lab.sim.world import SECOND
 
 PAGE = os.sysconf("SC_PAGE_SIZE")
@@ -159,7 +160,8 @@
     unit: str
     values: tuple
     base: Size
-    play: object
+    play: Callable[[Size], dict[str, Figure]]
+    kind: Kind = "hollow"
 
 
 SWEEPS = (
@@ -202,6 +204,8 @@
     base = replace(base, nodes=3, servers=min(base.servers, 20), connections=min(2, base.connections))
     if sweep.variable != "servers":
         base = replace(base, seconds=10.0)
+    if sweep.kind == "sockets":  # its seconds are real ones
+        base = replace(base, seconds=4.0)
     if hasattr(base, "phases"):
         base = replace(base, phases=2)
     return replace(sweep, values=SMALL_VALUES.get(sweep.variable, sweep.values), base=base)
@@ -253,7 +257,7 @@
         name=one.name,
         what=one.what,
         command=command,
-        kind="hollow",
+        kind=one.kind,
         alone=alone,
         variable=one.variable,
         variable_unit=one.unit,
--- /dev/null
+++ b/tests/scale/test_hollow_counts.py
@@ -0,0 +1,181 @@
+"""Hollow fleets: control is counted, and its counts grow no faster with size than the capacity page says."""
+
+import sys
+
+import pytest
+
+from cottonspread.lab.scale import hollow_news, hollow_sweeps
+from cottonspread.lab.scale.hollow import HollowFleet
+from cottonspread.lab.scale.hollow_plans import WARM_S, Size, plan
+from cottonspread.lab.scale.hollow_sweeps import Playing, idle_and_changes, whole_and_change
+from cottonspread.lab.sim.world import SECOND
+
+IDLE = Size(nodes=4, servers=20, seconds=20.0)
+
+
+def counts(figures, *names):
+    return [figures[name].value for name in names]
+
+
+def test_an_idle_instance_sends_and_hears_one_watch_in_two_seconds():
+    figures = idle_and_changes(IDLE)
+    request = b"GET /api/targets?since=1&timeout_ms=2000 HTTP/1.1\r\nHost: 127.64.0.10:8400\r\n"
+    request += b"Accept: application/json\r\n\r\n"
+    assert figures["control_messages"].value == pytest.approx(1.0, rel=0.02)
+    assert figures["control_bytes_out"].value == pytest.approx(len(request) / 2, rel=0.02)
+    assert figures["entries_read"].value == 0
+    assert figures["control_bytes_in"].value + figures["control_bytes_out"].value < 120
+
+
+def test_an_instance_s_control_does_not_grow_with_the_fleet():
+    flat = ("control_bytes_in", "control_bytes_out", "control_messages", "entries_read", "ticks")
+    few, many = (idle_and_changes(Size(nodes=nodes, servers=20)) for nodes in (3, 24))
+    assert counts(many, *flat) == pytest.approx(counts(few, *flat), rel=0.02)
+    machine = "list_machine_bytes_out", "list_machine_answers"
+    assert counts(many, *machine) == pytest.approx([8 * one for one in counts(few, *machine)], rel=0.02)
+
+
+def test_a_change_is_one_entry_and_one_answer_whatever_the_list_s_length():
+    short, long = (whole_and_change(Size(nodes=2, servers=servers)) for servers in (20, 160))
+    assert counts(short, "change_entries") == counts(long, "change_entries") == [1]
+    assert counts(long, "change_bytes") == pytest.approx(counts(short, "change_bytes"), rel=0.02)
+
+
+def test_a_whole_list_costs_its_entries_and_no_more():
+    short, long = (whole_and_change(Size(nodes=2, servers=servers)) for servers in (20, 160))
+    assert counts(short, "whole_list_entries") == [20] and counts(long, "whole_list_entries") == [160]
+    grown = long["whole_list_bytes"].value / short["whole_list_bytes"].value
+    assert grown <= 8 * 1.02
+    assert 140 <= long["whole_list_bytes"].value / 160 <= 180  # bytes an entry
+
+
+@pytest.mark.parametrize("rate", (60, 600))
+def test_bytes_follow_the_changes(rate):
+    """An answer and a request a change, and no watch that ends with nothing between them."""
+    figures = idle_and_changes(Size(nodes=2, servers=20, changes_a_minute=rate, seconds=10.0))
+    assert figures["entries_read"].value == pytest.approx(rate / 60, rel=0.02)
+    assert figures["control_messages"].value == pytest.approx(2 * rate / 60, rel=0.05)
+    assert figures["control_bytes_in"].value == pytest.approx(282 * rate / 60, rel=0.05)
+
+
+def calls_made(what):
+    """Python calls while it runs: work that is the same on every machine."""
+    made = 0
+
+    def count(frame, event, _):
+        nonlocal made
+        made += event in ("call", "c_call")
+
+    sys.setprofile(count)
+    try:
+        what()
+    finally:
+        sys.setprofile(None)
+    return made
+
+
+def work(servers):
+    """Calls of an instance for a whole list, for one change and for a second of ticks."""
+    playing = Playing(Size(nodes=1, servers=servers, seconds=30.0))
+    playing.until(WARM_S + 0.01)
+    playing.fleet.processes()[0].discovery.whole = True
+    whole = calls_made(lambda: playing.until(WARM_S + 2.1))
+    at = WARM_S + 4.0
+    playing.until(at)
+    idle = calls_made(lambda: playing.until(at + 1))
+    playing.change_evenly(at + 1.05, 1, 1.0)
+    changed = calls_made(lambda: playing.until(at + 2))
+    return whole, changed, idle
+
+
+def test_no_control_work_grows_faster_than_the_list():
+    smaller, larger = work(50), work(200)
+    for name, few, many in zip(("whole list", "change", "ticks"), smaller, larger, strict=True):
+        assert many <= 4.1 * few, f"{name}: {few} calls at 50 servers, {many} at 200"
+
+
+def test_one_seed_gives_one_trace_and_another_a_different_one():
+    def played(seed):
+        size = Size(nodes=6, servers=10, connections=3, seed=seed)
+        fleet = HollowFleet(plan(size, 8.0), checked=False)
+        fleet.world.run(8 * SECOND)
+        assert fleet.clients.counts["up"] == 18
+        meter = fleet.metered()
+        return fleet.world.sum(), meter.bytes_in, meter.line_steps
+
+    assert played(3) == played(3)
+    assert played(3)[0] != played(4)[0]
+
+
+def test_a_change_is_in_force_everywhere_within_a_message_s_way():
+    figures = hollow_news.news(Size(nodes=9, servers=10))
+    assert figures["in_force_last"].value < 0.005
+
+
+@pytest.mark.parametrize("refuses", (False, True))
+@pytest.mark.parametrize("away_s, back_s", ((0.1, 0), (4.0, 0), (8.0, 1.0)))
+def test_after_failed_watches_a_change_is_in_force_within_the_reckoned_longest(away_s, back_s, refuses):
+    size = hollow_news.AbsenceSize(nodes=6, servers=10, away_s=away_s, back_s=back_s, refuses=refuses)
+    figures = hollow_news.after_absence(size)
+    assert figures["list_failures"].value >= 1
+    assert figures["in_force_last"].value <= 4.5
+
+
+def test_a_lost_list_machine_is_felt_by_its_own_nodes_alone():
+    playing = Playing(Size(nodes=6, servers=10, seconds=30.0))
+    playing.until(WARM_S)
+    playing.fleet.list_machines[1].vanish(8 * SECOND)
+    playing.until(WARM_S + 7)
+    failed = [process.meter.failures > 0 for process in playing.fleet.processes()]
+    assert failed == [False, True, False] * 2
+    playing.change(0)
+    playing.until(WARM_S + 7.5)
+    (reached,) = playing.fleet.versions.values()
+    assert sorted(reached) == ["n0", "n2", "n3", "n5"]
+    playing.until(WARM_S + 8 + 4.5)
+    assert len(reached) == 6 and playing.fleet.listed() == 6
+
+
+def test_a_further_control_client_is_begun_with_each_process():
+    begun = []
+
+    class Beat:
+        def __init__(self, process):
+            self.process = process
+
+        def begin(self):
+            begun.append(self.process.node.name)
+            self.process.world.after(SECOND, self.beat)
+
+        def beat(self):
+            if not self.process.dead:
+                self.process.meter.bytes_out += 10
+                self.process.world.after(SECOND, self.beat)
+
+    size = Size(nodes=3, servers=4)
+    fleet = HollowFleet(plan(size, 20.0), control=(Beat,), checked=False)
+    plain = HollowFleet(plan(size, 20.0), checked=False)
+    for one in (fleet, plain):
+        one.world.run(13 * SECOND)
+    assert sorted(begun) == ["n0", "n1", "n2"]
+    beats = (fleet.metered().bytes_out - plain.metered().bytes_out) / 10
+    assert 3 * 11 <= beats <= 3 * 12
+    fleet.nodes[1].process.kill()
+    fleet.nodes[1].start()
+    assert begun[-1] == "n1" and len(begun) == 4
+    assert fleet.metered().bytes_out > plain.metered().bytes_out  # the ended process's work still counts
+
+
+def test_a_small_sweep_is_a_result_that_can_be_kept(tmp_path):
+    from cottonspread.lab.scale.results import read_sweep, write
+
+    one = hollow_sweeps.small(hollow_sweeps.SWEEPS[1])
+    told = []
+    result = hollow_sweeps.sweep(
+        one, "the test", 1, False, lambda value, _: told.append(value), hollow_sweeps.here
+    )
+    kept = read_sweep(write(result, tmp_path))
+    assert told == list(one.values)
+    entries = kept.measure("entries_read")
+    assert [point.value for point in entries.points] == pytest.approx([n / 60 for n in one.values], rel=0.02)
+    assert {m.control for m in kept.measures} == {True}
