--- /dev/null
+++ b/cottonspread/lab/scale/module_node.py
@@ -0,0 +1,127 @@
+"""One node's decision module filled to a size, driven through its public interface alone.
+
+Every event is one that a front tells. Whatever the module asks for is answered at once and well: probes with
+a low load, sends with an acceptance. Times are microseconds of a simulated clock.
+"""
+
+from cottonspread import interface as io
+
+try:
+    from cottonspread.policy import Balancer
+except ImportError:  # a text from before the package
+    from cottonspread.decide import Balancer
+
+SECOND = 1_000_000
+ZONES = 8
+NODES = 420
+LOAD = 10_000.0  # microseconds of work a second that a connection is told to cause
+GUARD = 3 * SECOND
+LOOK = SECOND // 4  # the module looks at marked servers no more often
+
+
+def begin(seed=1, probed=False):
+    """Settings of a node in a fleet of the target's size, groups sharing work."""
+    kind = io.TrafficType("listen", io.Effect.REPEATABLE, "all", 5 * SECOND, SECOND, GUARD, 1.0, 140_000)
+    return io.Begin(
+        seed=seed,
+        me=0,
+        nodes=NODES,
+        zone=0,
+        tick=2000,
+        types=(kind,),
+        legs=io.LegLimits(3, False, True, False, 0),
+        cold=io.ColdStart(0.12, 20 * SECOND, 2.5, 2 * SECOND),
+        listing=io.ListRules(False, 10 * SECOND, SECOND // 2),
+        prices=io.Prices(0.03, 0.03),
+        groups_share_work=True,
+        loads_probed=probed,
+    )
+
+
+def entry(number, **more):
+    """Server `number` as the list tells it."""
+    return io.Entry(f"server-{number}", zone=number % ZONES, **more)
+
+
+class ModuleNode:
+    """A balancer with `servers` listed and `connections` standing, of `groups` groups in turn."""
+
+    def __init__(self, connections, servers, groups, seed=1, probed=False, large_group=0):
+        self.now, self.calls, self.version, self.seed = SECOND, 0, 0, seed
+        self.servers, self.groups = servers, groups
+        self.balancer = Balancer(self.now, begin(seed, probed))
+        self.standing = {}  # call: its server's number
+        self.entries = {}  # server's name: its entry as last listed
+        self.list(io.News.FULL, [entry(n) for n in range(servers)])
+        for number in range(connections):
+            group = "large" if number < large_group else f"group-{number % groups}"
+            self.hold(group, number)
+
+    def handle(self, event):
+        """Passes one event to the module; returns what it asks for."""
+        return self.balancer.handle(self.now, event)
+
+    def list(self, news, entries):
+        """A word of the list; returns the module's actions."""
+        self.version += 1
+        self.entries.update((one.host, one) for one in entries)
+        return self.handle(io.Listed(news, self.version, tuple(entries)))
+
+    def hold(self, group, number):
+        """A connection that stands already; they are spread evenly, as the module keeps them."""
+        server = number % self.servers
+        call = self.next_call()
+        held_by = f"server-{server}"
+        self.handle(io.Arrived(call, 0, GUARD, f"key-{call}", group, held_by=held_by))
+        self.handle(io.LoadTold(call, LOAD))
+        self.standing[call] = server
+
+    def next_call(self):
+        """An id that no call had before."""
+        self.calls += 1
+        return self.calls
+
+    def arrive(self, group=None, key=None):
+        """A call comes; returns (its id, whether the module sent it somewhere). Probes are answered."""
+        call = self.next_call()
+        actions = self.handle(io.Arrived(call, 0, GUARD, key or f"key-{call}", group))
+        while actions and isinstance(actions[-1], io.Probe):
+            actions = self.handle(io.Probed(actions[-1].host, io.Ending.OK, load=0.2))
+        return call, any(isinstance(action, io.Send) for action in actions)
+
+    def whole_call(self, group=None):
+        """A call comes, is accepted and ends."""
+        call, sent = self.arrive(group)
+        if sent:
+            self.handle(io.Accepted(call, 0, 0))
+            self.handle(io.LegEnded(call, 0, io.Ending.OK, True))
+        self.now += 10
+
+    def look(self):
+        """A call after a pause: the module looks at its marked servers. Returns the call."""
+        self.now += LOOK
+        return self.arrive()
+
+    def drain(self, number):
+        """Server `number` is told to drain."""
+        return self.list(io.News.CHANGES, [entry(number, state=io.State.DRAINING)])
+
+    def started_anew(self, number):
+        """Server `number` is listed as started just now."""
+        return self.list(io.News.CHANGES, [entry(number, started=self.now)])
+
+    def whole_list(self):
+        """The whole list, read again unchanged."""
+        return self.list(
+            io.News.FULL, [one for one in self.entries.values() if one.state is not io.State.GONE]
+        )
+
+    def lose(self, numbers):
+        """These servers vanish from the list at once."""
+        return self.list(io.News.CHANGES, [entry(n, state=io.State.GONE) for n in numbers])
+
+    def break_off(self, numbers):
+        """All connections on these servers break; returns the events that tell it."""
+        gone = set(numbers)
+        calls = [call for call, server in self.standing.items() if server in gone]
+        return [io.LegEnded(call, 0, io.Ending.RESET, True) for call in calls]
--- /dev/null
+++ b/cottonspread/lab/scale/module_sweeps.py
@@ -0,0 +1,229 @@
+"""Sweeps of the decision module alone: what one event costs, at sizes up to the target's.
+
+    python -m cottonspread.lab.scale.module_sweeps [--small] [--sweep NAME] [--out DIR] [--suffix TEXT]
+
+Each sweep varies one size and measures each kind of event by processor time and by lines run (measuring.py).
+"""
+
+import argparse
+import gc
+import json
+import os
+import platform
+import subprocess
+import sys
+from dataclasses import dataclass
+from datetime import date
+from pathlib import Path
+from random import Random
+
+from cottonspread import interface as io
+from cottonspread.lab.scale.measuring import Cost, memory_taken
+from cottonspread.lab.scale.module_node import LOOK, ModuleNode
+
+PLAYS = 10  # of each event of the list: half by time, half by lines
+CALLS = 200
+LARGE_SHARE = 420  # nodes: a node has this part of a large topic's listeners
+
+SIZES = {
+    "connections": (1_000, 5_000, 10_000, 20_000, 40_000, 76_190),
+    "servers": (50, 200, 400, 1_000, 3_000),
+    "groups": (1_000, 10_000, 50_000, 150_000),
+    "large-group": (1_000, 10_000, 100_000, 430_000),
+}
+SMALL = {
+    "connections": (200, 400, 800, 1_600),
+    "servers": (20, 40, 80, 160),
+    "groups": (100, 200, 400, 800),
+    "large-group": (1_000, 10_000, 42_000, 84_000),
+}
+FIXED = {
+    "connections": {"servers": 1_000, "groups": 50_000},
+    "servers": {"connections": 10_000, "groups": 10_000},
+    "groups": {"connections": 76_190, "servers": 1_000},
+    "large-group": {"connections": 10_000, "servers": 1_000, "groups": 10_000},
+}
+SMALL_FIXED = {"connections": 400, "servers": 40, "groups": 200}
+UNITS = {
+    "connections": "connections on the node",
+    "servers": "servers listed",
+    "groups": "groups in the fleet",
+    "large-group": "listeners of the largest group, all nodes together",
+}
+
+
+def node_of(sweep, size, fixed, probed=False):
+    """The node that a sweep has at one size."""
+    shape = dict(fixed)
+    if sweep == "large-group":
+        shape["large_group"] = min(size // LARGE_SHARE, shape["connections"])
+    else:
+        shape[sweep] = size
+    return ModuleNode(**shape, probed=probed)
+
+
+class Play:
+    """Everything that is measured of one node, in an order in which nothing disturbs what comes after."""
+
+    def __init__(self, node, probed, seed=3):
+        self.node, self.probed, self.chance = node, probed, Random(seed)
+        self.figures = {}  # (name, unit, whether it is control): value
+
+    def note(self, name, cost, control, longest=False):
+        """Keeps one kind of event's cost."""
+        value = cost.longest if longest else cost.median
+        self.figures[f"{name}_us", "us", control] = round(value, 1)
+        self.figures[f"{name}_lines", "lines run", control] = cost.most_lines
+
+    def drawn_groups(self):
+        """A group for each call: any of those that the node may know."""
+        return [f"group-{self.chance.randrange(self.node.groups)}" for _ in range(CALLS)]
+
+    def new_groups(self):
+        """A group for each call that the node has no record of."""
+        return [f"new-group-{n}" for n in range(CALLS)]
+
+    def calls(self):
+        """Calls without and with a group, and those of a node that probes."""
+        node = self.node
+        node.look()
+        self.note("call", Cost.of([node.whole_call] * CALLS), False)
+        works = [lambda group=group: node.whole_call(group) for group in self.drawn_groups()]
+        self.note("call_shared", Cost.of(works), False)
+        works = [lambda group=group: node.whole_call(group) for group in self.new_groups()]
+        self.note("call_new_group", Cost.of(works), False)
+        works = [lambda group=group: self.probed.whole_call(group) for group in self.new_groups()]
+        self.note("call_probed", Cost.of(works), False)
+        self.note("look", Cost.of([node.look] * PLAYS), True)
+
+    def loads(self):
+        """Loads told on standing connections."""
+        calls = self.chance.sample(sorted(self.node.standing), CALLS)
+        works = [lambda call=call: self.node.handle(io.LoadTold(call, 12_000.0)) for call in calls]
+        self.note("load_told", Cost.of(works), False)
+
+    def words(self):
+        """Words of the list: unchanged, a drain, a start."""
+        node = self.node
+        self.note("whole_list", Cost.of([node.whole_list] * PLAYS), True, longest=True)
+        numbers = range(node.servers - 1, node.servers - 1 - PLAYS, -1)
+        works = [lambda number=number: node.drain(number) for number in numbers]
+        self.note("drain", Cost.of(works), True, longest=True)
+        works = [lambda number=number: node.started_anew(number) for number in numbers]
+        self.note("started", Cost.of(works), True, longest=True)
+
+    def lost(self):
+        """An eighth of the servers vanishes at once (timed), another (lines counted); connections break."""
+        node, eighth = self.node, self.node.servers // 8
+        parts = [range(eighth), range(eighth, 2 * eighth)]
+        works = [lambda numbers=numbers: node.lose(numbers) for numbers in parts]
+        self.note("lost_eighth", Cost.of(works), True, longest=True)
+        endings = node.break_off(range(2 * eighth))
+        self.note("broken_off", Cost.of([lambda end=end: node.handle(end) for end in endings]), False)
+        node.now += LOOK
+        self.note("call_after_loss", Cost.of([node.whole_call, node.whole_call]), False, longest=True)
+
+    def all(self):
+        """Plays all of it; returns the figures."""
+        self.calls()
+        self.loads()
+        self.words()
+        self.lost()
+        return self.figures
+
+
+def measure(sweep, size, fixed):
+    """All figures of one size of a sweep."""
+    node, taken = memory_taken(lambda: node_of(sweep, size, fixed))
+    del node
+    gc.collect()
+    figures = Play(node_of(sweep, size, fixed), node_of(sweep, size, fixed, probed=True)).all()
+    figures["memory", "bytes", True] = taken
+    return figures
+
+
+@dataclass(frozen=True)
+class Plan:
+    """What a family of sweeps varies, holds fixed and measures."""
+
+    kind: str  # "module" or "reducer"
+    sizes: dict  # sweep: sizes
+    fixed: dict  # sweep: {name: value}
+    units: dict  # sweep: what the size counts
+    measure: object  # (sweep, size, fixed) to {(name, unit, control): value}
+    small: bool
+
+    def result(self, sweep, suffix=""):
+        """Plays one sweep; returns it as a result."""
+        measures = {}
+        for size in self.sizes[sweep]:
+            print(f"{sweep} {size}", file=sys.stderr, flush=True)
+            for head, value in self.measure(sweep, size, self.fixed[sweep]).items():
+                measures.setdefault(head, []).append([size, value])
+        flags = " --small" * self.small + f" --suffix={suffix}" * bool(suffix)
+        return {
+            "name": f"{self.kind}-{sweep}{suffix}",
+            "what": f"Cost of each event of the {self.kind} alone, by {self.units[sweep]}; processor time",
+            "command": f"python -m cottonspread.lab.scale.{self.kind}_sweeps --sweep {sweep}{flags}",
+            "commit": commit(),
+            "date": date.today().isoformat(),
+            "machine": machine(),
+            "kind": self.kind,
+            "alone": False,
+            "variable": sweep,
+            "variable_unit": self.units[sweep],
+            "fixed": self.fixed[sweep],
+            "measures": [
+                {"name": name, "unit": unit, "control": control, "points": points, "plays": 1}
+                for (name, unit, control), points in measures.items()
+            ],
+        }
+
+
+def commit():
+    """The commit of the text that is measured."""
+    asked = subprocess.run(["git", "rev-parse", "--short", "HEAD"], capture_output=True, text=True)
+    return asked.stdout.strip() or "unknown"
+
+
+def machine():
+    """What the sweep ran on."""
+    return f"{os.cpu_count()} cores, Python {platform.python_version()}"
+
+
+def table(result):
+    """The result as text: a row for each measure."""
+    rows = [f"{result['name']}: " + ", ".join(f"{k}={v}" for k, v in result["fixed"].items())]
+    for one in result["measures"]:
+        values = "".join(f"{value:>14,.0f}" for _, value in one["points"])
+        rows.append(f"{one['name']:<24}{values}")
+    return "\n".join(rows)
+
+
+def run(kind, sizes, small_sizes, fixed, small_fixed, units, measure, text):
+    """Plays the sweeps that the command line names, all of them if none."""
+    parser = argparse.ArgumentParser(description=text.split("\n")[0])
+    parser.add_argument("--small", action="store_true", help="sizes that end in seconds")
+    parser.add_argument("--sweep", choices=sorted(sizes), help="one sweep; all, if left out")
+    parser.add_argument("--out", type=Path, help="folder for the results; printed alone, if left out")
+    parser.add_argument("--suffix", default="", help="added to each result's name")
+    options = parser.parse_args()
+    if options.small:
+        sizes = small_sizes
+        fixed = {sweep: {name: small_fixed[name] for name in shape} for sweep, shape in fixed.items()}
+    plan = Plan(kind, sizes, fixed, units, measure, options.small)
+    for sweep in [options.sweep] if options.sweep else sizes:
+        result = plan.result(sweep, options.suffix)
+        print(table(result), flush=True)
+        if options.out:
+            save(options.out, result)
+
+
+def save(folder, result):
+    """Writes one result."""
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / f"{result['name']}.json").write_text(json.dumps(result, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    run("module", SIZES, SMALL, FIXED, SMALL_FIXED, UNITS, measure, __doc__)
--- /dev/null
+++ b/cottonspread/lab/scale/reducer_node.py
@@ -0,0 +1,131 @@
+"""One node's reducer filled to a size, driven by the events of its workers. No sockets, no threads.
+
+Every write is done at once and every host answers well. Times are microseconds of a simulated clock.
+"""
+
+from cottonspread import config
+from cottonspread import interface as io
+from cottonspread.front import handover
+from cottonspread.lab.scale.module_node import GUARD, LOAD, SECOND, begin, entry
+from cottonspread.net import events as ev
+from cottonspread.net.reducer import LISTEN, SWEEP, Reducer
+
+MOST_ENDS = 1_000_000
+CONNECT_WAIT = SECOND // 20
+TYPE = "listen"
+JUST_BEFORE = 1000  # microseconds
+
+
+def address(number):
+    """Where server `number` listens."""
+    return f"10.0.{number // 250}.{number % 250}", 7000
+
+
+class ReducerNode:
+    """A reducer with `servers` listed and `connections` standing, of `groups` groups in turn."""
+
+    def __init__(self, connections, servers, groups, seed=1):
+        self.now, self.version, self.servers, self.groups = SECOND, 0, servers, groups
+        self.made = 0
+        names = config.Names({TYPE: 0}, {}, {}, {})
+        hearing = config.Hearing(CONNECT_WAIT, True, True)
+        self.reducer = Reducer(self.now, begin(seed), names, hearing, MOST_ENDS)
+        self.hosts = {}  # a client's end: its host's end
+        self.step(ev.Tick())
+        self.whole_list()
+        for number in range(connections):
+            self.adopt(number, f"group-{number % groups}")
+
+    def step(self, event):
+        """One event; returns what the reducer asks for."""
+        return self.reducer.step(self.now, event)
+
+    def whole_list(self):
+        """The whole list is read, all servers up."""
+        self.version += 1
+        entries = tuple(entry(n) for n in range(self.servers))
+        addresses = {one.host: address(n) for n, one in enumerate(entries)}
+        return self.step(ev.Heard(io.Listed(io.News.FULL, self.version, entries), addresses))
+
+    def adopt(self, number, group, waiting=()):
+        """A connection that stands already; they are spread evenly, as the module keeps them. `waiting`: when
+        lines without an echo were sent."""
+        server = number % self.servers
+        client, host = ev.End(True), ev.End(False)
+        client.worker = host.worker = "a thread"
+        standing = handover.Standing(
+            f"id-{number}", TYPE, f"server-{server}", self.now, 1000, f"key-{number}", group, 0, LOAD, waiting
+        )
+        taken = []
+        self.step(ev.Adopted(client, host, standing, taken.append))
+        assert taken == [True]
+        self.hosts[client] = host
+
+    def timers(self, wanted, busy=()):
+        """Goes to when timers of one kind alone ("sweep" or "listen") are due; returns that step.
+
+        `busy`: clients that send a line just before.
+        """
+        while True:
+            due = self.reducer.due()
+            since = due - SECOND
+            kinds = {"sweep": since % SWEEP == 0, "listen": since % LISTEN == 0}
+            if kinds.pop(wanted) and not any(kinds.values()):
+                break
+            self.now = due
+            self.step(ev.Tick())
+        self.now = max(self.now, due - JUST_BEFORE)
+        for client in busy:
+            self.line_out(client)
+        self.now = due
+        return lambda: self.step(ev.Tick())
+
+    def line_out(self, client):
+        """A line of a client goes on to its host."""
+        self.step(ev.Got(client, b"hello\n"))
+        self.step(ev.Written(self.hosts[client], True, self.now))
+
+    def echo(self, client):
+        """The host's echo goes back to the client."""
+        self.step(ev.Got(self.hosts[client], b"hello\n"))
+        self.step(ev.Written(client, True, self.now))
+
+    def load_line(self, client):
+        """The host tells a load on the client's connection."""
+        return self.step(ev.Got(self.hosts[client], b"LOAD 12000\n"))
+
+    def there_and_back(self, client):
+        """One line and its echo."""
+        self.line_out(client)
+        self.echo(client)
+
+    def whole_call(self, group):
+        """A client comes, is taken by a host, and leaves."""
+        self.made += 1
+        self.now += 10
+        client = ev.End(True, worker="a thread")
+        self.step(ev.Came(client))
+        line = f"OPEN call-{self.made} key-{self.made} c={TYPE},g={group},d={GUARD // 1000}\n"
+        out = self.step(ev.Got(client, line.encode()))
+        connects = [effect for effect in out if isinstance(effect, ev.Connect)]
+        assert connects, out
+        host = connects[0].end
+        host.worker = "a thread"
+        self.step(ev.Connected(host, True))
+        self.step(ev.Written(host, True, self.now))
+        self.step(ev.Got(host, b"UP receipt\n"))
+        self.step(ev.Written(client, True, self.now))
+        self.step(ev.Over(client, "end"))
+        self.step(ev.Over(host, "end"))
+
+    def drain(self):
+        """The operators drain the node."""
+        return self.step(ev.DrainAsked(True))
+
+    def resume(self):
+        """And take that back."""
+        return self.step(ev.DrainAsked(False))
+
+    def hand_over(self):
+        """A successor asks for what it needs."""
+        return self.step(ev.HandOverAsked(lambda handed: None))
--- /dev/null
+++ b/cottonspread/lab/scale/reducer_sweeps.py
@@ -0,0 +1,106 @@
+"""Sweeps of the reducer with its module, no sockets: what a tick, a line, a call and an order of staff cost.
+
+    python -m cottonspread.lab.scale.reducer_sweeps [--small] [--sweep NAME] [--out DIR] [--suffix TEXT]
+
+The measures `sweep` and `listen` are the reducer's own timers, four and ten times a second;
+`timers_a_second` is what both take of a second of processor time.
+"""
+
+import gc
+
+from cottonspread.lab.scale.measuring import Cost, memory_taken
+from cottonspread.lab.scale.module_sweeps import CALLS, PLAYS, Play, run
+from cottonspread.lab.scale.reducer_node import ReducerNode
+from cottonspread.net.reducer import LISTEN, SECOND, SWEEP
+
+WAITING_PART = 10  # one connection in so many has a line out without an echo
+SIZES = {
+    "connections": (1_000, 5_000, 10_000, 20_000, 40_000, 76_190),
+    "servers": (50, 200, 400, 1_000, 3_000),
+}
+SMALL = {"connections": (200, 400, 800, 1_600), "servers": (20, 40, 80, 160)}
+FIXED = {
+    "connections": {"servers": 1_000, "groups": 50_000},
+    "servers": {"connections": 10_000, "groups": 10_000},
+}
+SMALL_FIXED = {"connections": 400, "servers": 40, "groups": 200}
+UNITS = {"connections": "connections on the node", "servers": "servers listed"}
+
+
+class ReducerPlay(Play):
+    """Everything that is measured of one reducer."""
+
+    def __init__(self, node):
+        super().__init__(node, None)
+        self.clients = list(node.hosts)
+
+    def timers(self):
+        """The two timers of the reducer with nothing under way, then with lines out."""
+        node = self.node
+        for state, busy in (("idle", []), ("lines_out", self.clients[::WAITING_PART])):
+            for kind in ("sweep", "listen"):
+                timed = Timed(node, kind, busy)
+                self.note(f"{kind}_{state}", Cost.of([timed] * PLAYS), True)
+                timed.echo()
+            sweeps, listens = (self.figures[f"{kind}_{state}_us", "us", True] for kind in ("sweep", "listen"))
+            second = round(sweeps * (SECOND // SWEEP) + listens * (SECOND // LISTEN))
+            self.figures[f"timers_a_second_{state}_us", "us a second", True] = second
+
+    def clients_lines(self):
+        """What clients cause: lines, calls."""
+        node = self.node
+        works = [lambda client=client: node.there_and_back(client) for client in self.clients[1 : CALLS + 1]]
+        self.note("line_and_echo", Cost.of(works), False)
+        works = [lambda group=group: node.whole_call(group) for group in self.drawn_groups()]
+        self.note("call", Cost.of(works), False)
+        works = [lambda group=group: node.whole_call(group) for group in self.new_groups()]
+        self.note("call_new_group", Cost.of(works), False)
+
+    def orders(self):
+        """What the list and staff cause."""
+        node = self.node
+        self.note("whole_list", Cost.of([node.whole_list] * PLAYS), True, longest=True)
+        self.note("hand_over", Cost.of([node.hand_over] * 2), True, longest=True)
+        self.note("drain", Cost.of([node.drain, node.resume, node.resume, node.drain]), True, longest=True)
+
+    def all(self):
+        """Plays all of it; returns the figures."""
+        self.clients_lines()
+        self.timers()
+        self.orders()
+        return self.figures
+
+
+class Timed:
+    """The next run of one timer alone: waited for as it is made ready, outside what is measured."""
+
+    def __init__(self, node, kind, busy):
+        self.node, self.kind, self.busy, self.sent = node, kind, busy, []
+
+    def ready(self):
+        """Goes to the moment at which it is due, a line just sent by each of `busy`; returns the work."""
+        self.echo()
+        work = self.node.timers(self.kind, self.busy)
+        self.sent = self.busy
+        return work
+
+    def echo(self):
+        """Each host echoes what was sent before the last run."""
+        for client in self.sent:
+            self.node.echo(client)
+        self.sent = []
+
+
+def measure(sweep, size, fixed):
+    """All figures of one size of a sweep."""
+    shape = {**fixed, sweep: size}
+    node, taken = memory_taken(lambda: ReducerNode(**shape))
+    del node
+    gc.collect()
+    figures = ReducerPlay(ReducerNode(**shape)).all()
+    figures["memory", "bytes", True] = taken
+    return figures
+
+
+if __name__ == "__main__":
+    run("reducer", SIZES, SMALL, FIXED, SMALL_FIXED, UNITS, measure, __doc__)
