--- a/cottonspread/lab/experiment.py
+++ b/cottonspread/lab/experiment.py
@@ -15,14 +15,16 @@
 
 
 def run(file, out, seconds=None, repeats=None, quiet=False, again=2):
-    """Plays all; exit code 0, or 1 if a rule was broken, 3 if a play is not usable. A play whose generator was late is
-    played anew, `again` times at most; what it left is kept beside it."""
+    """Plays all; exit code 0, or 1 if a rule was broken, 3 if a play is not usable.
+
+    A play whose generator was late is played anew, `again` times at most; what it left is kept beside it.
+    """
     x = plans.read(file)
     if seconds:
         x = plans.check(msgspec.structs.replace(x, seconds=seconds))
     variants = x.variants or [plans.Variant(name="only")]
     if os.path.exists(os.path.join(out, "0-" + variants[0].name)):
-        raise plans.Fault(f"--out {out}: holds plays already")
+        raise plans.PlanError(f"--out {out}: holds plays already")
     played = {v.name: [] for v in variants}
     console, cut = Console(stderr=True), ""
     for repeat in range(repeats or x.repeats):
@@ -46,7 +48,7 @@
             played[variant.name].append(result)
             cut = play.cut
             print("\n".join(results.lines(result)), flush=True)
-    pairs = list(zip(*(played[v.name] for v in variants[:2]))) if len(variants) > 1 else []
+    pairs = list(zip(*(played[v.name] for v in variants[:2]), strict=False)) if len(variants) > 1 else []
     if pairs:
         show_pairs(pairs, variants[0].name, variants[1].name)
     print(report.write(out))
@@ -79,7 +81,7 @@
 
 
 def compare(a, b):
-    pairs = list(zip(results.plays(a), results.plays(b)))
+    pairs = list(zip(results.plays(a), results.plays(b), strict=False))
     for one, other in pairs:
         if one.schedule_sha256 != other.schedule_sha256:
             print(f"seeds {one.seed} and {other.seed}: schedules differ: no pair", file=sys.stderr)
--- a/cottonspread/lab/run.py
+++ b/cottonspread/lab/run.py
@@ -1,9 +1,12 @@
-"""One play: starts hosts, list, nodes and clients as processes, carries the nodes' faults out, and gathers what was seen.
+"""One play: starts hosts, list, nodes and clients as processes, carries the nodes'
+faults out, and gathers what was seen.
 
-Whatever ends a run (its time, Ctrl-C, a process that dies), what was seen so far is kept and valid, and no process is left:
-the lab's own end when their standard input does, nodes when the kernel tells that their parent is gone.
+Whatever ends a run (its time, Ctrl-C, a process that dies), what was seen so far is kept and
+valid, and no process is left: the lab's own end when their standard input does, nodes when the
+kernel tells that their parent is gone.
 """
 
+import contextlib
 import ctypes
 import heapq
 import json
@@ -31,7 +34,7 @@
 libc = ctypes.CDLL(None)
 
 
-class Broken(RuntimeError):
+class StartError(RuntimeError):
     """The run could not begin; the message names what was in the way."""
 
 
@@ -52,10 +55,8 @@
         self.rest, self.ready, self.fault, self.counts, self.ended = b"", False, "", {}, False
 
     def say(self, line):
-        try:
+        with contextlib.suppress(OSError):
             self.process.stdin.write(line.encode() + b"\n")
-        except OSError:
-            pass
 
     def read(self):
         """False at its end."""
@@ -108,7 +109,9 @@
             return False
 
     def inherited(self):
-        """The environment and the descriptors of a process that is to be replaced: the lab holds its socket then."""
+        """The environment and the descriptors of a process that is to be
+        replaced: the lab holds its socket then.
+        """
         if not any(f.kind == "replace" and self.node.name in f.on for f in self.play.plan.faults):
             return {}, ()
         if self.listener is None:
@@ -151,7 +154,7 @@
                     **environment,
                     "PROXY_CONFIG": path,
                     "PYTHONPATH": checkout,
-                    "PROXY_OPERATOR": "%s:%d" % self.operator,
+                    "PROXY_OPERATOR": "{}:{}".format(*self.operator),
                 },
                 preexec_fn=lambda: prepare_child(self.play.node_cores(self.number)),
             )
@@ -200,7 +203,9 @@
         return {cores[len(cores) - 1 - number % most]}
 
     def child_cores(self, kind, number):
-        """A load process that spins has a core of its own where there are enough; the others share what is left."""
+        """A load process that spins has a core of its own where there are
+        enough; the others share what is left.
+        """
         cores = set(os.sched_getaffinity(0))
         for n in range(len(self.plan.nodes)):
             cores -= self.node_cores(n) or set()
@@ -252,11 +257,11 @@
             self.hear(0.2)
             for child in self.children:
                 if child.fault:
-                    raise Broken(f"{child.name}: {child.fault}")
+                    raise StartError(f"{child.name}: {child.fault}")
                 if child.ended and not child.ready:
-                    raise Broken(f"{child.name}: ended before it was ready")
+                    raise StartError(f"{child.name}: ended before it was ready")
             if time.monotonic() > until:
-                raise Broken(
+                raise StartError(
                     "not ready after 30 s: " + ", ".join(c.name for c in self.children if not c.ready)
                 )
         if x.nodes.fleet:
@@ -271,12 +276,13 @@
         while not all(node.up for node in self.nodes) and not self.cut:
             for node in self.nodes:
                 if node.process.poll() is not None:
-                    raise Broken(
-                        f"{node.node.name}: ended with {node.process.returncode} at its start, see {node.node.name}.log"
+                    raise StartError(
+                        f"{node.node.name}: ended with {node.process.returncode} at its start, "
+                        f"see {node.node.name}.log"
                     )
                 node.up = node.up or node.answers_ping()
             if time.monotonic() > until + READY_WAIT:
-                raise Broken(
+                raise StartError(
                     "no PONG after 30 s from " + ", ".join(n.node.name for n in self.nodes if not n.up)
                 )
             self.hear(0.02)
@@ -398,9 +404,8 @@
     def quiesce(self, node, span):
         self.note("quiesce", node, ok=node.call("quiesce"))
         node.up = False
-        self.at(
-            now() + 300_000, self.front, "down", node
-        )  # asked ten times a second, and noticed 0.2 s after the first no
+        # asked ten times a second, and noticed 0.2 s after the first no
+        self.at(now() + 300_000, self.front, "down", node)
         self.at(now() + span, self.resume, node)
 
     def resume(self, node):
@@ -491,10 +496,8 @@
                 node.process.kill()
                 node.process.wait()
         for child in self.children:
-            try:
+            with contextlib.suppress(OSError):
                 child.process.stdin.close()
-            except OSError:
-                pass
             try:
                 child.process.wait(3)
             except subprocess.TimeoutExpired:
--- a/cottonspread/lab/scale/__init__.py
+++ b/cottonspread/lab/scale/__init__.py
@@ -1,1 +1,1 @@
-"""Runs at the size the fleet is to have: sweeps of costs, fits, hollow fleets and their results."""
+"""Scale tests: sweeps of cost against size, hollow fleets, results and fits behind docs/CAPACITY.md."""
--- a/examples/toy.py
+++ b/examples/toy.py
@@ -1,12 +1,14 @@
 """A toy to try a node with: three servers that echo lines, and the discovery that lists them.
 
-    python examples/toy.py                 # servers and discovery; type `drain 1`, `up 1`, `stop 1` to change the list
-    python examples/toy.py talk [GROUP]    # a client: what you type goes to the server that the node chose
+    python examples/toy.py               # servers and discovery
+    python examples/toy.py talk [GROUP]  # a client: what you type goes to the server that the node chose
 
-The servers speak the hosts' side of the protocol: `UP RECEIPT` for a first line, then each line back; BYE ends a
-connection. `stop N` makes server N silent, as a machine that vanished.
+Typing `drain 1`, `up 1`, `stop 1` at the first changes the list.
+The servers speak the hosts' side of the protocol: `UP RECEIPT` for a first line, then each line back; BYE
+ends a connection. `stop N` makes server N silent, as a machine that vanished.
 """
 
+import contextlib
 import json
 import secrets
 import socket
@@ -28,7 +30,7 @@
             self.servers.append(
                 {
                     "instanceId": f"toy-{n + 1}",
-                    "hostPort": "%s:%d" % listener.getsockname(),
+                    "hostPort": "{}:{}".format(*listener.getsockname()),
                     "zone": "here",
                     "machineType": "toy",
                     "cell": 0,
@@ -45,10 +47,8 @@
             threading.Thread(target=what, args=(sock, *args), daemon=True).start()
 
     def serve(self, sock, n):
-        try:
+        with contextlib.suppress(ConnectionError):  # the node was first
             self.echo(sock, n)
-        except ConnectionError:  # the node was first
-            pass
 
     def echo(self, sock, n):
         with sock, sock.makefile("rwb") as file:
@@ -95,7 +95,7 @@
     print(
         "servers:",
         ", ".join(s["instanceId"] for s in toy.servers),
-        "- discovery at %s:%d" % DISCOVERY,
+        "- discovery at {}:{}".format(*DISCOVERY),
         flush=True,
     )
     for line in sys.stdin:
--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -1,5 +1,8 @@
-"""The supervisor's core through random orders of events, with processes that do what processes do, against its promises. FLEET_SEQUENCES=5000 plays so many."""
+"""The supervisor's core through random orders of events, with processes that do what processes do, against
+its promises. FLEET_SEQUENCES=5000 plays so many.
+"""
 
+import itertools
 import os
 
 import pytest
@@ -227,7 +230,7 @@
         if world is None:
             return
         core = world.core
-        for name, slot in core.slots.items():
+        for name in core.slots:
             serving = [k for k, p in world.alive.items() if k[0] == name and p["state"] == "serving"]
             assert len(serving) <= 1, f"two holders of {name}"
         known = {(p.name, p.generation) for p in core.processes()}
@@ -240,7 +243,9 @@
             ), "more at once than allowed"
 
     def teardown(self):
-        """Whatever happened: left alone it comes to rest, with one holder of each name; told to stop, it stops."""
+        """Whatever happened: left alone it comes to rest, with one holder
+        of each name; told to stop, it stops.
+        """
         if not hasattr(self, "world"):
             return
         world, core = self.world, self.world.core
@@ -312,7 +317,7 @@
             if world.alive[key]["state"] != "serving" or not times:
                 times.append(world.now)
                 world.exit(key, "exit 1")
-    gaps = [round((b - a) / SECOND, 1) for a, b in zip(times, times[1:])]
+    gaps = [round((b - a) / SECOND, 1) for a, b in itertools.pairwise(times)]
     assert gaps[:4] == [0.1, 0.5, 1.0, 2.0] or gaps[:4] == [0.0, 0.5, 1.0, 2.0], gaps
 
 
@@ -440,7 +445,10 @@
 
 
 def test_a_name_that_is_taken_back_while_it_leaves_is_there_in_the_end():
-    """The first plan drops two names; it goes back while they leave. One was lost from the table, and the rollout never ended."""
+    """The first plan drops two names; it goes back while they leave.
+
+    One was lost from the table, and the rollout never ended.
+    """
     world = up(count=4)
     world.tell("replan", plan(2, start="bad"))
     for _ in range(40):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -19,7 +19,7 @@
 from cottonspread.lists import saved
 from cottonspread.net import discovery, lines, logfmt, workers
 from cottonspread.net import events as ev
-from cottonspread.net.http import BadAnswer, Http
+from cottonspread.net.http import Http, ResponseError
 from cottonspread.net.node import Node, grow_table
 from cottonspread.net.notes import Heard, Notes
 from cottonspread.net.pool import SIZE, Pool
@@ -55,7 +55,7 @@
     ours, theirs = pair()
     theirs.sendall(sent)
     theirs.shutdown(socket.SHUT_WR)
-    with pytest.raises(lines.BadLine, match=reason):
+    with pytest.raises(lines.LineError, match=reason):
         lines.Gatherer(ours, Pool(), 1).lines()
 
 
@@ -73,7 +73,9 @@
 def test_the_table_of_descriptors_has_its_size_before_there_are_threads():
     """It grew under them, and whoever opened the next one, the reducer too, waited 10 to 25 ms."""
     grow_table(3000)
-    size = next(line for line in open("/proc/self/status") if line.startswith("FDSize"))
+    size = next(
+        line for line in Path("/proc/self/status").read_text().splitlines() if line.startswith("FDSize")
+    )
     assert int(size.split()[1]) >= 3000
 
 
@@ -128,7 +130,9 @@
 
 
 def test_a_light_load_is_no_jam():
-    """A connection that fell to 380 us a second was taken for a host whose messages take 380 ms: all were moved."""
+    """A connection that fell to 380 us a second was taken for a host whose
+    messages take 380 ms: all were moved.
+    """
     notes, heard = Notes(slow_from=17_000), Heard(load=2_212)
     assert notes.delay(5_000_000, heard, 379.956, 0, USUAL) == 0
     assert notes.lapsed(5_900_000) == [] and notes.lapsed(6_200_000) == [(heard, 379.956)]
@@ -209,7 +213,9 @@
 
 
 def test_a_list_whose_weights_move_is_not_saved_at_each_word(tmp_path):
-    """Each second a write and an fsync; and a successor took weights under load for the sizes to begin with."""
+    """Each second a write and an fsync; and a successor took weights under load for the
+    sizes to begin with.
+    """
     one = {"instanceId": "s-1", "lifecycle": "Ready", "weight": 3.0}
     for moving, kept in ((True, 3.0), (False, 0.2)):
         path = tmp_path / f"{moving}.json"
@@ -267,7 +273,7 @@
     ],
 )
 def test_no_answer_is_made_of_a_bad_one(answer):
-    with pytest.raises((BadAnswer, OSError)):
+    with pytest.raises((ResponseError, OSError)):
         Http(Answers(answer).address, 1).get("/", WAIT)
 
 
@@ -329,9 +335,9 @@
     """One such entry among sixty, and the whole list was turned down, for good."""
     names = config.Names({}, {"here": 0}, {}, {})
 
-    def read(*instances, before={}):
+    def read(*instances, before=None):
         version, listed, addresses, unread = discovery.read_list(
-            {"generation": 3, "reset": True, "instances": list(instances)}, names, before=before
+            {"generation": 3, "reset": True, "instances": list(instances)}, names, before=before or {}
         )
         return {entry.host: entry for entry in listed.entries}, addresses, unread
 
@@ -341,9 +347,8 @@
     now, addresses, unread = read(
         instance("a", startedAtMs=9), instance("b", **bad), instance("c", **bad), before=before
     )
-    assert (
-        now["a"].started == 9000 and now["b"] == first["b"] and "c" not in now
-    )  # never told before: not there yet
+    # never told before: not there yet
+    assert now["a"].started == 9000 and now["b"] == first["b"] and "c" not in now
     assert unread.keys() == {"b", "c"} and addresses.keys() == {"a", "b"}
     if "lifecycle" not in bad:  # that nothing may go there any more is heard all the same
         for word, state in (("Terminating", io.State.DRAINING), ("Gone", io.State.GONE)):
@@ -371,7 +376,7 @@
         {},
     )
     for broken in ({"instances": None}, {"generation": "x"}, {"reset": None} | {"generation": []}):
-        with pytest.raises(discovery.BadList):
+        with pytest.raises(discovery.ListError):
             discovery.read_list(said | broken, names)
 
 
@@ -542,9 +547,7 @@
     file = tmp_path / "node.json"
     for key, other in (("listen", "operator"), ("operator", "listen")):
         file.write_text(
-            json.dumps(
-                json.loads(NODE) | {key: "127.0.0.1:%d" % taken.getsockname()[1], other: "127.0.0.1:0"}
-            )
+            json.dumps(json.loads(NODE) | {key: f"127.0.0.1:{taken.getsockname()[1]}", other: "127.0.0.1:0"})
         )
         assert cli.main(["serve", "--config", str(file)]) == 1
         said = capsys.readouterr().err.splitlines()[-1]
@@ -660,7 +663,9 @@
 
 
 def test_the_log_says_listening_before_a_thread_can_say_anything(monkeypatch):
-    """The list's first word stood before it now and then, and whoever waited for the two in turn waited for ever."""
+    """The list's first word stood before it now and then, and whoever waited
+    for the two in turn waited for ever.
+    """
     said, logger = [], logging.getLogger("cottonspread.node")
     monkeypatch.setattr(workers, "start_thread", lambda target, *args, **more: said.append("a thread"))
     monkeypatch.setattr(logger, "info", lambda event, **more: said.append(event))
@@ -694,7 +699,7 @@
             wait_for("list", news="full")
             stands = Client((address[0], int(address[1])), b"OPEN 01 02 c=chat,d=2000,g=0a")
             rest.append(stands.hear()[:3])
-            for text in ("{", json.dumps(config_of | {"discovery": "%s:%d" % discovery_of(second)})):
+            for text in ("{", json.dumps(config_of | {"discovery": "{}:{}".format(*discovery_of(second))})):
                 file.write_text(text)
                 os.kill(os.getpid(), signal.SIGHUP)
                 rest.append(sorted(wait_for("reload")))
@@ -707,7 +712,7 @@
     config_of = json.loads(NODE) | {
         "listen": "127.0.0.1:0",
         "operator": "127.0.0.1:0",
-        "discovery": "%s:%d" % discovery_of(first),
+        "discovery": "{}:{}".format(*discovery_of(first)),
     }
     file = tmp_path / "node.json"
     file.write_text(json.dumps(config_of))
