--- a/cottonspread/lab/scale/hollow.py
+++ b/cottonspread/lab/scale/hollow.py
@@ -108,10 +108,10 @@
         super().__init__(address, Discovery.CONNECT)
         self.caller = caller
 
-    def call(self, path, wait):
+    def call(self, path):
         if self.sock is None:
             self.sock = self.caller.connected()
-        return super().call(path, wait)
+        return super().call(path)
 
 
 class HollowCaller(Caller):
