--- a/cottonspread/lab/scale/hollow_sockets.py
+++ b/cottonspread/lab/scale/hollow_sockets.py
@@ -89,7 +89,7 @@
 
     def call(self, path):
         if self.sock is None:
-            sock = socket.create_connection(self.address, timeout=min(wait, self.connect_wait))
+            sock = socket.create_connection(self.address, timeout=min(self.left(), self.connect_wait))
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.sock = CountedSocket(sock, self.counts)
         return super().call(path)
