decide.py becomes the package policy/, a small module for each job

Need: one file of 748 non-blank lines held every decision, and three of its functions (choose, told_delay, close_leg) were too long to be read at once.

Change: policy/ has a module for each job. path.py (Balancer) begins with the ordinary path, choice.py finds the server for the next attempt (was Balancer.choose), overview.py knows which servers differ from the ordinary one, and there are records, rotation, groups, membership, readings, health, load, ceilings, slow_start, retries. told_delay is Health.note, far, hangs and overloaded; close_leg is ended_well, ended_badly and broke_alone. Outside stands what decides nothing: structures/ (the map by last use, the cyclic order, orders by key, halved counts, running mean, server table, sums), and driver.py, which leads events to their calls, runs the paths and keeps the books of legs. state.Settings holds what is in force. Where no crossing has a price the rotation is asked once and not twice: the second asking could only say no again.

In tests only names have changed (imports, sums.legs for legs, the settings of Readings made by the notation's own begin).

--- a/benchmarks/crossings/mutants.py
+++ b/benchmarks/crossings/mutants.py
@@ -49,7 +49,7 @@
     ),
     (
         "the window for repeats in that look",
-        "decide.py",
+        "policy/path.py",
         "result = yield io.Send(call.id, host.name, until, remembered_until(call))",
         "result = yield io.Send(call.id, host.name, until)",
         [
@@ -256,17 +256,17 @@
     ),
     (
         "the bound on waits for an asked list",
-        "decide.py",
-        "most = max(SECOND, min(self.every, self.LONGEST_WAY - took))",
-        "most = max(SECOND, self.every)",
+        "policy/membership.py",
+        "most = max(SECOND, min(self.settings.ask_every, self.LONGEST_WAY - took))",
+        "most = max(SECOND, self.settings.ask_every)",
         [
             "tests/test_many_nodes.py::test_nodes_turned_away_by_an_overbooked_list_ask_as_seldom_as_the_terms_let_them"
         ],
     ),
     (
         "a number of nodes that is not told",
-        "decide.py",
-        "    UNTOLD = 30 ",
+        "policy/slow_start.py",
+        "    UNTOLD = 256 ",
         "    UNTOLD = 1 ",
         [
             "tests/test_many_nodes.py::test_what_all_processes_send_a_cold_server_stays_within_its_budget_and_chance"
--- a/cottonspread/drill/hosting.py
+++ b/cottonspread/drill/hosting.py
@@ -4,9 +4,9 @@
 import traceback
 
 from cottonspread.config import Senseless, micros
-from cottonspread.decide import Balancer
 from cottonspread.drill import codec
 from cottonspread.interface import Arrived
+from cottonspread.policy import Balancer
 
 
 class BrokenFraming(Exception):
@@ -65,7 +65,7 @@
         event = codec.read_list(fields, entries) if name == "view" else codec.read(name, fields)
         if event is None or node not in self.nodes:
             return []
-        if isinstance(event, Arrived) and not 0 <= event.type < len(self.nodes[node].types):
+        if isinstance(event, Arrived) and not 0 <= event.type < len(self.nodes[node].settings.types):
             raise codec.Unreadable(f"{name}: no traffic type {event.type}")
         try:
             return [codec.write(a) for a in self.nodes[node].handle(now, event)]
--- a/cottonspread/front/handover.py
+++ b/cottonspread/front/handover.py
@@ -38,12 +38,12 @@
 
 def taken(module, now, **more):
     """What the module keeps that its successor needs. It is only read."""
-    records = [(key, host.name) for key, (host, _) in list(module.records.by_key.items())[-MOST_RECORDS:]]
+    records = [(key, host.name) for key, (host, _) in list(module.records.items())[-MOST_RECORDS:]]
     cold = [h for h in module.membership.hosts.values() if module.slow_start.part(h, now) < 1]
     return HandOver(
         records=tuple(records),
         sent=tuple(
-            (h.name, at, count) for h in cold for at, count in h.sent.kept(now, module.slow_start.cold.window)
+            (h.name, at, count) for h in cold for at, count in h.sent.kept(now, module.settings.cold.window)
         ),
         **more,
     )
--- a/cottonspread/interface.py
+++ b/cottonspread/interface.py
@@ -1,6 +1,6 @@
 """What a front and the decision module say to each other.
 
-A front makes one `decide.Balancer` from a `Begin`, passes it every event with the time, and carries out
+A front makes one `policy.Balancer` from a `Begin`, passes it every event with the time, and carries out
 the actions it gets back, in their order. Times and spans are whole microseconds of the front's own clock.
 Calls and hosts are named by whatever hashable id the front uses; the module gives the ids back as they came.
 """
--- a/cottonspread/lab/sim/promises.py
+++ b/cottonspread/lab/sim/promises.py
@@ -487,7 +487,11 @@
         hosts = module.membership.hosts.values()
         up = [h for h in hosts if h.up]
         self.need(
-            module.legs == sum(len(h.legs) for h in up), BOOK, "legs on hosts that are up", name, module.legs
+            module.sums.legs == sum(len(h.legs) for h in up),
+            BOOK,
+            "legs on hosts that are up",
+            name,
+            module.sums.legs,
         )
         for h in hosts:
             load = sum(leg.load for leg in h.legs) + module.loads.GROUP * len(+h.groups)
@@ -496,7 +500,11 @@
                 h.setups == sum(not leg.accepted for leg in h.legs), BOOK, "set-ups of a host", name, h.name
             )
         self.need(
-            module.load == sum(h.load for h in up), BOOK, "load on hosts that are up", name, module.load
+            module.sums.load == sum(h.load for h in up),
+            BOOK,
+            "load on hosts that are up",
+            name,
+            module.sums.load,
         )
         open_ids = {c.opening.id for c in reducer.conns if c.opening and not c.reason}
         self.need(open_ids <= reducer.by_id.keys(), BOOK, "ids of calls that are open", name)
@@ -509,7 +517,7 @@
             standing,
         )
         conns = len(reducer.conns)
-        self.need(len(module.records.by_key) <= module.records.MOST + 1, BOUND, "records", name)
+        self.need(len(module.records) <= module.records.MOST + 1, BOUND, "records", name)
         self.need(
             len(reducer.unopened) <= conns and len(reducer.told) == 0, BOUND, "clients without a line", name
         )
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -11,7 +11,6 @@
 from itertools import islice
 
 from cottonspread import interface as io
-from cottonspread.decide import Balancer
 from cottonspread.front.figures import Figures
 from cottonspread.front import handover
 from cottonspread.front.lateness import Lateness
@@ -20,6 +19,7 @@
 from cottonspread.net import events as ev
 from cottonspread.net import lines
 from cottonspread.net.notes import Heard, Notes
+from cottonspread.policy import Balancer
 
 SECOND = 1_000_000
 SWEEP = SECOND // 4
@@ -847,7 +847,7 @@
             for leg in conn.legs:
                 if leg.end is not None:
                     self.sweep_end(leg.end)
-        self.figures.hosts_down = self.module.avoided(self.now)
+        self.figures.hosts_down = self.module.membership.avoided(self.now)
         if self.stopping:
             self.to_pass.extend(self.busy)
             self.busy.clear()
--- /dev/null
+++ b/cottonspread/policy/choice.py
@@ -0,0 +1,118 @@
+"""The server for one call's next leg."""
+
+from cottonspread.policy.load import Loads, well_over
+from cottonspread.policy.retries import may_go_to
+from cottonspread.state import SECOND
+
+
+class Choice:
+    """One look for a server: `host()` is the ordinary way. Made anew for each leg, for the fleet moves on."""
+
+    SHUT = SECOND // 4  # a server that is not open to new keys is not looked at again before
+
+    def __init__(self, node, call):
+        self.node, self.call, self.now, self.settings = node, call, node.now, node.settings
+        self.seen, self.readings, self.health = node.overview, node.readings, node.health
+        self.seen.look(self.now)
+        self.mean, load, self.mean_size = self.seen.means()
+        self.mean_load = load / Loads.MEAN
+        # Nothing is heard of a server that holds nothing of this node. Unless fresh it goes by the others, or
+        # nodes with one connection on every third server keep a whole jammed fleet full.
+        self.blind = self.settings.nodes == 1 or node.chance.below(1000) >= 2500 * self.seen.slow_part**2
+
+    def host(self):
+        """The recorded server, or the next of the rotation; None if no server may have it now."""
+        node, call = self.node, self.call
+        recorded = node.records.find(call.key, self.now)
+        if not self.health.may_send(node.way, self.now):
+            return None
+        # One that was probed for this call and has room is taken: the rotation went on, and probed the next.
+        for host in (recorded, call.asked):
+            if host and self.ready(host) and self.light(host):
+                return host
+        # Where none fits the call is rejected at once: filling the last free server is how a jam spreads.
+        if self.settings.groups_share_work and self.settings.nodes > 1 and call.group is not None:
+            return self.for_group()
+        return self.in_turn(self.open_to_new)
+
+    def ready(self, host):
+        """Whether the call may go there, and the server is in no state that forbids it."""
+        call = self.call
+        if not host.up or not may_go_to(call, host) or any(leg.host is host for leg in call.legs):
+            return False
+        if host in self.seen.marked and not self.sound(host):
+            return False
+        return self.node.slow_start.may_send(host, self.now, host is call.asked or call.drawn)
+
+    def sound(self, host):
+        """Whether a marked server is not set aside, nor slow, nor at its ceiling."""
+        if not self.health.may_send(host, self.now) or self.seen.near_slow(host, self.now):
+            return False
+        return self.node.ceilings.room(host, self.call, self.now)
+
+    def light(self, host):
+        """Neither well over the mean of its size nor crowded by other nodes' calls."""
+        over = well_over(len(host.legs), self.mean * max(1, host.size / self.mean_size))
+        if over and not self.readings.easy(host, self.now):
+            return False
+        return not self.readings.crowded(host, self.call, self.now)
+
+    def open_to_new(self, host):
+        """Whether a new key may go there. Heavy connections gather on a server of few, so by load as well.
+        Over the mean it is passed by, and not shut: with few connections each was over it in turn, and calls
+        were rejected though every server was idle."""
+        heavy = well_over(host.load / Loads.MEAN, self.mean_load * host.size / self.mean_size)
+        if not self.light(host) or heavy and not self.readings.easy(host, self.now):
+            return False
+        heard = host.legs or self.blind or host in self.seen.fresh or self.readings.known(host, self.now)
+        if heard and self.ready(host):
+            return True
+        # In a jam all are shut: looked at for each call, two hundred servers cost it a millisecond.
+        host.shut_until = self.now + self.SHUT
+        return False
+
+    def in_turn(self, fits):
+        """The next of the rotation that fits, near ones first."""
+        rotation, zone = self.node.rotation, self.settings.zone
+        near = self.settings.crossing and rotation.next(lambda h: h.entry.zone == zone and fits(h), self.now)
+        return near or rotation.next(fits, self.now)
+
+    def for_group(self):
+        """Each server that holds any of a group pays for it, and a node sees too few calls to keep a group
+        together by its record: forty nodes' rotations put every group on every server. So all rotations keep
+        to the group's few servers, the same at all nodes, near ones first among them."""
+        ranked = self.node.rotation.ranked_for(self.call.group)
+        few = self.few(ranked)
+        # Servers replaced in a release stay empty while the others jam, so fresh ones come first.
+        for host in self.fresh_first(ranked):
+            if host.shut_until <= self.now and self.open_to_new(host):
+                return host
+        host = self.in_turn(lambda h: h in few and self.open_to_new(h))
+        # While there is room in the fleet a group is not turned away for the cost of one more server.
+        if host is None and self.readings.room():
+            self.call.bound = self.readings.LOW
+            host = self.node.rotation.next(self.open_to_new, self.now)
+        return host
+
+    def few(self, ranked):
+        """The group's own servers. One set aside or tried is out of reach, perhaps with its zone: the next of
+        the order stands in for it."""
+        few, wanted = set(), self.node.groups.servers(self.call.group, len(ranked))
+        for host in ranked:
+            few.add(host)
+            wanted -= not host.trickle
+            if not wanted:
+                break
+        return few
+
+    def fresh_first(self, ranked):
+        """The fresh servers that the call may try before the group's own."""
+        node, call = self.node, self.call
+        fresh = [h for h in ranked if h in self.seen.fresh] if self.seen.fresh else []
+        budget = node.slow_start.budget(node.slow_start.part(fresh[0], self.now)) if len(fresh) > 2 else 1
+        if budget < 1:
+            calls = node.arrived.total(self.now, self.settings.cold.window)
+            part = node.groups.calls.part(call.group)
+            call.drawn = call.drawn or node.slow_start.draw(fresh, budget, part, calls)
+            return [h for h in fresh if h is call.drawn]
+        return fresh if call.returned or self.seen.slow_part or self.readings.filled() else []
--- /dev/null
+++ b/cottonspread/policy/groups.py
@@ -0,0 +1,17 @@
+"""Group spread: over how many servers the calls of one group may go."""
+
+from cottonspread.structures import FadingCounts
+
+
+class Groups:
+    """How often each group called of late: its part of all calls tells how many servers it needs."""
+
+    MOST = 2000  # calls counted; then all counts are halved
+    DOUBT = 10  # calls; fewer tell little of a group's part
+
+    def __init__(self):
+        self.calls = FadingCounts(self.MOST, self.DOUBT)
+
+    def servers(self, group, listed):
+        """How many of the listed servers it goes to: its part of them, and two more."""
+        return min(listed, 2 + round(listed * self.calls.part(group)))
--- /dev/null
+++ b/cottonspread/policy/load.py
@@ -0,0 +1,36 @@
+"""Load: what connections weigh."""
+
+from cottonspread.structures import RunningMean
+
+
+def well_over(count, mean):
+    """The design's skip: never under two connections over the mean, wider where the mean is high."""
+    return count >= mean + max(2, mean / 8)
+
+
+class Loads:
+    """What connections weigh, in thousandths of a mean one: as told, else as a mean one."""
+
+    MEAN = 1000
+    GROUP = 2 * MEAN  # what a group costs a server besides; told nowhere, so a guess
+    LAST = 50  # loads told of which the mean is kept
+
+    def __init__(self):
+        self.told = RunningMean(self.LAST)
+
+    def tell(self, leg, load):
+        """The leg's own load is told, in microseconds of work a second."""
+        leg.told = load
+        self.told.add(load)
+
+    def of(self, leg):
+        """The leg's weight."""
+        return round(self.MEAN * leg.told / self.told.mean) if leg.told else self.MEAN
+
+    def frees(self, leg):
+        """What its server is relieved of by the leg's end: more if it is the last of its group there."""
+        return leg.load + self.GROUP * (leg.host.groups[leg.call.group] == 1)
+
+    def adds(self, call, host):
+        """What a call would add: less where its group is there already and its work is shared."""
+        return self.MEAN + self.GROUP * (call.group not in host.groups)
--- /dev/null
+++ b/cottonspread/policy/rotation.py
@@ -0,0 +1,24 @@
+"""In which order servers are looked at: in turn, or in an order of the key's own."""
+
+from cottonspread.structures import CyclicOrder, OrderCache
+
+
+class Rotation(CyclicOrder):
+    """Servers in turn by their sizes, from a random start."""
+
+    RANKED = 200_000  # servers in all orders kept, 2 MB: ranking for each call costs too much
+
+    def __init__(self, chance):
+        super().__init__()
+        self.chance, self.ranked = chance, OrderCache(self.RANKED)
+
+    def keep(self, hosts):
+        """The servers now listed; new ones go behind the others."""
+        first = hosts and not self.order
+        super().keep(hosts)
+        self.at = self.chance.below(len(hosts)) if first else 0
+        self.ranked.clear()
+
+    def ranked_for(self, key):
+        """The servers in the key's own order, on which all nodes agree."""
+        return self.ranked.get(key, self.order)
--- /dev/null
+++ b/cottonspread/policy/slow_start.py
@@ -0,0 +1,56 @@
+"""Slow start: how much a server gets that was started a moment ago."""
+
+
+class SlowStart:
+    """A fresh server's cap, within this node's part of the cold budget."""
+
+    DRAWN = 3.0  # times a node's part of the budget: it seldom has a call to send there
+    SHARED = 1.8  # the same where many are fresh and share it: as many go there as at 3 each
+    UNTOLD = 256  # nodes reckoned with where none is told: too many only cost time
+    AT_FIRST = 4  # set-ups in flight to a warm server before it answered any
+
+    def __init__(self, chance, settings):
+        self.chance, self.settings = chance, settings
+        self.usual = 0.0  # connections that this node has on a warm server
+
+    def part(self, host, now):
+        """What it can do at least, as a share of its full work."""
+        started, cold = host.entry.started, self.settings.cold
+        if not started or not cold.warm_after or now - started >= cold.warm_after:
+            return 1.0
+        return cold.share + (1 - cold.share) * max(0, now - started) / cold.warm_after
+
+    def budget(self, part):
+        """This node's part of what a server that can do such a part may be sent in a window, in legs."""
+        cold = self.settings.cold
+        return max(1 / self.settings.nodes, cold.multiple * part * self.usual * cold.window / cold.warm_after)
+
+    def draw(self, fresh, budget, part, calls):
+        """The one of many fresh servers that a call of a group is for, or None. What this node may send to
+        all of them is shared out over its calls of a window, and a group keeps to its part of them: drawn for
+        at each in turn, every cold server paid for one group more with nearly every call."""
+        few = min(len(fresh), max(2, round(len(fresh) * part)))
+        goes = self.chance.below(10000) * max(1, calls) < 10000 * self.SHARED * budget * len(fresh)
+        return fresh[self.chance.below(few)] if goes else None
+
+    def may_send(self, host, now, drawn=False):
+        """What others carry is the guide to what a fresh one could: it fills up in its warm-up time."""
+        part, window = self.part(host, now), self.settings.cold.window
+        # After a restart of a node all its clients come at once: set-ups that wait too long are tried again
+        # and double the work, so their number grows with the answers on warm servers too.
+        if host.setups >= (1 if part < 1 else self.AT_FIRST) + host.answers:
+            return False
+        if part >= 1 or len(host.legs) >= 1 + part * self.usual:
+            return part >= 1
+        budget = self.budget(part)
+        if budget >= 1:
+            return host.sent.total(now, window) < budget
+        # A draw that the call's own probe came after is still good: else no cold server ever got a call.
+        if drawn:
+            return True
+        # The rule counts all nodes together, and no part of a leg can be sent: it draws once a window whether
+        # it may send one. One leg a window from each of sixty nodes, or parts saved up, pushed servers over.
+        if now - host.drawn_at < window:
+            return False
+        host.drawn_at = now
+        return self.chance.below(10000) < 10000 * self.DRAWN * budget
--- a/cottonspread/state.py
+++ b/cottonspread/state.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import NamedTuple
 from zlib import crc32
 
 from cottonspread import interface as io
@@ -17,6 +18,7 @@
         self.seed, self.drawn = seed, 0
 
     def below(self, n):
+        """The next draw, a whole number from 0 to n - 1."""
         self.drawn += 1
         return crc32(b"%d:%d" % (self.seed, self.drawn)) * n >> 32
 
@@ -28,6 +30,7 @@
         self.width, self.counts, self.stamps = width, [0] * buckets, [-1] * buckets
 
     def add(self, now, amount=1):
+        """Counts into the bucket of this time."""
         stamp = now // self.width
         at = stamp % len(self.counts)
         if self.stamps[at] != stamp:
@@ -37,11 +40,32 @@
     def kept(self, now, span):
         """(when, amount) of each bucket that `total` would count, the oldest first."""
         oldest = (now - span) // self.width
-        return sorted((s * self.width, c) for c, s in zip(self.counts, self.stamps) if c and s >= oldest)
+        return sorted(
+            (s * self.width, c) for c, s in zip(self.counts, self.stamps, strict=True) if c and s >= oldest
+        )
 
     def total(self, now, span):
+        """The count over the last `span`, and what else falls in the bucket where it begins."""
         oldest = (now - span) // self.width
-        return sum(c for c, s in zip(self.counts, self.stamps) if s >= oldest)
+        return sum(c for c, s in zip(self.counts, self.stamps, strict=True) if s >= oldest)
+
+
+class Settings:
+    """What is in force, out of `Begin`. All parts of the policy hold this one object."""
+
+    def __init__(self, begin, untold):
+        """`untold`: the number of nodes to reckon with where none is told."""
+        self.untold = untold
+        self.take(begin)
+
+    def take(self, begin):
+        """Other settings from now on."""
+        self.types, self.limits, self.tick, self.cold = begin.types, begin.legs, begin.tick, begin.cold
+        self.zone, self.crossing, self.moving = begin.zone, begin.prices.crossing, begin.prices.moving
+        self.nodes, self.ask_every = begin.nodes or self.untold, begin.listing.ask_every
+        self.groups_share_work, self.probed = begin.groups_share_work, begin.loads_probed
+        targets = [one.message_target for one in begin.types if one.message_target]
+        self.message_target = min(targets, default=SECOND)
 
 
 @dataclass(eq=False)
@@ -78,11 +102,23 @@
 
     @property
     def up(self):
+        """Whether the list lets it have something new."""
         return self.entry.state is State.UP
 
+    def standing(self):
+        """Its legs that are accepted and not asked to leave."""
+        return [leg for leg in self.legs if leg.accepted and not leg.moved]
+
+    def restart(self):
+        """It was started anew: what was found out of the process before it is forgotten."""
+        self.shut_until = self.answers = self.trickle = self.rest = self.aside_until = self.delay = 0
+        self.ceiling, self.hung, self.drains, self.sends_away = 0, False, False, False
+
 
 @dataclass(eq=False)
 class Leg:
+    """One try of a call at one server."""
+
     call: "Call"
     number: int
     host: Host
@@ -93,9 +129,37 @@
     moved: bool = False
     ending: Ending = None
 
+    def accept(self):
+        """The server has taken the call."""
+        self.accepted = True
+        self.host.setups -= 1
+
+    def close(self, ending):
+        """The leg has ended: its server holds it no more."""
+        self.ending = ending
+        del self.host.legs[self]
+        self.host.setups -= not self.accepted
+        self.host.groups -= Counter([self.call.group])
+
+
+class SlowNote(NamedTuple):
+    """A word of messages that take long at a server, beside the word before. Microseconds."""
+
+    delay: int
+    before: int
+    since: int  # time between the two
+    lasts: bool  # the word before said slow too, and still counts
+
+    @property
+    def grown(self):
+        """By how much messages take longer than they did while they were slow."""
+        return self.delay - self.before if self.lasts else self.delay
+
 
 @dataclass(eq=False)
 class Call:
+    """One call, from its arrival to the end of its last leg."""
+
     id: object
     type: io.TrafficType
     key: object
@@ -110,3 +174,12 @@
     asked: Host = None  # whose probe it waited for: within the cold budget then
     drawn: Host = None  # the fresh server that it is for, within the cold budget
     ended: bool = False
+
+    def open_leg(self, host, now, load):
+        """A new leg of this weight stands at the server, not accepted yet."""
+        leg = Leg(self, len(self.legs), host, now, load=load)
+        self.legs.append(leg)
+        host.legs[leg] = None
+        host.setups += 1
+        host.groups[self.group] += 1
+        return leg
--- /dev/null
+++ b/cottonspread/structures/aged_map.py
@@ -0,0 +1,49 @@
+"""A map that knows when each key was last used."""
+
+from collections import OrderedDict
+
+
+class AgedMap:
+    """Key to value in order of last use, the longest idle first. Times are those of the caller's clock."""
+
+    def __init__(self):
+        self.entries = OrderedDict()  # key: (value, when last used)
+
+    def __len__(self):
+        return len(self.entries)
+
+    def items(self):
+        """(key, (value, when last used)), the longest idle first."""
+        return self.entries.items()
+
+    def get(self, key):
+        """The key's value, or None. Not a use."""
+        return self.entries.get(key, (None,))[0]
+
+    def put(self, key, value, now):
+        """Sets the value and counts as a use."""
+        self.entries[key] = value, now
+        self.entries.move_to_end(key)
+
+    def touch(self, key, value, now):
+        """Counts as a use if the key still has this very value."""
+        if self.get(key) is value:
+            self.put(key, value, now)
+
+    def drop(self, key, value):
+        """Takes out the key if it still has this very value."""
+        if self.get(key) is value:
+            del self.entries[key]
+
+    def drop_value(self, value):
+        """Takes out every key that has this very value."""
+        for key in [key for key, (held, _) in self.entries.items() if held is value]:
+            del self.entries[key]
+
+    def trim(self, oldest, most):
+        """Takes out, from the longest idle on, what was last used before `oldest` or is over `most` keys."""
+        while self.entries:
+            key, (_, used) = next(iter(self.entries.items()))
+            if used >= oldest and len(self.entries) <= most:
+                return
+            del self.entries[key]
--- /dev/null
+++ b/cottonspread/structures/running_mean.py
@@ -0,0 +1,13 @@
+"""A mean of which the later values count most."""
+
+
+class RunningMean:
+    """The mean of about the last `most` values; 0 before the first."""
+
+    def __init__(self, most):
+        self.most, self.mean, self.heard = most, 0.0, 0
+
+    def add(self, value):
+        """One value more."""
+        self.heard = min(self.heard + 1, self.most)
+        self.mean += (value - self.mean) / self.heard
--- a/tests/test_many_nodes.py
+++ b/tests/test_many_nodes.py
@@ -7,7 +7,7 @@
 from notation import begin, entry, traffic_type
 
 from cottonspread import interface as io
-from cottonspread.decide import Balancer
+from cottonspread.policy import Balancer
 from cottonspread.state import SECOND, Chance
 
 NODES = 40
--- a/tests/test_readings.py
+++ b/tests/test_readings.py
@@ -1,17 +1,17 @@
 """What the module makes of load reports, in parts too small for a scenario."""
 
 import pytest
+from notation import begin, traffic_type
 
 from cottonspread import interface as io
-from cottonspread.decide import Readings
-from cottonspread.state import SECOND, Chance, Host
+from cottonspread.policy.readings import Readings
+from cottonspread.state import SECOND, Chance, Host, Settings
 
 
 @pytest.fixture
 def readings():
-    one = Readings(Chance(1))
-    one.probed, one.message_target = True, SECOND // 20
-    return one
+    types = (traffic_type("t", {"message": 50}),)
+    return Readings(Chance(1), Settings(begin({"probe": "1"}, types), untold=1))
 
 
 def host(name="a"):
@@ -19,7 +19,8 @@
 
 
 def test_a_silent_probe_is_no_word_on_how_full_the_fleet_is(readings):
-    """Taken for a full server, six out of reach made a node think that groups cost too much, and it rejected beside idle ones."""
+    """Taken for a full server, six out of reach made a node think that groups cost too much, and it rejected
+    beside idle ones."""
     for n in range(10):
         readings.told(host(), io.Probed("a", io.Ending.TIMEOUT, 120_000), n)
     assert not readings.filled()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -20,7 +20,7 @@
 from notation import begin, entry, ms, pairs, play, traffic_type
 
 from cottonspread import interface as io
-from cottonspread.decide import Balancer
+from cottonspread.policy import Balancer
 
 FILES = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
 
@@ -81,7 +81,7 @@
         assert host.load == sum(leg.load for leg in host.legs) + node.loads.GROUP * len(groups)
         assert host.setups == sum(not leg.accepted for leg in host.legs)
     up = node.membership.up()
-    assert (node.legs, node.load) == (sum(len(h.legs) for h in up), sum(h.load for h in up))
+    assert (node.sums.legs, node.sums.load) == (sum(len(h.legs) for h in up), sum(h.load for h in up))
 
 
 def without_asides(actions):
