--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -27,8 +27,9 @@
 Ends to hosts are named h1, h2, .. as they are made. Writes are done at once unless held.
 
 The world below checks of every scenario: one order to read and one to write at a time on each end, nothing
-after an end is given back, each call exactly one final answer, in the end no descriptor, call or leg left,
-and that the node's figures are what the lines on its connections say.
+after an end is given back, each call exactly one final answer and in its time (unless the node stood still),
+in the end no descriptor, call or leg left, and that the node's figures are what the lines on its connections
+say.
 """
 
 from collections import Counter
@@ -67,6 +68,8 @@
         self.whole = set()  # hosts' ends that got a first line whole
         self.adopted = set()  # clients that stood when they came here
         self.now = 0
+        self.answered = {}  # when each client had its first answer
+        self.stood_still = False  # whether a node that sleeps is played
         self.handlers = {
             ev.Connect: self.connect,
             ev.Read: self.read,
@@ -118,6 +121,7 @@
         self.writing.add(end)
         if end.client and effect.data.split()[0] != b"PONG":
             self.said.setdefault(name, []).append(effect.data)
+            self.answered.setdefault(name, self.now)
         self.out += [["write", name, *line.split()] for line in effect.data.decode().splitlines()]
 
     def free(self, _, end, name):
@@ -310,7 +314,9 @@
     def on_tick(self, end, args, at):
         self.step(ev.Tick())
 
-    on_asleep = on_tick
+    def on_asleep(self, end, args, at):
+        self.stood_still = True
+        self.step(ev.Tick())
 
     def finish(self):
         """Everybody leaves: nothing may be left, and each call had its one answer."""
@@ -337,6 +343,13 @@
                 finals = 1 if said and said[0].startswith(b"UP") else len(said)
                 gone = end.conn.reason == "left-in-setup"  # one that was handed over has its UP
                 assert finals + gone == 1, f"{name}: {said}, {end.conn.reason}"
+                in_time = (
+                    gone
+                    or self.stood_still
+                    or end.conn.opening.held_by
+                    or self.answered[name] <= end.conn.guard
+                )
+                assert in_time, f"{name}: answered {self.answered[name] - end.conn.guard} us after its time"
         assert self.figures() == self.recount()
 
 
