--- a/cottonspread/net/under_way.py
+++ b/cottonspread/net/under_way.py
@@ -29,7 +29,7 @@
 
 
 def connection_is_busy(conn):
-    """Whether one of its ends writes, or was closed and not given back; or its client has said nothing yet."""
+    """Whether an end of it writes, or was closed and not given back; or its client has said nothing yet."""
     if conn.client.freed:
         return False
     if conn.opening is None and not conn.reason:
