--- a/benchmarks/crossings/mutants.py
+++ b/benchmarks/crossings/mutants.py
@@ -420,7 +420,7 @@
         path.write_text(text.replace(line, other))
         try:
             done = subprocess.run(
-                [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", *tests],
+                [sys.executable, "-m", "pytest", "-q", "-n", "0", "-p", "no:cacheprovider", *tests],
                 cwd=copy,
                 capture_output=True,
                 text=True,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,1 +1,9 @@
-from known_red import pytest_collection_modifyitems, pytest_configure, pytest_terminal_summary  # noqa: F401
+"""The suite's own plugins."""
+
+import alone
+import known_red
+
+
+def pytest_configure(config):
+    for plugin in (alone, known_red):
+        config.pluginmanager.register(plugin)
--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -35,8 +35,9 @@
 
 
 def free_ports(count):
-    """The first of so many ports in a row that nobody listens on."""
-    for first in range(21000 + os.getpid() % 4000, 31000, count):
+    """The first of so many free ports in a row; each worker of the suite has its own range."""
+    lowest = 16000 + 2000 * (int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:]) % 8)
+    for first in range(lowest + os.getpid() % 1000, lowest + 2000 - count, count):
         socks = []
         try:
             for n in range(count):
--- a/tests/fleet/test_lab_fleet.py
+++ b/tests/fleet/test_lab_fleet.py
@@ -7,9 +7,12 @@
 import sys
 from pathlib import Path
 
+import pytest
+
 from cottonspread.lab import record, results
 
 ROOT = Path(__file__).parent.parent.parent
+pytestmark = pytest.mark.alone  # its timetable is in seconds, and a node that is late gives up calls
 
 
 def test_eight_instances_reloaded_upgraded_killed_and_stopped_lose_and_double_no_answer(tmp_path):
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -28,6 +28,16 @@
     return told
 
 
+def is_whole(config):
+    """Whether the run is of the whole suite, so that every listed test has to be there."""
+    return config.args_source is not config.ArgsSource.ARGS and not config.option.keyword
+
+
+def missing(config, found):
+    if gone := config.known_red.keys() - found:
+        raise pytest.UsageError(f"{FILE}: no such test: {', '.join(sorted(gone))}")
+
+
 def pytest_configure(config):
     config.known_red = read(config.rootpath)
 
@@ -40,9 +50,17 @@
             cause, issue = config.known_red[item.nodeid]
             # strict: to pass is to fail
             item.add_marker(pytest.mark.xfail(reason=f"known red: {cause} ({issue})", strict=True))
-    whole = config.args_source is not config.ArgsSource.ARGS and not config.option.keyword
-    if whole and (missing := config.known_red.keys() - found):
-        raise pytest.UsageError(f"{FILE}: no such test: {', '.join(sorted(missing))}")
+    # A worker of pytest-xdist is given the tests by name: whether they are all is known to its controller.
+    if not hasattr(config, "workerinput") and is_whole(config):
+        missing(config, found)
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_xdist_node_collection_finished(node, ids):
+    """In the controller: what one worker has collected, without what -m leaves out; a group follows an @."""
+    if is_whole(node.config) and not node.config.option.markexpr:
+        names = {name for id in ids for name in (id, id.rpartition("@")[0])}
+        missing(node.config, names & node.config.known_red.keys())
 
 
 def pytest_terminal_summary(terminalreporter, config):
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -9,18 +9,21 @@
 
 HERE = Path(__file__).parent
 TESTS = "def test_red():\n    assert False\n\ndef test_green():\n    pass\n"
+IN_EACH_WAY = pytest.mark.parametrize(
+    "workers", ((), ("-n", "2", "--dist", "loadgroup")), ids=("one", "workers")
+)
 RED = "test_one.py::test_red | counts wrongly | issue 7\n"
 
 
-def run(folder, listed, tests=TESTS):
-    for name in ("known_red.py", "conftest.py"):
+def run(folder, listed, workers, tests=TESTS):
+    for name in ("known_red.py", "alone.py", "conftest.py"):
         shutil.copy(HERE / name, folder)
     (folder / "pytest.ini").write_text("[pytest]\ntestpaths = .\n")
     (folder / "test_one.py").write_text(tests)
     if listed is not None:
         (folder / "KNOWN-RED.txt").write_text(listed)
     done = subprocess.run(
-        [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider"],
+        [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", *workers],
         cwd=folder,
         capture_output=True,
         text=True,
@@ -28,12 +31,14 @@
     return done.returncode, done.stdout + done.stderr
 
 
-def test_a_listed_test_that_fails_is_run_and_named_and_lets_the_run_pass(tmp_path):
-    code, said = run(tmp_path, RED)
+@IN_EACH_WAY
+def test_a_listed_test_that_fails_is_run_and_named_and_lets_the_run_pass(tmp_path, workers):
+    code, said = run(tmp_path, RED, workers)
     assert code == 0 and "1 passed, 1 xfailed" in said
     assert "known red: test_one.py::test_red: counts wrongly (issue 7)" in said
 
 
+@IN_EACH_WAY
 @pytest.mark.parametrize(
     "listed, tests, said",
     [
@@ -46,6 +51,6 @@
         ("".join(RED.replace("red", f"red{n}") for n in range(4)), TESTS, "4 lines, 3 at most"),
     ],
 )
-def test_all_else_fails_the_run(tmp_path, listed, tests, said):
-    code, out = run(tmp_path, listed, tests)
+def test_all_else_fails_the_run(tmp_path, listed, tests, said, workers):
+    code, out = run(tmp_path, listed, workers, tests)
     assert code != 0 and said in out, out
