The circle between the lab's fleet and run is opened; a test holds the layers

lab/run.py imported lab/fleet.py in a function and lab/fleet.py imported run.py at its top. What both need, the processes of a play (Child, NodeProcess, prepare_child), stands in lab/children.py now; run imports fleet, fleet imports children.

tests/lab/test_layers.py reads the sources: which folder may import which stands in one table; an import against it, a circle of modules, an import of the lab by what `serve` loads or may come to load, or a folder without a line in the table fails. Eight mutants are part of the test, a wrong import each (at the top of a module, in a function, through the command's package), all found.

--- a/cottonspread/lab/fleet.py
+++ b/cottonspread/lab/fleet.py
@@ -11,7 +11,7 @@
 import psutil
 
 from cottonspread.lab import tuning
-from cottonspread.lab.run import ROOT, NodeProcess, prepare_child
+from cottonspread.lab.children import ROOT, NodeProcess, prepare_child
 from cottonspread.lab.wire import now
 
 SECOND = 1_000_000
--- a/cottonspread/lab/run.py
+++ b/cottonspread/lab/run.py
@@ -7,187 +7,32 @@
 """
 
 import contextlib
-import ctypes
 import heapq
 import json
 import os
 import selectors
 import signal
-import socket
 import subprocess
-import sys
 import time
 
 import msgspec
 import psutil
 
-from cottonspread.lab import limits, tuning
+from cottonspread.lab import fleet, limits
 from cottonspread.lab import plan as plans
+from cottonspread.lab.children import Child, NodeProcess
 from cottonspread.lab.plan import FLEET_FAULTS, NODE_FAULTS
 from cottonspread.lab.record import Record
 from cottonspread.lab.wire import now
 
 SECOND = 1_000_000
 READY_WAIT, STOP_WAIT = 30, 8
-DIES_WITH_PARENT = 1  # PR_SET_PDEATHSIG
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-libc = ctypes.CDLL(None)
 
 
 class StartError(RuntimeError):
     """The run could not begin; the message names what was in the way."""
 
 
-class Child:
-    """A process of the lab's own."""
-
-    def __init__(self, name, words, cores):
-        self.name = name
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "cottonspread", "lab", *words],
-            cwd=ROOT,
-            stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE,
-            bufsize=0,
-            preexec_fn=lambda: prepare_child(cores),
-        )
-        os.set_blocking(self.process.stdout.fileno(), False)
-        self.rest, self.ready, self.fault, self.counts, self.ended = b"", False, "", {}, False
-
-    def say(self, line):
-        with contextlib.suppress(OSError):
-            self.process.stdin.write(line.encode() + b"\n")
-
-    def read(self):
-        """False at its end."""
-        data = self.process.stdout.read(65536)
-        if data is None:
-            return True
-        *lines, self.rest = (self.rest + data).split(b"\n")
-        for line in lines:
-            word, _, rest = line.decode().partition(" ")
-            if word == "ready":
-                self.ready = True
-            elif word == "fault":
-                self.fault = rest
-            elif word == "counts":
-                self.counts = json.loads(rest)
-                self.counts["new"] = True
-        return bool(data)
-
-
-def prepare_child(cores):
-    libc.prctl(DIES_WITH_PARENT, signal.SIGKILL)
-    os.setpgrp()  # a terminal's Ctrl-C is the runner's alone
-    if cores:
-        os.sched_setaffinity(0, cores)
-
-
-class NodeProcess:
-    """One node, started anew after a stop or a kill."""
-
-    def __init__(self, play, number):
-        self.play, self.number, self.node = play, number, play.plan.nodes[number]
-        self.process, self.probe, self.up, self.wanted, self.cpu = None, None, False, True, 0.0
-        self.most_rss = self.most_threads = self.most_fds = 0
-        self.starts, self.retuned, self.leaving, self.listener = 0, 0, None, None
-
-    @property
-    def operator(self):
-        """Another address with each start, for two processes of a node may be there at the same time."""
-        return self.node.ip, 20000 + 10 * self.number + self.starts % 10
-
-    def call(self, word):
-        with socket.create_connection(self.operator, timeout=1) as sock:
-            sock.sendall(word.encode() + b"\n")
-            return sock.recv(16).startswith(b"200")
-
-    def serves(self):
-        try:
-            return self.call("health")
-        except OSError:
-            return False
-
-    def inherited(self):
-        """The environment and the descriptors of a process that is to be
-        replaced: the lab holds its socket then.
-        """
-        if not any(f.kind == "replace" and self.node.name in f.on for f in self.play.plan.faults):
-            return {}, ()
-        if self.listener is None:
-            self.listener = socket.create_server((self.node.ip, self.node.port), backlog=1024)
-        folder = os.path.join(self.play.folder, self.node.name)
-        os.makedirs(folder, exist_ok=True)
-        return {"TMPDIR": folder, "PROXY_INHERITED_FD": str(self.listener.fileno())}, (
-            self.listener.fileno(),
-        )
-
-    def retune(self):
-        """One more traffic type, and other limits."""
-        self.retuned += 1
-        self.write_config()
-        self.signal(signal.SIGHUP)
-
-    def write_config(self):
-        path = os.path.join(self.play.folder, f"{self.node.name}.json")
-        with open(path + ".new", "w", encoding="utf-8") as file:
-            json.dump(tuning.values(self.play.plan, self.number, self.retuned), file, indent=1)
-        os.replace(path + ".new", path)
-        return path
-
-    def start(self):
-        plan, x = self.play.plan, self.play.plan.experiment
-        path, (environment, kept) = self.write_config(), self.inherited()
-        self.starts += 1
-        command = plan.variant.command or x.nodes.command or [sys.executable, "-m", "cottonspread", "serve"]
-        checkout = plan.variant.checkout or x.nodes.checkout or ROOT
-        with open(os.path.join(self.play.folder, f"{self.node.name}.log"), "ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable if word == "python" else word for word in command],
-                cwd=checkout,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-                pass_fds=kept,
-                env={
-                    **os.environ,
-                    **environment,
-                    "PROXY_CONFIG": path,
-                    "PYTHONPATH": checkout,
-                    "PROXY_OPERATOR": "{}:{}".format(*self.operator),
-                },
-                preexec_fn=lambda: prepare_child(self.play.node_cores(self.number)),
-            )
-        self.probe, self.up = psutil.Process(self.process.pid), False
-        self.play.note("started", self)
-
-    def answers_ping(self):
-        try:
-            with socket.create_connection((self.node.ip, self.node.port), timeout=0.3) as sock:
-                sock.sendall(b"PING\r\n")
-                return sock.recv(16).startswith(b"PONG")
-        except OSError:
-            return False
-
-    def signal(self, number):
-        if self.process.poll() is None:
-            self.process.send_signal(number)
-
-    def sample(self):
-        """CPU seconds since the last sample, resident bytes, threads and descriptors."""
-        try:
-            with self.probe.oneshot():
-                times, memory = self.probe.cpu_times(), self.probe.memory_info().rss
-                threads, fds = self.probe.num_threads(), self.probe.num_fds()
-        except (psutil.Error, OSError):
-            return {"cpu": 0, "rss_mb": 0, "threads": 0, "fds": 0}
-        total = times.user + times.system
-        used, self.cpu = max(0.0, total - self.cpu), total
-        self.most_rss, self.most_threads = max(self.most_rss, memory), max(self.most_threads, threads)
-        self.most_fds = max(self.most_fds, fds)
-        return {"cpu": round(used, 3), "rss_mb": round(memory / 1e6, 1), "threads": threads, "fds": fds}
-
-
 class Play:
     def __init__(self, experiment, variant, seed, folder, show=None):
         self.plan = plans.make(experiment, variant, seed)
@@ -278,8 +123,6 @@
     def start_nodes(self, until):
         """The nodes, each of which has answered a PING."""
         if self.plan.experiment.nodes.fleet:
-            from cottonspread.lab import fleet
-
             self.fleet = fleet.FleetProcess(self)
             self.nodes = [fleet.FleetNode(self, n) for n in range(len(self.plan.nodes))]
         else:
--- a/cottonspread/lab/selfcheck.py
+++ b/cottonspread/lab/selfcheck.py
@@ -18,8 +18,8 @@
 
 from cottonspread.lab import plan as plans
 from cottonspread.lab import record
+from cottonspread.lab.children import Child
 from cottonspread.lab.results import decoded
-from cottonspread.lab.run import Child
 from cottonspread.lab.wire import now
 
 LIMIT = 1000  # microseconds
--- /dev/null
+++ b/tests/lab/test_layers.py
@@ -0,0 +1,164 @@
+"""The layers of the package: who may import whom, from the sources alone.
+
+Arrows point down, and there is no circle.
+"""
+
+import ast
+import functools
+from pathlib import Path
+
+import pytest
+
+PACKAGE = Path(__file__).parent.parent.parent / "cottonspread"
+
+# What each folder, or module at the top, may import of the others; `cli` may import all.
+MAY_IMPORT = {
+    "__main__": {"cli"},
+    "fleet": {"config", "lists"},
+    "lab": {"config", "front", "interface", "net", "policy", "state", "structures"},
+    "drill": {"config", "front", "interface", "policy"},
+    "net": {"config", "front", "interface", "lists", "policy", "state", "structures"},
+    "lists": {"config", "interface"},
+    "front": {"interface", "policy"},
+    "configstore": {"config", "interface"},
+    "policy": {"driver", "interface", "state", "structures"},
+    "driver": {"interface", "state", "structures"},
+    "structures": {"interface", "state"},
+    "state": {"interface"},
+    "config": {"interface"},
+    "interface": set(),
+}
+SERVES = ("cottonspread.cli.node", "cottonspread.cli.instance")
+
+
+def sources():
+    """{module: its source}"""
+    found = {}
+    for path in sorted(PACKAGE.rglob("*.py")):
+        words = path.relative_to(PACKAGE.parent).with_suffix("").parts
+        found[".".join(words[:-1] if words[-1] == "__init__" else words)] = path.read_text()
+    return found
+
+
+@functools.cache
+def imports(text, in_functions):
+    """The statements of a source that import something."""
+    found = statements(ast.parse(text), in_functions)
+    return [node for node in found if isinstance(node, (ast.Import, ast.ImportFrom))]
+
+
+def statements(tree, in_functions):
+    """All nodes; without those of functions what is left runs when the module is imported."""
+    for node in ast.iter_child_nodes(tree):
+        if in_functions or not isinstance(node, (ast.FunctionDef, ast.AsyncFunctionDef, ast.Lambda)):
+            yield node
+            yield from statements(node, in_functions)
+
+
+def graph(texts, in_functions=True):
+    """{module: modules of the package that it imports}"""
+    edges = {}
+    for name, text in texts.items():
+        wanted = set()
+        for node in imports(text, in_functions):
+            if isinstance(node, ast.Import):
+                wanted.update(alias.name for alias in node.names)
+            else:
+                assert not node.level, f"{name}: a relative import is not followed here"
+                for alias in node.names:
+                    whole = f"{node.module}.{alias.name}"
+                    wanted.add(whole if whole in texts else node.module)
+        edges[name] = {one for one in wanted if one in texts and one != name}
+    return edges
+
+
+def layer(module):
+    return (module.split(".") + [""])[1]
+
+
+def forbidden(edges):
+    """Imports that the table does not allow; those within a folder and of the version are free."""
+    return [
+        f"{name} imports {other}"
+        for name, others in edges.items()
+        for other in sorted(others)
+        if layer(name) not in (layer(other), "cli")
+        and layer(other)
+        and layer(other) not in MAY_IMPORT.get(layer(name), set())
+    ]
+
+
+def reached(edges, starts):
+    """All modules that these import, themselves or by others."""
+    seen, left = set(), list(starts)
+    while left:
+        name = left.pop()
+        if name not in seen:
+            seen.add(name)
+            left += edges[name]
+    return seen
+
+
+def circles(edges):
+    """Modules that import themselves by way of others."""
+    return sorted(name for name in edges if name in reached(edges, edges[name]))
+
+
+def with_parents(edges):
+    """To import a module runs the packages that it stands in as well."""
+
+    def parents(name):
+        words = name.split(".")
+        return {".".join(words[:n]) for n in range(1, len(words))}
+
+    return {
+        name: others | parents(name) | {p for other in others for p in parents(other)}
+        for name, others in edges.items()
+    }
+
+
+def served_by_lab(texts):
+    """Modules of the lab that a serving node loads, or that its command may come to load."""
+    loaded = reached(with_parents(graph(texts, in_functions=False)), ["cottonspread.__main__", *SERVES])
+    return sorted(name for name in loaded | reached(graph(texts), SERVES) if layer(name) == "lab")
+
+
+def faults(texts):
+    return forbidden(graph(texts)) + circles(graph(texts)) + served_by_lab(texts)
+
+
+def test_arrows_point_down_and_there_is_no_circle():
+    assert len(sources()) > 60
+    assert faults(sources()) == []
+
+
+def test_every_folder_has_its_layer():
+    assert {layer(name) for name in sources()} <= MAY_IMPORT.keys() | {"", "cli"}
+
+
+@pytest.mark.parametrize(
+    "module, line, found",
+    [
+        (
+            "config.platform",
+            "from cottonspread.net import lines",
+            "config.platform imports cottonspread.net.lines",
+        ),
+        ("interface", "from cottonspread import state", "interface imports cottonspread.state"),
+        ("policy.path", "import cottonspread.net.reducer", "policy.path imports cottonspread.net.reducer"),
+        (
+            "fleet.core",
+            "def f():\n    from cottonspread.net import node",
+            "fleet.core imports cottonspread.net.node",
+        ),
+        ("lab.fleet", "def f():\n    from cottonspread.lab import run", "cottonspread.lab.run"),
+        ("net.lines", "from cottonspread.net import reducer", "cottonspread.net.reducer"),
+        ("cli", "from cottonspread.lab import wire", "cottonspread.lab.wire"),
+        ("cli.node", "def f():\n    from cottonspread.lab import plan", "cottonspread.lab.plan"),
+    ],
+)
+def test_a_wrong_import_is_found(module, line, found):
+    """A line more in one module, as a change could bring it."""
+    texts = sources()
+    texts[f"cottonspread.{module}"] += f"\n{line}\n"
+    assert any(one.endswith(found) for one in faults(texts)), faults(texts)
