--- /dev/null
+++ b/benchmarks/scale/processes.py
@@ -0,0 +1,463 @@
+"""What real processes cost: idle ones of a fleet; one node by connections, deliveries, PINGs and reloads.
+
+    python benchmarks/scale/processes.py [SWEEP ...] [--small] [--out DIR]
+
+Each sweep ends within two minutes and becomes a result (real-processes, real-connections, real-lines,
+real-pings, real-reloads). Servers, list and clients are stand-ins (standins.py), on loopback. Processor time
+is the kernel's, of the whole process that is measured, children of its own not counted.
+"""
+
+import argparse
+import contextlib
+import json
+import os
+import re
+import secrets
+import selectors
+import signal
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT))
+
+from standins import address_of, standins  # noqa: E402  beside this file
+
+from cottonspread.fleet import control  # noqa: E402  the checkout's own
+from cottonspread.lab.scale import results  # noqa: E402
+
+WAIT = 60.0
+MB = 1_000_000
+SPAN = 10.0
+"""Seconds over which processor time is counted."""
+
+
+@dataclass(frozen=True)
+class Figure:
+    """One measured value: its unit, and whether it is control or clients' lines."""
+
+    value: float
+    unit: str
+    control: bool
+
+
+Figures = dict[str, Figure]
+
+
+@dataclass(frozen=True)
+class Plan:
+    """A sweep: the sizes, and what plays one of them."""
+
+    what: str
+    variable: str
+    unit: str
+    sizes: tuple[int, ...]
+    small: tuple[int, ...]
+    fixed: dict
+    play: Callable[[int], Figures]
+
+
+# What is read of a process
+
+
+def processor_ms(pid: int) -> float:
+    """Processor time that a process has used, all its threads: the kernel's clock of another process."""
+    return time.clock_gettime_ns((~pid << 3) | 2) / 1e6
+
+
+def memory_mb(pid: int, key: str = "Pss") -> float:
+    """Its memory, what it shares with others counted in parts."""
+    text = Path(f"/proc/{pid}/smaps_rollup").read_text()
+    return int(re.search(rf"^{key}:\s+(\d+)", text, re.MULTILINE)[1]) * 1024 / MB
+
+
+def descriptors(pid: int) -> int:
+    """Those that it holds."""
+    return len(os.listdir(f"/proc/{pid}/fd"))
+
+
+def threads(pid: int) -> int:
+    """Those that it has."""
+    return len(os.listdir(f"/proc/{pid}/task"))
+
+
+def rate_ms(pid: int, span: float = SPAN, meanwhile: Callable[[float], None] = time.sleep) -> float:
+    """Processor time a second, in milliseconds, over the span."""
+    began, before = time.monotonic(), processor_ms(pid)
+    meanwhile(span)
+    return (processor_ms(pid) - before) / (time.monotonic() - began)
+
+
+def until(true: Callable[[], bool], what: str, pause: float = 0.02) -> float:
+    """Waits for it; the seconds that it took. TimeoutError after a minute."""
+    began = time.monotonic()
+    while not true():
+        if time.monotonic() - began > WAIT:
+            raise TimeoutError(what)
+        time.sleep(pause)
+    return time.monotonic() - began
+
+
+# One node
+
+
+def settings(listing: str, listen: str, sockets: int = 1024) -> dict:
+    """A node's configuration: the example's, at these addresses."""
+    made = json.loads((ROOT / "examples" / "node.json").read_text())
+    made |= {"discovery": listing, "listen": listen, "limits": {"memory_mb": 4096, "sockets": sockets}}
+    made.pop("operator")
+    made["settings"]["FamilyInfo"] |= {"TellsDelay": False, "TellsLoad": False}
+    made["settings"]["TrafficTypes"][0] |= {"SetupTarget": 2000, "GuardTime": 8000}
+    return made
+
+
+@contextlib.contextmanager
+def node(listing: str, sockets: int = 1024) -> Iterator[tuple[subprocess.Popen, tuple[str, int], Path]]:
+    """A node process that serves: (process, its address, its configuration file)."""
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        listen, name = taken.getsockname(), address_of(taken)
+    with tempfile.TemporaryDirectory() as folder:
+        file = Path(folder) / "node.json"
+        file.write_text(json.dumps(settings(listing, name, sockets)))
+        with open(Path(folder) / "log", "wb") as log:
+            words = [sys.executable, "-m", "cottonspread", "serve", "--config", str(file)]
+            process = subprocess.Popen(words, cwd=ROOT, stderr=log)
+        try:
+            until(lambda: ping(listen) == b"PONG\r\n", "no PONG")
+            yield process, listen, file
+        finally:
+            process.send_signal(signal.SIGTERM)
+            process.wait(WAIT)
+
+
+def ping(address: tuple[str, int]) -> bytes:
+    """The node's answer to a PING; nothing where it does not listen."""
+    try:
+        with socket.create_connection(address, timeout=5) as sock:
+            sock.sendall(b"PING\r\n")
+            return sock.recv(64)
+    except OSError:
+        return b""
+
+
+def connect(address: tuple[str, int], count: int) -> list[socket.socket]:
+    """So many clients, each with its UP. A few at a time: no queue is measured here."""
+    clients = []
+    while len(clients) < count:
+        fresh = [
+            socket.create_connection(address, timeout=WAIT) for _ in range(min(16, count - len(clients)))
+        ]
+        for sock in fresh:
+            words = secrets.token_hex(8), secrets.token_hex(8), len(clients) % 997
+            sock.sendall(
+                b"OPEN %s %s c=chat,d=8000,g=group-%d\r\n" % (*(w.encode() for w in words[:2]), words[2])
+            )
+        for sock in fresh:
+            said = sock.recv(64)
+            if not said.startswith(b"UP"):
+                raise RuntimeError(f"connection {len(clients)}: {said!r}")
+            clients.append(sock)
+    return clients
+
+
+def play_connections(count: int) -> Figures:
+    """A node with so many standing connections on which nothing happens."""
+    with standins() as (listing, _), node(listing, 3 * count + 256) as (process, address, _):
+        pid = process.pid
+        base, used = memory_mb(pid), processor_ms(pid)
+        clients = connect(address, count)
+        used = processor_ms(pid) - used
+        time.sleep(1.0)
+        figures = {
+            "idle_processor": Figure(rate_ms(pid), "ms/s", True),
+            "connect_processor": Figure(used / count, "ms a connection", False),
+            "memory": Figure(memory_mb(pid) - base, "MB", False),
+            "threads": Figure(threads(pid), "threads", False),
+            "descriptors": Figure(descriptors(pid), "descriptors", False),
+        }
+        for sock in clients:
+            sock.close()
+        return figures
+
+
+LISTENERS = 400
+
+
+def play_lines(rate: int) -> Figures:
+    """A node whose servers push so many lines a second, over a few hundred connections."""
+    with standins() as (listing, every), node(listing, 3 * LISTENERS + 256) as (process, address, _):
+        clients = connect(address, LISTENERS)
+        loop = selectors.DefaultSelector()
+        for sock in clients:
+            sock.setblocking(False)
+            loop.register(sock, selectors.EVENT_READ)
+        took: list[float] = []
+        every(1 / rate)
+
+        def listen(span: float) -> None:
+            end = time.monotonic() + span
+            while (left := end - time.monotonic()) > 0:
+                for key, _ in loop.select(left):
+                    lines, now = key.fileobj.recv(65536).split(), time.monotonic() * 1e6
+                    took.extend((now - int(line)) / 1000 for line in lines)
+
+        listen(1.0)
+        took.clear()
+        used = rate_ms(process.pid, SPAN, listen)
+        every(0.0)
+        took.sort()
+        figures = {
+            "processor": Figure(used, "ms/s", False),
+            "delivered": Figure(len(took) / SPAN, "lines/s", False),
+            "p50": Figure(statistics.median(took), "ms", False),
+            "p99": Figure(took[len(took) * 99 // 100], "ms", False),
+        }
+        for sock in clients:
+            sock.close()
+        return figures
+
+
+def play_pings(rate: int) -> Figures:
+    """A node that a front asks so many times a second."""
+    with standins() as (listing, _), node(listing) as (process, address, _):
+
+        def ask(span: float) -> None:
+            began = time.monotonic()
+            for number in range(round(span * rate)):
+                time.sleep(max(0.0, began + number / rate - time.monotonic()))
+                if ping(address) != b"PONG\r\n":
+                    raise RuntimeError("no PONG")
+            time.sleep(max(0.0, began + span - time.monotonic()))
+
+        return {"processor": Figure(rate_ms(process.pid, SPAN, ask), "ms/s", True)}
+
+
+RELOADS = 20
+
+
+def padded(made: dict, size: int) -> str:
+    """The configuration with traffic types added until it has the size in bytes."""
+    types = made["settings"]["TrafficTypes"]
+    while len(json.dumps(made)) < size:
+        types.append(types[0] | {"Name": f"type-{len(types):04}-{'x' * 40}"})
+        made["settings"]["FamilyInfo"]["MessageAim"].append(100)
+    return json.dumps(made)
+
+
+def play_reloads(size: int) -> Figures:
+    """A node that takes over configuration files of this size, one after the other."""
+    with standins() as (listing, _), node(listing) as (process, address, file):
+        log = file.with_name("log")
+        made = settings(listing, "{}:{}".format(*address))
+        used = 0.0
+        for number in range(RELOADS):
+            made["settings"]["TrafficTypes"][0]["GuardTime"] = 8000 + number
+            file.write_text(padded(made, size))
+            before, seen = processor_ms(process.pid), log.read_bytes().count(b"event=reload")
+            process.send_signal(signal.SIGHUP)
+            until(lambda seen=seen: log.read_bytes().count(b"event=reload") > seen, "no reload", 0.005)
+            used += processor_ms(process.pid) - before
+        if b"level=error" in log.read_bytes():
+            raise RuntimeError(log.read_text()[-1000:])
+        return {"processor": Figure(used / RELOADS, "ms a reload", True)}
+
+
+# A fleet
+
+
+def fleet_file(folder: Path, listing: str, instances: int, port: int) -> Path:
+    """An operator's file of so many instances."""
+    made = settings(listing, f"127.0.0.1:{port}")
+    (folder / "node.json").write_text(json.dumps(made))
+    file = folder / "o.toml"
+    keys = {
+        "name": "f",
+        "config": "node.json",
+        "instances": instances,
+        "listen": f"127.0.0.1:{port}",
+        "state": "s",
+    }
+    file.write_text("[fleet]\n" + "".join(f"{key} = {json.dumps(value)}\n" for key, value in keys.items()))
+    return file
+
+
+def free_ports(count: int) -> int:
+    """The first of so many ports in a row that nobody listens on."""
+    for first in range(21_000, 31_000, count):
+        with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
+            for number in range(count):
+                stack.enter_context(socket.create_server(("127.0.0.1", first + number)))
+            return first
+    raise RuntimeError("no ports are free")
+
+
+def fleet_status(folder: Path) -> dict:
+    """What the supervisor says; nothing while it does not answer."""
+    try:
+        with control.connect(str(folder / "s" / "fleet.sock")) as sock:
+            sock.sendall(b'{"do": "status"}\n')
+            return json.loads(sock.makefile().readline())["status"]
+    except (OSError, ValueError):
+        return {}
+
+
+def measured_status(file: Path) -> Figures:
+    """One call of `fleet status` as staff make it."""
+    words = [sys.executable, "-m", "cottonspread", "fleet", "status", "--json", "--operator", str(file)]
+    with tempfile.TemporaryFile() as told:
+        process = subprocess.Popen(words, cwd=ROOT, stdout=told)
+        _, code, usage = os.wait4(process.pid, 0)
+        process.returncode = os.waitstatus_to_exitcode(code)
+        if process.returncode:
+            raise RuntimeError(f"fleet status: exit {process.returncode}")
+        return {
+            "status_processor": Figure((usage.ru_utime + usage.ru_stime) * 1000, "ms", True),
+            "status_memory": Figure(usage.ru_maxrss * 1024 / MB, "MB", True),
+            "status_bytes": Figure(told.tell(), "B", True),
+        }
+
+
+def play_processes(count: int) -> Figures:
+    """A fleet of so many idle processes under one supervisor."""
+    with tempfile.TemporaryDirectory(prefix="sc-", dir="/tmp") as name, standins() as (listing, _):
+        folder = Path(name)
+        file = fleet_file(folder, listing, count, free_ports(count + 1))
+        words = [sys.executable, "-m", "cottonspread", "fleet", "run", "--operator", str(file)]
+        with open(folder / "run.log", "wb") as log:
+            supervisor = subprocess.Popen(words, cwd=ROOT, stdout=log, stderr=log)
+        try:
+            ready = until(lambda: bool(fleet_status(folder).get("ready")), "not ready", 0.05)
+            time.sleep(2.0)
+            return {"all_ready": Figure(ready, "s", True), **idle_fleet(supervisor.pid, folder, file)}
+        finally:
+            supervisor.send_signal(signal.SIGTERM)
+            supervisor.wait(WAIT)
+
+
+def idle_fleet(supervisor: int, folder: Path, file: Path) -> Figures:
+    """What its supervisor and its processes take while nothing happens."""
+    pids = [row["pid"] for row in fleet_status(folder)["instances"]]
+    before, began = [processor_ms(pid) for pid in (supervisor, *pids)], time.monotonic()
+    time.sleep(SPAN)
+    span = time.monotonic() - began
+    used = [(processor_ms(pid) - had) / span for pid, had in zip((supervisor, *pids), before, strict=True)]
+    return {
+        "supervisor_processor": Figure(used[0], "ms/s", True),
+        "supervisor_memory": Figure(memory_mb(supervisor), "MB", True),
+        "supervisor_descriptors": Figure(descriptors(supervisor), "descriptors", True),
+        "instance_processor": Figure(statistics.mean(used[1:]), "ms/s a process", True),
+        "instance_memory": Figure(statistics.mean(map(memory_mb, pids)), "MB a process", True),
+        "instance_resident": Figure(
+            statistics.mean(memory_mb(pid, "Rss") for pid in pids), "MB a process", True
+        ),
+        "instance_threads": Figure(statistics.mean(map(threads, pids)), "threads a process", True),
+        **measured_status(file),
+    }
+
+
+SWEEPS = {
+    "real-processes": Plan(
+        "A fleet of idle processes under one supervisor; one call of status.",
+        "instances",
+        "processes of the fleet",
+        (2, 4, 8, 16, 32),
+        (1, 2, 3, 4),
+        {"servers": 60, "connections": 0, "seconds": SPAN},
+        play_processes,
+    ),
+    "real-connections": Plan(
+        "One node process with standing connections on which nothing happens.",
+        "connections",
+        "connections of the process",
+        (250, 500, 1_000, 2_000, 4_000),
+        (10, 20, 40, 80),
+        {"servers": 60, "seconds": SPAN},
+        play_connections,
+    ),
+    "real-lines": Plan(
+        "One node process whose servers push lines; from when a line was due to when its client has it.",
+        "rate",
+        "lines a second",
+        (100, 200, 400, 800, 1_200),
+        (10, 20, 40, 80),
+        {"servers": 60, "connections": LISTENERS, "seconds": SPAN},
+        play_lines,
+    ),
+    "real-pings": Plan(
+        "One node process that a front asks by PING, a connection each.",
+        "rate",
+        "PINGs a second",
+        (5, 10, 20, 40, 80),
+        (5, 10, 20, 40),
+        {"servers": 60, "connections": 0, "seconds": SPAN},
+        play_pings,
+    ),
+    "real-reloads": Plan(
+        "One node process that takes over configuration files by SIGHUP, the mean of twenty.",
+        "config_bytes",
+        "bytes of the file",
+        (2_000, 5_000, 20_000, 50_000, 100_000),
+        (1_000, 2_000, 3_000, 4_000),
+        {"servers": 60, "connections": 0},
+        play_reloads,
+    ),
+}
+
+
+def sweep(name: str, plan: Plan, small: bool, alone: bool, suffix: str) -> results.Sweep:
+    """Plays every size."""
+    points: dict[int, Figures] = {}
+    sizes = plan.small if small else plan.sizes
+    for size in sizes:
+        points[size] = plan.play(size)
+        told = ", ".join(f"{key} {one.value:.4g}" for key, one in points[size].items())
+        print(f"{name} {size}: {told}", file=sys.stderr, flush=True)
+    measures = [
+        results.Measure(
+            name=key,
+            unit=one.unit,
+            control=one.control,
+            points=[results.Point(size, round(points[size][key].value, 4)) for size in sizes],
+            plays=1,
+        )
+        for key, one in points[sizes[0]].items()
+    ]
+    flags = " --small" * small + f" --suffix={suffix}" * bool(suffix)
+    return results.Sweep(
+        name=name + suffix,
+        what=plan.what,
+        command=f"python benchmarks/scale/processes.py {name}{flags}",
+        kind="real",
+        alone=alone,
+        variable=plan.variable,
+        variable_unit=plan.unit,
+        fixed=plan.fixed,
+        measures=measures,
+    )
+
+
+def main() -> int:
+    """The command; its exit code."""
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("sweeps", nargs="*", choices=[*SWEEPS, []], help="all, if left out")
+    parser.add_argument("--small", action="store_true", help="sizes that end within a minute")
+    parser.add_argument("--alone", action="store_true", help="say that nothing else ran on the machine")
+    parser.add_argument("--out", type=Path, help="folder for the results; printed alone, if left out")
+    parser.add_argument("--suffix", default="", help="added to each result's name")
+    options = parser.parse_args()
+    for name in options.sweeps or SWEEPS:
+        result = sweep(name, SWEEPS[name], options.small, options.alone, options.suffix)
+        if options.out:
+            print(results.write(result, options.out))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/scale/standins.py
@@ -0,0 +1,144 @@
+"""Stand-ins for `processes.py`, in one process: servers that answer UP and push lines, and the list."""
+
+import contextlib
+import json
+import multiprocessing
+import secrets
+import selectors
+import signal
+import socket
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from multiprocessing.connection import Connection
+
+WAIT = 60.0
+"""Seconds until the stand-ins' process has to be gone."""
+
+
+def address_of(sock: socket.socket) -> str:
+    """As the configuration writes it."""
+    host, port = sock.getsockname()
+    return f"{host}:{port}"
+
+
+@dataclass
+class Standins:
+    """Servers that answer UP and then push lines as they are told, and the list that names them."""
+
+    orders: Connection
+    listeners: dict = field(default_factory=dict)
+    loop: selectors.BaseSelector = field(default_factory=selectors.DefaultSelector)
+    standing: list = field(default_factory=list)
+    watches: list = field(default_factory=list)
+    gap: float = 0.0
+    """Seconds between two lines; 0: none are pushed."""
+    next_push: float = 0.0
+    next_one: int = 0
+
+    def run(self, servers: int) -> None:
+        """Until told to end."""
+        hosts, listing = self.listener(self.accept_host), self.listener(self.accept_watch)
+        self.book = json.dumps(entries(servers, hosts)).encode()
+        self.orders.send(listing)
+        self.loop.register(self.orders, selectors.EVENT_READ, self.ordered)
+        while True:
+            wait = max(0.0, self.next_push - time.monotonic()) if self.gap else 0.5
+            for key, _ in self.loop.select(min(wait, 0.5)):
+                key.data(key.fileobj)
+            self.push()
+            self.end_watches()
+
+    def listener(self, accept: Callable) -> str:
+        """The address of a new listening socket."""
+        sock = socket.create_server(("127.0.0.1", 0), backlog=1024)
+        self.loop.register(sock, selectors.EVENT_READ, accept)
+        return address_of(sock)
+
+    def ordered(self, orders: Connection) -> None:
+        try:
+            self.gap = orders.recv()
+        except EOFError:
+            raise SystemExit from None
+        self.next_push = time.monotonic()
+
+    def accept_host(self, listener: socket.socket) -> None:
+        sock, _ = listener.accept()
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.loop.register(sock, selectors.EVENT_READ, self.first_line)
+
+    def first_line(self, sock: socket.socket) -> None:
+        data = sock.recv(4096)
+        if not data:
+            self.drop(sock)
+            return
+        sock.sendall(b"UP %s\r\n" % secrets.token_hex(4).encode())
+        self.standing.append(sock)
+        self.loop.modify(sock, selectors.EVENT_READ, self.host_end)
+
+    def host_end(self, sock: socket.socket) -> None:
+        if not sock.recv(4096):
+            self.standing.remove(sock)
+            self.drop(sock)
+
+    def drop(self, sock: socket.socket) -> None:
+        self.loop.unregister(sock)
+        sock.close()
+
+    def push(self) -> None:
+        """The lines that are due: each holds the time at which it was due."""
+        now = time.monotonic()
+        while self.gap and self.standing and self.next_push <= now:
+            self.next_one = (self.next_one + 1) % len(self.standing)
+            self.standing[self.next_one].send(b"%d\r\n" % round(self.next_push * 1e6))
+            self.next_push += self.gap
+
+    def accept_watch(self, listener: socket.socket) -> None:
+        sock, _ = listener.accept()
+        self.loop.register(sock, selectors.EVENT_READ, self.watch)
+
+    def watch(self, sock: socket.socket) -> None:
+        data = sock.recv(4096)
+        if not data:
+            self.watches = [one for one in self.watches if one[1] is not sock]
+            self.drop(sock)
+        elif b"since=" in data:
+            self.watches.append((time.monotonic() + 2.0, sock))
+        else:
+            self.answer(sock, b'{"generation": 1, "reset": true, "instances": %s}' % self.book)
+
+    def end_watches(self) -> None:
+        now = time.monotonic()
+        for _, sock in [one for one in self.watches if one[0] <= now]:
+            self.answer(sock, b'{"generation": 1, "reset": false, "instances": []}')
+        self.watches = [one for one in self.watches if one[0] > now]
+
+    def answer(self, sock: socket.socket, body: bytes) -> None:
+        with contextlib.suppress(OSError):  # the node has ended
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+
+def entries(servers: int, address: str) -> list[dict]:
+    """The list: one address under so many names."""
+    common = {"hostPort": address, "zone": "here", "machineType": "toy", "cell": 0, "lifecycle": "Ready"}
+    return [{"instanceId": f"s-{n:04}", "weight": 1.0, "startedAtMs": 0, **common} for n in range(servers)]
+
+
+def run_standins(orders: Connection, servers: int) -> None:
+    """In a process of its own."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+    Standins(orders).run(servers)
+
+
+@contextlib.contextmanager
+def standins(servers: int = 60) -> Iterator[tuple[str, Callable[[float], None]]]:
+    """(the list's address, what sets the seconds between two pushed lines)."""
+    ours, theirs = multiprocessing.Pipe()
+    process = multiprocessing.get_context("spawn").Process(target=run_standins, args=(theirs, servers))
+    process.start()
+    theirs.close()
+    try:
+        yield ours.recv(), ours.send
+    finally:
+        ours.close()
+        process.join(WAIT)
