--- a/benchmarks/scale/page.py
+++ b/benchmarks/scale/page.py
@@ -2,6 +2,7 @@
 
     python benchmarks/scale/page.py            # writes the page
     python benchmarks/scale/page.py --check    # exit 1 if page, rows and results differ; says where
+    python benchmarks/scale/page.py --plots DIR    # plots with targets and budgets, and scale.html
 
 The check fails too where a result that a row names is missing, where a row says that it was not run although
 its results are there, and where the prose has a figure that is no variable of the page.
@@ -34,6 +35,15 @@
     return [*differing, *(f"a figure in the prose without its run: {found}" for found in strays)], wanted
 
 
+def write_plots(rows: Path, folder: Path, out: Path) -> Path:
+    """Plots of all sweeps with the rows' targets and budgets; the page that shows them."""
+    from cottonspread.lab.scale import plots  # matplotlib is wanted for this alone
+
+    found = results.read_all(folder)
+    marks = plots.marks(capacity.Capacity(capacity.read_book(rows), found, ROOT))
+    return plots.report(found.values(), out, marks)
+
+
 def main(arguments: list[str] | None = None) -> int:
     """The command; its exit code."""
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
@@ -41,7 +51,11 @@
     parser.add_argument("--page", type=Path, default=ROOT / "docs" / "CAPACITY.md")
     parser.add_argument("--rows", type=Path, default=Path(__file__).with_name("rows.toml"))
     parser.add_argument("--results", type=Path, default=results.FOLDER)
+    parser.add_argument("--plots", type=Path, metavar="DIR", help="write plots there, and nothing else")
     options = parser.parse_args(arguments)
+    if options.plots:
+        print(write_plots(options.rows, options.results, options.plots))
+        return 0
     faults, wanted = faults_of(options.page, options.rows, options.results)
     if not options.check and wanted != options.page.read_text(encoding="utf-8"):
         partial = options.page.with_suffix(".md.new")
--- a/cottonspread/lab/scale/capacity.py
+++ b/cottonspread/lab/scale/capacity.py
@@ -116,7 +116,7 @@
     tables: dict[str, list[str]]
     """Columns by table."""
     row: list[Row]
-    line: list[Line]
+    line: list[Line] = []
 
 
 @dataclass(frozen=True)
@@ -216,8 +216,17 @@
         """A row's value; RowError where it was not run."""
         if row.not_run:
             raise RowError(f"{row.what}: was not run, and another row rests on it")
-        own = self.own_values(row.costs, row.figures)
-        return formula.evaluate(row.formula, lambda name: own[name] if name in own else self.value(name))
+        return self.with_own(row.formula, self.own_values(row.costs, row.figures))
+
+    def budget(self, row: Row) -> float | None:
+        """A row's budget; None where there is none."""
+        if not row.budget:
+            return None
+        return self.with_own(row.budget, self.own_values(row.costs, row.figures))
+
+    def with_own(self, text: str, own: dict[str, float]) -> float:
+        """The value of a formula over variables and a row's own values, which go first."""
+        return formula.evaluate(text, lambda name: own[name] if name in own else self.value(name))
 
     def own_values(self, costs: list[Cost], figures: list[Figure]) -> dict[str, float]:
         """The values of a row's costs and figures by name."""
@@ -304,7 +313,7 @@
             value = sheet.row_value(row)
             used = tuple(sheet.used(cost) for cost in row.costs)
             corners = [self.sheet(chosen).row_value(row) for chosen in self.corners(sheet.touched)]
-            budget = formula.evaluate(row.budget, self.sheet().value) if row.budget else None
+            budget = self.sheet().budget(row)
         except (RowError, ResultError, formula.FormulaError) as fault:
             raise RowError(f"{row.role}: {row.what}: {fault}") from None
         return Worked(row, value, min(corners), max(corners), budget, used)
@@ -317,11 +326,10 @@
         own = sheet.own_values(row.costs, row.figures)
 
         def total(tried: float) -> float:
-            tried_own = own | {cost.name: tried}
-            return formula.evaluate(row.formula, lambda n: tried_own[n] if n in own else sheet.value(n))
+            return sheet.with_own(row.formula, own | {cost.name: tried})
 
         growth = total(1.0) - total(0.0)
-        budget = formula.evaluate(row.budget, sheet.value)
+        budget = sheet.budget(row)
         return (budget - total(0.0)) / growth if growth > 0 and budget > total(0.0) else None
 
     def line(self, line: Line) -> dict[str, float] | None:
@@ -333,7 +341,7 @@
         try:
             own = sheet.own_values(line.costs, line.figures)
             for name, text in line.values.items():
-                own[name] = formula.evaluate(text, lambda n: own[n] if n in own else sheet.value(n))
+                own[name] = sheet.with_own(text, own)
         except (RowError, ResultError, formula.FormulaError) as fault:
             raise RowError(f"{line.table}: {line.cells[0]}: {fault}") from None
         return own
