--- a/cottonspread/cli/fleet.py
+++ b/cottonspread/cli/fleet.py
@@ -1,5 +1,8 @@
-"""`fleet` and `config`: many instances on one machine; what is in force. (`instance` is what the supervisor starts.)"""
+"""`fleet` and `config`: many instances on one machine; what is in force.
+(`instance` is what the supervisor starts.)
+"""
 
+import contextlib
 import heapq
 import json
 import os
@@ -57,13 +60,13 @@
         sock.sendall(json.dumps(said).encode() + b"\n")
         answer = sock.makefile("rb").readline()
     except TimeoutError:
-        raise config.Senseless(
+        raise config.ConfigurationError(
             f"fleet: no answer after {wait:g} s; `fleet status` tells how far it is"
         ) from None
     except OSError as fault:
-        raise config.Senseless(f"fleet: no supervisor answers at {path}: {fault}") from fault
+        raise config.ConfigurationError(f"fleet: no supervisor answers at {path}: {fault}") from fault
     if not answer:
-        raise config.Senseless("fleet: the supervisor ended before it answered")
+        raise config.ConfigurationError("fleet: the supervisor ended before it answered")
     return json.loads(answer)
 
 
@@ -75,9 +78,9 @@
             os.path.abspath(given.checkout) if given.checkout else "",
         )
         if not os.access(python, os.X_OK):
-            raise config.Senseless(f"--python: {python}: not a program that can be run")
+            raise config.ConfigurationError(f"--python: {python}: not a program that can be run")
         if checkout and not os.path.isdir(os.path.join(checkout, "cottonspread")):
-            raise config.Senseless(f"--checkout: {checkout}: has no folder cottonspread")
+            raise config.ConfigurationError(f"--checkout: {checkout}: has no folder cottonspread")
         said |= {"python": os.path.abspath(python), "checkout": checkout}
     answer = asked(given, said, given.wait)
     print(f"{given.what}: {answer['why']}", file=sys.stdout if answer["ok"] else sys.stderr)
@@ -87,7 +90,7 @@
 def print_table(rows):
     widths = [max(len(row[n]) for row in rows) for n in range(len(rows[0]))]
     for row in rows:
-        print("  ".join(cell.ljust(width) for cell, width in zip(row, widths)).rstrip())
+        print("  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip())
 
 
 def status(given):
@@ -119,18 +122,20 @@
     names = (
         [f"{given.name}.log"] if given.name else sorted(f for f in os.listdir(where) if f.endswith(".log"))
     )
-    try:
-        control.raise_descriptors(len(names) + 32)  # a thousand files are over the usual limit
-        files = [open(os.path.join(where, name), encoding="utf-8", errors="replace") for name in names]
-    except OSError as fault:
-        raise config.Senseless(f"logs: {fault}") from fault
-    for line in list(heapq.merge(*(file.readlines() for file in files)))[-given.lines :] if files else ():
-        sys.stdout.write(line)
-    while given.follow:
-        for file in files:
-            sys.stdout.writelines(file.readlines())
-        sys.stdout.flush()
-        time.sleep(0.2)
+    paths = [os.path.join(where, name) for name in names]
+    with contextlib.ExitStack() as opened:
+        try:
+            control.raise_descriptors(len(names) + 32)  # a thousand files are over the usual limit
+            files = [opened.enter_context(open(p, encoding="utf-8", errors="replace")) for p in paths]
+        except OSError as fault:
+            raise config.ConfigurationError(f"logs: {fault}") from fault
+        lines = list(heapq.merge(*(file.readlines() for file in files)))
+        sys.stdout.writelines(lines[-given.lines :])
+        while given.follow:
+            for file in files:
+                sys.stdout.writelines(file.readlines())
+            sys.stdout.flush()
+            time.sleep(0.2)
     return 0
 
 
@@ -178,7 +183,8 @@
     word("reload", "read the files anew and change the instances one after the other", command, wait)
     word(
         "upgrade",
-        "restart the instances onto another program, one after the other; without arguments onto the supervisor's own",
+        "restart the instances onto another program, one after the other; "
+        "without arguments onto the supervisor's own",
         command,
         (("--python",), {"help": "the interpreter, of another virtual environment"}),
         (("--checkout",), {"help": "a folder with cottonspread in it"}),
--- a/cottonspread/fleet/control.py
+++ b/cottonspread/fleet/control.py
@@ -1,5 +1,8 @@
-"""What the processes of a fleet say to each other: JSON lines on stream sockets in the state folder; locks and pid files there."""
+"""What the processes of a fleet say to each other: JSON lines on stream sockets in the
+state folder; locks and pid files there.
+"""
 
+import contextlib
 import fcntl
 import json
 import os
@@ -11,7 +14,10 @@
 
 
 class Line:
-    """One end of a connection that carries JSON lines, never waiting. False from `read` and `say`: it is over."""
+    """One end of a connection that carries JSON lines, never waiting.
+
+    False from `read` and `say`: it is over.
+    """
 
     def __init__(self, sock):
         sock.setblocking(False)
@@ -67,14 +73,15 @@
 
 def unlink(path):
     """Whoever ends removes its own socket too, perhaps just now."""
-    try:
+    with contextlib.suppress(FileNotFoundError):
         os.unlink(path)
-    except FileNotFoundError:
-        pass
 
 
 def listening(path):
-    """A control socket at this path; what an earlier process left there is removed. Only its owner may connect."""
+    """A control socket at this path; what an earlier process left there is removed.
+
+    Only its owner may connect.
+    """
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
     unlink(path)
     mask = os.umask(0o177)
@@ -94,7 +101,10 @@
 
 
 class Lock:
-    """A file that one process holds at a time. The kernel lets go of it when the holder is gone, however it ended."""
+    """A file that one process holds at a time.
+
+    The kernel lets go of it when the holder is gone, however it ended.
+    """
 
     def __init__(self, path):
         self.file = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
--- a/cottonspread/lab/loop.py
+++ b/cottonspread/lab/loop.py
@@ -1,7 +1,8 @@
 """One thread's sockets and timers, on epoll with waits in microseconds.
 
-Python's epoll waits whole milliseconds, which alone would break the limit on lateness, so the wait is a `select` on
-the epoll descriptor. Between any two socket events the timers that are due come first: intended times go before all.
+Python's epoll waits whole milliseconds, which alone would break the limit on lateness, so the wait
+is a `select` on the epoll descriptor. Between any two socket events the timers that are due come
+first: intended times go before all.
 """
 
 import gc
@@ -67,8 +68,10 @@
                     self.due()
 
     def follow_parent(self, said):
-        """Orders come as lines on standard input; `said(words)` for each. Its end ends this process: nothing outlives
-        whoever started it."""
+        """Orders come as lines on standard input; `said(words)` for each.
+
+        Its end ends this process: nothing outlives whoever started it.
+        """
         rest = [b""]
         os.set_blocking(0, False)
 
@@ -96,7 +99,7 @@
         sock.bind(address)
     except OSError as fault:
         sock.close()
-        raise OSError("%s: %s:%d: %s" % (whose, *address, fault.strerror)) from None
+        raise OSError("{}: {}:{}: {}".format(whose, *address, fault.strerror)) from None
     sock.listen(backlog)
     sock.setblocking(False)
     return sock
--- a/cottonspread/lab/sim/node.py
+++ b/cottonspread/lab/sim/node.py
@@ -1,9 +1,12 @@
-"""A simulated node: a process round the real reducer, with stand-ins for its workers, its door and its calls of the list.
+"""A simulated node: a process round the real reducer, with stand-ins for its
+workers, its door and its calls of the list.
 
-What decides is the program's own: reducer, module, door, the reading of configurations, lists and reports, and what a process hands over.
-What is simulated is what a machine does: clocks, threads' turns, sockets, and death.
+What decides is the program's own: reducer, module, door, the reading of configurations,
+lists and reports, and what a process hands over. What is simulated is what a machine does:
+clocks, threads' turns, sockets, and death.
 """
 
+import contextlib
 import json
 import traceback
 from collections import Counter, deque
@@ -28,12 +31,14 @@
 STOPPED, KILLED = "stopped", "killed"
 
 
-class Fault(AssertionError):
+class NodeError(AssertionError):
     """The node's own code has raised."""
 
 
 class Worker:
-    """In the place of one end's thread and of the writer: one socket, lines gathered as `lines.Gatherer` does."""
+    """In the place of one end's thread and of the writer: one socket,
+    lines gathered as `lines.Gatherer` does.
+    """
 
     def __init__(self, process, end, side=None):
         self.process, self.end, self.side, self.number = process, end, side, process.next_number()
@@ -211,19 +216,23 @@
     def room(self, side):
         pass
 
-    def end(self, ending, report={}):
+    def end(self, ending, report=None):
         if self.done or self.process.dead:
             return
         self.done = True
         self.process.probes.pop(self, None)
         if self.side is not None:
             self.side.close()
-        self.process.post(ev.Asked(self.order.host, ending, report, self.process.world.now - self.began))
+        self.process.post(
+            ev.Asked(self.order.host, ending, report or {}, self.process.world.now - self.began)
+        )
 
 
 class Process:
     def __init__(self, node, values, shared=False):
-        """`shared`: its listener is one that an earlier process uses too; nothing is taken from it before `take`."""
+        """`shared`: its listener is one that an earlier process uses too;
+        nothing is taken from it before `take`.
+        """
         world = node.fleet.world
         self.world, self.node, self.values, self.shared = world, node, values, shared
         self.draws = world.draws(node.name, "process", node.starts)
@@ -340,9 +349,9 @@
         fleet = self.node.fleet
         self.steps += 1
         try:
-            effects = self.reducer.step(self.clock(), event, at)
+            effects = self.decide(event, at)
         except Exception as fault:
-            raise Fault(
+            raise NodeError(
                 f"{self.node.name}: {type(event).__name__}: {fault!r}\n{traceback.format_exc(limit=-6)}"
             ) from fault
         self.world.note(self.node.name, self.label(event), *map(self.label, effects))
@@ -351,6 +360,10 @@
             self.carry_out(effect)
         fleet.stepped(self, event, effects)
 
+    def decide(self, event, at):
+        """The reducer's step alone."""
+        return self.reducer.step(self.clock(), event, at)
+
     @staticmethod
     def label(one):
         end = getattr(one, "end", None)
@@ -388,7 +401,9 @@
                 world.at(self.writer_at, self.alive, self.write_out, effect)
 
     def alive(self, what, *args):
-        """Nothing is done by a process that is dead, and what a stopped one was about to do is done once it goes on."""
+        """Nothing is done by a process that is dead, and what a stopped one was
+        about to do is done once it goes on.
+        """
         if self.dead:
             return
         if self.world.now < self.frozen:
@@ -454,10 +469,8 @@
 
     def turn_away(self, side, reason, retry_after):
         line = lines.busy(retry_after)
-        try:
+        with contextlib.suppress(BrokenPipeError):
             side.send(line)
-        except BrokenPipeError:
-            pass
         self.node.fleet.promises.turned_away(self, side, line)
         self.reducer.figures.turned_away(lines.type_named(side.take()))
         side.close()
@@ -466,7 +479,9 @@
     # Signals and operators
 
     def stop(self):
-        """SIGTERM. Where the platform holds the listener nothing more is taken from it; else what comes is still answered."""
+        """SIGTERM. Where the platform holds the listener nothing more is taken from
+        it; else what comes is still answered.
+        """
         self.takes = not self.shared
         self.node.open_door()
         heir = self.heir if self.heir is not None and not self.heir.dead else None
@@ -505,7 +520,7 @@
         try:
             parts = config.read_node(json.dumps(values), {})
             config.complete(self.values, values)
-        except config.Senseless:
+        except config.ConfigurationError:
             self.hasten(ev.NotRetuned())
             return
         self.values, self.discovery.names = values, parts[2]
@@ -516,8 +531,9 @@
     # Replacement
 
     def take_from(self, old):
-        """What the process before it hands over, through the text that goes over the disk; then it takes connections. It waits
-        no longer than a successor does."""
+        """What the process before it hands over, through the text that goes over the disk; then it takes
+        connections. It waits no longer than a successor does.
+        """
         mark = f"{self.node.name} {self.node.starts}"
 
         def given(handed):
@@ -551,7 +567,7 @@
             worker.gone = True
         standing = handover.unpack_standing(handover.pack_standing(order.standing))
         ends, new = (ev.End(True), ev.End(False)), []
-        for end, worker in zip(ends, workers):
+        for end, worker in zip(ends, workers, strict=True):
             new.append(Worker(heir, end, worker.side))
             new[-1].borrowed = True  # the old process has it too until it is told
             heir.live[new[-1]] = None
@@ -565,7 +581,7 @@
 
     def given(self, order, taken, new, heir):
         workers = order.client.worker, order.host.worker
-        for worker, other in zip(workers, new):
+        for worker, other in zip(workers, new, strict=True):
             other.borrowed = False
             if not taken:
                 worker.gone, worker.side.owner, other.gone = False, worker, True
--- a/cottonspread/net/admin.py
+++ b/cottonspread/net/admin.py
@@ -1,9 +1,12 @@
-"""The operators' address: one line to a connection, one answer, in a thread of its own that never waits for the reducer.
+"""The operators' address: one line to a connection, one answer, in a thread of its
+own that never waits for the reducer.
 
-It never waits for a caller either: all are read and written as they are ready. A caller that says nothing has a time limit, and the
-one that has said nothing for longest makes room for a new one, so that callers who never finish keep nobody out.
+It never waits for a caller either: all are read and written as they are ready. A caller that says
+nothing has a time limit, and the one that has said nothing for longest makes room for a new one, so that
+callers who never finish keep nobody out.
 """
 
+import contextlib
 import logging
 import selectors
 import socket
@@ -25,11 +28,14 @@
 
 class Admin:
     def __init__(self, address, answer):
-        """`answer(word)`: what is said to a call, as bytes; it may wait for nothing. OSError if the address is not to be had."""
+        """`answer(word)`: what is said to a call, as bytes; it may wait for nothing.
+
+        OSError if the address is not to be had.
+        """
         try:
             self.listener = socket.create_server(address, backlog=BACKLOG)
         except OSError as fault:
-            fault.filename = "operator: %s:%d" % address  # which of the node's two addresses it is
+            fault.filename = "operator: {}:{}".format(*address)  # which of the node's two addresses it is
             raise
         self.listener.setblocking(False)
         self.give, self.callers, self.ended = answer, {}, False
@@ -62,10 +68,8 @@
     def stop(self):
         """From another thread."""
         self.ended = True
-        try:
+        with contextlib.suppress(OSError):
             self.listener.shutdown(socket.SHUT_RDWR)  # wakes `run`
-        except OSError:
-            pass
 
     def welcome(self):
         sock, _ = self.listener.accept()
@@ -109,10 +113,8 @@
         self.write(caller)
 
     def write(self, caller):
-        try:
+        with contextlib.suppress(BlockingIOError):
             caller.answer = caller.answer[caller.sock.send(caller.answer) :]
-        except BlockingIOError:
-            pass
         if caller.answer:
             self.selector.modify(caller.sock, selectors.EVENT_WRITE)
         else:
--- a/cottonspread/net/http.py
+++ b/cottonspread/net/http.py
@@ -1,34 +1,30 @@
 """A small HTTP/1.1 client for one address: GET only, answers bounded in size and time."""
 
+import contextlib
 import socket
 import time
 
 MOST_HEAD, MOST_BODY = 16 * 1024, 8 * 1024 * 1024
 
 
-class BadAnswer(ValueError):
+class ResponseError(ValueError):
     """What came back is no HTTP answer that can be used."""
 
 
-class BadStatus(BadAnswer):
-    """A whole answer that says no: to ask again at once would only be turned down again."""
-
-
 class Http:
     """Keeps its connection from one call to the next where the other side allows it."""
 
     def __init__(self, address, connect_wait):
         self.address, self.connect_wait = address, connect_wait
         self.sock, self.rest, self.until, self.given_up = None, b"", 0.0, False
+        self.heard = False  # whether anything of the answer to the call that is out has come
 
     def give_up(self):
         """From another thread: a call that is out ends at once, and none begins."""
         self.given_up, sock = True, self.sock
         if sock is not None:
-            try:
+            with contextlib.suppress(OSError):  # ended already
                 sock.shutdown(socket.SHUT_RDWR)
-            except OSError:  # ended already
-                pass
 
     def close(self):
         if self.sock is not None:
@@ -36,31 +32,35 @@
         self.sock, self.rest = None, b""
 
     def get(self, path, wait):
-        """The body of the answer, within `wait` seconds for all of it; OSError or BadAnswer if there is none."""
+        """The body of the answer, within `wait` seconds for all of it; OSError or
+        ResponseError if there is none.
+        """
         kept = self.sock is not None
+        self.until = time.monotonic() + wait
         try:
             try:
-                return self.call(path, wait)
-            except BadStatus:
-                raise
-            except (ConnectionError, BadAnswer):
-                # Only a kept connection may have been closed in the meantime, which tells nothing.
-                if not kept or self.sock is None or self.rest or self.given_up:
+                return self.call(path)
+            except (ConnectionError, ResponseError):
+                # Only a kept connection may have been closed in the meantime, which tells nothing. An answer
+                # that says no, or is none, would only be had again.
+                if not kept or self.heard or self.given_up:
                     raise
                 self.close()
-                return self.call(path, wait)
-        except (OSError, BadAnswer):
+                # In what is left of the time: two silences, one behind the other, were waited out in full.
+                return self.call(path)
+        except (OSError, ResponseError):
             self.close()
             raise
 
-    def call(self, path, wait):
-        self.until = time.monotonic() + wait
+    def call(self, path):
+        self.heard = bool(self.rest)
         if self.sock is None:
-            self.sock = socket.create_connection(self.address, timeout=min(wait, self.connect_wait))
+            wait = min(self.left(), self.connect_wait)
+            self.sock = socket.create_connection(self.address, timeout=wait)
             self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if self.given_up:  # just while it was connecting
             raise ConnectionAbortedError("given up")
-        host = "%s:%d" % self.address
+        host = "{}:{}".format(*self.address)
         self.sock.sendall(f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode())
         status, headers = self.head()
         while 100 <= status < 200:
@@ -70,29 +70,34 @@
         if not keep:
             self.close()
         if status != 200:
-            raise BadStatus(f"status {status}")
+            raise ResponseError(f"status {status}")
         return body
 
-    def more(self):
+    def left(self):
+        """Seconds left for the answer; TimeoutError if there are none."""
         left = self.until - time.monotonic()
         if left <= 0:
             raise TimeoutError("the answer takes too long")
-        self.sock.settimeout(left)
+        return left
+
+    def more(self):
+        self.sock.settimeout(self.left())
         got = self.sock.recv(65536)
         self.rest += got
+        self.heard = self.heard or bool(got)
         return bool(got)
 
     def line(self, most):
         while (end := self.rest.find(b"\n")) < 0:
             if len(self.rest) > most or not self.more():
-                raise BadAnswer("cut off or too long in its head")
+                raise ResponseError("cut off or too long in its head")
         line, self.rest = self.rest[:end].rstrip(b"\r"), self.rest[end + 1 :]
         return line
 
     def head(self):
         words = self.line(MOST_HEAD).split(None, 2)
         if len(words) < 2 or not words[0].startswith(b"HTTP/1.") or not words[1].isdigit():
-            raise BadAnswer("no status line")
+            raise ResponseError("no status line")
         headers, size = {}, 0
         if words[0] == b"HTTP/1.0":
             headers["connection"] = "close"
@@ -100,16 +105,16 @@
             size += len(line)
             name, colon, value = line.decode("latin-1").partition(":")
             if not colon or size > MOST_HEAD:
-                raise BadAnswer("headers cannot be read")
+                raise ResponseError("headers cannot be read")
             headers[name.strip().lower()] = value.strip()
         return int(words[1]), headers
 
     def exactly(self, count):
         if count > MOST_BODY:
-            raise BadAnswer("body too large")
+            raise ResponseError("body too large")
         while len(self.rest) < count:
             if not self.more():
-                raise BadAnswer("body cut off")
+                raise ResponseError("body cut off")
         taken, self.rest = self.rest[:count], self.rest[count:]
         return taken
 
@@ -118,11 +123,11 @@
             return self.chunks(), keep
         if "content-length" in headers:
             if not headers["content-length"].isdigit():
-                raise BadAnswer("length cannot be read")
+                raise ResponseError("length cannot be read")
             return self.exactly(int(headers["content-length"])), keep
         while self.more():  # up to the end of the connection
             if len(self.rest) > MOST_BODY:
-                raise BadAnswer("body too large")
+                raise ResponseError("body too large")
         return self.rest, False
 
     def chunks(self):
@@ -131,10 +136,10 @@
             try:
                 count = int(self.line(1024).split(b";")[0], 16)
             except ValueError:
-                raise BadAnswer("chunk size cannot be read") from None
+                raise ResponseError("chunk size cannot be read") from None
             size += count
             if count < 0 or size > MOST_BODY:
-                raise BadAnswer("body too large")
+                raise ResponseError("body too large")
             if not count:
                 while self.line(MOST_HEAD):
                     pass
