--- a/cottonspread/lab/scale/fit.py
+++ b/cottonspread/lab/scale/fit.py
@@ -17,7 +17,8 @@
 """Part of the largest value under which a residual is not held against the value itself."""
 
 FLAT = 0.1
-"""A cost that changes by a smaller part from the smallest size to the largest is constant."""
+"""A cost that grows by a smaller part from the smallest size to the largest, or falls, is constant: nothing
+that a size adds makes it, and a fall carried on past the largest size would promise ever less."""
 
 MUCH_BETTER = 4.0
 """Squares of residuals have to fall by this factor before a cost is called anything but linear."""
@@ -67,7 +68,7 @@
 
 
 def fit(points: Sequence[Point]) -> Fit:
-    """The fit of the points; linear unless the cost is flat or another term tells it much better.
+    """The fit of the points; linear unless the cost does not grow or another term tells it much better.
 
     Raises FitError for fewer than four sizes, a size that is not over 0 or a value that is no number.
     """
@@ -109,7 +110,7 @@
 
 
 def _flat(sizes: np.ndarray, values: np.ndarray) -> Fit:
-    """The fit of a cost that does not change."""
+    """The fit of a cost that does not grow: the mean."""
     mean = float(values.mean())
     return Fit(
         term="constant",
@@ -124,7 +125,7 @@
 
 def _is_flat(found: Fit, sizes: np.ndarray) -> bool:
     first, last = found.at(sizes.min()), found.at(sizes.max())
-    return abs(last - first) <= FLAT * max(abs(first), abs(last))
+    return last - first <= FLAT * max(abs(first), abs(last))
 
 
 def _scale(values: np.ndarray) -> np.ndarray:
--- a/tests/scale/test_capacity.py
+++ b/tests/scale/test_capacity.py
@@ -223,6 +223,16 @@
         worked(book(), tmp_path, sweep()).line(made.book.line[0])
 
 
+def test_a_line_takes_a_point_of_a_sweep_as_it_was_measured(book, tmp_path):
+    old = 'result = "fault-zone", event = "zone", figure = "lost"'
+    point = 'result = "module-servers", figure = "change_us", size = '
+    made = worked(book((old, point + "400")), tmp_path, sweep(lambda n: n * n))
+    assert made.line(made.book.line[0])["lost"] == 160_000
+    made = worked(book((old, point + "401")), tmp_path)
+    with pytest.raises(RowError, match="size 401 was not played"):
+        made.line(made.book.line[0])
+
+
 def test_what_was_never_whole_is_no_number(book, tmp_path):
     made = worked(book(('figure = "lost"', 'figure = "seconds_until_whole"')), tmp_path)
     with pytest.raises(RowError, match="None is no number"):
--- a/tests/scale/test_fit.py
+++ b/tests/scale/test_fit.py
@@ -78,6 +78,13 @@
     assert found.beyond(100) < 1
 
 
+def test_a_cost_that_falls_is_not_carried_on_past_the_largest_size():
+    found = fit(points(lambda n: 300 - 0.002 * n, noise=0.02))
+    assert found.term == "constant" and found.slope == 0
+    assert found.at(10_000_000) == pytest.approx(250, rel=0.1)
+    assert found.residual > 0.4
+
+
 def test_growth_beyond_a_term_is_told():
     quadratic, line = fit(points(lambda n: n * n)), fit(points(lambda n: n))
     assert quadratic.grows_faster_than("linear") and quadratic.grows_faster_than("n log n")
