--- a/cottonspread/lab/scale/capacity.py
+++ b/cottonspread/lab/scale/capacity.py
@@ -7,6 +7,7 @@
 
 import itertools
 import json
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
@@ -65,9 +66,12 @@
 
 
 class Figure(msgspec.Struct, forbid_unknown_fields=True):
-    """One value: `figure` of a fault run's `event`; a point of a sweep (`figure`: the measure, `size`); out of a
-    JSON file of the repository (`at`: keys joined by `/`); or out of a page (`at`: words that stand there, in
-    which `value` does)."""
+    """One value.
+
+    It is `figure` of a fault run's `event`; a point of a sweep (`figure`: the measure, `size`); out of a JSON
+    file of the repository (`at`: keys joined by `/`); or out of a page (`at`: words that stand there, with
+    `value` among them). Seconds until whole that were not met within the play are infinite.
+    """
 
     name: str
     result: str = ""
@@ -292,10 +296,11 @@
     raise RowError(f"{sweep.name}: {figure.figure}: size {figure.size:g} was not played")
 
 
-def _of_event(run: FaultRun, figure: Figure) -> float | None:
+def _of_event(run: FaultRun, figure: Figure) -> float:
     """One figure of an event."""
     row = run.row(figure.event)
-    known = {**row.figures, "seconds_until_whole": row.seconds_until_whole, "rules_broken": row.rules_broken}
+    whole = math.inf if row.seconds_until_whole is None else row.seconds_until_whole
+    known = {**row.figures, "seconds_until_whole": whole, "rules_broken": row.rules_broken}
     if figure.figure not in known:
         raise RowError(f"{run.name}: {figure.event}: no figure {figure.figure!r}")
     return known[figure.figure]
--- a/cottonspread/lab/scale/tables.py
+++ b/cottonspread/lab/scale/tables.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+import math
 import re
 from collections.abc import Iterable
 from pathlib import Path
@@ -25,6 +26,8 @@
     """A figure for people: three digits that tell, four from a thousand on."""
     if value == 0:
         return "0"
+    if math.isinf(value):
+        return "not within the play"
     digits = 4 if abs(value) >= 1000 else 3
     rounded = float(f"{value:.{digits}g}")
     if abs(rounded) >= 1000 or rounded == int(rounded):
--- a/tests/scale/test_capacity.py
+++ b/tests/scale/test_capacity.py
@@ -1,6 +1,7 @@
 """The rows of the capacity page: values, ranges, budgets and verdicts, and every fault told by its row."""
 
 import json
+import math
 
 import pytest
 
@@ -233,10 +234,17 @@
         made.line(made.book.line[0])
 
 
-def test_what_was_never_whole_is_no_number(book, tmp_path):
-    made = worked(book(('figure = "lost"', 'figure = "seconds_until_whole"')), tmp_path)
-    with pytest.raises(RowError, match="None is no number"):
-        made.line(made.book.line[0])
+def test_what_was_not_whole_within_the_play_says_so_and_holds_no_budget(book, page, tmp_path):
+    whole = 'figure = "seconds_until_whole"'
+    made = worked(book(('figure = "lost"', whole)), tmp_path)
+    assert made.line(made.book.line[0])["lost"] == math.inf
+    assert tables.number(math.inf) == "not within the play"
+    cost = (
+        'costs = [{ name = "change_us", result = "module-servers", measure = "change_us", size = "servers" }]'
+    )
+    figure = f'figures = [{{ name = "change_us", result = "fault-zone", event = "zone", {whole} }}]'
+    row = first(worked(book((cost, figure)), tmp_path))
+    assert row.verdict.startswith("**does not hold**")
 
 
 def test_a_figure_of_an_older_file_is_read_by_its_keys(book, tmp_path):
