Records: an index from server to its keys, and as many as there are connections held

A lost server's records were found by a walk over all. The map keeps the keys of each server; only its own methods change either.

At most 50,000 records were kept, though a node may hold 76,190 connections: the longest standing lost theirs. The limit is 50,000 more than the connections held.

--- a/cottonspread/lab/sim/promises.py
+++ b/cottonspread/lab/sim/promises.py
@@ -520,7 +520,7 @@
             standing,
         )
         conns = len(reducer.conns)
-        self.need(len(module.records) <= module.records.MOST + 1, BOUND, "records", name)
+        self.need(len(module.records) <= module.records.MOST + reducer.most_ends + 1, BOUND, "records", name)
         self.need(
             len(reducer.unopened) <= conns and len(reducer.told) == 0, BOUND, "clients without a line", name
         )
--- a/cottonspread/policy/choice.py
+++ b/cottonspread/policy/choice.py
@@ -23,7 +23,7 @@
     def host(self):
         """The recorded server, or the next of the rotation; None if no server may have it now."""
         node, call = self.node, self.call
-        recorded = node.records.find(call.key, self.now)
+        recorded = node.records.find(call.key, self.now, len(node.calls))
         if not self.health.may_send(node.way, self.now):
             return None
         # One that was probed for this call and has room is taken: the rotation went on, and probed the next.
--- a/cottonspread/policy/records.py
+++ b/cottonspread/policy/records.py
@@ -8,11 +8,11 @@
     """Bounded memory of the server chosen for each key, dropped when idle since its connection ended."""
 
     IDLE = 600 * SECOND  # the design page's start; its floor is several minutes
-    MOST = 50_000  # bounds memory to a few MiB
+    MOST = 50_000  # of keys without a connection, so bounds memory to a few MiB
 
-    def find(self, key, now):
-        """The key's server, or None."""
-        self.trim(now - self.IDLE, self.MOST)
+    def find(self, key, now, held):
+        """The key's server, or None. `held`: connections held, each of which may have a key of its own."""
+        self.trim(now - self.IDLE, self.MOST + held)
         return self.get(key)
 
     def put(self, key, host, now):
--- a/cottonspread/structures/aged_map.py
+++ b/cottonspread/structures/aged_map.py
@@ -1,13 +1,17 @@
-"""A map that knows when each key was last used."""
+"""A map that knows when each key was last used, and which keys have a value."""
 
 from collections import OrderedDict
 
 
 class AgedMap:
-    """Key to value in order of last use, the longest idle first. Times are those of the caller's clock."""
+    """Key to value in order of last use, the longest idle first. Times are those of the caller's clock.
+
+    Values are told apart by identity. An index makes `drop_value` cost a step for each key that it takes out.
+    """
 
     def __init__(self):
         self.entries = OrderedDict()  # key: (value, when last used)
+        self.keys_of = {}  # value: its keys, a set that is never empty
 
     def __len__(self):
         return len(self.entries)
@@ -22,6 +26,9 @@
 
     def put(self, key, value, now):
         """Sets the value and counts as a use."""
+        if self.get(key) is not value:
+            self.take_out(key)
+            self.keys_of.setdefault(value, set()).add(key)
         self.entries[key] = value, now
         self.entries.move_to_end(key)
 
@@ -33,11 +40,11 @@
     def drop(self, key, value):
         """Takes out the key if it still has this very value."""
         if self.get(key) is value:
-            del self.entries[key]
+            self.take_out(key)
 
     def drop_value(self, value):
         """Takes out every key that has this very value."""
-        for key in [key for key, (held, _) in self.entries.items() if held is value]:
+        for key in self.keys_of.pop(value, ()):
             del self.entries[key]
 
     def trim(self, oldest, most):
@@ -46,4 +53,13 @@
             key, (_, used) = next(iter(self.entries.items()))
             if used >= oldest and len(self.entries) <= most:
                 return
-            del self.entries[key]
+            self.take_out(key)
+
+    def take_out(self, key):
+        """Takes out the key, if it is there."""
+        value, _ = self.entries.pop(key, (None, 0))
+        keys = self.keys_of.get(value)
+        if keys:
+            keys.discard(key)
+            if not keys:
+                del self.keys_of[value]
