--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -14,7 +14,6 @@
 from operator import attrgetter
 
 from cottonspread import interface as io
-from cottonspread.decide import Balancer
 from cottonspread.front import handover
 from cottonspread.front.figures import Figures
 from cottonspread.front.lateness import Lateness
@@ -24,6 +23,7 @@
 from cottonspread.net import lines
 from cottonspread.net.notes import Heard, Notes
 from cottonspread.net.under_way import Busy, connection_is_busy, host_is_busy
+from cottonspread.policy import Balancer
 
 SECOND = 1_000_000
 SWEEP = SECOND // 4
@@ -800,17 +800,28 @@
         elif end.finish:
             self.close(end)
         elif not e.ok:
-            if end.client:
-                self.client_over(conn, "reset")
-            elif e.why == "client-gone":  # its own end comes as well, perhaps behind much else
-                self.client_over(conn, "end")
-            elif e.why:
-                self.not_begun(end.leg, e.why)
-            elif not end.leg.written:
-                self.end_leg(end.leg, Ending.CONNECT_FAILED)
-            else:
-                self.host_over(end.leg, "reset")
-        elif first:
+            self.write_failed(end, e.why)
+        else:
+            self.read_on(end, first)
+
+    def write_failed(self, end, why):
+        """`why`: the reason if an attempt's first line was not begun, else ""."""
+        conn = end.conn
+        if end.client:
+            self.client_over(conn, "reset")
+        elif why == "client-gone":  # its own end comes as well, perhaps behind much else
+            self.client_over(conn, "end")
+        elif why:
+            self.not_begun(end.leg, why)
+        elif not end.leg.written:
+            self.end_leg(end.leg, Ending.CONNECT_FAILED)
+        else:
+            self.host_over(end.leg, "reset")
+
+    def read_on(self, end, first):
+        """What was written is out: whose lines are read next. `first`: it was an attempt's first line."""
+        conn = end.conn
+        if first:
             self.read(end)
         elif not end.client:
             self.read(conn.client)  # the next lines only once these are out: nothing piles up here
@@ -899,7 +910,7 @@
             for leg in conn.legs:
                 if leg.end is not None:
                     self.sweep_end(leg.end)
-        self.figures.hosts_down = self.module.avoided(self.now)
+        self.figures.hosts_down = self.module.membership.avoided(self.now)
         if self.stopping:
             self.to_pass.extend(self.busy)
             self.busy.clear()
--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -203,7 +203,9 @@
 
 @pytest.mark.parametrize("kind", ("plain", "once", "marked"))
 def test_a_host_killed_right_behind_its_accept_was_never_asked(hosts, agent, monkeypatch, kind):
-    """The connection is up and is reset before the first byte: nothing ran, so also a call that must not run twice goes elsewhere."""
+    """The connection is up and is reset before the first byte: nothing ran, so also a call
+    that must not run twice goes elsewhere.
+    """
     gate = hold_connects(monkeypatch, lambda nth: nth == 1)
     with running(agent) as node:
         listed(node)
@@ -221,7 +223,9 @@
 
 @pytest.mark.parametrize("how", ("reset", "half"))
 def test_a_host_killed_over_a_line_that_it_has_not_read_may_have_run_it(hosts, agent, how):
-    """Its machine had taken the whole line: a call that must not run twice is answered as failed, and stays where it was."""
+    """Its machine had taken the whole line: a call that must not run twice is
+    answered as failed, and stays where it was.
+    """
     with running(agent) as node:
         listed(node)
         one = client(node, opening(1, "once"))
@@ -269,8 +273,9 @@
 
 
 def test_every_call_is_answered_whatever_its_hosts_do(hosts, agent):
-    """Sixty calls at hosts that say nothing, break, refuse, say nonsense or half a line: each has one last line, and in its time,
-    which the node counts itself (`overdue`)."""
+    """Sixty calls at hosts that say nothing, break, refuse, say nonsense or half a line: each has one last
+    line, and in its time, which the node counts itself (`overdue`).
+    """
     stop, held = threading.Event(), []
 
     def play(host):
--- a/tests/crossings/test_pieces.py
+++ b/tests/crossings/test_pieces.py
@@ -1,4 +1,6 @@
-"""Lines in pieces against what may come between two of them: the end, a reload, a change of the list, a move."""
+"""Lines in pieces against what may come between two of them: the end, a reload, a change
+of the list, a move.
+"""
 
 import pytest
 from standins import (
@@ -154,7 +156,9 @@
 
 
 def test_no_small_write_is_held_back(hosts, agent):
-    """Every socket that lines are written to sends at once: what the system still held back went with a reset."""
+    """Every socket that lines are written to sends at once: what the
+    system still held back went with a reset.
+    """
     with running(agent) as node:
         listed(node)
         one, peer = standing(node, hosts)
--- a/tests/test_readings.py
+++ b/tests/test_readings.py
@@ -1,17 +1,17 @@
 """What the module makes of load reports, in parts too small for a scenario."""
 
 import pytest
+from notation import begin, traffic_type
 
 from cottonspread import interface as io
-from cottonspread.decide import Readings
-from cottonspread.state import SECOND, Chance, Host
+from cottonspread.policy.readings import Readings
+from cottonspread.state import SECOND, Chance, Host, Settings
 
 
 @pytest.fixture
 def readings():
-    one = Readings(Chance(1))
-    one.probed, one.message_target = True, SECOND // 20
-    return one
+    types = (traffic_type("t", {"message": 50}),)
+    return Readings(Chance(1), Settings(begin({"probe": "1"}, types), untold=1))
 
 
 def host(name="a"):
