A retune that takes the warm-up time away divides no cold budget by zero

Cause: the node looks four times a second which servers are fresh. Where settings with a warm-up time of 0 came in between, a call of a group still met three or more fresh servers, and SlowStart.budget divided by the new warm-up time: ZeroDivisionError, in the real node an exception in the reducer.

Change: with no warm-up time the budget has no bound.

Test: scenario warm_up_taken_away, which fails with that error without the change.

--- a/cottonspread/policy/slow_start.py
+++ b/cottonspread/policy/slow_start.py
@@ -1,5 +1,7 @@
 """Slow start: how much a server gets that was started a moment ago."""
 
+import math
+
 
 class SlowStart:
     """A fresh server's cap, within this node's part of the cold budget."""
@@ -23,6 +25,8 @@
     def budget(self, part):
         """This node's part of what a server that can do such a part may be sent in a window, in legs."""
         cold = self.settings.cold
+        if not cold.warm_after:
+            return math.inf  # none is cold, whatever was seen before these settings
         return max(1 / self.settings.nodes, cold.multiple * part * self.usual * cold.window / cold.warm_after)
 
     def draw(self, fresh, budget, part, calls):
