--- a/tests/scale/test_capacity.py
+++ b/tests/scale/test_capacity.py
@@ -129,6 +129,7 @@
         ("20.3", "holds; not over the whole range"),
         ("30.2", "holds"),
         ("10.2", "holds with a factor of 1; not over the whole range"),
+        ("9", "**does not hold**: 1.12 times the budget"),
         ("5.05", "**does not hold**: 2 times the budget"),
         ("0", "**does not hold**: with the budget"),
     ],
