A look at the servers costs those that differ, and a call no walk over those that stand apart

Four times a second every leg was weighed anew, told of a load or not, and all servers were asked three times whether they are slow, cut, full or set aside. Now the servers that may be are listed (Overview.watched, by those who make them so), the servers that hold legs are counted, and legs are weighed anew only if a load was told since, in one loop. Sums over servers that stand apart follow each event instead of being made for each call. The end of a leg no longer looks at all groups of its server.

The rest after a load stays: the mean of loads moves with every word, each leg is rounded by itself, and sums that follow the mean without that would change results.

--- a/cottonspread/policy/path.py
+++ b/cottonspread/policy/path.py
@@ -129,7 +129,7 @@
         """A standing one that breaks counts too: the server is lost, or sheds load."""
         host, ending = leg.host, leg.ending
         self.records.drop(leg.call.key, host)
-        self.overview.marked[host] = None
+        self.overview.mark(host)
         if ending is Ending.TIMEOUT:
             self.unanswered.add(host)
             if len(self.unanswered) >= Health.RUN:
@@ -155,6 +155,7 @@
 
     def bad(self, host, ending):
         """A server is in trouble."""
+        self.overview.watched[host] = None
         if self.health.bad(host, self.now):
             self.out.append(io.Log(f"{host.name}: {ending.value}, aside for {host.rest // 1000} ms"))
 
@@ -168,6 +169,7 @@
     def probe_ended(self, host, e):
         """What a probe tells of its server, or its silence."""
         self.readings.told(host, e, self.now)
+        self.overview.watched[host] = None
 
     def load_told(self, leg, load):
         """What a connection costs its server."""
@@ -177,7 +179,7 @@
     def delay_told(self, host, delay):
         """Messages take long at a server: one pause is passed over; what lasts, or is huge, is overload."""
         told = self.health.note(host, delay, self.now)
-        self.overview.marked[host] = None
+        self.overview.mark(host)
         if told is None:
             return
         if self.overview.slow_part >= Ceilings.JAM:
--- a/cottonspread/state.py
+++ b/cottonspread/state.py
@@ -60,6 +60,7 @@
 
     def take(self, begin):
         """Other settings from now on."""
+        self.news = True
         self.types, self.limits, self.tick, self.cold = begin.types, begin.legs, begin.tick, begin.cold
         self.zone, self.crossing, self.moving = begin.zone, begin.prices.crossing, begin.prices.moving
         self.nodes, self.ask_every = begin.nodes or self.untold, begin.listing.ask_every
@@ -67,6 +68,11 @@
         targets = [one.message_target for one in begin.types if one.message_target]
         self.message_target = min(targets, default=SECOND)
 
+    def changed(self):
+        """Whether others came into force since this was last asked."""
+        news, self.news = self.news, False
+        return news
+
 
 @dataclass(eq=False)
 class Host:
@@ -139,7 +145,10 @@
         self.ending = ending
         del self.host.legs[self]
         self.host.setups -= not self.accepted
-        self.host.groups -= Counter([self.call.group])
+        groups = self.host.groups
+        groups[self.call.group] -= 1
+        if groups[self.call.group] <= 0:
+            del groups[self.call.group]
 
 
 class SlowNote(NamedTuple):
--- a/cottonspread/structures/sums.py
+++ b/cottonspread/structures/sums.py
@@ -1,33 +1,71 @@
 """Sums over all servers, without a walk over them."""
 
+NEVER = -1
+
 
 class Sums:
-    """Legs and load on all servers that are up. They follow every event: a call that walked the fleet for
-    them would cost more the larger it is."""
+    """Legs and load on all servers that are up, and on those of them that stand apart. They follow every
+    event: a call that walked the fleet for them would cost more the larger it is."""
 
     def __init__(self):
         self.legs, self.load, self.size, self.count = 0, 0, 0, 0
+        self.holding = 0  # servers that are up and hold legs
+        self.weighed = NEVER  # how many loads had been told as all legs were last weighed
+        self.set_apart([])
 
     def add(self, host, legs, load):
-        """A server's load changes by `load`, and the legs out or standing there by `legs`."""
+        """A server's load changes by `load`, and the legs out or standing there, still to be counted in
+        `host.legs`, by `legs`."""
         host.load += load
         if host.up:
             self.legs += legs
             self.load += load
+            held = len(host.legs)
+            self.holding += bool(held + legs) - bool(held)
+        if host in self.apart:
+            self.apart_legs += legs
+            self.apart_load += load
 
     def weigh(self, leg, load):
         """A leg weighs `load` from now on."""
         self.add(leg.host, 0, load - leg.load)
         leg.load = load
 
+    def weigh_all(self, hosts, told, scale):
+        """Every leg on servers that are up weighs the load told of it over the mean of all, in parts of
+        `scale`, from now on. To be followed by `set_apart`, whose sums do not follow this."""
+        if self.weighed == told.added:  # no load was told since, so nothing weighs otherwise
+            return
+        self.weighed, mean = told.added, told.mean
+        for host in hosts:
+            change = 0
+            for leg in host.legs:
+                if leg.told:
+                    load = round(scale * leg.told / mean)
+                    change += load - leg.load
+                    leg.load = load
+            host.load += change
+            self.load += change
+
     def count_anew(self, hosts):
-        """The servers that are up, after one came or went."""
+        """The servers that are up, after one came or went: none of them stands apart until `set_apart` says
+        so, and what legs weigh on those that came back is to be looked at again."""
         self.legs, self.load = sum(len(host.legs) for host in hosts), sum(host.load for host in hosts)
         self.size, self.count = sum(host.size for host in hosts), len(hosts)
+        self.holding, self.weighed = sum(1 for host in hosts if host.legs), NEVER
+        self.set_apart([])
+
+    def set_apart(self, hosts):
+        """These of the servers that are up do not count in the means from now on."""
+        self.apart = set(hosts)
+        self.apart_legs, self.apart_load = sum(len(host.legs) for host in hosts), sum(h.load for h in hosts)
+        self.apart_size = sum(host.size for host in hosts)
 
-    def means(self, apart):
-        """(legs, load, size; 1 for a size of 0) of a server that is up and not `apart`."""
-        count = max(1, self.count - len(apart))
-        legs = (self.legs - sum(len(host.legs) for host in apart)) / count
-        load = (self.load - sum(host.load for host in apart)) / count
-        return legs, load, (self.size - sum(host.size for host in apart)) / count or 1
+    def means(self):
+        """(legs, load, size; 1 for a size of 0) of a server that is up and not apart; of all if all are."""
+        count = self.count - len(self.apart)
+        if count <= 0:
+            count = max(1, self.count)
+            return self.legs / count, self.load / count, self.size / count or 1
+        legs, load = self.legs - self.apart_legs, self.load - self.apart_load
+        return legs / count, load / count, (self.size - self.apart_size) / count or 1
--- a/tests/scale/test_module_work.py
+++ b/tests/scale/test_module_work.py
@@ -8,8 +8,9 @@
 
 from cottonspread import interface as io
 from cottonspread.lab.scale.measuring import lines_run
-from cottonspread.lab.scale.module_node import GUARD, LOAD, LOOK, ModuleNode
+from cottonspread.lab.scale.module_node import GUARD, LOAD, LOOK, ModuleNode, entry
 from cottonspread.policy.records import Records
+from cottonspread.state import SECOND
 
 SLACK = 1.1  # what chance draws may make of the same work
 
@@ -78,6 +79,71 @@
     assert many <= few * SLACK, (few, many)
 
 
+def test_a_look_at_the_servers_does_not_walk_those_that_are_as_ever():
+    """Four times a second all servers were asked thrice whether they are slow, cut or set aside."""
+
+    def work(servers):
+        node = ModuleNode(20, servers, 20)
+        node.look()
+        return lines_run(node.look)
+
+    few, many = work(40), work(400)
+    assert many <= few * SLACK, (few, many)
+
+
+def test_a_look_weighs_no_connection_anew_while_no_load_was_told():
+    def work(connections):
+        node = ModuleNode(connections, 40, 40)
+        node.look()
+        return lines_run(node.look)
+
+    few, many = work(40), work(400)
+    assert many <= few * SLACK, (few, many)
+
+
+def test_a_look_after_a_load_was_told_takes_three_lines_a_connection():
+    """The mean of all loads has moved: each connection weighs otherwise. It was eight lines, two calls."""
+
+    def work(connections):
+        node = ModuleNode(connections, 40, 40)
+        node.look()
+        node.handle(io.LoadTold(next(iter(node.standing)), 2 * LOAD))
+        return lines_run(node.look)
+
+    few, many = work(40), work(400)
+    assert many - few <= 360 * 5, (few, many)
+
+
+def test_the_end_of_a_leg_costs_the_same_however_many_groups_its_server_has():
+    """Every group of the server was looked at for those that are gone."""
+
+    def work(groups):
+        node = ModuleNode(0, 4, 1)
+        hold(node, groups)
+        call = node.calls
+        return lines_run(lambda: node.handle(io.LegEnded(call, 0, io.Ending.OK, True)))
+
+    few, many = work(5), work(500)
+    assert many <= few * SLACK, (few, many)
+
+
+def test_a_call_does_not_sum_over_servers_that_stand_apart():
+    """Servers started in a release stand apart for 20 s: each call summed their legs, load and size."""
+
+    def work(fresh):
+        node = ModuleNode(400, 200, 400)
+        node.now += 10 * SECOND
+        started = [entry(n, started=node.now - SECOND) for n in range(fresh)]
+        node.list(io.News.CHANGES, started)
+        node.look()
+        group = "group-150"  # it has a record: the call goes there at once
+        node.whole_call(group)
+        return lines_run(lambda: node.whole_call(group))
+
+    few, many = work(10), work(100)
+    assert many <= few * SLACK, (few, many)
+
+
 def test_no_record_of_a_connection_that_stands_is_dropped_for_their_number(monkeypatch):
     """50,000 were kept at most, and a node holds 76,190 connections."""
     monkeypatch.setattr(Records, "MOST", 20)
--- /dev/null
+++ b/tests/scale/test_overview.py
@@ -0,0 +1,129 @@
+"""What a look at the servers finds is what a walk over all of them finds: drawn events, many seeds."""
+
+from random import Random
+
+import pytest
+from notation import begin, traffic_type
+
+from cottonspread import interface as io
+from cottonspread.interface import Ending, State
+from cottonspread.policy import Balancer
+from cottonspread.policy.ceilings import Ceilings
+from cottonspread.state import SECOND
+
+SERVERS, STEPS = 12, 700
+ENDINGS = (
+    Ending.OK,
+    Ending.OK,
+    Ending.RESET,
+    Ending.TIMEOUT,
+    Ending.ERROR,
+    Ending.CANCELLED,
+    Ending.CONNECT_FAILED,
+)
+DELAYS = (1000, 15_000, 30_000, 60_000, 200_000, 2 * SECOND)
+
+
+def walked(node):
+    """(servers apart, part of slow ones, legs, load, mean weights) by walks over all servers and legs."""
+    now, health, order = node.now, node.health, node.rotation.order
+    fresh = {h for h in node.overview.marked if h.up and node.slow_start.part(h, now) < 1}
+    near = [h for h in order if health.slow(h, now, health.NEAR)]
+    full = [h for h in order if node.readings.full(h, now)]
+    probed = node.settings.probed
+    apart = {h for h in order if h in fresh or h.trickle or probed and (h in full or h in near)}
+    heard = [h for h in order if h.legs or now - h.cut_at < Ceilings.CALM]
+    slow = [h for h in heard if health.slow(h, now) and not h.hung or now - h.cut_at < Ceilings.CALM]
+    weights = [leg.load - node.loads.of(leg) for h in order for leg in h.legs]
+    return apart, len(slow) / (len(heard) + 2), weights
+
+
+def sums_of(hosts):
+    """(legs, load) of servers."""
+    return sum(len(h.legs) for h in hosts), sum(h.load for h in hosts)
+
+
+class Play:
+    """Drawn events on one node."""
+
+    def __init__(self, seed):
+        self.chance, self.now, self.calls, self.open = Random(seed), SECOND, 0, {}
+        site = {"nodes": self.chance.choice((1, 40)), "moving": 0.03} | ({"probe": 1} if seed % 2 else {})
+        self.types = (traffic_type("t", {}),)
+        self.site = site
+        self.node = Balancer(self.now, begin(site, self.types))
+        self.entries = {n: io.Entry(f"s{n}", n % 3) for n in range(SERVERS)}
+        self.tell(io.Listed(io.News.FULL, 1, tuple(self.entries.values())))
+
+    def tell(self, event):
+        """Passes an event on, and answers what is asked for."""
+        for action in self.node.handle(self.now, event):
+            if isinstance(action, io.Send):
+                self.open.setdefault(action.call, []).append(action.host)
+            elif isinstance(action, io.Probe):
+                load = self.chance.choice((0.2, 0.5, 0.9, 1.5))
+                self.tell(io.Probed(action.host, Ending.OK, 0, load))
+
+    def change(self):
+        """The list tells of some server."""
+        number = self.chance.randrange(SERVERS)
+        news = self.chance.choice(
+            ({"state": State.DRAINING}, {"state": State.GONE}, {"state": State.UP}, {"started": self.now})
+        )
+        self.entries[number] = self.entries[number]._replace(**news)
+        self.tell(io.Listed(io.News.CHANGES, 1, (self.entries[number],)))
+
+    def step(self):
+        """One drawn event."""
+        chance, kind = self.chance, self.chance.random()
+        self.now += chance.choice((0, 5000, 20_000, 100_000))
+        if kind < 0.4 or not self.open:
+            self.calls += 1
+            held = f"s{chance.randrange(SERVERS)}" if chance.random() < 0.2 else None
+            if held:
+                self.open[self.calls] = [held]
+            self.tell(io.Arrived(self.calls, 0, SECOND, None, f"g{self.calls % 7}", held_by=held))
+            return
+        call = chance.choice(list(self.open))
+        leg = len(self.open[call]) - 1
+        if kind < 0.55:
+            self.tell(io.Accepted(call, leg, 0))
+        elif kind < 0.7:
+            self.tell(io.LegEnded(call, leg, chance.choice(ENDINGS), True))
+            del self.open[call]
+        elif kind < 0.8:
+            self.tell(io.LoadTold(call, chance.choice((0.0, 5000.0, chance.random() * 20_000))))
+        elif kind < 0.93:
+            self.tell(io.DelayTold(call, chance.choice(DELAYS)))
+        elif kind < 0.98:
+            self.change()
+        else:
+            faster = (traffic_type("t", {"message": chance.choice((20, 50, 400))}),)
+            self.tell(io.Retuned(begin(self.site, faster)))
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_a_look_finds_what_a_walk_finds(seed):
+    play = Play(seed)
+    node, overview, looks = play.node, play.node.overview, 0
+    plain_look = overview.look
+
+    def look(now):
+        nonlocal looks
+        due = now - overview.looked_at >= overview.EVERY
+        plain_look(now)
+        if due:
+            looks += 1
+            apart, slow_part, wrong_weights = walked(node)
+            assert node.sums.apart == apart
+            assert overview.slow_part == slow_part
+            assert not any(wrong_weights)
+
+    overview.look = look
+    for _ in range(STEPS):
+        play.step()
+        up = [h for h in node.membership.hosts.values() if h.up]
+        assert (node.sums.legs, node.sums.load) == sums_of(up)
+        assert node.sums.holding == sum(bool(h.legs) for h in up)
+        assert (node.sums.apart_legs, node.sums.apart_load) == sums_of(node.sums.apart)
+    assert looks > STEPS / 20
