--- a/tests/crossings/test_list.py
+++ b/tests/crossings/test_list.py
@@ -286,7 +286,9 @@
 
 
 def test_a_reload_between_its_two_halves_does_not_give_the_new_list_up(hosts, agent, monkeypatch):
-    """The list's thread moves on right behind the first half of `follow`: the new address was given up in place of the old, for good."""
+    """The list's thread moves on right behind the first half of `follow`: the new address was
+    given up in place of the old, for good.
+    """
     second, made, follow = (
         Agent(version=40).list(hosts[1]),
         threading.Event(),
@@ -312,7 +314,9 @@
 
 
 def test_a_reload_asks_the_new_list_at_once_while_the_next_time_to_ask_is_far(hosts):
-    """Where lists are asked for, a call that failed is followed by a wait that the module chooses: here it never ends."""
+    """Where lists are asked for, a call that failed is followed by a wait that
+    the module chooses: here it never ends.
+    """
     old, new = Agent().list(hosts[0]), Agent(version=40).list(*hosts)
     old.always = refused
 
@@ -326,7 +330,9 @@
 
 
 def test_a_reset_in_a_call_gives_the_next_one_no_longer_time(monkeypatch):
-    """A silence, a reset just before its time was up and a second silence were waited out one behind the other: 6 s and a pause."""
+    """A silence, a reset just before its time was up and a second silence were waited out
+    one behind the other: 6 s and a pause.
+    """
     clock = Clock()
     monkeypatch.setattr(http, "time", clock)
     agent, calls = Agent(), []
@@ -364,7 +370,9 @@
 
 @pytest.mark.parametrize("answered", (1, 6))
 def test_a_silence_after_watches_that_were_answered_is_a_silence(hosts, agent, scaled, answered):
-    """Late in a connection's life, with a drain right behind it: the watch is opened anew, on a connection of its own."""
+    """Late in a connection's life, with a drain right behind it: the watch is
+    opened anew, on a connection of its own.
+    """
     silences = []
 
     def no_news(call):
@@ -410,7 +418,9 @@
 @pytest.mark.parametrize("kind", (without, drains, moved), ids=lambda kind: kind.__name__)
 @pytest.mark.parametrize("reload", (False, True), ids=("watch", "reload"))
 def test_a_whole_list_in_the_midst_of_an_attempt_is_kept_to(hosts, agent, monkeypatch, kind, reload):
-    """The answer to a watch is the whole list, or a reload brings it, while a connection comes up: nothing goes where it led."""
+    """The answer to a watch is the whole list, or a reload brings it, while a connection
+    comes up: nothing goes where it led.
+    """
     gate = hold_connects(monkeypatch, lambda nth: nth == 1)
     with running(agent) as node:
         listed(node)
--- a/tests/crossings/test_one_process.py
+++ b/tests/crossings/test_one_process.py
@@ -1,4 +1,6 @@
-"""What the bench refuses: a node that serves is one process of any number of threads, and starts no other program."""
+"""What the bench refuses: a node that serves is one process of any number of
+threads, and starts no other program.
+"""
 
 import json
 import signal
@@ -34,7 +36,7 @@
     address = free.getsockname()
     free.close()
     file = tmp_path / "node.json"
-    file.write_text(json.dumps(json.loads(settings(agent)) | {"listen": "%s:%d" % address}))
+    file.write_text(json.dumps(json.loads(settings(agent)) | {"listen": "{}:{}".format(*address)}))
     process = subprocess.Popen(
         [sys.executable, "-c", WATCHED, "serve", "--config", str(file)],
         cwd=ROOT,
