A change of the list costs less than before: no names and zones before they are asked for

Names in bytes and places by zone are made as they are asked for, and only the servers that the word says are lost are looked at for ones to drop.

--- a/cottonspread/policy/path.py
+++ b/cottonspread/policy/path.py
@@ -218,7 +218,7 @@
             self.lose(host)
         for host in started:
             host.restart()
-        self.membership.drop_gone(list(self.membership.hosts.values()))
+        self.membership.drop_gone(lost)
         up = self.membership.up()
         self.rotation.keep(up)
         self.overview.keep(up, self.now)
--- a/cottonspread/structures/cyclic_order.py
+++ b/cottonspread/structures/cyclic_order.py
@@ -12,7 +12,7 @@
 
     def __init__(self):
         self.order, self.at, self.largest = [], 0, 1
-        self.places, self.zones = {}, {}  # server: its place; zone: places of its servers, ascending
+        self.places, self.zones = {}, {}  # server: its place; zone asked for: places of its servers
 
     def keep(self, items):
         """Exactly these from now on; new ones come last, in the order given."""
@@ -20,9 +20,7 @@
         wanted, known = set(items), set(following)
         self.order = [one for one in following if one in wanted] + [one for one in items if one not in known]
         self.at, self.largest = 0, max((one.size for one in items), default=1)
-        self.places, self.zones = {one: place for place, one in enumerate(self.order)}, {}
-        for place, one in enumerate(self.order):
-            self.zones.setdefault(one.entry.zone, []).append(place)
+        self.places, self.zones = dict(zip(self.order, range(len(self.order)), strict=True)), {}
 
     def following(self):
         """All from the place on, once round, lazily."""
@@ -38,7 +36,9 @@
 
     def in_zone(self, zone):
         """Those of one zone, in the same order, lazily."""
-        places = self.zones.get(zone, [])
+        if zone not in self.zones:
+            self.zones[zone] = [place for place, one in enumerate(self.order) if one.entry.zone == zone]
+        places = self.zones[zone]
         first = bisect_left(places, self.at)
         for turn in range(len(places)):
             yield self.order[places[(first + turn) % len(places)]]
--- a/cottonspread/structures/order_cache.py
+++ b/cottonspread/structures/order_cache.py
@@ -26,6 +26,11 @@
     return crc32(str(key).encode())
 
 
+def name_of(server):
+    """Its name in bytes, from which its ranks are made."""
+    return str(server.name).encode()
+
+
 def rank(start, name):
     """The rank of the server with that name (bytes) for the key with that start."""
     return crc32(name, start) * SPREAD & MASK
@@ -75,7 +80,7 @@
 
     def keep(self, servers):
         """Exactly these servers from now on."""
-        self.names = {one: str(one.name).encode() for one in servers}
+        self.servers = servers
         self.lanes = None  # (Checksums, their servers) of each length of names; made when asked for
         self.prefixes, self.places = {}, 0
 
@@ -95,13 +100,13 @@
     def sorted(self, key, servers):
         """Some of the servers in the key's order."""
         start = start_of(key)
-        return sorted(servers, key=lambda one: (rank(start, self.names[one]), one.name))
+        return sorted(servers, key=lambda one: (rank(start, name_of(one)), one.name))
 
     def longer(self, key, prefix, count):
         """Makes the key's prefix, of some `count` servers and longer than the one there is."""
         if self.places >= self.most:
             self.prefixes, self.places = {}, 0
-        steps = STEPS * count // max(1, len(self.names)) + 1
+        steps = STEPS * count // max(1, len(self.servers)) + 1
         steps, start = min(STEPS, max(steps, prefix.steps + 1 if prefix else 1)), start_of(key)
         found = [servers[place] for sums, servers in self.by_length() for place in sums.below(start, steps)]
         prefix = self.prefixes[key] = Prefix(self.sorted(key, found), steps)
@@ -112,10 +117,8 @@
     def by_length(self):
         """(Checksums, their servers) of each length of names."""
         if self.lanes is None:
-            servers = defaultdict(list)
-            for one, name in self.names.items():
-                servers[len(name)].append(one)
-            self.lanes = [
-                (Checksums([self.names[one] for one in alike]), alike) for alike in servers.values()
-            ]
+            alike = defaultdict(list)
+            for one in self.servers:
+                alike[len(name_of(one))].append(one)
+            self.lanes = [(Checksums([name_of(one) for one in some]), some) for some in alike.values()]
         return self.lanes
--- a/tests/scale/test_overview.py
+++ b/tests/scale/test_overview.py
@@ -134,3 +134,19 @@
         assert node.sums.holding == sum(bool(h.legs) for h in up)
         assert (node.sums.apart_legs, node.sums.apart_load) == sums_of(node.sums.apart)
     assert looks > STEPS / 20
+
+
+def test_a_server_cut_a_moment_ago_counts_as_slow_though_nothing_else_differs():
+    """It was found far away after, which takes its ceiling, and has answered since."""
+    play = Play(0)
+    node = play.node
+    host = node.rotation.order[0]
+    node.overview.mark(host)
+    host.cut_at = node.now
+    for _ in range(3):
+        node.now += SECOND
+        node.overview.look(node.now)
+        assert node.overview.slow_part == 1 / (1 + 2)
+    node.now += Ceilings.CALM
+    node.overview.look(node.now)
+    assert node.overview.slow_part == 0
