--- a/cottonspread/lab/scale/command.py
+++ b/cottonspread/lab/scale/command.py
@@ -10,7 +10,13 @@
 from rich.console import Console
 from rich.table import Table
 
-from cottonspread.lab.scale import hollow_news, hollow_sockets, hollow_sweeps
+from cottonspread.lab.scale import (
+    hollow_calibration,
+    hollow_faults,
+    hollow_news,
+    hollow_sockets,
+    hollow_sweeps,
+)
 from cottonspread.lab.scale.hollow_sweeps import Figure, SweepPlan, apart, here, reached, small, sweep
 from cottonspread.lab.scale.results import FOLDER, Result, write
 
@@ -71,9 +77,28 @@
     return Run(plan.name, play, quick=plan.kind == "hollow")
 
 
+def fault_run(event: hollow_faults.Event) -> Run:
+    name = f"fault-{event.name}"
+
+    def play(asked: Asked, tell: Tell) -> Result:
+        size = hollow_faults.sized(event, asked.small, asked.nodes, asked.servers, asked.seed)
+        call = here if asked.small else apart
+        result = hollow_faults.fault_run(event, size, asked.command(name), asked.alone, call)
+        tell(f"{size.nodes} nodes", hollow_faults.shown(result.rows[0]))
+        return result
+
+    return Run(name, play)
+
+
 def runs() -> list[Run]:
     """All runs, in the order in which they are played."""
-    return [sweep_run(plan) for plan in (*hollow_sweeps.SWEEPS, *hollow_news.SWEEPS, *hollow_sockets.SWEEPS)]
+    sweeps = (
+        *hollow_sweeps.SWEEPS,
+        *hollow_news.SWEEPS,
+        *hollow_sockets.SWEEPS,
+        *hollow_calibration.SWEEPS,
+    )
+    return [sweep_run(plan) for plan in sweeps] + [fault_run(event) for event in hollow_faults.EVENTS]
 
 
 def chosen(asked: Asked) -> list[Run]:
--- a/cottonspread/lab/scale/hollow.py
+++ b/cottonspread/lab/scale/hollow.py
@@ -316,6 +316,18 @@
         """The same change at every list machine, now; its version."""
         for machine in self.list_machines:
             machine.changed(name, lifecycle, None, self.entry(self.hosts[name].machine))
+        return self.made()
+
+    def change_weight(self, name):
+        """A server's weight is another one in every list machine's book, by a thousandth; the version."""
+        for machine in self.list_machines:
+            entry = machine.book.entries[name]
+            machine.book.change(name, "Ready", None, entry | {"weight": entry["weight"] * 1.001})
+            machine.look()
+        return self.made()
+
+    def made(self):
+        """The version that the list machines have now; when a node has it is kept from here on."""
         version = self.list_machines[0].book.version
         self.versions[version] = {}
         return version
--- /dev/null
+++ b/cottonspread/lab/scale/hollow_calibration.py
@@ -0,0 +1,142 @@
+"""Calibration: one real node process beside hollow ones, at the same list and the same changes; and what
+standing connections cost the real one.
+
+The real node is `cottonspread serve` on loopback. Its processor time is the kernel's count for the process.
+"""
+
+import tempfile
+import time
+from dataclasses import replace
+from pathlib import Path
+
+from cottonspread.lab import plan as plans
+from cottonspread.lab.scale.hollow_plans import Size, experiment
+from cottonspread.lab.scale.hollow_sweeps import MIB, NS_A_MS, Figure, SweepPlan, idle_and_changes
+from cottonspread.lab.scale.processes import ListStandIn, Part, RealNode, Relay, block
+
+IDLE_FROM_S = 3.0
+"""When the node has its list and rests; `size.seconds` from then on are idle, as many again have changes."""
+
+NODE_MEMORY_MB = 1024
+COMING_A_SECOND = 60
+"""Clients that a node takes up; it is looked at `SETTLED_S` after the last."""
+
+SETTLED_S = 4.0
+
+
+def until(moment: float) -> None:
+    time.sleep(max(0.0, moment - time.monotonic()))
+
+
+def beside_hollow(size: Size) -> dict[str, Figure]:
+    """A real node's control, idle and under `size.changes_a_minute`, and hollow ones' at the same size."""
+    real = real_control(size)
+    hollow = idle_and_changes(replace(size, changes_a_minute=0))
+    changed = idle_and_changes(size)
+    per_second = size.changes_a_minute / 60
+    idle = hollow["list_processor"].value + hollow["tick_processor"].value
+    change = (changed["list_processor"].value - hollow["list_processor"].value) / per_second
+    return real | {
+        "hollow_idle_processor": Figure(idle, "ms/s an instance"),
+        "hollow_change_processor": Figure(change, "ms a change"),
+        "hollow_idle_bytes_in": hollow["control_bytes_in"],
+        "hollow_idle_bytes_out": hollow["control_bytes_out"],
+        "hollow_changes_bytes_in": changed["control_bytes_in"],
+        "hollow_changes_bytes_out": changed["control_bytes_out"],
+        "hollow_memory": hollow["memory"],
+    }
+
+
+def real_control(size: Size) -> dict[str, Figure]:
+    count = round(size.seconds * size.changes_a_minute / 60)
+    busy_from = IDLE_FROM_S + size.seconds
+    changes = [busy_from + size.seconds * (n + 0.5) / count for n in range(count)]
+    with tempfile.TemporaryDirectory(prefix="cottonspread-scale-") as name:
+        folder, running = Path(name), []
+        try:
+            listing = ListStandIn(folder, 0, size.servers, changes)
+            running.append(listing)
+            relay = Relay(listing.address)
+            running.append(relay)
+            node = RealNode(folder, listing.plan, relay.address)
+            running.append(node)
+            begin = time.monotonic()
+            listing.begin(begin)
+            looks = []
+            for at in (IDLE_FROM_S, busy_from, busy_from + size.seconds):
+                until(begin + at)
+                looks.append((node.processor_ns(), relay.bytes_in, relay.bytes_out))
+            memory = node.resident()
+        finally:
+            for one in reversed(running):
+                one.end()
+    idle, busy = ([b - a for a, b in zip(*pair, strict=True)] for pair in zip(looks, looks[1:], strict=False))
+    change_ns = (busy[0] - idle[0]) / count
+    return {
+        "real_idle_processor": Figure(idle[0] / NS_A_MS / size.seconds, "ms/s an instance"),
+        "real_change_processor": Figure(change_ns / NS_A_MS, "ms a change"),
+        "real_idle_bytes_in": Figure(idle[1] / size.seconds, "B/s an instance"),
+        "real_idle_bytes_out": Figure(idle[2] / size.seconds, "B/s an instance"),
+        "real_changes_bytes_in": Figure(busy[1] / size.seconds, "B/s an instance"),
+        "real_changes_bytes_out": Figure(busy[2] / size.seconds, "B/s an instance"),
+        "real_memory": Figure(memory / MIB, "MiB an instance"),
+    }
+
+
+def standing(size: Size) -> dict[str, Figure]:
+    """A real node with `size.connections` clients that stand, each with a line every `size.line_s`."""
+    asked = experiment(replace(size, nodes=1), 600.0)
+    asked.nodes.memory_mb, asked.nodes.sockets = NODE_MEMORY_MB, 4 * size.connections + 256
+    asked.load.processes = 1
+    coming = size.connections / COMING_A_SECOND
+    asked.load.shapes = [plans.Shape(kind="constant", rate=COMING_A_SECOND, start=2.0, seconds=coming)]
+    look = 2.0 + coming + SETTLED_S
+    plan = plans.make(asked, plans.Variant(name="only"), size.seed, block(0))
+    with tempfile.TemporaryDirectory(prefix="cottonspread-scale-") as name:
+        folder, running = Path(name), []
+        try:
+            parts = [Part(kind, folder, plan) for kind in ("hosts", "list", "load")]
+            running += parts
+            node = RealNode(folder, plan, (plan.nodes[0].ip, plan.nodes[0].list_port))
+            running.append(node)
+            begin = time.monotonic() + 0.5
+            for part in parts:
+                part.begin(begin)
+            until(begin + look)
+            before = node.processor_ns()
+            until(begin + look + size.seconds)
+            spent, memory, threads = node.processor_ns() - before, node.resident(), node.threads()
+        finally:
+            for one in reversed(running):
+                one.end()
+    if threads < 2 * size.connections:
+        raise RuntimeError(f"{threads} threads: not all of {size.connections} connections stand")
+    return {
+        "threads": Figure(threads, "threads", False),
+        "memory": Figure(memory / MIB, "MiB an instance", False),
+        "processor": Figure(spent / NS_A_MS / size.seconds, "ms/s an instance", False),
+    }
+
+
+SWEEPS = (
+    SweepPlan(
+        "real-beside-hollow",
+        "One real node process beside hollow ones: idle control, a change, bytes and memory, by servers.",
+        "servers",
+        "servers",
+        (50, 300, 1000, 3000),
+        Size(nodes=6, changes_a_minute=60, seconds=10.0),
+        beside_hollow,
+        "real",
+    ),
+    SweepPlan(
+        "real-standing",
+        "One real node process with standing connections, a line every two seconds on each.",
+        "connections",
+        "connections",
+        (100, 500, 1000, 2000),
+        Size(nodes=1, servers=10, seconds=10.0, line_s=2.0),
+        standing,
+        "real",
+    ),
+)
--- a/cottonspread/lab/scale/processes.py
+++ b/cottonspread/lab/scale/processes.py
@@ -1,15 +1,18 @@
 """Real processes beside hollow ones: list stand-ins of the lab, and what a process uses of the machine."""
 
+import contextlib
 import os
+import socket
 import subprocess
 import sys
+import threading
 import time
 from pathlib import Path
 
 import msgspec
 
 from cottonspread.lab import plan as plans
-from cottonspread.lab import record
+from cottonspread.lab import record, tuning
 from cottonspread.lab.scale.hollow_plans import Size, experiment
 from cottonspread.lab.sim.world import SECOND
 
@@ -58,39 +61,20 @@
     return 64 + own % 128, own // 128 % 256
 
 
-class ListStandIn:
-    """One process of the lab's list (`lab list`). `changes`: seconds after the begin at which a server
-    drains, each time another one."""
+class Part:
+    """A process of the lab that plays a part of a plan: `hosts`, `list` or `load`."""
 
-    def __init__(self, folder: Path, number: int, servers: int, changes: list[float] | tuple = ()):
-        self.folder = folder / f"list{number}"
-        self.folder.mkdir()
-        faults = [
-            plans.Happening(at=at, kind="drain", on=[f"h{n % servers}"]) for n, at in enumerate(changes)
-        ]
-        seconds = max(changes, default=1.0) + 600
-        asked = experiment(Size(nodes=1, servers=servers), seconds)
-        asked.faults = faults
-        self.plan = plans.make(asked, plans.Variant(name="only"), 1, block(number))
-        path = self.folder / "plan.json"
-        path.write_bytes(msgspec.json.encode(self.plan))
-        self.process = started(
-            ["lab", "list", "--plan", str(path)],
-            self.folder,
-            "list",
-            stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE,
-            text=True,
-        )
+    def __init__(self, kind: str, folder: Path, plan: plans.Plan, number: int = 0):
+        folder.mkdir(exist_ok=True)
+        path = folder / "plan.json"
+        path.write_bytes(msgspec.json.encode(plan))
+        words = ["lab", kind, "--plan", str(path), "--number", str(number)]
+        pipes = {"stdin": subprocess.PIPE, "stdout": subprocess.PIPE, "text": True}
+        self.process = started(words, folder, f"{kind}-{number}", **pipes)
         said = self.process.stdout.readline().strip()
         if said != "ready":
-            ended(self.process)
-            raise RuntimeError(f"a list stand-in said {said!r}")
-
-    @property
-    def address(self) -> tuple[str, int]:
-        node = self.plan.nodes[0]
-        return node.ip, node.list_port
+            self.end()
+            raise RuntimeError(f"lab {kind} said {said!r}")
 
     def begin(self, at: float) -> None:
         """Its time runs from then on; seconds of the monotonic clock."""
@@ -105,7 +89,81 @@
         ended(self.process)
         self.process.stdout.close()
 
+
+class ListStandIn(Part):
+    """One process of the lab's list. `changes`: seconds after the begin at which a server drains, each time
+    another one."""
+
+    def __init__(self, folder: Path, number: int, servers: int, changes: list[float] | tuple = ()):
+        self.folder = folder / f"list{number}"
+        seconds = max(changes, default=1.0) + 600
+        asked = experiment(Size(nodes=1, servers=servers), seconds)
+        asked.faults = [
+            plans.Happening(at=at, kind="drain", on=[f"h{n % servers}"]) for n, at in enumerate(changes)
+        ]
+        self.plan = plans.make(asked, plans.Variant(name="only"), 1, block(number))
+        super().__init__("list", self.folder, self.plan)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        node = self.plan.nodes[0]
+        return node.ip, node.list_port
+
     def made(self) -> dict[int, int]:
         """After its end: when each version was made, microseconds of the monotonic clock."""
         lines = record.read(str(self.folder), "list")
         return {line["version"]: line["t"] for line in lines if line["k"] == "change"}
+
+
+class RealNode:
+    """`serve` with the configuration of a plan's first node, asking the list at `discovery`."""
+
+    def __init__(self, folder: Path, plan: plans.Plan, discovery: tuple[str, int]):
+        values = tuning.values(plan, 0) | {"discovery": f"{discovery[0]}:{discovery[1]}"}
+        path = folder / "node.json"
+        path.write_bytes(msgspec.json.encode(values))
+        self.process = started(["serve", "--config", str(path)], folder, "node", stdin=subprocess.DEVNULL)
+
+    def processor_ns(self) -> int:
+        return processor_ns(self.process.pid)
+
+    def resident(self) -> int:
+        return resident(self.process.pid)
+
+    def threads(self) -> int:
+        return len(os.listdir(f"/proc/{self.process.pid}/task"))
+
+    def end(self) -> None:
+        ended(self.process)
+
+
+class Relay:
+    """Takes a node's connections to its list and passes them on, counting bytes each way."""
+
+    def __init__(self, target: tuple[str, int]):
+        self.target, self.bytes_out, self.bytes_in = target, 0, 0
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = self.listener.getsockname()[:2]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        while True:
+            try:
+                node, _ = self.listener.accept()
+            except OSError:
+                return
+            there = socket.create_connection(self.target)
+            threading.Thread(target=self.carry, args=(node, there, "bytes_out"), daemon=True).start()
+            threading.Thread(target=self.carry, args=(there, node, "bytes_in"), daemon=True).start()
+
+    def carry(self, source, sink, count: str) -> None:
+        with contextlib.suppress(OSError):
+            while data := source.recv(65536):
+                setattr(self, count, getattr(self, count) + len(data))
+                sink.sendall(data)
+        for sock in (source, sink):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+    def end(self) -> None:
+        self.listener.close()
