--- /dev/null
+++ b/tests/scale/test_hollow_faults.py
@@ -0,0 +1,114 @@
+"""Faults on small hollow fleets: the same from one seed, whole again, no rule broken; breaches are seen."""
+
+import pytest
+
+from cottonspread.lab.scale import hollow_faults
+from cottonspread.lab.scale.hollow import ListMachine
+from cottonspread.lab.scale.hollow_faults import EVENTS, fault_run, here, play_named, sized
+from cottonspread.lab.scale.results import read_fault_run, write
+from cottonspread.lab.sim.node import Process
+from cottonspread.lab.sim.world import SECOND
+
+BY_NAME = {event.name: event for event in EVENTS}
+
+
+def small(name, seed=1):
+    return sized(BY_NAME[name], True, None, None, seed)
+
+
+@pytest.fixture(scope="module")
+def played():
+    """Each event once, as it is asked for."""
+    kept = {}
+
+    def play(name):
+        if name not in kept:
+            kept[name] = play_named(name, small(name))
+        return kept[name]
+
+    return play
+
+
+@pytest.mark.parametrize("name", BY_NAME)
+def test_no_rule_is_broken_and_the_fleet_is_whole_again(played, name):
+    one = played(name)
+    assert one.offences == [] and one.rules_broken == 0
+    assert one.figures["standing_before"] == one.figures["clients"]
+    assert one.seconds_until_whole is not None
+    assert one.figures["not_back_at_the_end"] == 0
+    assert one.figures["nodes_without_a_change"] == 0
+
+
+def test_the_same_seed_gives_the_same_trace_and_another_a_different_one(played):
+    again = play_named("zone-lost", small("zone-lost"))
+    first = played("zone-lost")
+    measured = {"real_s", "peak_mib"}
+    assert again.trace == first.trace
+    assert {k: v for k, v in again.figures.items() if k not in measured} == {
+        k: v for k, v in first.figures.items() if k not in measured
+    }
+    assert play_named("zone-lost", small("zone-lost", seed=2)).trace != first.trace
+
+
+def test_a_lost_zone_loses_its_clients_and_they_come_again_to_the_rest(played):
+    figures = played("zone-lost").figures
+    assert figures["lost_reset"] >= 4  # two of 16 nodes hold some eight of 64 clients
+    assert figures["back_last_s"] < 5
+    assert played("node-lost").figures["lost"] < figures["lost"]
+
+
+def test_a_release_passes_standing_clients_on(played):
+    figures = played("rolling-release").figures
+    assert figures["lost"] < 0.2 * figures["clients"]
+    assert figures.get("lost_reset", 0) == 0
+
+
+def test_lost_list_machines_cost_their_nodes_the_news_alone(played):
+    one, two = played("list-machine-lost"), played("two-list-machines-lost")
+    assert one.figures["lost"] == two.figures["lost"] == 0
+    # 16 nodes, three machines, four changes while they are away
+    assert one.figures["changes_in_force_over_3_s"] == 6 * 4
+    assert two.figures["changes_in_force_over_3_s"] == 11 * 4
+    for play in (one, two):
+        assert 20 < play.seconds_until_whole <= 20 + 4.5
+
+
+def test_a_region_that_hears_no_list_catches_up_after_its_return(played):
+    one = played("region-cut-off")
+    cut = hollow_faults.REGION_CUT_S
+    assert one.figures["changes_in_force_over_3_s"] == 5 * 4
+    assert cut < one.seconds_until_whole <= cut + 4.5
+
+
+def test_a_row_can_be_kept(tmp_path):
+    event = BY_NAME["node-restarted"]
+    result = fault_run(event, small(event.name), "the test", False, here)
+    kept = read_fault_run(write(result, tmp_path))
+    assert kept.name == "fault-node-restarted" and kept.nodes == 16
+    assert "Trace " in kept.rows[0].notes and kept.rows[0].rules_broken == 0
+
+
+def test_a_client_that_is_never_served_again_is_told(monkeypatch):
+    """A fleet that is not whole says so: here no client comes back."""
+    monkeypatch.setattr(hollow_faults.CountedClients, "later", lambda *_: None)
+    one = play_named("node-lost", small("node-lost"))
+    assert one.seconds_until_whole is None and one.figures["not_back_at_the_end"] > 0
+
+
+def test_a_node_that_breaks_its_clients_off_is_an_offence(monkeypatch):
+    """What stands is reset where SIGTERM should have asked it to move."""
+    monkeypatch.setattr(Process, "stop", lambda self: self.die("stopped"))
+    one = play_named("node-restarted", small("node-restarted"))
+    assert one.rules_broken >= 1 and one.offences
+
+
+def test_a_node_that_is_never_told_is_missed(monkeypatch):
+    monkeypatch.setattr(ListMachine, "unheard", lambda self, process: process.node.name == "n5")
+    one = play_named("list-machine-lost", small("list-machine-lost"))
+    assert one.seconds_until_whole is None
+    assert one.figures["nodes_without_a_change"] == 1
+
+
+def test_the_plays_are_long_enough_for_what_they_wait_for():
+    for event in EVENTS:
+        assert event.seconds * SECOND > 10 * SECOND and max(event.changes) + 2 < event.seconds
