--- /dev/null
+++ b/tests/scale/test_hollow_command.py
@@ -0,0 +1,76 @@
+"""`lab scale` end to end at small sizes, and hollow calls beside real ones over sockets."""
+
+import time
+
+import pytest
+
+from cottonspread.cli import main
+from cottonspread.lab.scale import command
+from cottonspread.lab.scale.hollow_plans import Size
+from cottonspread.lab.scale.hollow_sockets import Client
+from cottonspread.lab.scale.hollow_sweeps import Playing
+from cottonspread.lab.scale.processes import ListStandIn, Relay
+from cottonspread.lab.scale.results import read, read_fault_run
+
+
+def test_a_small_run_shows_its_points_and_keeps_its_result(tmp_path, capsys):
+    words = ["lab", "scale", "--small", "--seed", "3", "--only", "hollow-changes", "fault-node-lost"]
+    assert main([*words, "--out", str(tmp_path)]) == 0
+    shown = capsys.readouterr().out
+    assert "control_bytes_in" in shown and "changes_a_minute 600" in shown and "fault-node-lost" in shown
+    sweep = read(tmp_path / "hollow-changes.json")
+    assert sweep.fixed["seed"] == 3 and sweep.command.endswith("--small --seed 3 --only hollow-changes")
+    assert read_fault_run(tmp_path / "fault-node-lost.json").seed == 3
+
+
+def test_an_unknown_run_is_named(tmp_path, capsys):
+    assert main(["lab", "scale", "--only", "no-such-run", "--out", str(tmp_path)]) == 2
+    assert "no-such-run: one of hollow-nodes" in capsys.readouterr().err
+
+
+def test_names_are_told_apart_and_small_plays_leave_real_time_out():
+    names = [run.name for run in command.runs()]
+    assert len(set(names)) == len(names)
+    quick = {run.name for run in command.chosen(command.Asked(small=True))}
+    assert "hollow-nodes" in quick and "fault-zone-lost" in quick
+    assert not quick & {"sockets-idle", "sockets-changes", "real-beside-hollow", "real-standing"}
+
+
+def test_other_sizes_are_taken_from_the_command_line():
+    sweep = command.reached(command.hollow_sweeps.SWEEPS[0], nodes=80, servers=7)
+    assert sweep.values == (10, 20, 40, 80) and sweep.base.servers == 7
+
+
+def test_a_run_that_takes_too_much_memory_fails(tmp_path, monkeypatch, capsys):
+    monkeypatch.setattr(command, "MOST_GIB", 0)
+    words = ["lab", "scale", "--small", "--only", "fault-node-lost", "--out", str(tmp_path)]
+    assert main(words) == 1
+
+
+@pytest.fixture
+def list_stand_in(tmp_path):
+    one = ListStandIn(tmp_path, 0, 20)
+    one.begin(time.monotonic())
+    yield one
+    one.end()
+
+
+def test_a_hollow_node_s_bytes_are_those_of_real_calls(list_stand_in):
+    """A whole list and a watch that ends without news, over sockets and hollow."""
+    relay = Relay(list_stand_in.address)
+    client = Client(relay.address)
+    for _ in range(2):
+        assert client.discovery.turn() == 0
+    client.discovery.http.close()
+    relay.end()
+    playing = Playing(Size(nodes=1, servers=20, seconds=10.0))
+    meter = playing.fleet.nodes[0].fleet.metered
+    at = 2.0
+    while meter().answers < 2:
+        at += 0.1
+        playing.until(at)
+    hollow, real = meter(), client.counts
+    assert (real.requests, real.entries) == (2, 20) and hollow.entries == 20
+    assert real.bytes_out == pytest.approx(hollow.bytes_out, rel=0.15)
+    assert real.bytes_in == pytest.approx(hollow.bytes_in, rel=0.15)
+    assert (relay.bytes_out, relay.bytes_in) == (real.bytes_out, real.bytes_in)
