--- a/tests/scale/test_hollow_counts.py
+++ b/tests/scale/test_hollow_counts.py
@@ -139,6 +139,17 @@
     assert len(reached) == 6 and playing.fleet.listed() == 6
 
 
+def test_an_older_list_puts_no_later_change_in_force():
+    playing = Playing(Size(nodes=2, servers=10))
+    playing.until(WARM_S)
+    fleet, node = playing.fleet, playing.fleet.nodes[0]
+    version = fleet.change_weight()
+    fleet.in_force(node, version - 1)
+    assert fleet.versions == {version: {}}
+    fleet.in_force(node, version)
+    assert list(fleet.versions[version]) == [node.name]
+
+
 def test_a_further_control_client_is_begun_with_each_process():
     begun = []
 
