--- a/benchmarks/lab/make_trace.py
+++ b/benchmarks/lab/make_trace.py
@@ -1,4 +1,7 @@
-"""A trace of mass reconnections: `make_trace.py FILE [COUNT] [SECONDS] [SEED]`. The rate falls evenly to half of what it is at first."""
+"""A trace of mass reconnections: `make_trace.py FILE [COUNT] [SECONDS] [SEED]`.
+
+The rate falls evenly to half of what it is at first.
+"""
 
 import sys
 
@@ -19,7 +22,7 @@
     path,
     [
         trace.Entry(at_us=int(a), type=str(n), life_us=int(v), group=f"g{g}")
-        for a, n, v, g in zip(at, names, life, rng.integers(0, 5000, count))
+        for a, n, v, g in zip(at, names, life, rng.integers(0, 5000, count), strict=True)
     ],
 )
 print(f"{count} connections in {seconds} s, the second with most: {np.bincount(at // 1_000_000).max()}")
--- a/cottonspread/cli/known.py
+++ b/cottonspread/cli/known.py
@@ -14,15 +14,17 @@
     known = parts[-1]
     try:
         version = discovery.read_list(saved, parts[2])[0] if saved else -1
-    except discovery.BadList as fault:
+    except discovery.ListError as fault:
         log.warning("saved-list", extra={"pairs": {"why": fault, "kept": "none"}})
         return known
     return saved if version >= discovery.read_list(known, parts[2])[0] else known
 
 
 class Known:
-    """Puts the newest list in the place of `parts[-1]`; `path` is None where none is saved. `wait`: seconds for one told by discovery,
-    before the known one is trusted."""
+    """Puts the newest list in the place of `parts[-1]`; `path` is None where none is saved.
+
+    `wait`: seconds for one told by discovery, before the known one is trusted.
+    """
 
     def __init__(self, parts, path, wait):
         self.saved = saved.Saved(path, parts[4].weights_move) if path else None
--- a/cottonspread/cli/node.py
+++ b/cottonspread/cli/node.py
@@ -1,5 +1,6 @@
 """`serve`, `check` and `version`: one node."""
 
+import contextlib
 import errno
 import logging
 import os
@@ -22,19 +23,19 @@
         with open(path, encoding="utf-8") as file:
             return file.read()
     except (OSError, UnicodeDecodeError) as fault:
-        raise config.Senseless(f"configuration: {path}: {fault}") from fault
+        raise config.ConfigurationError(f"configuration: {path}: {fault}") from fault
 
 
 def read(path):
     return read_text(text_of(path), os.environ)
 
 
-def read_text(text, environment={}):
-    parts = config.read_node(text, environment)
+def read_text(text, environment=None):
+    parts = config.read_node(text, environment or {})
     try:
         discovery.read_list(parts[-1], parts[2])
-    except discovery.BadList as fault:
-        raise config.Senseless(f"known: {fault}") from fault
+    except discovery.ListError as fault:
+        raise config.ConfigurationError(f"known: {fault}") from fault
     return parts
 
 
@@ -42,9 +43,8 @@
     """The operator's sections, or their defaults without a file: (log or None, whole)."""
     if not path:
         return None
-    from cottonspread.config import (
-        operator as op,
-    )  # needs msgspec, which a node without such a file need not have
+    # needs msgspec, which a node without such a file need not have
+    from cottonspread.config import operator as op
 
     return op.read(path)
 
@@ -55,10 +55,8 @@
 
     asked = queue.SimpleQueue()  # by signals, which may come while one is being dealt with
     signal.signal(signal.SIGHUP, lambda *_: asked.put(reload))
-    for number in (
-        signal.SIGTERM,
-        signal.SIGINT,
-    ):  # from the first moment: one that came during the start killed it
+    # from the first moment: one that came during the start killed it
+    for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: asked.put(ask_to_stop))
     force = InForce(path)
     parts, listener = list(force.parts), None
@@ -84,13 +82,11 @@
                 follows.look(node)
             if manager.address:
                 told = report(manager, node, told)
-            try:
+            with contextlib.suppress(queue.Empty):
                 asked.get(timeout=0.1 if not follows or follows.state == "serving" else 0.02)(node, force)
-            except queue.Empty:
-                pass
         return 0
     except OSError as fault:
-        where = fault.filename or "listen: %s:%d" % parts[0].listen
+        where = fault.filename or "listen: {}:{}".format(*parts[0].listen)
         what = "address in use" if fault.errno == errno.EADDRINUSE else fault.strerror or fault
         print(f"cottonspread: {where}: {what}", file=sys.stderr)
         return 1
@@ -99,7 +95,9 @@
 
 
 class InForce:
-    """The configuration that the node runs under: `values` as the file in force has them, `parts` as the node started with them."""
+    """The configuration that the node runs under: `values` as the file in force has them,
+    `parts` as the node started with them.
+    """
 
     def __init__(self, path):
         self.path = path
@@ -111,7 +109,9 @@
 
 
 def report(manager, node, told):
-    """To the service manager: ready once a list is known and a PING answered; alive as long as the reducer makes steps."""
+    """To the service manager: ready once a list is known and a PING answered;
+    alive as long as the reducer makes steps.
+    """
     steps, ready, at = told or (-1, False, 0.0)
     now, status = time.monotonic(), node.status()
     if not ready and status["listed"] and node.ping():
@@ -126,11 +126,14 @@
 
 
 def reload(node, force):
-    """SIGHUP: the file is read whole and checked whole, then taken over in one event. Whatever stands in it, the node goes on."""
+    """SIGHUP: the file is read whole and checked whole, then taken over in one event.
+
+    Whatever stands in it, the node goes on.
+    """
     try:
         values, parts = force.read()
         config.complete(force.values, values)
-    except config.Senseless as fault:
+    except config.ConfigurationError as fault:
         node.hasten(ev.NotRetuned())
         log.error("reload", extra={"pairs": {"why": fault, "kept": "the old configuration"}})
         return
@@ -157,7 +160,10 @@
     log.info(
         "reload",
         extra={
-            "pairs": {"discovery": "%s:%d" % place.discovery, "types": ",".join(t.name for t in begin.types)}
+            "pairs": {
+                "discovery": "{}:{}".format(*place.discovery),
+                "types": ",".join(t.name for t in begin.types),
+            }
             | ({"at_next_start": ",".join(kept)} if kept else {})
         },
     )
@@ -171,14 +177,14 @@
         specs = plan.read(operators, (sys.executable, ""), read_text).specs
         print(
             f"{len(specs)} instances: "
-            + ", ".join("%s on %s:%d" % (s.name, *s.address) for s in specs.values())
+            + ", ".join("{} on {}:{}".format(s.name, *s.address) for s in specs.values())
         )
         return 0
     place, room, names, _, begin, known = read(named(path))
     print(
         f"{place.name}: listens on {place.listen[0]}:{place.listen[1]}, "
         f"discovery at {place.discovery[0]}:{place.discovery[1]}, "
-        + ("operators at %s:%d" % place.operator if place.operator else "no address for operators")
+        + ("operators at {}:{}".format(*place.operator) if place.operator else "no address for operators")
     )
     print(
         f"{len(names.types)} traffic types, node {begin.me} of {begin.nodes or 'an untold number'}, "
@@ -213,7 +219,7 @@
 
 def named(path):
     if not path:
-        raise config.Senseless("configuration: no file named: give --config or set PROXY_CONFIG")
+        raise config.ConfigurationError("configuration: no file named: give --config or set PROXY_CONFIG")
     return path
 
 
--- a/cottonspread/fleet/supervisor.py
+++ b/cottonspread/fleet/supervisor.py
@@ -1,9 +1,12 @@
-"""Carries out what the core decides: processes, sockets, files, signals. One thread, one loop; it decides nothing about instances.
+"""Carries out what the core decides: processes, sockets, files, signals.
 
-Why one loop and no threads: nothing here is on a client's path except the door, which sends one line, and a supervisor with one
-thread has no order of events that its tests do not have.
+One thread, one loop; it decides nothing about instances.
+
+Why one loop and no threads: nothing here is on a client's path except the door, which sends one line, and a
+supervisor with one thread has no order of events that its tests do not have.
 """
 
+import contextlib
 import heapq
 import json
 import logging
@@ -50,6 +53,18 @@
         self.children, self.pidfds, self.channels = {}, {}, {}  # by (name, generation)
         self.waiting = {}  # control sockets not yet there
         self.answers, self.was_ready, self.done, self.began = [], False, False, time.monotonic()
+        self.handlers = {
+            Start: self.start,
+            Take: lambda effect: self.order(effect, {"do": "take"}),
+            Leave: lambda effect: self.order(effect, {"do": "leave", "handed": effect.handed}),
+            Apply: lambda effect: self.order(effect, {"do": "apply", "live": effect.spec.live}),
+            Kill: lambda effect: self.end(effect.name, effect.generation),
+            Door: self.turn_door,
+            Forget: self.forget,
+            Say: self.say,
+            Outcome: self.outcome,
+            Over: self.over,
+        }
 
     # The start
 
@@ -59,20 +74,21 @@
             os.makedirs(self.folder, exist_ok=True)
             os.makedirs(self.logs, exist_ok=True)
         except OSError as fault:
-            raise op.Faults([f"{self.path}: fleet.state: {fault}"]) from fault
+            raise op.OperatorFileError([f"{self.path}: fleet.state: {fault}"]) from fault
         longest = os.path.join(self.folder, f"{self.fleet.name}-255.{10**6}.sock")
         if len(longest) > control.LONGEST_PATH:
-            raise op.Faults(
+            raise op.OperatorFileError(
                 [
-                    f"{self.path}: fleet.state: {self.folder}: too long a path for sockets: {len(longest)} bytes "
-                    f"with their names, {control.LONGEST_PATH} are possible"
+                    f"{self.path}: fleet.state: {self.folder}: too long a path for sockets: "
+                    f"{len(longest)} bytes with their names, {control.LONGEST_PATH} are possible"
                 ]
             )
         self.lock = control.Lock(os.path.join(self.folder, "fleet.pid"))
         if not self.lock.take():
-            raise op.Faults(
+            raise op.OperatorFileError(
                 [
-                    f"{self.path}: fleet.state: {self.folder}: a supervisor runs there already, pid {self.lock.holder()}"
+                    f"{self.path}: fleet.state: {self.folder}: a supervisor runs there already, "
+                    f"pid {self.lock.holder()}"
                 ]
             )
         self.room(self.fleet.instances)
@@ -96,13 +112,16 @@
         self.sockets |= plans.bind_all(s for s in plan.specs.values() if s.address not in self.sockets)
 
     def room(self, instances):
-        """Each instance costs a listener, a control socket and a pidfd, twice while it is changed; its process has its own limit."""
+        """Each instance costs a listener, a control socket and a pidfd, twice while it is
+        changed; its process has its own limit.
+        """
         need = 5 * instances + MOST_AT_DOOR + 32
         hard = control.raise_descriptors(need)
         if hard < need:
-            raise op.Faults(
+            raise op.OperatorFileError(
                 [
-                    f"{self.path}: fleet.instances: {instances} need {need} descriptors; the limit is {hard} (ulimit -n)"
+                    f"{self.path}: fleet.instances: {instances} need {need} descriptors; "
+                    f"the limit is {hard} (ulimit -n)"
                 ]
             )
 
@@ -126,7 +145,10 @@
             log.error("state", extra={"pairs": {"why": fault}})
 
     def find_instances(self):
-        """Those that an earlier supervisor left: asked who they are. One that does not answer is ended; what is stale goes."""
+        """Those that an earlier supervisor left: asked who they are.
+
+        One that does not answer is ended; what is stale goes.
+        """
         found = []
         running = instances_running()
         for file in sorted(os.listdir(self.folder)):
@@ -248,39 +270,31 @@
             self.manager.ready(self.summary())
 
     def carry_out(self, effect):
-        match effect:
-            case Start():
-                self.start(effect)
-            case Take():
-                self.order(effect, {"do": "take"})
-            case Leave():
-                self.order(effect, {"do": "leave", "handed": effect.handed})
-            case Apply():
-                self.order(effect, {"do": "apply", "live": effect.spec.live})
-            case Kill():
-                self.end(effect.name, effect.generation)
-            case Door():
-                self.close_door(effect.name)
-                if effect.open:
-                    self.open_door(effect.name)
-            case Forget():
-                self.close_door(effect.name)
-                self.drop_sockets()
-            case Say():
-                log.log(
-                    logging.getLevelName(effect.level.upper()), effect.event, extra={"pairs": effect.pairs}
-                )
-            case Outcome():
-                self.outcome(effect)
-            case Over():
-                log.info("stopped")
-                self.answer({"ok": True, "why": "stopped"}, "stop")
-                self.done = True
+        self.handlers[type(effect)](effect)
+
+    def turn_door(self, effect):
+        self.close_door(effect.name)
+        if effect.open:
+            self.open_door(effect.name)
+
+    def forget(self, effect):
+        self.close_door(effect.name)
+        self.drop_sockets()
+
+    def say(self, effect):
+        log.log(logging.getLevelName(effect.level.upper()), effect.event, extra={"pairs": effect.pairs})
+
+    def over(self, effect):
+        log.info("stopped")
+        self.answer({"ok": True, "why": "stopped"}, "stop")
+        self.done = True
 
     # Processes
 
     def start(self, effect):
-        """-P: the folder that we happen to run in is not searched, or it would shadow the program asked for."""
+        """-P: the folder that we happen to run in is not searched, or it would shadow the
+        program asked for.
+        """
         name, generation, spec = effect.name, effect.generation, effect.spec
         path = os.path.join(self.folder, f"{name}.{generation}.sock")
         python, checkout = json.loads(spec.start)["program"]
@@ -318,9 +332,8 @@
                     return  # its end will be noticed
                 child.wait()
                 del self.children[name, generation]
-            self.at(
-                0, lambda: self.tell("not_started", name, generation, why)
-            )  # not inside of a step of the core
+            # not inside of a step of the core
+            self.at(0, lambda: self.tell("not_started", name, generation, why))
             return
         self.waiting[name, generation] = path
 
@@ -354,10 +367,8 @@
     def end(self, name, generation):
         fd = self.pidfds.get((name, generation))
         if fd is not None:
-            try:
+            with contextlib.suppress(ProcessLookupError):
                 signal.pidfd_send_signal(fd, signal.SIGKILL)
-            except ProcessLookupError:
-                pass
 
     def hear(self, name, generation, line):
         said, stands = line.read()
@@ -412,10 +423,8 @@
         sock.setblocking(False)
         guest = Guest(sock)
         if at_once:  # its line is here, or it comes too late
-            try:
+            with contextlib.suppress(OSError):
                 guest.data = sock.recv(4096)
-            except OSError:
-                pass
             self.turn_away(guest)
             sock.close()
             return True
@@ -430,7 +439,10 @@
         return True
 
     def close_up(self):
-        """The end of all addresses. Who is in the queue of one when it closes gets a reset, so nobody is left in it."""
+        """The end of all addresses.
+
+        Who is in the queue of one when it closes gets a reset, so nobody is left in it.
+        """
         for name in list(self.doors):
             self.close_door(name)
         for sock in list(self.sockets.values()):
@@ -490,7 +502,7 @@
         for one in said:
             try:
                 self.obey(line, one)
-            except config.Senseless as fault:
+            except config.ConfigurationError as fault:
                 line.say({"ok": False, "why": str(fault)})
             except Exception as fault:  # our own: told, and the fleet goes on
                 log.exception("fault", extra={"pairs": {"while": one.get("do")}})
@@ -502,7 +514,7 @@
     def obey(self, line, one):
         do, name = one.get("do"), one.get("name")
         if name is not None and name not in self.core.slots:
-            raise config.Senseless(f"{name}: no such instance" + op.near(str(name), self.core.slots))
+            raise config.ConfigurationError(f"{name}: no such instance" + op.near(str(name), self.core.slots))
         if do == "status":
             line.say({"ok": True, "status": self.status()})
         elif do == "reload":
@@ -519,14 +531,14 @@
             self.manager.stopping()
             self.tell("stop")
         else:
-            raise config.Senseless(f"{do}: no such command")
+            raise config.ConfigurationError(f"{do}: no such command")
 
     def reload(self, line):
         self.manager.reloading()
         try:
             pending = self.core.pending
             self.change((pending[0] if pending else self.core.plan).program, "reload", line)
-        except config.Senseless as fault:
+        except config.ConfigurationError as fault:
             log.error("reload", extra={"pairs": {"why": fault, "kept": "the old configuration"}})
             self.manager.ready(self.summary())
             if line:
@@ -534,7 +546,7 @@
 
     def change(self, program, why, line):
         if self.core.stopping:
-            raise config.Senseless("the fleet is stopping")
+            raise config.ConfigurationError("the fleet is stopping")
         plan = plans.read(self.path, program, self.check)
         fixed = [
             key
@@ -542,7 +554,7 @@
             if meta.extra["reload"] == "new" and getattr(plan.fleet, key) != getattr(self.fleet, key)
         ]
         if fixed:
-            raise op.Faults(
+            raise op.OperatorFileError(
                 [f"{self.path}: fleet.{key}: only a new supervisor takes this over" for key in fixed]
             )
         self.bind(plan)
@@ -551,9 +563,8 @@
         self.tell("replan", plan, why)
 
     def outcome(self, effect):
-        self.program = (
-            effect.plan.program
-        )  # only now: a supervisor that dies in an upgrade has a successor that goes back
+        # only now: a supervisor that dies in an upgrade has a successor that goes back
+        self.program = effect.plan.program
         self.keep()
         self.manager.ready(self.summary())
         self.answer({"ok": effect.ok, "why": effect.why or "done"}, effect.target)
@@ -572,7 +583,7 @@
             rows.append(
                 {
                     "instance": slot.name,
-                    "address": "%s:%d" % slot.spec.address,
+                    "address": "{}:{}".format(*slot.spec.address),
                     "pid": seen.get("pid"),
                     "state": self.core.state_of(slot),
                     "generation": p.generation if p else None,
@@ -611,7 +622,9 @@
 
 
 def instances_running():
-    """pid by control socket of every instance on this machine, by their command lines: a pid in a file may be anybody's by now."""
+    """pid by control socket of every instance on this machine, by their command lines: a
+    pid in a file may be anybody's by now.
+    """
     found = {}
     for pid in filter(str.isdigit, os.listdir("/proc")):
         try:
--- a/cottonspread/front/handover.py
+++ b/cottonspread/front/handover.py
@@ -1,7 +1,8 @@
 """What a process passes to the one that replaces it, as text in a file. Pure.
 
-To servers and clients the two are one node: keys go on to the server that has them, what went to cold servers counts on, the id of
-a call that is open in one is in use for the other. Times are the clock's, which all processes of a machine share.
+To servers and clients the two are one node: keys go on to the server that has them, what went to cold
+servers counts on, the id of a call that is open in one is in use for the other. Times are the clock's,
+which all processes of a machine share.
 """
 
 import json
@@ -38,12 +39,12 @@
 
 def taken(module, now, **more):
     """What the module keeps that its successor needs. It is only read."""
-    records = [(key, host.name) for key, (host, _) in list(module.records.by_key.items())[-MOST_RECORDS:]]
+    records = [(key, host.name) for key, (host, _) in list(module.records.items())[-MOST_RECORDS:]]
     cold = [h for h in module.membership.hosts.values() if module.slow_start.part(h, now) < 1]
     return HandOver(
         records=tuple(records),
         sent=tuple(
-            (h.name, at, count) for h in cold for at, count in h.sent.kept(now, module.slow_start.cold.window)
+            (h.name, at, count) for h in cold for at, count in h.sent.kept(now, module.settings.cold.window)
         ),
         **more,
     )
--- a/cottonspread/lab/experiment.py
+++ b/cottonspread/lab/experiment.py
@@ -15,14 +15,16 @@
 
 
 def run(file, out, seconds=None, repeats=None, quiet=False, again=2):
-    """Plays all; exit code 0, or 1 if a rule was broken, 3 if a play is not usable. A play whose generator was late is
-    played anew, `again` times at most; what it left is kept beside it."""
+    """Plays all; exit code 0, or 1 if a rule was broken, 3 if a play is not usable.
+
+    A play whose generator was late is played anew, `again` times at most; what it left is kept beside it.
+    """
     x = plans.read(file)
     if seconds:
         x = plans.check(msgspec.structs.replace(x, seconds=seconds))
     variants = x.variants or [plans.Variant(name="only")]
     if os.path.exists(os.path.join(out, "0-" + variants[0].name)):
-        raise plans.Fault(f"--out {out}: holds plays already")
+        raise plans.PlanError(f"--out {out}: holds plays already")
     played = {v.name: [] for v in variants}
     console, cut = Console(stderr=True), ""
     for repeat in range(repeats or x.repeats):
@@ -32,12 +34,7 @@
             for tried in range(again + 1):
                 folder = os.path.join(out, f"{repeat}-{variant.name}")
                 play = Play(x, variant, x.seed + repeat, folder)
-                if quiet or not console.is_terminal:
-                    play.run()
-                else:
-                    with Live(console=console, refresh_per_second=4) as live:
-                        play.show = lambda play, line, live=live: live.update(progress(play, line))
-                        play.run()
+                run_play(play, None if quiet or not console.is_terminal else console)
                 result = results.judge(play, repeat)
                 if play.cut or result.lateness.p999 <= LATE or tried == again:
                     break
@@ -46,7 +43,7 @@
             played[variant.name].append(result)
             cut = play.cut
             print("\n".join(results.lines(result)), flush=True)
-    pairs = list(zip(*(played[v.name] for v in variants[:2]))) if len(variants) > 1 else []
+    pairs = list(zip(*(played[v.name] for v in variants[:2]), strict=False)) if len(variants) > 1 else []
     if pairs:
         show_pairs(pairs, variants[0].name, variants[1].name)
     print(report.write(out))
@@ -56,6 +53,16 @@
     return 0 if all(r.usable for r in everything) else 3
 
 
+def run_play(play, console):
+    """Its progress is shown on the console, if there is one."""
+    if console is None:
+        play.run()
+        return
+    with Live(console=console, refresh_per_second=4) as live:
+        play.show = lambda play, line: live.update(progress(play, line))
+        play.run()
+
+
 def progress(play, line):
     table = Table(
         title=f"{play.plan.experiment.name} {play.plan.variant.name}, {line['s']} of "
@@ -79,7 +86,7 @@
 
 
 def compare(a, b):
-    pairs = list(zip(results.plays(a), results.plays(b)))
+    pairs = list(zip(results.plays(a), results.plays(b), strict=False))
     for one, other in pairs:
         if one.schedule_sha256 != other.schedule_sha256:
             print(f"seeds {one.seed} and {other.seed}: schedules differ: no pair", file=sys.stderr)
--- a/cottonspread/lab/selfcheck.py
+++ b/cottonspread/lab/selfcheck.py
@@ -1,8 +1,8 @@
 """The generator against an echoing server with a known delay, timed by that server's own receive times.
 
-The server notes when a call's first line came, waits the known delay, answers, and notes when it did. What the generator
-reports (intended time to UP) and what the server saw (intended time to its answer) must agree: both read one monotonic clock,
-and the two share no line of code on the way.
+The server notes when a call's first line came, waits the known delay, answers, and notes when it did. What
+the generator reports (intended time to UP) and what the server saw (intended time to its answer) must agree:
+both read one monotonic clock, and the two share no line of code on the way.
 """
 
 import os
@@ -43,37 +43,48 @@
                 select.select([poll.fileno()], [], [], wait - 0.0003)
             for fd, _ in poll.poll(0):
                 if fd == self.listener.fileno():
-                    try:
-                        sock = self.listener.accept()[0]
-                    except BlockingIOError:
-                        continue
-                    sock.setblocking(False)
-                    conns[sock.fileno()] = sock
-                    poll.register(sock, select.EPOLLIN)
-                    continue
-                came = now()
-                try:
-                    data = conns[fd].recv(4096)
-                except OSError:
-                    data = b""
-                if not data:
-                    poll.unregister(fd)
-                    conns.pop(fd).close()
-                elif data.startswith(b"OPEN "):
-                    waiting.append((came + self.delay, fd, data.split(b" ")[1].decode(), came))
+                    self.accept(poll, conns)
+                else:
+                    self.read(poll, conns, fd, waiting)
             while waiting and waiting[0][0] <= now():
                 _, fd, name, came = waiting.pop(0)
                 if fd in conns:
-                    answered = now()
-                    try:
-                        conns[fd].send(b"UP 1\r\n")
-                    except OSError:
-                        continue
-                    self.seen.append((name, came, answered))
+                    self.answer(conns[fd], name, came)
+
+    def accept(self, poll, conns):
+        try:
+            sock = self.listener.accept()[0]
+        except BlockingIOError:
+            return
+        sock.setblocking(False)
+        conns[sock.fileno()] = sock
+        poll.register(sock, select.EPOLLIN)
+
+    def read(self, poll, conns, fd, waiting):
+        came = now()
+        try:
+            data = conns[fd].recv(4096)
+        except OSError:
+            data = b""
+        if not data:
+            poll.unregister(fd)
+            conns.pop(fd).close()
+        elif data.startswith(b"OPEN "):
+            waiting.append((came + self.delay, fd, data.split(b" ")[1].decode(), came))
+
+    def answer(self, sock, name, came):
+        answered = now()
+        try:
+            sock.send(b"UP 1\r\n")
+        except OSError:
+            return
+        self.seen.append((name, came, answered))
 
 
 def measure(rate, seconds, delay_ms):
-    """(by the generator, by the server, the generator's lateness p99.9): from the intended time to the answer, microseconds."""
+    """(by the generator, by the server, the generator's lateness p99.9): from the
+    intended time to the answer, microseconds.
+    """
     load = plans.Load(
         shapes=[plans.Shape(kind="poisson", rate=rate)],
         processes=1,
@@ -127,7 +138,7 @@
     told = np.array([call["answers"][0][0] - call["intended"] for call, _ in timed])
     seen = np.array([answered - start - call["intended"] for call, answered in timed])
     if len(told) < total["planned"]:
-        raise plans.Fault(f"selfcheck: {total['planned']} calls planned, {len(told)} timed on both sides")
+        raise plans.PlanError(f"selfcheck: {total['planned']} calls planned, {len(told)} timed on both sides")
     return told, seen, int(late)
 
 
@@ -138,7 +149,8 @@
     for name, p in (("p50", 50), ("p99", 99), ("max", 100)):
         a, b, c = (float(np.percentile(x, p)) for x in (told, seen, apart))
         print(
-            f"{name}: generator {a / 1000:.3f} ms, server {b / 1000:.3f} ms; the same call apart by {c:.0f} us at {name}"
+            f"{name}: generator {a / 1000:.3f} ms, server {b / 1000:.3f} ms; "
+            f"the same call apart by {c:.0f} us at {name}"
         )
     over = apart.max() > LIMIT
     print(
--- a/cottonspread/lab/sim/node.py
+++ b/cottonspread/lab/sim/node.py
@@ -1,9 +1,12 @@
-"""A simulated node: a process round the real reducer, with stand-ins for its workers, its door and its calls of the list.
+"""A simulated node: a process round the real reducer, with stand-ins for its
+workers, its door and its calls of the list.
 
-What decides is the program's own: reducer, module, door, the reading of configurations, lists and reports, and what a process hands over.
-What is simulated is what a machine does: clocks, threads' turns, sockets, and death.
+What decides is the program's own: reducer, module, door, the reading of configurations,
+lists and reports, and what a process hands over. What is simulated is what a machine does:
+clocks, threads' turns, sockets, and death.
 """
 
+import contextlib
 import json
 import traceback
 from collections import Counter, deque
@@ -28,12 +31,14 @@
 STOPPED, KILLED = "stopped", "killed"
 
 
-class Fault(AssertionError):
+class NodeError(AssertionError):
     """The node's own code has raised."""
 
 
 class Worker:
-    """In the place of one end's thread and of the writer: one socket, lines gathered as `lines.Gatherer` does."""
+    """In the place of one end's thread and of the writer: one socket,
+    lines gathered as `lines.Gatherer` does.
+    """
 
     def __init__(self, process, end, side=None):
         self.process, self.end, self.side, self.number = process, end, side, process.next_number()
@@ -66,10 +71,19 @@
             return
         while self.draining and side.inbox:
             side.take()
-        while not self.draining:
-            took = side.take(SIZE - len(self.buffer)) if side.inbox else b""
-            if not took:
-                break
+        if not self.draining and self.gather():
+            return
+        if side.broke:
+            self.over("reset")
+        elif side.ended or self.cut:
+            self.over("half-line" if self.buffer and not self.draining else "end")
+        elif self.buffer and not self.draining:
+            process.world.at(self.since + HALF_LINE_WAIT * SECOND, self.too_old, self.since)
+
+    def gather(self):
+        """Takes what is there; whether the reducer was told of a whole line, or of one too long."""
+        side, process = self.side, self.process
+        while took := side.take(SIZE - len(self.buffer)) if side.inbox else b"":
             if not self.buffer:
                 self.since = process.world.now
             self.buffer += took
@@ -79,16 +93,11 @@
                 del self.buffer[:end]
                 self.since = process.world.now
                 self.say(ev.Got(self.end, whole, bool(self.buffer), process.clock(side.came_at)))
-                return
+                return True
             if len(self.buffer) == SIZE:
                 self.over("long-line")
-                return
-        if side.broke:
-            self.over("reset")
-        elif side.ended or self.cut:
-            self.over("half-line" if self.buffer and not self.draining else "end")
-        elif self.buffer and not self.draining:
-            process.world.at(self.since + HALF_LINE_WAIT * SECOND, self.too_old, self.since)
+                return True
+        return False
 
     def too_old(self, since):
         if self.reading and self.buffer and self.since == since and not self.process.dead and not self.gone:
@@ -211,19 +220,23 @@
     def room(self, side):
         pass
 
-    def end(self, ending, report={}):
+    def end(self, ending, report=None):
         if self.done or self.process.dead:
             return
         self.done = True
         self.process.probes.pop(self, None)
         if self.side is not None:
             self.side.close()
-        self.process.post(ev.Asked(self.order.host, ending, report, self.process.world.now - self.began))
+        self.process.post(
+            ev.Asked(self.order.host, ending, report or {}, self.process.world.now - self.began)
+        )
 
 
 class Process:
     def __init__(self, node, values, shared=False):
-        """`shared`: its listener is one that an earlier process uses too; nothing is taken from it before `take`."""
+        """`shared`: its listener is one that an earlier process uses too;
+        nothing is taken from it before `take`.
+        """
         world = node.fleet.world
         self.world, self.node, self.values, self.shared = world, node, values, shared
         self.draws = world.draws(node.name, "process", node.starts)
@@ -342,7 +355,7 @@
         try:
             effects = self.decide(event, at)
         except Exception as fault:
-            raise Fault(
+            raise NodeError(
                 f"{self.node.name}: {type(event).__name__}: {fault!r}\n{traceback.format_exc(limit=-6)}"
             ) from fault
         self.world.note(self.node.name, self.label(event), *map(self.label, effects))
@@ -392,7 +405,9 @@
                 world.at(self.writer_at, self.alive, self.write_out, effect)
 
     def alive(self, what, *args):
-        """Nothing is done by a process that is dead, and what a stopped one was about to do is done once it goes on."""
+        """Nothing is done by a process that is dead, and what a stopped one was
+        about to do is done once it goes on.
+        """
         if self.dead:
             return
         if self.world.now < self.frozen:
@@ -458,10 +473,8 @@
 
     def turn_away(self, side, reason, retry_after):
         line = lines.busy(retry_after)
-        try:
+        with contextlib.suppress(BrokenPipeError):
             side.send(line)
-        except BrokenPipeError:
-            pass
         self.node.fleet.promises.turned_away(self, side, line)
         self.reducer.figures.turned_away(lines.type_named(side.take()))
         side.close()
@@ -470,7 +483,9 @@
     # Signals and operators
 
     def stop(self):
-        """SIGTERM. Where the platform holds the listener nothing more is taken from it; else what comes is still answered."""
+        """SIGTERM. Where the platform holds the listener nothing more is taken from
+        it; else what comes is still answered.
+        """
         self.takes = not self.shared
         self.node.open_door()
         heir = self.heir if self.heir is not None and not self.heir.dead else None
@@ -509,7 +524,7 @@
         try:
             parts = config.read_node(json.dumps(values), {})
             config.complete(self.values, values)
-        except config.Senseless:
+        except config.ConfigurationError:
             self.hasten(ev.NotRetuned())
             return
         self.values, self.discovery.names = values, parts[2]
@@ -520,8 +535,9 @@
     # Replacement
 
     def take_from(self, old):
-        """What the process before it hands over, through the text that goes over the disk; then it takes connections. It waits
-        no longer than a successor does."""
+        """What the process before it hands over, through the text that goes over the disk; then it takes
+        connections. It waits no longer than a successor does.
+        """
         mark = f"{self.node.name} {self.node.starts}"
 
         def given(handed):
@@ -555,7 +571,7 @@
             worker.gone = True
         standing = handover.unpack_standing(handover.pack_standing(order.standing))
         ends, new = (ev.End(True), ev.End(False)), []
-        for end, worker in zip(ends, workers):
+        for end, worker in zip(ends, workers, strict=True):
             new.append(Worker(heir, end, worker.side))
             new[-1].borrowed = True  # the old process has it too until it is told
             heir.live[new[-1]] = None
@@ -569,7 +585,7 @@
 
     def given(self, order, taken, new, heir):
         workers = order.client.worker, order.host.worker
-        for worker, other in zip(workers, new):
+        for worker, other in zip(workers, new, strict=True):
             other.borrowed = False
             if not taken:
                 worker.gone, worker.side.owner, other.gone = False, worker, True
--- a/cottonspread/net/lines.py
+++ b/cottonspread/net/lines.py
@@ -21,12 +21,14 @@
 OLDEST = 20_000_000  # microseconds; what seems to have lain longer was stamped before the clock was set
 
 
-class BadLine(ValueError):
+class LineError(ValueError):
     """What came is no line of the protocol; its text is the reason code."""
 
 
 def age(stamps):
-    """How many microseconds ago the kernel got what was just read; 0 where it does not tell or the wall clock was set."""
+    """How many microseconds ago the kernel got what was just read; 0 where it
+    does not tell or the wall clock was set.
+    """
     for level, kind, value in stamps:
         if (level, kind) == (socket.SOL_SOCKET, SO_TIMESTAMPNS):
             seconds, rest = STAMP.unpack(value)
@@ -35,13 +37,16 @@
     return 0
 
 
-class LetGo(Exception):
+class SocketReleasedError(Exception):
     """The socket is another process's now."""
 
 
 class Gatherer:
-    """Whole lines from a socket. Holds a buffer only while there is something in it. While it holds none it only peeks, and then its
-    socket can be let go: nothing that came is lost to whoever reads there next."""
+    """Whole lines from a socket.
+
+    Holds a buffer only while there is something in it. While it holds none it only peeks, and then its socket
+    can be let go: nothing that came is lost to whoever reads there next.
+    """
 
     def __init__(self, sock, pool, half_line_wait):
         self.sock, self.pool, self.wait = sock, pool, half_line_wait
@@ -49,7 +54,10 @@
         self.lock, self.idle, self.gone = threading.Lock(), False, False
 
     def lines(self):
-        """All whole lines that are there, at least one, as they came; b"" at the end of the connection. LetGo: see `let_go`."""
+        """All whole lines that are there, at least one, as they came; b"" at the end of the connection.
+
+        SocketReleasedError: see `let_go`.
+        """
         while True:
             try:
                 if self.buffer is None:
@@ -63,9 +71,9 @@
             except BlockingIOError:  # the socket's own time-out has passed
                 if self.buffer is None or time.monotonic() - self.since < self.wait:
                     continue
-                raise BadLine("half-line") from None
+                raise LineError("half-line") from None
             if not got:
-                raise BadLine("half-line")
+                raise LineError("half-line")
             self.filled += got
             end = self.buffer.rfind(b"\n", 0, self.filled) + 1
             if end:
@@ -78,7 +86,7 @@
                     self.drop()
                 return whole
             if self.filled == len(self.buffer):
-                raise BadLine("long-line")
+                raise LineError("long-line")
 
     def peek(self):
         """Wait until there is something. b"": the end."""
@@ -90,7 +98,7 @@
             with self.lock:
                 self.idle = False
                 if self.gone:
-                    raise LetGo
+                    raise SocketReleasedError
 
     def take_back(self):
         """After `let_go`. True if whoever waited here has left meanwhile."""
@@ -133,26 +141,26 @@
 
 
 def read_opening(line, types, tenants, grouped, longest_wait):
-    """`OPEN ID KEY NAME=VALUE,..` with the numbers that the module gives names; BadLine with its reason."""
+    """`OPEN ID KEY NAME=VALUE,..` with the numbers that the module gives names; LineError with its reason."""
     try:
         words = line.rstrip(b"\r\n").decode("ascii").split(" ")
     except UnicodeDecodeError:
-        raise BadLine("garbled") from None
+        raise LineError("garbled") from None
     if len(words) != 4 or words[0] != "OPEN" or not all(WORD.fullmatch(w) for w in words[1:3]):
-        raise BadLine("garbled")
+        raise LineError("garbled")
     pairs = dict(part.partition("=")[::2] for part in words[3].split(","))
     if "c" not in pairs or not ("d" in pairs or "at" in pairs):
-        raise BadLine("lacks-field")
+        raise LineError("lacks-field")
     if pairs["c"] not in types:
-        raise BadLine("unknown-type")
+        raise LineError("unknown-type")
     try:
         wait = NUMBER.fullmatch(pairs.get("d", "0"))[0]
         load = float(pairs.get("h", 0))
     except (TypeError, ValueError):
-        raise BadLine("garbled") from None
+        raise LineError("garbled") from None
     # A host answers a wait of years with ERR, and each host asked looked broken for it.
     if not 0 <= load < 1e15 or len(wait) > 15 or "at" not in pairs and int(wait) * 1000 > longest_wait:
-        raise BadLine("garbled")
+        raise LineError("garbled")
     wait = int(wait) * 1000
     who = pairs.get("g")
     return Opening(
@@ -185,8 +193,11 @@
 
 
 def read_answer(line, rest=b""):
-    """A host's first line: None if the connection is up, else how the attempt ended. `rest`: what came with it. A host that says it
-    turned the call away, or ended it, and goes on speaking has said nothing that can be relied on."""
+    """A host's first line: None if the connection is up, else how the attempt ended.
+
+    `rest`: what came with it. A host that says it turned the call away, or ended it, and goes on speaking
+    has said nothing that can be relied on.
+    """
     words = line.split()
     if not words or words[0] == b"UP":
         return None if len(words) > 1 else Ending.ERROR  # a receipt belongs to it
@@ -194,8 +205,11 @@
 
 
 def read_report(line):
-    """A host's answer to STATS, as (how the probe ended, the values of its load report by name). A host that answers neither
-    `PONG` nor `ERR` (too many probes, or none allowed) tells nothing: FULL. Values that are no number are left out."""
+    """A host's answer to STATS, as (how the probe ended, the values of its load report by name).
+
+    A host that answers neither `PONG` nor `ERR` (too many probes, or none allowed) tells nothing: FULL.
+    Values that are no number are left out.
+    """
     word, _, rest = line.strip().partition(b" ")
     return {b"PONG": Ending.OK, b"ERR": Ending.ERROR}.get(word, Ending.FULL), (
         values(rest.decode("latin-1")) if word == b"PONG" else {}
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -4,10 +4,12 @@
 type NAME WORD=VALUE ...      a traffic type; without one there is a single repeatable type
 TIME EVENT ARGS               TIME in ms; events: list changes|full|saved|failed HOST[:WORD=VALUE[,..]] ..,
                               call ID .., open ID HOST .., accept ID LEG, done ID LEG ENDING [closed],
-                              tune WORD=VALUE .. | TYPE WORD=VALUE .. | .., inherit KEY=HOST .. HOST:LEGS@MS ..,
-              load ID N, delay ID MS, expire ID, timer TOKEN, probed HOST ENDING [LOAD [PILED]]
-> ACTION ARGS                 the actions that must follow, all of them, in this order (timers and logs aside);
-                              on a line of their own or behind their event
+                              tune WORD=VALUE .. | TYPE WORD=VALUE .. | ..,
+                              inherit KEY=HOST .. HOST:LEGS@MS ..,
+                              load ID N, delay ID MS, expire ID, timer TOKEN,
+                              probed HOST ENDING [LOAD [PILED]]
+> ACTION ARGS                 the actions that must follow, all of them, in this order (timers and logs
+                              aside); on a line of their own or behind their event
 >? TEXT                       an action that must be somewhere among them, none of the others minded
 A capital name stands for a host: bound where it first comes, the same after; !A is any host but that one;
 a * stands for anything.
@@ -20,7 +22,7 @@
 from notation import begin, entry, ms, pairs, play, traffic_type
 
 from cottonspread import interface as io
-from cottonspread.decide import Balancer
+from cottonspread.policy import Balancer
 
 FILES = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
 
@@ -81,7 +83,7 @@
         assert host.load == sum(leg.load for leg in host.legs) + node.loads.GROUP * len(groups)
         assert host.setups == sum(not leg.accepted for leg in host.legs)
     up = node.membership.up()
-    assert (node.legs, node.load) == (sum(len(h.legs) for h in up), sum(h.load for h in up))
+    assert (node.sums.legs, node.sums.load) == (sum(len(h.legs) for h in up), sum(h.load for h in up))
 
 
 def without_asides(actions):
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -1,6 +1,9 @@
-"""Retuning and replacing a process: configuration files that lost something, hand-over files, and whole processes on loopback."""
+"""Retuning and replacing a process: configuration files that lost something, hand-over
+files, and whole processes on loopback.
+"""
 
 import copy
+import io
 import json
 import os
 import signal
@@ -12,6 +15,8 @@
 from pathlib import Path
 
 import pytest
+from test_admin import call
+from test_net import NODE, WAIT, Client, discovery_of, toy  # noqa: F401 (fixture)
 
 from cottonspread import config
 from cottonspread.cli import main
@@ -23,9 +28,6 @@
 from cottonspread.net import lines, passing
 from cottonspread.net.pool import Pool
 
-from test_admin import call
-from test_net import NODE, WAIT, Client, discovery_of, toy  # noqa: F401 (fixture)
-
 ROOT = Path(__file__).parent.parent
 WHOLE = json.loads(NODE)
 WHOLE["settings"]["TrafficTypes"].append(
@@ -82,7 +84,9 @@
     "path", [p for p in keys(WHOLE) if p[-1] not in OWN], ids=lambda p: ".".join(map(str, p))
 )
 def test_a_file_that_lost_a_key_changes_nothing(path, tmp_path, monkeypatch, caplog):
-    """A default in the place of a lost key is half a change; the environment in the place of a lost address an old one."""
+    """A default in the place of a lost key is half a change; the environment in
+    the place of a lost address an old one.
+    """
     monkeypatch.setenv("PROXY_DISCOVERY", "127.0.0.1:1")
     file, node = tmp_path / "node.json", Told()
     file.write_text(json.dumps(WHOLE))
@@ -147,7 +151,7 @@
     more = WHOLE["settings"]["TrafficTypes"][1]
     config.complete([more], [more, {key: more[key] for key in more if key not in OWN} | {"Effect": "safe"}])
     for key in OWN:
-        with pytest.raises(config.Senseless, match=rf"\[0\]\.{key}"):
+        with pytest.raises(config.ConfigurationError, match=rf"\[0\]\.{key}"):
             config.complete(
                 [WHOLE["settings"]["TrafficTypes"][0], more], [{k: v for k, v in more.items() if k != key}]
             )
@@ -249,11 +253,11 @@
             self.operators = free.getsockname()
         values = (
             {key: value for key, value in WHOLE.items() if key != "operator"}
-            | {"discovery": "%s:%d" % discovery_at, "listen": "%s:%d" % listener.getsockname()}
+            | {"discovery": "{}:{}".format(*discovery_at), "listen": "{}:{}".format(*listener.getsockname())}
             | more
         )
         (folder / "node.json").write_text(json.dumps(values))
-        self.log = open(folder / f"{len(list(folder.glob('*.log')))}.log", "w+b")
+        self.log = io.FileIO(folder / f"{len(list(folder.glob('*.log')))}.log", "w+b")
         self.process = subprocess.Popen(
             [sys.executable, "-m", "cottonspread", "serve", "--config", str(folder / "node.json")],
             cwd=ROOT,
@@ -263,7 +267,7 @@
             | {
                 "TMPDIR": str(folder),
                 "PROXY_INHERITED_FD": str(listener.fileno()),
-                "PROXY_OPERATOR": "%s:%d" % self.operators,
+                "PROXY_OPERATOR": "{}:{}".format(*self.operators),
             },
         )
 
@@ -372,7 +376,9 @@
             heard.append(client.hear())
             n += 1
 
-    talkers = [threading.Thread(target=talk, args=pair, daemon=True) for pair in zip(stands, said)]
+    talkers = [
+        threading.Thread(target=talk, args=pair, daemon=True) for pair in zip(stands[:6], said, strict=True)
+    ]
     for one in talkers:
         one.start()
     first.process.send_signal(signal.SIGTERM)
@@ -446,7 +452,7 @@
     """Two readers of one socket split its lines."""
     (ours, gatherer), done = service_ends, threading.Event()
     started = threading.Thread(
-        target=lambda: (pytest.raises(lines.LetGo, gatherer.lines), done.set()), daemon=True
+        target=lambda: (pytest.raises(lines.SocketReleasedError, gatherer.lines), done.set()), daemon=True
     )
     started.start()
     while not gatherer.idle:
