--- a/cottonspread/lab/scale/hollow_faults.py
+++ b/cottonspread/lab/scale/hollow_faults.py
@@ -28,7 +28,9 @@
 from cottonspread.lab.scale.results import FaultRow, FaultRun
 from cottonspread.lab.sim import troubles
 from cottonspread.lab.sim.clients import Clients
-from cottonspread.lab.sim.promises import Broken
+from cottonspread.lab.sim.node import NodeError
+from cottonspread.lab.sim.promises import BrokenPromiseError
+from cottonspread.lab.sim.seam import ContractError
 from cottonspread.lab.sim.world import SECOND
 
 AT_S = WARM_S + 1.0
@@ -278,7 +280,7 @@
         before, standing = fleet.metered(), len(fleet.clients.standing)
         fleet.world.run(round((AT_S + event.seconds) * SECOND))
         fleet.promises.at_the_end()
-    except Broken as fault:
+    except (BrokenPromiseError, ContractError, NodeError) as fault:
         broken = str(fault)
     lost, whole_at = len(fleet.clients.lost), fleet.clients.whole_at
     work = between(fleet.metered(), before)
