--- a/tests/scale/test_plots.py
+++ b/tests/scale/test_plots.py
@@ -36,11 +36,46 @@
         assert image.std() > 0.05  # not one colour
 
 
-def test_a_budget_and_a_target_change_the_plot(tmp_path, sweep):
-    (plain, _) = plots.write([sweep], tmp_path / "plain")
-    wanted = {("module-servers", "change_us"): [Mark("node: one change", 3000.0, 17_000.0)]}
-    (marked, _) = plots.write([sweep], tmp_path / "marked", wanted)
-    assert plain.read_bytes() != marked.read_bytes()
+@pytest.fixture
+def drawn(tmp_path, sweep, monkeypatch):
+    """Draws the first measure with these marks; its axis."""
+
+    def draw(*wanted):
+        figures = []
+        monkeypatch.setattr(plots.plt, "close", figures.append)
+        plots.draw(sweep, sweep.measures[0], tmp_path / "one.png", list(wanted))
+        monkeypatch.undo()
+        plots.plt.close(figures[0])
+        return figures[0].axes[0]
+
+    return draw
+
+
+def labels(axis):
+    return [text.get_text() for text in axis.get_legend().get_texts()]
+
+
+def test_points_and_fit_alone_end_at_the_largest_size(drawn):
+    axis = drawn()
+    assert labels(axis) == ["measured", "fit"]
+    assert max(axis.lines[1].get_xdata()) == pytest.approx(800)
+
+
+def test_a_target_past_the_sizes_played_is_a_formula(drawn):
+    axis = drawn(Mark("node: one change", 3000.0, None))
+    assert labels(axis) == ["measured", "fit", "formula", "target, not played"]
+    assert axis.lines[3].get_xdata() == [3000] and axis.lines[3].get_ydata() == pytest.approx([30_100])
+    assert labels(drawn(Mark("node: one change", 400.0, None))) == ["measured", "fit"]
+
+
+def test_a_budget_is_a_line_and_one_far_above_is_told_alone(drawn):
+    near = Mark("node: one change", 400.0, 17_000.0)
+    axis = drawn(near, near)
+    assert labels(axis) == ["measured", "fit", "budget 1.7e+04: node: one change"]
+    assert list(axis.lines[2].get_ydata()) == [17_000, 17_000]
+    axis = drawn(Mark("node: one change", 400.0, 1e9))
+    assert labels(axis)[-1] == "budget 1e+09, above: node: one change"
+    assert axis.get_ylim()[1] < 1e6
 
 
 def test_the_report_shows_every_plot_without_other_files(tmp_path, sweep, faults):
