--- a/cottonspread/cli/instance.py
+++ b/cottonspread/cli/instance.py
@@ -20,6 +20,7 @@
 from cottonspread import __version__, config
 from cottonspread.cli.known import Known
 from cottonspread.fleet import control
+from cottonspread.net import events as ev
 from cottonspread.net import logfmt
 from cottonspread.net.node import Node
 
@@ -33,7 +34,7 @@
     def __init__(self, told):
         self.told, self.name, self.generation = told, told["name"], told["generation"]
         self.start, self.live = json.loads(told["start"]), told["live"]
-        self.state, self.node, self.lines = "starting", None, []
+        self.state, self.node, self.lines, self.refused = "starting", None, [], None
         own = self.start["instance"]
         self.orphan = own["orphan_s"]
         self.lock = control.Lock(os.path.join(told["folder"], f"{self.name}.lock"))
@@ -45,7 +46,8 @@
 
     def read(self, live):
         """The parts of the node's configuration."""
-        return list(config.read_node(json.dumps(self.start["config"] | {"discovery": live["discovery"]}), {}))
+        own = {key: value for key, value in live.items() if key != "level"}
+        return list(config.read_node(json.dumps(self.start["config"] | own), {}))
 
     def run(self):
         self.selector = selectors.DefaultSelector()
@@ -94,7 +96,8 @@
         self.beat_at = time.monotonic()
         status = {
             "state": self.state,
-            "live": self.live,
+            "live": control.mark(self.live),
+            "refused": self.refused,
             "pid": os.getpid(),
             "version": __version__,
             **self.node.status(),
@@ -112,7 +115,7 @@
                 "hello": self.name,
                 "generation": self.generation,
                 "pid": os.getpid(),
-                "start": self.told["start"],
+                "start": self.told.get("spec", self.told["start"]),
                 "live": self.live,
             }
         )
@@ -163,11 +166,21 @@
         self.turn("leaving")
 
     def apply(self, live):
+        """Takes over another live part, all of it in one event of the reducer, or none of it."""
         said = json.loads(live)
+        try:
+            parts = self.read(said)
+        except config.Senseless as fault:
+            self.refused = {"live": control.mark(live), "why": str(fault)}
+            self.node.hasten(ev.NotRetuned())
+            log.error("reload", extra={"pairs": {"why": fault, "kept": "the old configuration"}})
+            self.tell()
+            return
         logging.getLogger("cottonspread").setLevel(said["level"].upper())
-        self.node.follow(self.read(said)[0].discovery)
-        self.live = live
-        log.info("reload", extra={"pairs": said})
+        self.node.retune(*parts[:-1])
+        self.live, self.refused = live, None
+        told = {key: said[key] for key in ("discovery", "level")}
+        log.info("reload", extra={"pairs": told | {"live": control.mark(live)}})
         self.tell()
 
 
--- a/cottonspread/config/operator.py
+++ b/cottonspread/config/operator.py
@@ -120,6 +120,16 @@
     watch_s: Annotated[
         float, key("live", "how long a changed instance is watched before the next is changed", ge=0, le=3600)
     ] = 5.0
+    live_watch_s: Annotated[
+        float,
+        key(
+            "live",
+            "the same for a change that running instances take over, at most watch_s: "
+            "first at_once of them, then all the others together",
+            ge=0,
+            le=3600,
+        ),
+    ] = 1.0
     worse_by: Annotated[
         float,
         key("live", "a rollout goes back when the share of calls that end badly rises by more", ge=0, le=1),
--- a/cottonspread/fleet/control.py
+++ b/cottonspread/fleet/control.py
@@ -3,6 +3,7 @@
 """
 
 import fcntl
+import hashlib
 import json
 import os
 import resource
@@ -12,6 +13,11 @@
 MOST_WAITING = 1 << 20  # bytes that a peer may leave unread
 
 
+def mark(text):
+    """A short name of a text: a status sent twice a second carries it instead of kilobytes of settings."""
+    return hashlib.sha256(text.encode()).hexdigest()[:16]
+
+
 class Line:
     """One end of a connection that carries JSON lines, never waiting.
 
--- a/cottonspread/fleet/core.py
+++ b/cottonspread/fleet/core.py
@@ -126,6 +126,8 @@
     at_ready: tuple = ()  # (ended, badly) when it began to be watched
     failed: str = ""
     applied: object = None  # the spec whose live part was last asked for
+    applied_at: int = 0  # when that was
+    takes_live: bool = True  # False: it did not take a live part over; a successor has to
 
 
 @dataclass(eq=False)
@@ -167,6 +169,8 @@
     why: str  # "reload", "upgrade", "restart NAME"
     todo: deque
     doing: dict = field(default_factory=dict)  # slot: when its change was ready; 0: it is not yet
+    live: set = field(default_factory=set)  # slots whose running process takes the change over
+    proved: bool = False  # one of those has been watched to its end
     back: str = ""  # going back, and why
     usual: float = 0.0  # the share of calls that ended badly before it
 
@@ -193,6 +197,7 @@
             for p in self.processes():
                 p.stepped, p.allowed_from = p.stepped + gap, max(p.began, p.allowed_from) + gap
                 p.told_leave += gap if p.told_leave else 0
+                p.applied_at += gap
         getattr(self, what)(*args)
         self.consider_all()
         out, self.out = self.out, []
@@ -258,6 +263,11 @@
         if status["steps"] != p.steps:
             p.steps, p.stepped = status["steps"], self.now
         p.seen = status
+        if status.get("live") == p.spec.live:  # its whole text: a program that takes over less than ours
+            p.takes_live = False
+        refused = status.get("refused")
+        if refused and p.applied and refused["live"] == p.applied.mark:
+            self.not_applied(slot, p, f"refused: {refused['why']}")
         if status["state"] != p.state:
             p.state, p.since = status["state"], self.now
             if p.state == SERVING and p is slot.next:
@@ -365,6 +375,25 @@
         slot.spec = spec
         slot.afresh()
         self.rollout.doing[slot] = 0
+        if self.can_apply(slot, spec):
+            self.rollout.live.add(slot)
+        else:
+            self.rollout.live.discard(slot)
+
+    @staticmethod
+    def can_apply(slot, spec):
+        """Whether the process that holds the name takes this spec over as it runs."""
+        p = slot.holder
+        return slot.serving() and p.takes_live and p.spec.start == spec.start and not slot.anew
+
+    def not_applied(self, slot, p, why):
+        """A live part was not taken over. On the way back, or outside of a rollout, a successor takes it."""
+        p.applied, r = None, self.rollout
+        self.say("not-applied", p, why=why, level="error")
+        if r and not r.back and slot in r.doing:
+            self.go_back(f"{slot.name}: {why}")
+        else:
+            p.takes_live = False
 
     def go_back(self, why):
         r = self.rollout
@@ -375,6 +404,7 @@
                 self.kill(slot.next, "going back")
         # Those that were under way are turned round at once.
         r.doing = {slot: 0 for slot in r.doing if slot.name in r.before.specs}
+        r.live.clear()
         self.target(r.before)
 
     def end_rollout(self, ok, why):
@@ -392,7 +422,7 @@
         """The next steps of a rollout: at most `at_once` under way, and
         none while as many others are not there.
         """
-        r, fleet = self.rollout, self.plan.fleet
+        r = self.rollout
         for slot, ready in list(r.doing.items()):
             if slot.gone or slot.drained:
                 del r.doing[slot]
@@ -405,11 +435,9 @@
                 if worse:
                     self.go_back(f"{slot.name}: {worse}")
                     return
-                if (
-                    self.now - (ready or self.now) >= (0 if r.back else fleet.watch_s * SECOND)
-                    and not slot.leaving
-                ):
+                if self.now - (ready or self.now) >= self.watch(slot) and not slot.leaving:
                     del r.doing[slot]
+                    r.proved = r.proved or slot in r.live
         # Those given up come back by nobody's waiting; to wait for them would
         # stop the very reload that mends them.
         away = [
@@ -417,18 +445,39 @@
             for s in self.slots.values()
             if not (s.serving() or s.drained or s.gone or s.given_up or s in r.doing)
         ]
-        while r.todo and len(r.doing) + len(away) < max(fleet.at_once, 1):
+        while r.todo and self.may_change(r.todo[0], len(away)):
             slot = r.todo.popleft()
             self.change(slot, self.plan.specs[slot.name])
         if not r.todo and not r.doing:
             self.end_rollout(not r.back, r.back)
 
+    def may_change(self, slot, away):
+        """Whether the next one's turn has come.
+
+        A successor costs its name a moment, and at most `at_once` have that. What running processes take
+        over costs none: once it has been watched on the first of them, all the others follow together, and
+        on the way back at once.
+        """
+        r = self.rollout
+        follows = r.proved or r.back
+        if follows and self.can_apply(slot, self.plan.specs[slot.name]):
+            return True
+        counted = sum(1 for other in r.doing if not (follows and other in r.live))
+        return counted + away < max(self.plan.fleet.at_once, 1)
+
+    def watch(self, slot):
+        """How long a changed instance is watched, in microseconds."""
+        fleet, r = self.plan.fleet, self.rollout
+        if r.back:
+            return 0
+        return (min(fleet.watch_s, fleet.live_watch_s) if slot in r.live else fleet.watch_s) * SECOND
+
     def changed(self, slot):
         p = slot.holder
         return (
             slot.serving()
             and p.spec.start == slot.spec.start
-            and (p.spec.live == slot.spec.live or p.seen.get("live") == slot.spec.live)
+            and (p.spec.live == slot.spec.live or p.seen.get("live") == slot.spec.mark)
         )
 
     def worse(self, p):
@@ -524,6 +573,8 @@
                 self.kill(p, f"not ready after {fleet.start_s:g} s")
         elif self.now - p.stepped > fleet.stuck_s * SECOND:
             self.kill(p, f"stuck: no step for {fleet.stuck_s:g} s")
+        elif p.applied and self.now - p.applied_at > fleet.start_s * SECOND:
+            self.not_applied(slot, p, f"not taken over after {fleet.start_s:g} s")
 
     def keep_up(self, slot):
         old, new, spec = slot.holder, slot.next, slot.spec
@@ -544,20 +595,35 @@
         if old is None:
             if not slot.given_up and self.now >= slot.not_before:
                 self.start(slot)
-        elif not old.told_leave and (old.spec.start != spec.start or slot.anew):
+        elif not old.told_leave and not self.fits(old, slot):
             if self.now >= slot.not_before and not slot.given_up:
                 self.start(slot)
-        elif old.spec.live != spec.live and old.applied != spec and not old.told_leave:
-            old.applied = spec
+        elif (
+            old.applied != spec
+            and not old.told_leave
+            and (old.spec.live != spec.live or old.takes_live and self.strays(old))
+        ):
+            old.applied, old.applied_at = spec, self.now
             self.out.append(Apply(slot.name, old.generation, spec))
         if (
             old is not None
             and old.applied is not None
-            and old.seen.get("live") == old.applied.live
+            and old.seen.get("live") == old.applied.mark
             and old.spec.start == old.applied.start
         ):
             old.spec, old.applied = old.applied, None
 
+    @staticmethod
+    def strays(p):
+        """Whether it runs under something else than is known of it: an order given up was obeyed late."""
+        return p.applied is None and p.seen.get("live", p.spec.mark) != p.spec.mark
+
+    @staticmethod
+    def fits(p, slot):
+        """Whether this process can become what its slot is to be."""
+        spec = slot.spec
+        return not slot.anew and p.spec.start == spec.start and (p.takes_live or p.spec.live == spec.live)
+
     def start(self, slot):
         # Forty interpreters that start at once are none of them ready in time.
         if (
--- a/cottonspread/fleet/plan.py
+++ b/cottonspread/fleet/plan.py
@@ -7,6 +7,7 @@
 """
 
 import errno
+import functools
 import json
 import os
 import socket
@@ -16,8 +17,14 @@
 
 from cottonspread import config
 from cottonspread.config import operator as op
+from cottonspread.fleet import control
 
-LIVE = ("discovery",)  # keys of the platform's JSON that a running instance takes over
+LIVE = (
+    "discovery",
+    "settings",
+    "load_lines",
+)  # keys of the platform's JSON that a running instance takes over
+FIXED = ("Me", "MembershipMode", "Weights")  # of the settings: a running node keeps what it started with
 
 
 @dataclass(frozen=True)
@@ -29,6 +36,11 @@
     start: str
     live: str
 
+    @functools.cached_property
+    def mark(self):
+        """What an instance calls the live part in its status, in place of its whole text."""
+        return control.mark(self.live)
+
 
 @dataclass(frozen=True)
 class Plan:
@@ -103,9 +115,10 @@
             place = check(canonical(own))[0]
         except (config.Senseless, ValueError, TypeError) as fault:
             raise op.Faults([f"{template}: {fault} (instance {name})"]) from fault
-        live = {key: own.pop(key) for key in LIVE} | {"level": log.level}
+        live = {key: own.pop(key) for key in LIVE if key in own} | {"level": log.level}
         start = {
             "config": own,
+            "fixed": {key: live["settings"].get(key) for key in FIXED},
             "format": log.format,
             "instance": msgspec.to_builtins(instance),
             "program": list(program),
--- a/cottonspread/fleet/supervisor.py
+++ b/cottonspread/fleet/supervisor.py
@@ -299,7 +299,8 @@
         told = {
             "name": name,
             "generation": generation,
-            "start": spec.start,
+            "start": with_live(spec),
+            "spec": spec.start,
             "live": spec.live,
             "folder": self.folder,
             "socket": path,
@@ -613,6 +614,13 @@
         }
 
 
+def with_live(spec):
+    """The starting part with its whole configuration: programs of earlier releases read it there."""
+    start, live = json.loads(spec.start), json.loads(spec.live)
+    start["config"] |= {key: live[key] for key in plans.LIVE if key in live}
+    return plans.canonical(start)
+
+
 def open_log(path):
     """The instance's log; where it cannot be opened the instance runs all the same."""
     try:
