--- a/cottonspread/cli/__init__.py
+++ b/cottonspread/cli/__init__.py
@@ -4,7 +4,7 @@
 import sys
 
 from cottonspread import config
-from cottonspread.cli import fleet, lab, node
+from cottonspread.cli import configuration, fleet, lab, node
 
 
 def main(arguments=None):
@@ -12,7 +12,7 @@
         prog="cottonspread", description="A balancer for long-lived connections."
     )
     commands = parser.add_subparsers(dest="command", required=True)
-    for group in (node, fleet, lab):
+    for group in (node, fleet, configuration, lab):
         group.add(commands)
     given = parser.parse_args(arguments)
     try:
--- /dev/null
+++ b/cottonspread/cli/configuration.py
@@ -0,0 +1,153 @@
+"""`configuration`: replicas of the configuration store, and what staff do with them."""
+
+import json
+import signal
+import socket
+
+from cottonspread import config
+from cottonspread.cli import node
+
+NO_QUORUM = 3  # exit code; 2 is that of a faulty file or argument, as everywhere
+
+
+def read_replicas(text):
+    """HOST:PORT,HOST:PORT,... as a tuple. Raises config.Senseless."""
+    from cottonspread.configstore.callers import read_address
+
+    names = tuple(name.strip() for name in text.split(",") if name.strip())
+    try:
+        for name in names:
+            read_address(name)
+    except ValueError as fault:
+        raise config.Senseless(f"replicas: {fault}") from fault
+    if not names or len(set(names)) < len(names):
+        raise config.Senseless(f"replicas: {text}: expected HOST:PORT,HOST:PORT,..., each once")
+    return names
+
+
+def serve(given):
+    """One replica, in the foreground."""
+    from cottonspread.configstore import server, storage
+    from cottonspread.configstore.callers import read_address
+    from cottonspread.fleet import control
+    from cottonspread.net import logfmt
+
+    name, peers = read_replicas(given.listen)[0], read_replicas(given.peers)
+    write_out = logfmt.start(name)
+    try:
+        control.raise_descriptors(server.CONNECTIONS_AT_MOST + 64)
+        listener = socket.create_server(read_address(name), backlog=server.BACKLOG)
+        replica = server.Server(name, listener, peers, given.state)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: replica.stop())
+        replica.run()
+        return 0
+    except (OSError, storage.StorageError) as fault:
+        raise config.Senseless(f"configuration: {name}: {fault}") from fault
+    finally:
+        write_out()
+
+
+def publish(given):
+    """A new version, or the rest of one that was left on its way."""
+    from cottonspread.configstore import driver
+    from cottonspread.configstore import publisher as core
+    from cottonspread.configstore.messages import BODY_AT_MOST
+
+    replicas = read_replicas(given.replicas)
+    if given.resume or given.withdraw:
+        order = core.Resume() if given.resume else core.Withdraw()
+    else:
+        text = node.text_of(node.named(given.file))
+        node.read_text(text)
+        if len(text) > BODY_AT_MOST:
+            raise config.Senseless(f"configuration: {len(text)} characters; {BODY_AT_MOST} are possible")
+        order = core.Publish(text, given.without_canaries)
+    done = driver.run(replicas, order, show_progress)
+    print(f"{done.outcome}: version {done.version}" + (f": {done.why}" if done.why else ""))
+    if done.outcome == core.Outcome.IN_FORCE:
+        return wait_for_nodes(replicas, done.version, given.wait)
+    return NO_QUORUM if done.outcome == core.Outcome.NO_QUORUM else 1
+
+
+def show_progress(progress):
+    """A line for each step."""
+    stage = f" {progress.stage.name.lower()}" if progress.stage else ""
+    version = f"version {progress.version}{stage}: " if progress.version else ""
+    print(f"{progress.step}: {version}{progress.text}", flush=True)
+
+
+def wait_for_nodes(replicas, version, wait):
+    """0 once no node that is heard is behind, 1 if some still are after so many seconds."""
+    import time
+
+    from cottonspread.configstore import driver, overview
+
+    until = time.monotonic() + wait
+    while True:
+        seen = overview.sum_up(driver.read_states(replicas, 1.0))
+        late = seen.behind + seen.refused
+        if seen.version > version or (seen.quorum and not late):
+            break
+        if time.monotonic() >= until:
+            break
+        time.sleep(0.05)
+    print("\n".join(overview.lines(seen)))
+    return 1 if late or not seen.quorum else 0
+
+
+def status(given):
+    """What is in force where; exit code 3 without a majority, 1 with nodes behind or refusing."""
+    import msgspec
+
+    from cottonspread.configstore import driver, overview
+
+    seen = overview.sum_up(driver.read_states(read_replicas(given.replicas), given.wait))
+    if given.json:
+        print(json.dumps(msgspec.to_builtins(seen), indent=1))
+    else:
+        print("\n".join(overview.lines(seen)))
+    if not seen.quorum:
+        return NO_QUORUM
+    return 1 if seen.behind or seen.refused else 0
+
+
+def add(commands):
+    """The sub-commands."""
+    group = commands.add_parser("configuration", help="one configuration carried to all nodes")
+    words = group.add_subparsers(dest="what", required=True)
+
+    one = words.add_parser("serve", help="run one replica in the foreground")
+    one.add_argument("--listen", required=True, metavar="HOST:PORT", help="its address, known to all")
+    one.add_argument("--peers", required=True, metavar="A,B", help="the addresses of the other replicas")
+    one.add_argument("--state", required=True, metavar="DIR", help="its folder, on a disk that stays")
+    one.set_defaults(run=serve)
+
+    one = words.add_parser("publish", help="bring a platform's JSON into force everywhere, canaries first")
+    add_replicas(one)
+    one.add_argument("file", nargs="?", metavar="FILE")
+    order = one.add_mutually_exclusive_group()
+    order.add_argument("--resume", action="store_true", help="go on with a version left at its stage")
+    order.add_argument("--withdraw", action="store_true", help="withdraw a version left at its canaries")
+    one.add_argument("--without-canaries", action="store_true", help="to all nodes at once")
+    one.add_argument(
+        "--wait",
+        type=float,
+        default=5.0,
+        metavar="S",
+        help="for all nodes, once it is committed; default: %(default)s",
+    )
+    one.set_defaults(run=publish)
+
+    one = words.add_parser("status", help="which version is in force where")
+    add_replicas(one)
+    one.add_argument("--json", action="store_true")
+    one.add_argument(
+        "--wait", type=float, default=2.0, metavar="S", help="for a replica; default: %(default)s"
+    )
+    one.set_defaults(run=status)
+
+
+def add_replicas(command):
+    """The argument that all but one have."""
+    command.add_argument("--replicas", required=True, metavar="A,B,C", help="HOST:PORT of all replicas")
--- a/cottonspread/cli/node.py
+++ b/cottonspread/cli/node.py
@@ -1,6 +1,7 @@
 """`serve`, `check` and `version`: one node."""
 
 import errno
+import json
 import logging
 import os
 import queue
@@ -57,25 +58,29 @@
     # from the first moment: one that came during the start killed it
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: asked.put(ask_to_stop))
-    force = InForce(path)
-    parts, listener = list(force.parts), None
+    own = operator(operators)
+    force = InForce(path, own[3].own if own and own[3] else ())
+    listener = None
     if os.environ.get("PROXY_INHERITED_FD"):
         from cottonspread.cli import succession  # what a node that owns its listener need not load
 
         listener = succession.inherited(os.environ)
-    follows, own = None, operator(operators)
-    write_out = (
-        logfmt.start(parts[0].name, own[0].level.upper(), own[0].format)
-        if own
-        else logfmt.start(parts[0].name)
-    )
+    follows = follower = None
+    name = force.parts[0].name
+    write_out = logfmt.start(name, own[0].level.upper(), own[0].format) if own else logfmt.start(name)
     manager, told = notify.Manager(), False
+    parts = list(force.parts)
     try:
+        if own and own[3]:
+            follower = follow_configuration(own[3], operators, force, asked)
+            parts = list(force.parts)
         follows = succession.Succession(parts) if listener else None
         node = Node(
             *parts, keep=follows and follows.known.keep, ended=lambda: asked.put(lambda node, force: None)
         )
         node.start(listener)
+        if follower:
+            follower.start()
         while not node.join(0):
             if follows:
                 follows.look(node)
@@ -92,22 +97,74 @@
         print(f"cottonspread: {where}: {what}", file=sys.stderr)
         return 1
     finally:
+        if follower:
+            follower.stop()
         write_out()
 
 
 class InForce:
-    """The configuration that the node runs under: `values` as the file in force has them,
-    `parts` as the node started with them.
+    """The configuration that the node runs under: `values` as it is in force, `parts` as the node started
+    with them.
+
+    `carried`: the text that the configuration store told, which then stands for the file but for its
+    keys `own`.
     """
 
-    def __init__(self, path):
-        self.path = path
+    def __init__(self, path, own=()):
+        self.path, self.own, self.carried = path, own, None
         self.values, self.parts = self.read()
 
     def read(self):
+        """(values, parts) of what is to be in force now."""
+        return self.read_carried(self.carried)
+
+    def read_carried(self, carried):
+        """As `read`, were this carried; raises config.Senseless where no node can run under it."""
         text = text_of(self.path)
+        if carried is not None:
+            body = config.parse(carried, "configuration")
+            text = json.dumps(config.with_own(body, config.parse(text, "configuration"), self.own))
         return config.parse(text, "configuration"), read_text(text, os.environ)
 
+    def begin_with(self, carried):
+        """Before the node is there."""
+        self.values, self.parts = self.read_carried(carried)
+        self.carried = carried
+
+
+def follow_configuration(section, operators, force, asked):
+    """The follower of the configuration store, not yet started; it hands `asked` what is to be done."""
+    from cottonspread.configstore.client import Client  # what a node without the section does not load
+
+    def check(record):
+        values, _ = force.read_carried(record.body)
+        config.complete(force.values, values)
+
+    def apply(record, done):
+        asked.put(lambda node, force: done(*take_over(node, force, record.body)))
+
+    folder = os.path.join(os.path.dirname(os.path.abspath(operators)), section.state)
+    name = section.node or force.parts[0].name
+    try:
+        follower = Client(name, tuple(section.replicas), folder, check, apply)
+    except OSError as fault:
+        raise config.Senseless(f"configuration.state: {folder}: {fault}") from fault
+    if follower.saved:
+        try:
+            force.begin_with(follower.saved.body)
+        except config.Senseless as fault:  # the file is what there is; the follower tells why
+            log.error("saved-configuration", extra={"pairs": {"why": fault, "kept": "the file"}})
+    return follower
+
+
+def take_over(node, force, carried):
+    """Puts what the configuration store told into force, as SIGHUP does with a file: (ok, why)."""
+    before, force.carried = force.carried, carried
+    why = reload(node, force)
+    if why:
+        force.carried = before
+    return not why, why
+
 
 def report(manager, node, told):
     """To the service manager: ready once a list is known and a PING answered;
@@ -129,7 +186,7 @@
 def reload(node, force):
     """SIGHUP: the file is read whole and checked whole, then taken over in one event.
 
-    Whatever stands in it, the node goes on.
+    Whatever stands in it, the node goes on. Why nothing was taken over, or empty.
     """
     try:
         values, parts = force.read()
@@ -137,11 +194,11 @@
     except config.Senseless as fault:
         node.hasten(ev.NotRetuned())
         log.error("reload", extra={"pairs": {"why": fault, "kept": "the old configuration"}})
-        return
-    except Exception:  # our own fault
+        return str(fault)
+    except Exception as fault:  # our own
         node.hasten(ev.NotRetuned())
         log.exception("fault", extra={"pairs": {"while": "reload"}})
-        return
+        return f"our own fault: {type(fault).__name__}: {fault}"
     place, room, _, _, begin, _ = parts
     was, had, _, _, old, _ = force.parts  # what cannot change while it runs is as it was then
     node.retune(*parts[:-1])
@@ -165,6 +222,7 @@
             | ({"at_next_start": ",".join(kept)} if kept else {})
         },
     )
+    return ""
 
 
 def check(path, operators=None):
--- a/cottonspread/config/__init__.py
+++ b/cottonspread/config/__init__.py
@@ -15,6 +15,7 @@
     parse,
     read_begin,
     read_node,
+    with_own,
 )
 
 __all__ = [
@@ -28,4 +29,5 @@
     "parse",
     "read_begin",
     "read_node",
+    "with_own",
 ]
--- a/cottonspread/config/operator.py
+++ b/cottonspread/config/operator.py
@@ -137,7 +137,32 @@
     worse_of: Annotated[int, key("live", "ended calls before that share is judged", ge=1)] = 20
 
 
-SECTIONS = {"log": Log, "instance": Instance, "fleet": Fleet}
+class Configuration(msgspec.Struct, frozen=True, kw_only=True):
+    """Where the platform's JSON comes from, besides the file: see docs/guide/configuration.md."""
+
+    replicas: Annotated[
+        tuple[Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]+:[1-9]\d{0,4}$")], ...],
+        key("new", "HOST:PORT of each replica of the configuration store", min_length=1, max_length=7),
+    ]
+    state: Annotated[
+        str, key("new", "the folder that keeps what is in force for the next start", min_length=1)
+    ] = "configuration"
+    node: Annotated[
+        str,
+        key(
+            "new",
+            "what this machine is called in the store, once in all; empty: the node's or the fleet's name",
+            pattern="^[A-Za-z0-9._:-]{0,128}$",
+        ),
+    ] = ""
+    own: Annotated[
+        tuple[str, ...],
+        key("new", "keys of the platform's JSON that stay as this machine's own file has them"),
+    ] = ("name", "listen", "operator", "seed", "limits", "known", "settings.Me", "settings.Zone")
+
+
+SECTIONS = {"log": Log, "instance": Instance, "fleet": Fleet, "configuration": Configuration}
+OPTIONAL = {"fleet", "configuration"}  # None where the file has no such section
 
 
 class Faults(Senseless):
@@ -184,17 +209,19 @@
 
 
 def read_text(text, path="operator"):
-    """(Log, Instance, Fleet or None, what was set) from the text of a file."""
+    """(Log, Instance, Fleet or None, Configuration or None, what was set) from the text of a file."""
     try:
         whole = tomllib.loads(text)
     except (tomllib.TOMLDecodeError, RecursionError) as fault:
         raise Faults([f"{path}: no TOML: {fault}"]) from fault
     faults = [(word, "unknown section" + near(word, SECTIONS)) for word in whole.keys() - SECTIONS.keys()]
     parts = [
-        read_section(name, kind, whole.get(name, {}), faults) if name in whole or name != "fleet" else None
+        read_section(name, kind, whole.get(name, {}), faults)
+        if name in whole or name not in OPTIONAL
+        else None
         for name, kind in SECTIONS.items()
     ]
-    fleet = parts[-1]
+    fleet = parts[2]
     if fleet:
         faults += [(f"fleet.{k}", what) for k, what in across(fleet)]
     if faults:
@@ -237,7 +264,7 @@
 
 def read_fleet(path):
     """As `read`, of a file that must have the section [fleet]: (Log, Instance, Fleet)."""
-    log, instance, fleet, _ = read(path)
+    log, instance, fleet, *_ = read(path)
     if fleet is None:
         raise Faults([f"{path}: fleet: missing: this command needs the section [fleet]"])
     return log, instance, fleet
--- a/cottonspread/config/platform.py
+++ b/cottonspread/config/platform.py
@@ -284,6 +284,34 @@
     return place, room, names, hearing, begin, known
 
 
+# A configuration made for all nodes
+
+
+def with_own(carried, own, keys):
+    """A configuration made for all nodes as one of them is to have it, both as parsed JSON.
+
+    `keys` ("name", "settings.Me") stay as the node's own file has them, or absent where it has none.
+    """
+    if not isinstance(carried, dict):
+        raise Senseless("configuration: not an object")
+    whole = dict(carried)
+    for key in keys:
+        section, _, word = key.rpartition(".")
+        if section:
+            part, source = whole.get(section), own.get(section)
+            if not isinstance(part, dict):
+                raise Senseless(f"{section}: not an object")
+            part = dict(part)
+            whole[section] = part
+        else:
+            part, source = whole, own
+        if isinstance(source, dict) and word in source:
+            part[word] = source[word]
+        else:
+            part.pop(word, None)
+    return whole
+
+
 # A node that runs gets another file
 
 KEYED = ["KeyScope", "KeyTtl"]  # of a traffic type; only one that is `keyed` needs them
--- /dev/null
+++ b/cottonspread/configstore/client.py
@@ -0,0 +1,162 @@
+"""A follower's shell: a thread around `follower.Follower`, its calls in threads of `callers`.
+
+The node gives two functions, both called in this shell's thread:
+
+- `check(record)` reads the record whole and changes nothing; config.Senseless where it cannot be in force.
+- `apply(record, done)` puts it into force and calls `done(ok, why)` once, at any time, from any thread.
+
+What is in force is kept in one file of the state folder, for the next start.
+"""
+
+import logging
+import os
+import queue
+import random
+import threading
+from collections.abc import Callable
+
+from cottonspread.config import Senseless
+from cottonspread.configstore import follower as core
+from cottonspread.configstore import messages as m
+from cottonspread.configstore import storage
+from cottonspread.configstore.callers import CallError, Callers, now
+
+log = logging.getLogger("cottonspread.configstore")
+
+TICK = 1.0
+"""Seconds that the thread waits at most."""
+LEVELS = {
+    core.Told.IN_FORCE: logging.INFO,
+    core.Told.BACK: logging.INFO,
+    core.Told.REFUSED: logging.ERROR,
+    core.Told.DISTRUSTED: logging.ERROR,
+    core.Told.CUT_OFF: logging.WARNING,
+}
+
+
+class Client:
+    """Follows the configuration for one node, from `start` until `stop`."""
+
+    def __init__(self, node: str, replicas: tuple[str, ...], folder: str, check: Callable, apply: Callable):
+        """`replicas`: HOST:PORT each. Raises OSError where the folder cannot be made."""
+        os.makedirs(folder, exist_ok=True)
+        self.node = node
+        self._path = os.path.join(folder, f"{node}.configuration.json")
+        self._check, self._apply = check, apply
+        self._core = core.Follower(node, replicas, random.Random(f"{node} {os.getpid()}").random)
+        self._callers, self._inbox, self._stopped = Callers(), queue.SimpleQueue(), threading.Event()
+        self._view = self._core.view(now())
+        self._saved, self._saved_why = self._read_saved()
+
+    def _read_saved(self) -> tuple[m.Record | None, str]:
+        try:
+            record = storage.read(self._path, m.Record)
+            if record is not None and not record.is_sound():
+                raise storage.StorageError(f"{self._path}: damaged record")
+        except storage.StorageError as fault:
+            log.error("saved-configuration", extra={"pairs": {"why": fault, "kept": "none"}})
+            return None, str(fault)
+        return record, ""
+
+    @property
+    def saved(self) -> m.Record | None:
+        """What was in force when the process before this one ended, as far as the file tells."""
+        return self._saved
+
+    def view(self) -> core.View:
+        """How it stood after the last event."""
+        return self._view
+
+    def start(self) -> None:
+        """Begins to follow."""
+        threading.Thread(target=self._run, daemon=True, name="configuration").start()
+
+    def stop(self) -> None:
+        """Nothing is put into force any more; calls that are out end."""
+        self._stopped.set()
+        self._callers.stop()
+        self._inbox.put(core.Tick())
+
+    def judged(self, version: int, ok: bool, why: str = "") -> None:
+        """The node finds itself well or ill with this version."""
+        self._inbox.put(core.Judged(version, ok, why[: m.WHY_AT_MOST]))
+
+    def _run(self) -> None:
+        event = core.Started(self._saved, self._saved_why)
+        while not self._stopped.is_set():
+            try:
+                self._tell(event)
+            except Exception:  # our own: in plain sight, and the node follows on
+                log.exception("fault", extra={"pairs": {"while": type(event).__name__}})
+            event = self._next()
+
+    def _next(self) -> core.Event:
+        wait = max(0.0, min(TICK, (self._core.wake_at - now()) / m.SECOND))
+        try:
+            return self._inbox.get(timeout=wait)
+        except queue.Empty:
+            return core.Tick()
+
+    def _tell(self, event: core.Event) -> None:
+        events = [event]
+        while events and not self._stopped.is_set():
+            for effect in self._core.step(now(), events.pop(0)):
+                follows = self._carry_out(effect)
+                if follows is not None:
+                    events.append(follows)
+        self._view = self._core.view(now())
+
+    def _carry_out(self, effect: core.Effect) -> core.Event | None:
+        match effect:
+            case core.Ask():
+                self._ask(effect)
+            case core.Check():
+                return self._checked(effect.record)
+            case core.Save():
+                return self._save(effect.record)
+            case core.Apply():
+                self._put_into_force(effect.record)
+            case core.Notice():
+                pairs = {"what": effect.what.value, "version": effect.version}
+                pairs |= {"why": effect.why} if effect.why else {}
+                log.log(LEVELS[effect.what], "configuration", extra={"pairs": pairs})
+        return None
+
+    def _ask(self, effect: core.Ask) -> None:
+        def done(outcome):
+            if isinstance(outcome, CallError):
+                self._inbox.put(core.Failed(effect.call, str(outcome)))
+            else:
+                self._inbox.put(core.Answered(effect.call, outcome))
+
+        self._callers.call(effect.replica, effect.request, effect.deadline, done)
+
+    def _checked(self, record: m.Record) -> core.Checked:
+        try:
+            self._check(record)
+        except Senseless as fault:
+            return core.Checked(False, str(fault)[: m.WHY_AT_MOST])
+        except Exception as fault:  # our own
+            log.exception("fault", extra={"pairs": {"while": "check"}})
+            return core.Checked(False, f"our own fault: {type(fault).__name__}: {fault}"[: m.WHY_AT_MOST])
+        return core.Checked(True)
+
+    def _save(self, record: m.Record | None) -> core.Saved:
+        try:
+            if record is None:
+                storage.remove(self._path)
+            else:
+                storage.write(self._path, record)
+        except OSError as fault:
+            return core.Saved(False, f"not saved: {fault}"[: m.WHY_AT_MOST])
+        return core.Saved(True)
+
+    def _put_into_force(self, record: m.Record) -> None:
+        def done(ok: bool, why: str = "") -> None:
+            self._inbox.put(core.Applied(ok, why[: m.WHY_AT_MOST]))
+
+        try:
+            self._apply(record, done)
+        except Exception as fault:  # our own
+            log.exception("fault", extra={"pairs": {"while": "apply"}})
+            done(False, f"our own fault: {type(fault).__name__}: {fault}")
--- /dev/null
+++ b/cottonspread/configstore/overview.py
@@ -0,0 +1,150 @@
+"""What staff are shown: the replicas' states summed up, and where each node stands. Pure."""
+
+from dataclasses import dataclass
+
+from cottonspread.configstore import messages as m
+from cottonspread.configstore.seen import RECENT
+
+NAMES_AT_MOST = 10
+"""Nodes named in each group; the rest is a number."""
+
+
+@dataclass(frozen=True)
+class ReplicaLine:
+    """One replica."""
+
+    name: str
+    up: bool
+    why: str = ""
+    generation: int = 0
+    version: int = 0
+    stage: str = ""
+    majority_age_us: int | None = None
+
+
+@dataclass(frozen=True)
+class NodeLine:
+    """One node that is not in force, and why."""
+
+    name: str
+    version: int
+    age_us: int
+    why: str = ""
+
+
+@dataclass(frozen=True)
+class Overview:
+    """All of it. Each node heard of is in exactly one of the five."""
+
+    version: int
+    stage: str
+    quorum: bool
+    replicas: list[ReplicaLine]
+    in_force: int
+    waiting: list[NodeLine]
+    """At stage CANARY: nodes whose turn has not come."""
+    behind: list[NodeLine]
+    refused: list[NodeLine]
+    not_heard: list[NodeLine]
+
+
+def sum_up(states: dict) -> Overview:
+    """`states`: by replica its StateReply, or the fault of its call."""
+    replies = [state for state in states.values() if isinstance(state, m.StateReply)]
+    committed = max(
+        (reply.committed for reply in replies if reply.committed is not None),
+        key=lambda record: record.generation,
+        default=None,
+    )
+    groups = {"in_force": [], "waiting": [], "behind": [], "refused": [], "not_heard": []}
+    for heard in newest_reports(replies):
+        groups[group_of(heard, committed)].append(
+            NodeLine(heard.report.node, heard.report.in_force, heard.age_us, heard.report.why)
+        )
+    return Overview(
+        version=committed.version if committed else 0,
+        stage=committed.stage.name.lower() if committed else "",
+        quorum=len(replies) > len(states) // 2,
+        replicas=[replica_line(name, state) for name, state in states.items()],
+        in_force=len(groups.pop("in_force")),
+        **groups,
+    )
+
+
+def newest_reports(replies: list[m.StateReply]) -> list[m.HeardReport]:
+    """The newest word of each node, by name; of an open watch it is of now."""
+    newest = {}
+    for reply in replies:
+        for heard in reply.reports:
+            known = newest.get(heard.report.node)
+            if known is None or heard.age_us < known.age_us:
+                newest[heard.report.node] = heard
+    watched = {heard.report.node for reply in replies for heard in reply.reports if heard.watching}
+    return [
+        m.HeardReport(report=heard.report, age_us=heard.age_us, watching=name in watched)
+        for name, heard in sorted(newest.items())
+    ]
+
+
+def group_of(heard: m.HeardReport, committed: m.Record | None) -> str:
+    """Where a node stands."""
+    report = heard.report
+    if not heard.watching and heard.age_us > RECENT or report.cut_off:
+        return "not_heard"
+    if committed is None:
+        return "waiting"
+    if committed.version in (report.refused, report.failing):
+        return "refused"
+    if committed.stage != m.Stage.WITHDRAWN and report.in_force == committed.version:
+        return "in_force"
+    return "behind" if committed.reaches(report.node) else "waiting"
+
+
+def replica_line(name: str, state) -> ReplicaLine:
+    """One replica's part."""
+    if not isinstance(state, m.StateReply):
+        return ReplicaLine(name, up=False, why=str(state))
+    committed = state.committed
+    return ReplicaLine(
+        name,
+        up=True,
+        generation=state.committed_generation,
+        version=committed.version if committed else 0,
+        stage=committed.stage.name.lower() if committed else "",
+        majority_age_us=state.majority_age_us,
+    )
+
+
+def lines(overview: Overview) -> list[str]:
+    """The same as text."""
+    stage = f" at stage {overview.stage}" if overview.stage else ""
+    out = [
+        f"version {overview.version}{stage}; "
+        + ("a majority of replicas is up" if overview.quorum else "no majority of replicas is up"),
+        f"in force at {overview.in_force} nodes",
+    ]
+    for what, nodes in (
+        ("waiting for the next stage", overview.waiting),
+        ("behind", overview.behind),
+        ("refused", overview.refused),
+        ("not heard, or cut off", overview.not_heard),
+    ):
+        if nodes:
+            out.append(f"{what}: {len(nodes)}")
+            out += [f"  {node_text(node)}" for node in nodes[:NAMES_AT_MOST]]
+            out += [f"  and {len(nodes) - NAMES_AT_MOST} more"] if len(nodes) > NAMES_AT_MOST else []
+    return out + [replica_text(one) for one in overview.replicas]
+
+
+def node_text(node: NodeLine) -> str:
+    """One node."""
+    why = f": {node.why}" if node.why else ""
+    return f"{node.name} version {node.version}, heard {node.age_us / m.SECOND:.1f} s ago{why}"
+
+
+def replica_text(one: ReplicaLine) -> str:
+    """One replica."""
+    if not one.up:
+        return f"replica {one.name}: does not answer: {one.why}"
+    age = "never" if one.majority_age_us is None else f"{one.majority_age_us / m.SECOND:.1f} s ago"
+    return f"replica {one.name}: version {one.version} {one.stage}, one of a majority {age}"
--- /dev/null
+++ b/cottonspread/configstore/server.py
@@ -0,0 +1,336 @@
+"""A replica's shell: one thread and one loop around `replica.Replica`.
+
+Listens on one TCP address for HTTP/1.1, one request at a time on a connection. Of a request's head only
+method, target, Content-Length and Connection are read; every size and time is bounded. Its storage is
+one file (see `storage`), written before anything that depends on it is acknowledged. Calls to the other
+replicas are made by threads of `callers`, which hand their outcomes to the loop.
+"""
+
+import contextlib
+import logging
+import os
+import queue
+import random
+import selectors
+import socket
+from collections.abc import Callable
+
+from cottonspread.configstore import messages as m
+from cottonspread.configstore import replica as core
+from cottonspread.configstore import storage
+from cottonspread.configstore.callers import POST_PATHS, WATCH_PATH, CallError, Callers, now
+
+log = logging.getLogger("cottonspread.configstore")
+
+STATE_FILE = "replica.json"
+HEAD_AT_MOST = 8 * 1024
+"""Bytes of a request's head: twice the longest query and the usual headers."""
+UNREAD_AT_MOST = 32 * 1024 * 1024
+"""Bytes of all requests that have come in part, together."""
+CONNECTIONS_AT_MOST = core.WATCHES_AT_MOST + core.READERS_AT_MOST + core.WRITES_WAITING
+REQUEST_WAIT = 5 * m.SECOND
+"""For the rest of a request that has begun."""
+REPLY_WAIT = 10 * m.SECOND
+"""For a peer to take its reply."""
+IDLE_WAIT = 60 * m.SECOND
+"""For the next request on a connection."""
+SWEEP = 1 * m.SECOND
+"""Between two looks at these times."""
+TICK = 0.25
+"""Seconds that the loop waits at most."""
+BACKLOG = 1024
+POSTS = {path: kind for kind, path in POST_PATHS.items()}
+REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 503: "Service Unavailable"}
+
+
+class RequestError(ValueError):
+    """A request that cannot be served; `status` is HTTP's."""
+
+    def __init__(self, status: int, why: str):
+        super().__init__(why)
+        self.status = status
+
+
+class Connection:
+    """One peer: what came of its request, what is to be sent, and the request that is being served."""
+
+    def __init__(self, sock: socket.socket, at: int):
+        self.sock, self.data, self.unsent = sock, b"", b""
+        self.request: int | None = None
+        self.since = at
+        """When it last began to wait, for bytes or for its reply to be taken."""
+        self.closing = False
+
+    def take_request(self):
+        """(method, target, body) of a request that is whole, or None. Raises RequestError."""
+        head, end, rest = self.data.partition(b"\r\n\r\n")
+        if not end:
+            if len(self.data) > HEAD_AT_MOST:
+                raise RequestError(400, "the head is too long")
+            return None
+        method, target, size = self._read_head(head)
+        if len(rest) < size:
+            return None
+        self.data = rest[size:]
+        return method, target, rest[:size]
+
+    def _read_head(self, head: bytes):
+        if len(head) > HEAD_AT_MOST:
+            raise RequestError(400, "the head is too long")
+        first, *lines = head.decode("latin-1").split("\r\n")
+        words = first.split(" ")
+        if len(words) != 3 or not words[2].startswith("HTTP/1."):
+            raise RequestError(400, "no request line")
+        headers = {}
+        for line in lines:
+            name, _, value = line.partition(":")
+            headers[name.strip().lower()] = value.strip()
+        size = headers.get("content-length", "0")
+        if "transfer-encoding" in headers or not size.isascii() or not size.isdigit() or len(size) > 9:
+            raise RequestError(400, "the length cannot be read")
+        if int(size) > m.MESSAGE_AT_MOST:
+            raise RequestError(400, "the body is too long")
+        self.closing = words[2] == "HTTP/1.0" or headers.get("connection", "").lower() == "close"
+        return words[0], words[1], int(size)
+
+
+def read_message(method: str, target: str, body: bytes):
+    """The message that a request carries. Raises RequestError."""
+    path, _, query = target.partition("?")
+    try:
+        if method == "GET" and path == WATCH_PATH:
+            return m.from_query(query)
+        if method == "POST" and path in POSTS:
+            return m.decode(body, POSTS[path])
+    except m.MessageError as fault:
+        raise RequestError(400, str(fault)) from fault
+    raise RequestError(404, f"{method} {path[:100]}: not known here")
+
+
+class Server:
+    """A replica that listens.
+
+    `run` serves until `stop`, which may be called from any thread or signal.
+    """
+
+    def __init__(self, name: str, listener: socket.socket, peers: tuple[str, ...], folder: str, chance=None):
+        """`name` and `peers`: HOST:PORT. Raises storage.StorageError, OSError."""
+        self._path = os.path.join(folder, STATE_FILE)
+        os.makedirs(folder, exist_ok=True)
+        state = storage.read(self._path, m.ReplicaState) or m.ReplicaState()
+        chance = chance or random.Random(f"{name} {os.getpid()}").random
+        self.core = core.Replica(name, peers, state, chance)
+        self._listener, self._selector = listener, selectors.DefaultSelector()
+        self._connections: dict[socket.socket, Connection] = {}
+        self._asking: dict[int, Connection] = {}
+        self._requests, self._unread, self._swept, self._stopped = 0, 0, 0, False
+        self._callers, self._inbox = Callers(), queue.SimpleQueue()
+        self._wake, self._ring = socket.socketpair()
+        for sock in (self._wake, self._ring, listener):
+            sock.setblocking(False)
+
+    def stop(self) -> None:
+        """The loop ends soon."""
+        self._stopped = True
+        self._rouse()
+
+    def _rouse(self) -> None:
+        with contextlib.suppress(OSError):  # full: it is awake
+            self._ring.send(b"x")
+
+    def run(self) -> None:
+        """Serves until `stop`."""
+        self._selector.register(self._listener, selectors.EVENT_READ, self._accept)
+        self._selector.register(self._wake, selectors.EVENT_READ, self._woken)
+        state = self.core.state
+        log.info("serving", extra={"pairs": {"version": state.committed.version if state.committed else 0}})
+        self._tell(core.Tick())
+        try:
+            while not self._stopped:
+                self._turn()
+        finally:
+            self._close_all()
+
+    def _turn(self) -> None:
+        wait = max(0.0, min(TICK, (self.core.wake_at - now()) / m.SECOND))
+        for key, mask in self._selector.select(wait):
+            if self._selector.get_map().get(key.fd) is key:  # not closed by what came before it
+                self._guarded(key.data, mask)
+        while not self._inbox.empty():
+            self._tell(self._inbox.get())
+        if now() >= self.core.wake_at:
+            self._tell(core.Tick())
+        if now() - self._swept >= SWEEP:
+            self._sweep()
+
+    @staticmethod
+    def _guarded(what: Callable, mask: int) -> None:
+        """Our own faults: in plain sight, and the replica goes on."""
+        try:
+            what(mask)
+        except Exception:
+            log.exception("fault", extra={"pairs": {"while": getattr(what, "__qualname__", "event")}})
+
+    def _woken(self, mask: int) -> None:
+        self._wake.recv(4096)
+
+    def _close_all(self) -> None:
+        self._callers.stop()
+        for connection in list(self._connections.values()):
+            self._drop(connection)
+        for sock in (self._listener, self._wake, self._ring):
+            sock.close()
+        self._selector.close()
+
+    # The core
+
+    def _tell(self, event: core.Event) -> None:
+        events = [event]
+        while events:
+            for effect in self.core.step(now(), events.pop(0)):
+                follows = self._carry_out(effect)
+                if follows is not None:
+                    events.append(follows)
+
+    def _carry_out(self, effect: core.Effect) -> core.Event | None:
+        match effect:
+            case core.Store():
+                return self._store(effect)
+            case core.Reply():
+                self._reply(effect.request, 200, m.encode(effect.message))
+            case core.TurnAway():
+                self._reply(effect.request, 503, effect.why.encode())
+            case core.AskPeer():
+                self._ask_peer(effect)
+        return None
+
+    def _store(self, effect: core.Store) -> core.Stored:
+        try:
+            storage.write(self._path, effect.state)
+        except OSError as fault:
+            log.error("not-stored", extra={"pairs": {"why": fault}})
+            return core.Stored(effect.token, False, str(fault)[: m.WHY_AT_MOST])
+        return core.Stored(effect.token, True)
+
+    def _ask_peer(self, effect: core.AskPeer) -> None:
+        def done(outcome):
+            if isinstance(outcome, CallError):
+                self._inbox.put(core.PeerFailed(effect.call, str(outcome)))
+            else:
+                self._inbox.put(core.PeerAnswered(effect.call, outcome))
+            self._rouse()
+
+        self._callers.call(effect.peer, effect.message, effect.deadline, done)
+
+    # Connections
+
+    def _accept(self, mask: int) -> None:
+        try:
+            sock = self._listener.accept()[0]
+        except OSError:  # gone again, or no descriptor is free
+            return
+        if len(self._connections) >= CONNECTIONS_AT_MOST:
+            sock.close()
+            return
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = Connection(sock, now())
+        self._connections[sock] = connection
+        self._selector.register(sock, selectors.EVENT_READ, lambda mask: self._ready(connection, mask))
+
+    def _ready(self, connection: Connection, mask: int) -> None:
+        if mask & selectors.EVENT_WRITE:
+            self._send(connection)
+        if mask & selectors.EVENT_READ and connection.sock in self._connections:
+            self._receive(connection)
+
+    def _receive(self, connection: Connection) -> None:
+        try:
+            data = connection.sock.recv(65536)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        # Who sends on while its request is served is out of step.
+        if not data or connection.request is not None or connection.unsent:
+            self._drop(connection)
+            return
+        if not connection.data:
+            connection.since = now()
+        self._unread += len(data)
+        connection.data += data
+        if self._unread > UNREAD_AT_MOST:
+            self._drop(connection)
+            return
+        self._take_request(connection)
+
+    def _take_request(self, connection: Connection) -> None:
+        before = len(connection.data)
+        try:
+            request = connection.take_request()
+            self._unread -= before - len(connection.data)
+            if request is None:
+                return
+            message = read_message(*request)
+        except RequestError as fault:
+            connection.closing = True
+            self._answer(connection, fault.status, str(fault).encode())
+            return
+        self._requests += 1
+        connection.request = self._requests
+        self._asking[self._requests] = connection
+        self._tell(core.Asked(self._requests, message))
+
+    def _reply(self, request: int, status: int, body: bytes) -> None:
+        connection = self._asking.pop(request, None)
+        if connection is not None:
+            connection.request = None
+            self._answer(connection, status, body)
+
+    def _answer(self, connection: Connection, status: int, body: bytes) -> None:
+        more = "Retry-After: 1\r\n" if status == 503 else ""
+        more += "Connection: close\r\n" if connection.closing else ""
+        kind = "application/json" if status == 200 else "text/plain"
+        head = f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Type: {kind}\r\n{more}"
+        connection.unsent += f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+        connection.since = now()
+        self._send(connection)
+
+    def _send(self, connection: Connection) -> None:
+        try:
+            while connection.unsent:
+                connection.unsent = connection.unsent[connection.sock.send(connection.unsent) :]
+        except BlockingIOError:
+            pass
+        except OSError:
+            self._drop(connection)
+            return
+        if connection.closing and not connection.unsent:
+            self._drop(connection)
+            return
+        wanted = selectors.EVENT_READ | (selectors.EVENT_WRITE if connection.unsent else 0)
+        key = self._selector.get_key(connection.sock)
+        if key.events != wanted:
+            self._selector.modify(connection.sock, wanted, key.data)
+
+    def _drop(self, connection: Connection) -> None:
+        if self._connections.pop(connection.sock, None) is None:
+            return
+        self._unread -= len(connection.data)
+        self._selector.unregister(connection.sock)
+        connection.sock.close()
+        if connection.request is not None:
+            del self._asking[connection.request]
+            self._tell(core.Gone(connection.request))
+
+    def _sweep(self) -> None:
+        self._swept = now()
+        for connection in list(self._connections.values()):
+            if connection.unsent:
+                wait = REPLY_WAIT
+            elif connection.request is not None:
+                continue  # the core ends it in its time
+            else:
+                wait = REQUEST_WAIT if connection.data else IDLE_WAIT
+            if self._swept - connection.since > wait:
+                self._drop(connection)
--- a/cottonspread/fleet/plan.py
+++ b/cottonspread/fleet/plan.py
@@ -71,13 +71,15 @@
     return state, beside(path, fleet.logs) if fleet.logs else os.path.join(state, "log")
 
 
-def read(path, program, check=lambda text: config.read_node(text, {})):
+def read(path, program, check=lambda text: config.read_node(text, {}), carried=None):
     """The plan that the files give now.
 
     Raises config.Senseless, naming file and key. `check(text)` reads an instance's JSON: the parts of
-    config.read_node, or config.Senseless.
+    config.read_node, or config.Senseless. `carried`: what the configuration store told, which stands for
+    the template but for the keys that are this machine's own.
     """
     log, instance, fleet = op.read_fleet(path)
+    section = op.read(path)[3]
     template = beside(path, fleet.config)
     try:
         with open(template, encoding="utf-8") as file:
@@ -85,6 +87,8 @@
     except (OSError, UnicodeDecodeError) as fault:
         raise op.Faults([f"{path}: fleet.config: {template}: {fault}"]) from fault
     whole = config.parse(text, template)
+    if carried is not None and isinstance(whole, dict):
+        whole = config.with_own(config.parse(carried, "configuration"), whole, section.own if section else ())
     if not isinstance(whole, dict) or not isinstance(whole.get("settings"), dict):
         raise op.Faults([f"{template}: settings: expected an object"])
     if not isinstance(whole.get("discovery"), str):
--- a/cottonspread/fleet/supervisor.py
+++ b/cottonspread/fleet/supervisor.py
@@ -18,7 +18,7 @@
 
 from cottonspread import config
 from cottonspread.config import operator as op
-from cottonspread.fleet import control, notify
+from cottonspread.fleet import carrying, control, notify
 from cottonspread.fleet import plan as plans
 from cottonspread.fleet.core import Apply, Core, Door, Forget, Kill, Leave, Outcome, Over, Say, Start, Take
 from cottonspread.lists.saved import write_whole
@@ -46,6 +46,7 @@
     def __init__(self, path, program, check):
         self.path, self.own_program, self.check = os.path.abspath(path), tuple(program), check
         self.logging, _, self.fleet = op.read_fleet(self.path)
+        self.follower = carrying.Carrying(self) if op.read(self.path)[3] else None
         self.folder, self.logs = plans.folders(self.path, self.fleet)
         self.manager, self.selector, self.timers = notify.Manager(), selectors.DefaultSelector(), []
         self.sockets, self.doors, self.guests = {}, {}, {}  # by address; by name; by socket
@@ -81,7 +82,9 @@
         self.room(self.fleet.instances)
         kept = self.kept()
         self.program = tuple(kept.get("program") or self.own_program)
-        plan = plans.read(self.path, self.program, self.check)
+        if self.follower:
+            self.follower.prepare()
+        plan = self.read_plan(self.program)
         found = self.find_instances()
         self.bind(plan)
         self.core = Core(now(), plan)
@@ -94,6 +97,11 @@
             self.follow(name, generation, sock)
         self.tell("settle")
 
+    def read_plan(self, program):
+        """The plan of files and carried configuration now."""
+        carried = self.follower.wanted if self.follower else None
+        return plans.read(self.path, program, self.check, carried)
+
     def bind(self, plan):
         """The addresses that are not held yet."""
         self.sockets |= plans.bind_all(s for s in plan.specs.values() if s.address not in self.sockets)
@@ -193,6 +201,8 @@
             signal.signal(number, lambda n, _: signals.append(n))
         self.selector.register(wake, selectors.EVENT_READ, lambda: wake.recv(4096))
         self.tell("tick")
+        if self.follower:
+            self.follower.start()
         self.at(0, self.regularly)
         if self.manager.every:
             self.at(0, self.alive)
@@ -209,7 +219,11 @@
             while self.timers and self.timers[0][0] <= time.monotonic():
                 self.guarded(heapq.heappop(self.timers)[2])
             self.connect_waiting()
+            if self.follower:
+                self.guarded(self.follower.look)
             self.tell("tick")
+        if self.follower:
+            self.follower.stop()
         self.close_up()
         control.unlink(os.path.join(self.folder, "fleet.sock"))
         return 0
@@ -549,7 +563,7 @@
     def change(self, program, why, line):
         if self.core.stopping:
             raise config.Senseless("the fleet is stopping")
-        plan = plans.read(self.path, program, self.check)
+        plan = self.read_plan(program)
         fixed = [
             key
             for key, _, meta in op.fields(op.Fleet)
@@ -559,6 +573,12 @@
             raise op.Faults(
                 [f"{self.path}: fleet.{key}: only a new supervisor takes this over" for key in fixed]
             )
+        if self.follower and op.read(self.path)[3] != self.follower.section:
+            raise op.Faults([f"{self.path}: configuration: only a new supervisor takes this over"])
+        self.begin(plan, why, line)
+
+    def begin(self, plan, why, line):
+        """`line`, if any, is told the outcome."""
         self.bind(plan)
         if line:
             self.answers.append((plan, line))
@@ -607,6 +627,7 @@
             "pid": os.getpid(),
             "ready": self.core.ready(),
             "program": list(self.core.plan.program),
+            "configuration": self.follower.status() if self.follower else None,
             "rollout": {"of": r.why, "to_do": len(r.todo), "under_way": len(r.doing), "going_back": r.back}
             if r
             else None,
--- a/cottonspread/lists/saved.py
+++ b/cottonspread/lists/saved.py
@@ -9,10 +9,10 @@
 log = logging.getLogger("cottonspread.lists")
 
 
-def write_whole(path, text):
+def write_whole(path, text, sync_folder=False):
     """The file is the old one or the new one, never half of it.
 
-    Raises OSError; nothing is left behind then.
+    `sync_folder`: after a power cut it is the new one, too. Raises OSError; nothing is left behind then.
     """
     beside = f"{path}.{os.getpid()}.new"
     try:
@@ -21,6 +21,8 @@
             file.flush()
             os.fsync(file.fileno())
         os.replace(beside, path)
+        if sync_folder:
+            sync(os.path.dirname(os.path.abspath(path)))
     except OSError:
         try:
             os.unlink(beside)
@@ -29,6 +31,15 @@
         raise
 
 
+def sync(folder):
+    """What was renamed and removed in the folder is so after a power cut. Raises OSError."""
+    opened = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(opened)
+    finally:
+        os.close(opened)
+
+
 class Saved:
     """Keeps what discovery tells, as its JSON. A disk that takes nothing
     costs a log line, and the node goes on.
--- a/cottonspread/net/http.py
+++ b/cottonspread/net/http.py
@@ -1,4 +1,4 @@
-"""A small HTTP/1.1 client for one address: GET only, answers bounded in size and time."""
+"""A small HTTP/1.1 client for one address: GET, and POST of JSON; answers bounded in size and time."""
 
 import socket
 import time
@@ -39,10 +39,18 @@
         """The body of the answer, within `wait` seconds for all of it; OSError or
         BadAnswer if there is none.
         """
+        return self.ask(path, wait, None)
+
+    def post(self, path, wait, body):
+        """As `get`, with JSON as bytes. It may be sent twice, so only what may come twice goes this way."""
+        return self.ask(path, wait, body)
+
+    def ask(self, path, wait, body):
+        """What `get` and `post` have in common; `body`: None for GET."""
         kept = self.sock is not None
         try:
             try:
-                return self.call(path, wait)
+                return self.call(path, wait, body)
             except BadStatus:
                 raise
             except (ConnectionError, BadAnswer):
@@ -50,12 +58,12 @@
                 if not kept or self.sock is None or self.rest or self.given_up:
                     raise
                 self.close()
-                return self.call(path, wait)
+                return self.call(path, wait, body)
         except (OSError, BadAnswer):
             self.close()
             raise
 
-    def call(self, path, wait):
+    def call(self, path, wait, body=None):
         self.until = time.monotonic() + wait
         if self.sock is None:
             self.sock = socket.create_connection(self.address, timeout=min(wait, self.connect_wait))
@@ -63,7 +71,10 @@
         if self.given_up:  # just while it was connecting
             raise ConnectionAbortedError("given up")
         host = "%s:%d" % self.address
-        self.sock.sendall(f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode())
+        method, size = ("GET", "") if body is None else ("POST", f"Content-Length: {len(body)}\r\n")
+        head = f"{method} {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n{size}\r\n"
+        self.sock.settimeout(wait)
+        self.sock.sendall(head.encode() + (body or b""))
         status, headers = self.head()
         while 100 <= status < 200:
             status, headers = self.head()
--- /dev/null
+++ b/tests/configstore/shells.py
@@ -0,0 +1,202 @@
+"""Real replicas, nodes and followers on loopback, for the tests of the shells. Every wait is for what is to
+happen, with a bound.
+"""
+
+import importlib.util
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+from cottonspread import cli
+from cottonspread.configstore.client import Client
+
+ROOT = Path(__file__).parent.parent.parent
+WAIT = 20
+
+
+def until(true, what, wait=WAIT):
+    """Until that is so; AssertionError after `wait` seconds."""
+    end = time.monotonic() + wait
+    while not (said := true()):
+        assert time.monotonic() < end, what() if callable(what) else what
+        time.sleep(0.01)
+    return said
+
+
+def free_ports(count):
+    """Ports that nobody listens on now, under those that the system gives out itself."""
+    found = []
+    for port in range(15_000 + os.getpid() * 37 % 5_000, 21_000):
+        try:
+            socket.create_server(("127.0.0.1", port)).close()
+        except OSError:
+            continue
+        found.append(port)
+        if len(found) == count:
+            return found
+    raise AssertionError("no free ports")
+
+
+def toy():
+    """A discovery with one server behind it: its address."""
+    spec = importlib.util.spec_from_file_location("toy", ROOT / "examples" / "toy.py")
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    one, listener = module.Toy(1), socket.create_server(("127.0.0.1", 0))
+    threading.Thread(target=one.accept, args=(listener, one.discover), daemon=True).start()
+    return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def configuration(**settings):
+    """The platform's JSON of the example, with these settings besides, as parsed."""
+    whole = json.loads((ROOT / "examples" / "node.json").read_text())
+    whole["settings"] |= settings
+    return whole
+
+
+def types(*names):
+    """Traffic types with these names."""
+    first = configuration()["settings"]["TrafficTypes"][0]
+    return [{**first, "Name": name} for name in names]
+
+
+class Store:
+    """Three replicas as processes, and what watches them."""
+
+    def __init__(self, folder):
+        self.folder, self.ports = folder, free_ports(3)
+        self.names = [f"127.0.0.1:{port}" for port in self.ports]
+        self.replicas, self.nodes, self.followers = [None] * 3, [], []
+        for n in range(3):
+            self.start(n)
+
+    @property
+    def all(self):
+        """As the command line takes them."""
+        return ",".join(self.names)
+
+    def process(self, log, *words):
+        """The command as a process."""
+        with open(self.folder / log, "ab") as out:
+            return subprocess.Popen(
+                [sys.executable, "-m", "cottonspread", *words], cwd=ROOT, stdout=out, stderr=out
+            )
+
+    def start(self, n):
+        """Replica n."""
+        peers = ",".join(name for name in self.names if name != self.names[n])
+        words = ("--listen", self.names[n], "--peers", peers, "--state", str(self.folder / f"r{n}"))
+        self.replicas[n] = self.process(f"r{n}.log", "configuration", "serve", *words)
+
+    def kill(self, n):
+        """Replica n, as by a power cut."""
+        self.replicas[n].kill()
+        self.replicas[n].wait(WAIT)
+
+    def command(self, capsys, *words):
+        """Exit code and output of `cottonspread configuration ...`."""
+        capsys.readouterr()
+        code = cli.main(["configuration", words[0], "--replicas", self.all, *words[1:]])
+        said = capsys.readouterr()
+        return code, said.out + said.err
+
+    def status(self, capsys):
+        """As JSON."""
+        _, said = self.command(capsys, "status", "--json", "--wait", "1")
+        return json.loads(said)
+
+    def publish(self, capsys, whole, *words):
+        """Exit code and output."""
+        file = self.folder / "next.json"
+        file.write_text(json.dumps(whole))
+        return self.command(capsys, "publish", str(file), *words)
+
+    def until_heard(self, capsys, count):
+        """Until the replicas that are up have heard of so many nodes."""
+        groups = "waiting", "behind", "refused"
+
+        def heard():
+            status = self.status(capsys)
+            return status["quorum"] and status["in_force"] + sum(len(status[g]) for g in groups) >= count
+
+        until(heard, lambda: f"heard of {count} nodes: {self.status(capsys)}")
+
+    def operator(self, name, more="", **keys):
+        """An operator's file with the section for this store."""
+        keys = {"replicas": self.names, "state": f"kept-{name}", **keys}
+        path = self.folder / f"{name}.toml"
+        text = "".join(f"{key} = {json.dumps(value)}\n" for key, value in keys.items())
+        path.write_text(f"{more}[configuration]\n{text}")
+        return path
+
+    def follower(self, name, check=lambda record: None, apply=lambda record, done: done(True)):
+        """A bare one in this process."""
+        client = Client(name, tuple(self.names), str(self.folder / name), check, apply)
+        client.start()
+        self.followers.append(client)
+        return client
+
+    def end(self):
+        """Of all."""
+        for client in self.followers:
+            client.stop()
+        for process in [*self.nodes, *self.replicas]:
+            if process.poll() is None:
+                process.send_signal(signal.SIGTERM)
+        for process in [*self.nodes, *self.replicas]:
+            try:
+                process.wait(WAIT)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+                raise
+
+
+class ServeNode:
+    """`cottonspread serve` with the section."""
+
+    def __init__(self, store, name, discovery, **settings):
+        self.store, self.name, self.port = store, name, free_ports(4)[-1]
+        self.file = store.folder / f"{name}.json"
+        own = {"name": name, "listen": f"127.0.0.1:{self.port}", "discovery": discovery}
+        whole = configuration(**settings) | own
+        del whole["operator"]
+        self.file.write_text(json.dumps(whole))
+        self.toml = store.operator(name)
+        self.start()
+
+    def start(self):
+        """Anew."""
+        words = ("serve", "--config", str(self.file), "--operator", str(self.toml))
+        self.process = self.store.process(f"{self.name}.log", *words)
+        self.store.nodes.append(self.process)
+        until(lambda: self.takes("chat"), lambda: self.log())
+
+    def log(self):
+        """All of it."""
+        return (self.store.folder / f"{self.name}.log").read_text()
+
+    def opens(self, kind):
+        """The first word of its answer to a call of this type."""
+        try:
+            with socket.create_connection(("127.0.0.1", self.port), timeout=5) as sock:
+                sock.sendall(b"OPEN i%d k c=%s,d=20\r\n" % (time.monotonic_ns(), kind.encode()))
+                return sock.makefile("rb").readline().decode().strip()
+        except OSError as fault:
+            return str(fault)
+
+    def takes(self, kind):
+        """Whether it opens a connection of this type."""
+        return self.opens(kind).startswith("UP")
+
+    def knows(self, kind):
+        """Whether this type is in its configuration: one that is not is answered ERR, a slow server BUSY."""
+        answer = self.opens(kind)
+        assert answer.split(" ")[0] in ("UP", "BUSY", "ERR"), answer
+        return not answer.startswith("ERR")
