--- a/tests/configstore/shells.py
+++ b/tests/configstore/shells.py
@@ -14,6 +14,8 @@
 from pathlib import Path
 
 from cottonspread import cli
+from cottonspread.configstore import driver
+from cottonspread.configstore import messages as m
 from cottonspread.configstore.client import Client
 
 ROOT = Path(__file__).parent.parent.parent
@@ -29,30 +31,42 @@
     return said
 
 
+PORTS = iter(range(15_000 + os.getpid() * 40 % 5_000, 21_000))
+
+
 def free_ports(count):
-    """Ports that nobody listens on now, under those that the system gives out itself."""
+    """Ports in a row that nobody listens on, under those that the system gives out, and none given twice:
+    who is to listen there may not do so yet.
+    """
     found = []
-    for port in range(15_000 + os.getpid() * 37 % 5_000, 21_000):
+    while len(found) < count:
+        port = next(PORTS)
         try:
             socket.create_server(("127.0.0.1", port)).close()
         except OSError:
+            found = []
             continue
         found.append(port)
-        if len(found) == count:
-            return found
-    raise AssertionError("no free ports")
+    return found
 
 
-def toy():
-    """A discovery with one server behind it: its address."""
+def toy(port=0):
+    """A discovery with one server behind it: its address. `port`: where it listens; 0: anywhere."""
     spec = importlib.util.spec_from_file_location("toy", ROOT / "examples" / "toy.py")
     module = importlib.util.module_from_spec(spec)
     spec.loader.exec_module(module)
-    one, listener = module.Toy(1), socket.create_server(("127.0.0.1", 0))
+    one, listener = module.Toy(1), socket.create_server(("127.0.0.1", port))
     threading.Thread(target=one.accept, args=(listener, one.discover), daemon=True).start()
     return f"127.0.0.1:{listener.getsockname()[1]}"
 
 
+def two_toys():
+    """Two of them on ports in a row: the first's address."""
+    first, second = free_ports(2)
+    toy(second)
+    return toy(first)
+
+
 def configuration(**settings):
     """The platform's JSON of the example, with these settings besides, as parsed."""
     whole = json.loads((ROOT / "examples" / "node.json").read_text())
@@ -117,15 +131,15 @@
         file.write_text(json.dumps(whole))
         return self.command(capsys, "publish", str(file), *words)
 
-    def until_heard(self, capsys, count):
-        """Until the replicas that are up have heard of so many nodes."""
-        groups = "waiting", "behind", "refused"
+    def until_heard(self, count):
+        """Until so many nodes watch two replicas each, so that any majority has heard of all of them."""
 
-        def heard():
-            status = self.status(capsys)
-            return status["quorum"] and status["in_force"] + sum(len(status[g]) for g in groups) >= count
+        def watches():
+            states = driver.read_states(tuple(self.names), 1.0).values()
+            replies = [state for state in states if isinstance(state, m.StateReply)]
+            return sum(heard.watching for reply in replies for heard in reply.reports)
 
-        until(heard, lambda: f"heard of {count} nodes: {self.status(capsys)}")
+        until(lambda: watches() >= 2 * count, lambda: f"{watches()} watches of {count} nodes")
 
     def operator(self, name, more="", **keys):
         """An operator's file with the section for this store."""
@@ -162,7 +176,7 @@
     """`cottonspread serve` with the section."""
 
     def __init__(self, store, name, discovery, **settings):
-        self.store, self.name, self.port = store, name, free_ports(4)[-1]
+        self.store, self.name, self.port = store, name, free_ports(1)[0]
         self.file = store.folder / f"{name}.json"
         own = {"name": name, "listen": f"127.0.0.1:{self.port}", "discovery": discovery}
         whole = configuration(**settings) | own
--- /dev/null
+++ b/tests/configstore/test_shell_server.py
@@ -0,0 +1,232 @@
+"""A replica's shell alone: requests in pieces, faulty ones, peers that are slow, silent or too many, and its
+storage.
+"""
+
+import os
+import socket
+import threading
+
+import pytest
+import shells
+
+from cottonspread.configstore import messages as m
+from cottonspread.configstore import server, storage
+from cottonspread.configstore.callers import CallError, Callers, now
+
+RECORD = m.make_record(1, 1, m.Stage.EVERYWHERE, 0, '{"a": "\u00e9"}')
+ACCEPT = m.Accept(base=m.NOWHERE, record=RECORD)
+WATCH = m.WatchRequest(since=0, timeout_ms=5_000, report=m.NodeReport(node="n1"))
+
+
+class Running:
+    """A replica in a thread, without the others."""
+
+    def __init__(self, folder):
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.address = listener.getsockname()
+        self.server = server.Server("r0", listener, ("127.0.0.1:1", "127.0.0.1:2"), str(folder))
+        self.thread = threading.Thread(target=self.server.run)
+        self.thread.start()
+
+    def connect(self, data=b""):
+        sock = socket.create_connection(self.address, timeout=shells.WAIT)
+        sock.sendall(data)
+        return sock
+
+    def end(self):
+        self.server.stop()
+        self.thread.join(shells.WAIT)
+        assert not self.thread.is_alive()
+
+
+@pytest.fixture
+def running(tmp_path):
+    made = Running(tmp_path / "state")
+    yield made
+    made.end()
+
+
+def post(path, body, more=""):
+    head = f"POST /api/configuration/{path} HTTP/1.1\r\nHost: x\r\n{more}Content-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def watch(request=WATCH):
+    return f"GET /api/configuration?{m.to_query(request)} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+
+
+def answer(sock):
+    """(status, body) of the next one; (0, b"") at the connection's end."""
+    file = sock.makefile("rb")
+    first = file.readline()
+    if not first:
+        return 0, b""
+    size = 0
+    while line := file.readline().strip():
+        if line.lower().startswith(b"content-length:"):
+            size = int(line.split(b":")[1])
+    return int(first.split()[1]), file.read(size)
+
+
+def test_a_request_means_the_same_however_it_is_cut():
+    whole = post("accept", m.encode(ACCEPT))
+    for cut in range(1, len(whole)):
+        connection = server.Connection(None, 0)
+        connection.data = whole[:cut]
+        assert connection.take_request() is None, cut
+        connection.data += whole[cut:] + b"next"
+        method, target, body = connection.take_request()
+        assert server.read_message(method, target, body) == ACCEPT and connection.data == b"next"
+
+
+@pytest.mark.parametrize(
+    "data, status, said",
+    [
+        (b"nonsense\r\n\r\n", 400, b"no request line"),
+        (b"GET " + b"x" * 10_000, 400, b"head is too long"),
+        (b"GET / HTTP/1.1\r\n\r\n", 404, b"not known"),
+        (b"GET /api/configuration?since=x HTTP/1.1\r\n\r\n", 400, b"query"),
+        (post("accept", b"{}"), 400, b"Accept"),
+        (post("accept", b"\xff\xfe"), 400, b"Accept"),
+        (post("nothing", b"{}"), 404, b"not known"),
+        (post("accept", b"", "Transfer-Encoding: chunked\r\n"), 400, b"length"),
+        (b"POST /api/configuration/state HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400, b"length"),
+        (b"POST /api/configuration/state HTTP/1.1\r\nContent-Length: 5000000\r\n\r\n", 400, b"too long"),
+    ],
+)
+def test_a_request_that_cannot_be_served_is_told_why_and_the_replica_goes_on(running, data, status, said):
+    with running.connect(data) as sock:
+        got, body = answer(sock)
+        assert got == status and said in body
+        assert answer(sock) == (0, b""), "closed"
+    with running.connect(post("state", b"{}")) as sock:
+        assert answer(sock)[0] == 200
+
+
+def test_a_watch_waits_for_a_commit_and_one_whose_peer_has_gone_is_forgotten(running):
+    sockets = [running.connect(watch()) for _ in range(3)]
+    shells.until(lambda: running.server.core.watches == 3, "three wait")
+    sockets.pop().close()
+    shells.until(lambda: running.server.core.watches == 2, "one has gone")
+    with running.connect(post("accept", m.encode(ACCEPT))) as sock:
+        assert m.decode(answer(sock)[1], m.AcceptReply).accepted
+        sock.sendall(post("commit", m.encode(m.Commit(record=RECORD))))
+        assert m.decode(answer(sock)[1], m.CommitReply).committed, "on the same connection"
+    for sock in sockets:
+        assert m.decode(answer(sock)[1], m.Answer).record == RECORD
+        sock.close()
+
+
+def test_slow_silent_and_idle_peers_are_given_up(running, monkeypatch):
+    waits = {"REQUEST_WAIT": b"GET /api", "IDLE_WAIT": b""}
+    for name, data in waits.items():
+        others = waits.keys() - {name}
+        with monkeypatch.context() as patch:
+            patch.setattr(server, "SWEEP", 10_000)
+            patch.setattr(server, name, 100_000)
+            for other in others:
+                patch.setattr(server, other, 3600 * m.SECOND)
+            with running.connect(data) as sock:
+                assert answer(sock) == (0, b""), name
+
+
+def test_a_peer_that_does_not_take_its_reply_is_given_up_and_a_watch_is_not(running, monkeypatch):
+    monkeypatch.setattr(server, "SWEEP", 10_000)
+    for name in ("REPLY_WAIT", "REQUEST_WAIT", "IDLE_WAIT"):
+        monkeypatch.setattr(server, name, 100_000)
+    body = '"' + "x" * (m.BODY_AT_MOST - 2) + '"'
+    record = m.make_record(1, 1, m.Stage.EVERYWHERE, 0, body)
+    running.server.core.state = m.ReplicaState(accepted=record, committed=record, good=record)
+    later = m.WatchRequest(since=1, timeout_ms=2_000, report=m.NodeReport(node="n1"))
+    with running.connect(watch(later)) as waits, running.connect() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        connection = shells.until(
+            lambda: next(iter(list(running.server._connections.values())[1:]), None), ""
+        )
+        connection.unsent = b"x" * 20_000_000  # more than the kernel takes
+        sock.sendall(post("state", b"{}"))
+        shells.until(lambda: connection.sock not in running.server._connections, "given up")
+        assert answer(waits)[0] == 200, "a watch may take longer than any of these"
+
+
+def test_more_connections_than_there_is_room_for_are_closed(running, monkeypatch):
+    monkeypatch.setattr(server, "CONNECTIONS_AT_MOST", 2)
+    with running.connect(watch()) as one, running.connect(watch()) as other:
+        shells.until(lambda: running.server.core.watches == 2, "two wait")
+        with running.connect() as third:
+            assert answer(third) == (0, b"")
+        other.close()
+        shells.until(lambda: running.server.core.watches == 1, "one has gone")
+        with running.connect(post("state", b"{}")) as third:
+            assert answer(third)[0] == 200
+        assert one.fileno() >= 0
+
+
+def test_bytes_that_have_come_in_part_are_bounded_over_all_connections(running, monkeypatch):
+    monkeypatch.setattr(server, "UNREAD_AT_MOST", 3_000)
+    part = b"POST /api/configuration/accept HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" + b"x" * 2_000
+    with running.connect(part) as held:
+        shells.until(lambda: running.server._unread == len(part), "held")
+        with running.connect(part) as over:
+            assert answer(over) == (0, b"")
+        assert running.server._unread == len(part)
+        held.close()
+    shells.until(lambda: running.server._unread == 0, "given back")
+
+
+def test_what_is_acknowledged_is_on_the_disk(running, tmp_path):
+    with running.connect(post("accept", m.encode(ACCEPT))) as sock:
+        assert m.decode(answer(sock)[1], m.AcceptReply).accepted
+        path = str(tmp_path / "state" / server.STATE_FILE)
+        assert storage.read(path, m.ReplicaState) == m.ReplicaState(accepted=RECORD)
+
+
+def test_what_cannot_be_stored_is_not_acknowledged(running, monkeypatch):
+    def full(path, message):
+        raise OSError("No space left on device")
+
+    monkeypatch.setattr(storage, "write", full)
+    with running.connect(post("accept", m.encode(ACCEPT))) as sock:
+        reply = m.decode(answer(sock)[1], m.AcceptReply)
+        assert not reply.accepted and "No space left" in reply.why
+    monkeypatch.undo()
+    with running.connect(post("accept", m.encode(ACCEPT))) as sock:
+        assert m.decode(answer(sock)[1], m.AcceptReply).accepted
+
+
+def test_a_file_is_whole_synced_with_its_folder_and_refused_with_any_byte_changed(tmp_path, monkeypatch):
+    path, synced, fsync = str(tmp_path / "x.json"), [], os.fsync
+
+    def watched(file):
+        synced.append(os.readlink(f"/proc/self/fd/{file}"))
+        fsync(file)
+
+    monkeypatch.setattr(os, "fsync", watched)
+    storage.write(path, RECORD)
+    assert synced[0].startswith(path) and synced[1] == str(tmp_path) and len(synced) == 2
+    assert storage.read(path, m.Record) == RECORD and os.listdir(tmp_path) == ["x.json"]
+    with open(path, "rb") as file:
+        good = file.read()
+    for n in range(len(good) - 1):  # the last is the end of the line
+        for bad in (good[:n], good[:n] + bytes([good[n] ^ 1]) + good[n + 1 :]):
+            with open(path, "wb") as file:
+                file.write(bad)
+            with pytest.raises(storage.StorageError):
+                storage.read(path, m.Record)
+    storage.remove(path)
+    storage.remove(path)
+    assert storage.read(path, m.Record) is None
+
+
+def test_calls_end_in_time_and_all_at_a_stop():
+    silent = socket.create_server(("127.0.0.1", 0))
+    name = f"127.0.0.1:{silent.getsockname()[1]}"
+    callers, told = Callers(), []
+    callers.call(name, m.ReadState(), now() + 200_000, told.append)
+    shells.until(lambda: told, "the first has run out")
+    callers.call(name, m.ReadState(), now() + 3600 * m.SECOND, told.append)
+    callers.stop()
+    shells.until(lambda: len(told) == 2, "the second is given up")
+    callers.call("127.0.0.1:1", m.ReadState(), now() + m.SECOND, told.append)
+    assert [type(one) for one in told] == [CallError] * 3
+    silent.close()
--- a/tests/configstore/test_shell_store.py
+++ b/tests/configstore/test_shell_store.py
@@ -19,7 +19,7 @@
     discovery = shells.toy()
     nodes = [shells.ServeNode(store, f"n{n}", discovery) for n in range(2)]
     followers = [store.follower(f"bare-{n}") for n in range(4)]
-    store.until_heard(capsys, 6)
+    store.until_heard(6)
     good = shells.configuration(TrafficTypes=shells.types("chat", "other")) | {"discovery": discovery}
 
     code, said = store.publish(capsys, good)
@@ -33,14 +33,14 @@
     faulty = json.loads(json.dumps(good))
     del faulty["settings"]["Rules"]
     refusing = [store.follower(f"strict-{n}", check=refuse) for n in range(30)]
-    store.until_heard(capsys, 36)
+    store.until_heard(36)
     code, said = store.publish(capsys, faulty)
     assert code == 1 and "withdrawn: version 3" in said, said
     assert "missing" in said or "as played" in said
     status = store.status(capsys)
     assert (status["version"], status["stage"]) == (3, "everywhere")
     assert all(node.knows("other") for node in nodes)
-    assert all(client.view().version in (1, 3) for client in followers + refusing)
+    shells.until(lambda: {one.view().version for one in followers + refusing} == {3}, "all have version 3")
 
 
 def refuse(record):
@@ -52,7 +52,7 @@
     discovery = shells.toy()
     node = shells.ServeNode(store, "n0", discovery)
     follower = store.follower("bare")
-    store.until_heard(capsys, 2)
+    store.until_heard(2)
     body = shells.configuration(TrafficTypes=shells.types("chat", "second")) | {"discovery": discovery}
 
     store.kill(0)
@@ -79,14 +79,14 @@
     assert node.knows("second"), "what was in force is so from the first moment on"
     for n in range(3):
         store.start(n)
-    store.until_heard(capsys, 2)
+    store.until_heard(2)
     code, said = store.publish(capsys, shells.configuration() | {"discovery": discovery})
     assert code == 0 and not node.knows("second") and node.knows("chat"), said
 
 
 def test_a_replica_whose_file_is_damaged_does_not_start_and_the_others_go_on(store, capsys):
     store.follower("bare")
-    store.until_heard(capsys, 1)
+    store.until_heard(1)
     assert store.publish(capsys, shells.configuration())[0] == 0
     shells.until(lambda: all(r["version"] == 1 for r in store.status(capsys)["replicas"]), "all have it")
     store.kill(2)
@@ -105,7 +105,7 @@
 def test_a_publisher_that_died_is_gone_on_with(store, capsys):
     held = []
     followers = [store.follower(f"bare-{n}", apply=lambda record, done: held.append(done)) for n in range(2)]
-    store.until_heard(capsys, 2)
+    store.until_heard(2)
     file = store.folder / "next.json"
     file.write_text(json.dumps(shells.configuration()))
     words = "configuration", "publish", "--replicas", store.all, str(file)
