--- a/cottonspread/fleet/plan.py
+++ b/cottonspread/fleet/plan.py
@@ -7,6 +7,7 @@
 """
 
 import errno
+import functools
 import json
 import os
 import socket
@@ -16,8 +17,14 @@
 
 from cottonspread import config
 from cottonspread.config import operator as op
+from cottonspread.fleet import control
 
-LIVE = ("discovery",)  # keys of the platform's JSON that a running instance takes over
+LIVE = (
+    "discovery",
+    "settings",
+    "load_lines",
+)  # keys of the platform's JSON that a running instance takes over
+FIXED = ("Me", "MembershipMode", "Weights")  # of the settings: a running node keeps what it started with
 
 
 @dataclass(frozen=True)
@@ -29,6 +36,11 @@
     start: str
     live: str
 
+    @functools.cached_property
+    def mark(self):
+        """What an instance calls the live part in its status, in place of its whole text."""
+        return control.mark(self.live)
+
 
 @dataclass(frozen=True)
 class Plan:
@@ -59,13 +71,15 @@
     return state, beside(path, fleet.logs) if fleet.logs else os.path.join(state, "log")
 
 
-def read(path, program, check=lambda text: config.read_node(text, {})):
+def read(path, program, check=lambda text: config.read_node(text, {}), carried=None):
     """The plan that the files give now.
 
     Raises config.ConfigurationError, naming file and key. `check(text)` reads an instance's JSON: the parts
-    of config.read_node, or config.ConfigurationError.
+    of config.read_node, or config.ConfigurationError. `carried`: what the configuration store told, which
+    stands for the template but for the keys that are this machine's own.
     """
     log, instance, fleet = op.read_fleet(path)
+    section = op.read(path)[3]
     template = beside(path, fleet.config)
     try:
         with open(template, encoding="utf-8") as file:
@@ -73,6 +87,8 @@
     except (OSError, UnicodeDecodeError) as fault:
         raise op.OperatorFileError([f"{path}: fleet.config: {template}: {fault}"]) from fault
     whole = config.parse(text, template)
+    if carried is not None and isinstance(whole, dict):
+        whole = config.with_own(config.parse(carried, "configuration"), whole, section.own if section else ())
     if not isinstance(whole, dict) or not isinstance(whole.get("settings"), dict):
         raise op.OperatorFileError([f"{template}: settings: expected an object"])
     if not isinstance(whole.get("discovery"), str):
@@ -103,9 +119,10 @@
             place = check(canonical(own))[0]
         except (config.ConfigurationError, ValueError, TypeError) as fault:
             raise op.OperatorFileError([f"{template}: {fault} (instance {name})"]) from fault
-        live = {key: own.pop(key) for key in LIVE} | {"level": log.level}
+        live = {key: own.pop(key) for key in LIVE if key in own} | {"level": log.level}
         start = {
             "config": own,
+            "fixed": {key: live["settings"].get(key) for key in FIXED},
             "format": log.format,
             "instance": msgspec.to_builtins(instance),
             "program": list(program),
--- a/cottonspread/fleet/supervisor.py
+++ b/cottonspread/fleet/supervisor.py
@@ -19,7 +19,7 @@
 
 from cottonspread import config
 from cottonspread.config import operator as op
-from cottonspread.fleet import control, notify
+from cottonspread.fleet import carrying, control, notify
 from cottonspread.fleet import plan as plans
 from cottonspread.fleet.core import Apply, Core, Door, Forget, Kill, Leave, Outcome, Over, Say, Start, Take
 from cottonspread.lists.saved import write_whole
@@ -47,6 +47,7 @@
     def __init__(self, path, program, check):
         self.path, self.own_program, self.check = os.path.abspath(path), tuple(program), check
         self.logging, _, self.fleet = op.read_fleet(self.path)
+        self.follower = carrying.Carrying(self) if op.read(self.path)[3] else None
         self.folder, self.logs = plans.folders(self.path, self.fleet)
         self.manager, self.selector, self.timers = notify.Manager(), selectors.DefaultSelector(), []
         self.sockets, self.doors, self.guests = {}, {}, {}  # by address; by name; by socket
@@ -94,7 +95,9 @@
         self.room(self.fleet.instances)
         kept = self.kept()
         self.program = tuple(kept.get("program") or self.own_program)
-        plan = plans.read(self.path, self.program, self.check)
+        if self.follower:
+            self.follower.prepare()
+        plan = self.read_plan(self.program)
         found = self.find_instances()
         self.bind(plan)
         self.core = Core(now(), plan)
@@ -107,6 +110,11 @@
             self.follow(name, generation, sock)
         self.tell("settle")
 
+    def read_plan(self, program):
+        """The plan of files and carried configuration now."""
+        carried = self.follower.wanted if self.follower else None
+        return plans.read(self.path, program, self.check, carried)
+
     def bind(self, plan):
         """The addresses that are not held yet."""
         self.sockets |= plans.bind_all(s for s in plan.specs.values() if s.address not in self.sockets)
@@ -206,9 +214,7 @@
             signal.signal(number, lambda n, _: signals.append(n))
         self.selector.register(wake, selectors.EVENT_READ, lambda: wake.recv(4096))
         self.tell("tick")
-        self.at(0, self.regularly)
-        if self.manager.every:
-            self.at(0, self.alive)
+        self.begin_regular_work()
         while not self.done:
             left = max(0.0, self.timers[0][0] - time.monotonic()) if self.timers else TICK
             self.hear_all(min(TICK, left))
@@ -223,10 +229,24 @@
                 self.guarded(heapq.heappop(self.timers)[2])
             self.connect_waiting()
             self.tell("tick")
+        if self.follower:
+            self.follower.stop()
         self.close_up()
         control.unlink(os.path.join(self.folder, "fleet.sock"))
         return 0
 
+    def begin_regular_work(self):
+        self.at(0, self.regularly)
+        if self.manager.every:
+            self.at(0, self.alive)
+        if self.follower:
+            self.follower.start()
+            self.at(0, self.follow_on)
+
+    def follow_on(self):
+        self.at(TICK, self.follow_on)
+        self.follower.look()
+
     def hear_all(self, wait):
         for key, _ in self.selector.select(wait):
             if self.selector.get_map().get(key.fd) is not key:  # closed by what came before it in this round
@@ -302,7 +322,8 @@
         told = {
             "name": name,
             "generation": generation,
-            "start": spec.start,
+            "start": with_live(spec),
+            "spec": spec.start,
             "live": spec.live,
             "folder": self.folder,
             "socket": path,
@@ -547,7 +568,7 @@
     def change(self, program, why, line):
         if self.core.stopping:
             raise config.ConfigurationError("the fleet is stopping")
-        plan = plans.read(self.path, program, self.check)
+        plan = self.read_plan(program)
         fixed = [
             key
             for key, _, meta in op.fields(op.Fleet)
@@ -557,6 +578,12 @@
             raise op.OperatorFileError(
                 [f"{self.path}: fleet.{key}: only a new supervisor takes this over" for key in fixed]
             )
+        if self.follower and op.read(self.path)[3] != self.follower.section:
+            raise op.OperatorFileError([f"{self.path}: configuration: only a new supervisor takes this over"])
+        self.begin(plan, why, line)
+
+    def begin(self, plan, why, line):
+        """`line`, if any, is told the outcome."""
         self.bind(plan)
         if line:
             self.answers.append((plan, line))
@@ -605,6 +632,7 @@
             "pid": os.getpid(),
             "ready": self.core.ready(),
             "program": list(self.core.plan.program),
+            "configuration": self.follower.status() if self.follower else None,
             "rollout": {"of": r.why, "to_do": len(r.todo), "under_way": len(r.doing), "going_back": r.back}
             if r
             else None,
@@ -612,6 +640,13 @@
         }
 
 
+def with_live(spec):
+    """The starting part with its whole configuration: programs of earlier releases read it there."""
+    start, live = json.loads(spec.start), json.loads(spec.live)
+    start["config"] |= {key: live[key] for key in plans.LIVE if key in live}
+    return plans.canonical(start)
+
+
 def open_log(path):
     """The instance's log; where it cannot be opened the instance runs all the same."""
     try:
--- a/cottonspread/net/http.py
+++ b/cottonspread/net/http.py
@@ -1,4 +1,4 @@
-"""A small HTTP/1.1 client for one address: GET only, answers bounded in size and time."""
+"""A small HTTP/1.1 client for one address: GET, and POST of JSON; answers bounded in size and time."""
 
 import contextlib
 import socket
@@ -35,11 +35,19 @@
         """The body of the answer, within `wait` seconds for all of it; OSError or
         ResponseError if there is none.
         """
+        return self.ask(path, wait, None)
+
+    def post(self, path, wait, body):
+        """As `get`, with JSON as bytes. It may be sent twice, so only what may come twice goes this way."""
+        return self.ask(path, wait, body)
+
+    def ask(self, path, wait, body):
+        """What `get` and `post` have in common; `body`: None for GET."""
         kept = self.sock is not None
         self.until = time.monotonic() + wait
         try:
             try:
-                return self.call(path)
+                return self.call(path, body)
             except (ConnectionError, ResponseError):
                 # Only a kept connection may have been closed in the meantime, which tells nothing. An answer
                 # that says no, or is none, would only be had again.
@@ -47,12 +55,12 @@
                     raise
                 self.close()
                 # In what is left of the time: two silences, one behind the other, were waited out in full.
-                return self.call(path)
+                return self.call(path, body)
         except (OSError, ResponseError):
             self.close()
             raise
 
-    def call(self, path):
+    def call(self, path, body):
         self.heard = bool(self.rest)
         if self.sock is None:
             wait = min(self.left(), self.connect_wait)
@@ -61,17 +69,20 @@
         if self.given_up:  # just while it was connecting
             raise ConnectionAbortedError("given up")
         host = "{}:{}".format(*self.address)
-        self.sock.sendall(f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode())
+        method, size = ("GET", "") if body is None else ("POST", f"Content-Length: {len(body)}\r\n")
+        head = f"{method} {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n{size}\r\n"
+        self.sock.settimeout(self.left())
+        self.sock.sendall(head.encode() + (body or b""))
         status, headers = self.head()
         while 100 <= status < 200:
             status, headers = self.head()
         keep = headers.get("connection", "").lower() != "close"
-        body, keep = self.body(headers, keep)
+        answer, keep = self.body(headers, keep)
         if not keep:
             self.close()
         if status != 200:
             raise ResponseError(f"status {status}")
-        return body
+        return answer
 
     def left(self):
         """Seconds left for the answer; TimeoutError if there are none."""
