--- a/cottonspread/config/operator.py
+++ b/cottonspread/config/operator.py
@@ -30,10 +30,13 @@
 
 
 def key(kind, what, **bounds):
+    """What a key means, what a reload does with it (`kind`), and the bounds of its value."""
     return Meta(description=what, extra={"reload": kind}, **bounds)
 
 
 class Log(msgspec.Struct, frozen=True):
+    """The section [log]: how the log is written."""
+
     format: Annotated[Literal["pairs", "json"], key("restart", "key=value pairs or JSON lines")] = "pairs"
     level: Annotated[
         Literal["debug", "info", "warning", "error"], key("live", "the least level that is written")
@@ -41,6 +44,8 @@
 
 
 class Instance(msgspec.Struct, frozen=True):
+    """The section [instance]: what each instance of a fleet does by itself."""
+
     list_wait_s: Annotated[
         float, key("restart", "how long a new instance waits for a list told by discovery", ge=0, le=60)
     ] = 2.0
@@ -51,6 +56,8 @@
 
 
 class Fleet(msgspec.Struct, frozen=True, kw_only=True):
+    """The section [fleet]: which instances there are, and how the supervisor changes them."""
+
     name: Annotated[
         str,
         key("new", "instances are called NAME-0, NAME-1, ...", pattern="^[A-Za-z0-9][A-Za-z0-9_-]{0,40}$"),
@@ -134,11 +141,13 @@
     """Every fault of a file, a line each: FILE: KEY: what was expected."""
 
     def __init__(self, faults):
+        """`faults`: a line each."""
         super().__init__("\n".join(faults))
         self.faults = faults
 
 
 def near(word, among):
+    """The end of a fault about an unknown word: the nearest known one, or all of them."""
     found = difflib.get_close_matches(word, among, 1, 0.5)
     return f"; the nearest known one is {found[0]}" if found else f"; known are {', '.join(sorted(among))}"
 
--- a/cottonspread/config/platform.py
+++ b/cottonspread/config/platform.py
@@ -23,6 +23,7 @@
 
 
 def micros(value):
+    """Milliseconds, as the platform tells times, in whole microseconds."""
     value = float(value)
     if not abs(value) < 1e15:
         raise ValueError(f"time out of range: {value}")
@@ -33,14 +34,17 @@
     """One JSON object with the path that leads to it. A value that is null counts as absent."""
 
     def __init__(self, values, path):
+        """`path`: the keys that lead here, set apart by dots; "" for the whole file."""
         if not isinstance(values, dict):
             raise ConfigurationError(f"{path or 'configuration'}: not an object")
         self.values, self.path = {k: v for k, v in values.items() if v is not None}, path
 
     def at(self, key):
+        """The whole path of a key."""
         return f"{self.path}.{key}" if self.path else key
 
     def take(self, key, default, what, read):
+        """The value as `read` makes it; ConfigurationError with `what` was expected, if that cannot."""
         value = self.values.get(key, default)
         if value is MISSING:
             raise ConfigurationError(f"{self.at(key)}: missing")
@@ -50,6 +54,8 @@
             raise ConfigurationError(f"{self.at(key)}: {value!r} is not {what}") from fault
 
     def whole(self, key, default=MISSING, least=0):
+        """A whole number."""
+
         def read(value):
             if isinstance(value, str) or int(value) < least:
                 raise ValueError
@@ -58,6 +64,8 @@
         return self.take(key, default, f"a whole number of at least {least}", read)
 
     def number(self, key, default=MISSING):
+        """A number of at least 0."""
+
         def read(value):
             if not 0 <= float(value) < 1e15:
                 raise ValueError
@@ -66,9 +74,12 @@
         return self.take(key, default, "a number of at least 0", read)
 
     def span(self, key, default=MISSING):
+        """A time, given in milliseconds, in whole microseconds."""
         return round(self.number(key, default) * 1000)
 
     def over_nothing(self, key, default=MISSING):
+        """A number over 0."""
+
         def read(value):
             if not 0 < float(value) < 1e15:
                 raise ValueError
@@ -77,9 +88,12 @@
         return self.take(key, default, "a number over 0", read)
 
     def flag(self, key, default=False):
+        """True or false."""
         return self.take(key, default, "true or false", lambda v: {True: True, False: False}[v])
 
     def text(self, key, default=MISSING):
+        """A text that is not empty."""
+
         def read(value):
             if not isinstance(value, str) or not value:
                 raise ValueError
@@ -92,6 +106,8 @@
         return self.take(key, default, "one of " + ", ".join(among), among.__getitem__)
 
     def address(self, key, default=MISSING):
+        """HOST:PORT, as (host, port)."""
+
         def read(value):
             host, _, port = value.rpartition(":")
             if not host or not 0 <= int(port) <= 65535:
@@ -105,9 +121,11 @@
         return default if self.values.get(key, default) is None else self.address(key, default)
 
     def part(self, key, default=MISSING):
+        """An object within this one."""
         return Keys(self.values.get(key, {} if default is MISSING else default), self.at(key))
 
     def parts(self, key):
+        """A list of objects; without the key an empty one."""
         listed = self.take(key, [], "a list", self.listed)
         return [Keys(v, f"{self.at(key)}[{n}]") for n, v in enumerate(listed)]
 
@@ -119,12 +137,14 @@
 
     @staticmethod
     def listed(value):
+        """The value, if it is a list."""
         if not isinstance(value, list):
             raise TypeError
         return value
 
 
 def parse(text, what):
+    """JSON; `what` begins the message of the ConfigurationError if it is none."""
     try:
         return json.loads(text)
     except (ValueError, RecursionError) as fault:
@@ -132,6 +152,7 @@
 
 
 def read_type(t, message_target):
+    """One traffic type; `message_target`: the time that a message may take, in microseconds."""
     return i.TrafficType(
         t.text("Name", "any"),
         t.choice("Effect", "unsafe", EFFECTS),
@@ -245,6 +266,7 @@
 
 
 def numbered(names):
+    """{name: its number}, in the order given."""
     return {name: n for n, name in enumerate(names)}
 
 
@@ -306,6 +328,7 @@
 
 
 def complete_object(was, now, path):
+    """Both are objects."""
     for key, value in was.items():
         at = f"{path}.{key}" if path else key
         if value is not None and now.get(key) is None:
--- a/cottonspread/front/figures.py
+++ b/cottonspread/front/figures.py
@@ -16,7 +16,10 @@
 
 
 class Figures:
+    """Counters of one process, as the operators read them."""
+
     def __init__(self, types):
+        """`types`: names of the traffic types that are in force at first."""
         self.answers, self.at_door = {}, {}
         self.backend_calls = self.hosts_listed = self.hosts_down = self.reconfig_ok = self.reconfig_failed = 0
         self.know(types)
@@ -29,6 +32,7 @@
             self.at_door.setdefault(name, 0)
 
     def answered(self, answer, name):
+        """Counts a final answer to a call of the traffic type of this name."""
         self.answers[answer, name] += 1
 
     def turned_away(self, name):
@@ -50,4 +54,5 @@
             yield name, "", getattr(self, name)
 
     def text(self, inflight):
+        """All figures, a line each; `inflight`: calls that are open now."""
         return "".join(f"app_{name}{labels} {value}\n" for name, labels, value in self.numbers(inflight))
--- a/cottonspread/front/handover.py
+++ b/cottonspread/front/handover.py
@@ -30,6 +30,8 @@
 
 @dataclass(frozen=True)
 class HandOver:
+    """What a process tells its successor, so that it does not begin from nothing."""
+
     room: int  # connections that the successor may hold while both are there
     draining: bool = False  # the operators had this node drained
     ids: tuple = ()  # of calls that are open
@@ -56,6 +58,7 @@
 
 
 def pack_standing(standing):
+    """A standing connection as a line of JSON, to go with its two sockets."""
     return json.dumps({"version": VERSION, **asdict(standing)}).encode() + b"\n"
 
 
--- a/cottonspread/front/lateness.py
+++ b/cottonspread/front/lateness.py
@@ -18,13 +18,16 @@
     ORDINARY = SECOND // 50  # less is no news: a thread that waits its turn
 
     def __init__(self):
+        """Nothing was late so far."""
         self.since, self.here, self.before = 0, 0, 0
 
     def measured(self, now, late):
+        """Something that was due was dealt with so many microseconds late."""
         self.turn(now)
         self.here = max(self.here, late)
 
     def turn(self, now):
+        """Begins another half second, once one is over."""
         if now - self.since >= HALF:
             self.before = self.here if now - self.since < 2 * HALF else 0
             self.since, self.here = now, 0
@@ -55,6 +58,7 @@
     LEAST = 10.0  # a second: some always pass, or nothing would tell that the trouble is over
 
     def __init__(self, target):
+        """`target`: microseconds for which first lines may lie."""
         self.target, self.rate, self.tokens, self.filled = target, 0.0, 0.0, 0  # rate a second; 0: no limit
         self.until, self.last, self.lain_sum, self.lain_count, self.came = 0, 0, 0, 0, 0
         self.done, self.arrived = deque(maxlen=self.SPAN), deque(maxlen=self.SPAN)
@@ -66,6 +70,7 @@
         self.lain_count += 1
 
     def look(self, now):
+        """Judges the step of a tenth of a second that is over, if one is."""
         if now < self.until:
             return
         if now - self.until > self.SPAN * self.STEP:  # nothing came for a while
--- a/cottonspread/lists/saved.py
+++ b/cottonspread/lists/saved.py
@@ -34,9 +34,11 @@
     """
 
     def __init__(self, path, weights_move=False):
+        """`weights_move`: news of weights alone is not written."""
         self.path, self.known, self.failing, self.weights_move = path, {}, False, weights_move
 
     def told(self, version, instances, whole):
+        """An answer of discovery, as its JSON; `whole`: it is the whole list, and no change."""
         # Weights that move came each second, and each word was a write and an fsync. What was saved first,
         # which is nearer to the sizes, stays.
         if (
