--- /dev/null
+++ b/tests/configstore/test_shell_section.py
@@ -0,0 +1,57 @@
+"""The section [configuration], and what of a carried configuration stays a machine's own."""
+
+import pytest
+
+from cottonspread import cli, config
+from cottonspread.config import operator as op
+
+GOOD = '[configuration]\nreplicas = ["a:1", "10.0.0.2:9200", "c-3.x:9"]\n'
+
+
+@pytest.mark.parametrize(
+    "text, key",
+    [
+        ("[configuration]\n", "configuration.replicas: missing"),
+        ("[configuration]\nreplicas = []\n", "configuration.replicas"),
+        ('[configuration]\nreplicas = ["a"]\n', "configuration.replicas"),
+        ('[configuration]\nreplicas = ["a:0"]\n', "configuration.replicas"),
+        (GOOD + 'node = "a b"\n', "configuration.node"),
+        (GOOD + 'state = ""\n', "configuration.state"),
+        (GOOD + "own = [1]\n", "configuration.own"),
+        (GOOD + 'replica = "x"\n', "the nearest known one is replicas"),
+    ],
+)
+def test_a_faulty_section_is_named(text, key):
+    with pytest.raises(op.OperatorFileError) as told:
+        op.read_text(text)
+    assert key in str(told.value)
+
+
+def test_the_section_is_off_unless_it_is_there_and_is_shown_where_it_is(tmp_path, capsys):
+    assert op.read_text("[log]\n")[3] is None
+    assert op.read_text(GOOD)[3].replicas == ("a:1", "10.0.0.2:9200", "c-3.x:9")
+    (tmp_path / "o.toml").write_text(GOOD)
+    assert cli.main(["config", "show", "--operator", str(tmp_path / "o.toml")]) == 0
+    shown = {line.split()[0]: line.split()[-1] for line in capsys.readouterr().out.splitlines()}
+    keys = "replicas", "state", "node", "own"
+    assert {key: shown[f"configuration.{key}"] for key in keys} == dict.fromkeys(keys, "new")
+
+
+def test_own_keys_stay_and_all_others_are_carried():
+    own = {"name": "n1", "settings": {"Me": 4, "Zone": 2, "Step": 1}, "discovery": "a:1"}
+    carried = {"name": "x", "seed": "1", "settings": {"Me": 0, "Step": 5}, "discovery": "b:2", "more": [1]}
+    before = repr((own, carried))
+    taken = config.with_own(carried, own, ("name", "seed", "settings.Me", "settings.Zone"))
+    assert taken == {
+        "name": "n1",
+        "settings": {"Me": 4, "Zone": 2, "Step": 5},
+        "discovery": "b:2",
+        "more": [1],
+    }
+    assert repr((own, carried)) == before, "neither is changed"
+
+
+@pytest.mark.parametrize("carried", [[], "x", None, {"settings": 3}, {}])
+def test_what_is_carried_and_no_configuration_is_told(carried):
+    with pytest.raises(config.ConfigurationError):
+        config.with_own(carried, {"name": "n1"}, ("name", "settings.Me"))
