--- a/tests/configstore/test_shell_section.py
+++ b/tests/configstore/test_shell_section.py
@@ -1,9 +1,14 @@
 """The section [configuration], and what of a carried configuration stays a machine's own."""
 
+import json
+
 import pytest
+import shells
 
 from cottonspread import cli, config
+from cottonspread.cli import node as serving
 from cottonspread.config import operator as op
+from cottonspread.net import events as ev
 
 GOOD = '[configuration]\nreplicas = ["a:1", "10.0.0.2:9200", "c-3.x:9"]\n'
 
@@ -55,3 +60,44 @@
 def test_what_is_carried_and_no_configuration_is_told(carried):
     with pytest.raises(config.ConfigurationError):
         config.with_own(carried, {"name": "n1"}, ("name", "settings.Me"))
+
+
+class Node:
+    """What `take_over` needs of one."""
+
+    def __init__(self):
+        self.retuned, self.hastened = [], []
+
+    def retune(self, *parts):
+        self.retuned.append(parts[4].types[0].name)
+
+    def hasten(self, event):
+        self.hastened.append(type(event))
+
+
+def test_a_node_that_cannot_take_a_change_over_says_why_and_keeps_what_it_has(tmp_path):
+    file = tmp_path / "node.json"
+    file.write_text(json.dumps(shells.configuration()))
+    force, node = serving.InForce(str(file), op.Configuration(replicas=("a:1",)).own), Node()
+    good = json.dumps(shells.configuration(TrafficTypes=shells.types("second")) | {"name": "other"})
+    assert serving.take_over(node, force, good) == (True, "") and node.retuned == ["second"]
+    assert force.values["name"] == "n1" and force.parts[0].name == "n1"
+
+    for faulty, said in (("{", "no JSON"), ("[]", "not an object"), ('{"settings": {}}', "missing")):
+        ok, why = serving.take_over(node, force, faulty)
+        assert not ok and said in why
+    assert node.retuned == ["second"] and node.hastened == [ev.NotRetuned] * 3
+    assert serving.reload(node, force) == "" and node.retuned == ["second"] * 2, (
+        "SIGHUP keeps what is carried"
+    )
+
+
+def test_what_was_in_force_before_a_start_is_so_from_its_first_moment(tmp_path):
+    file = tmp_path / "node.json"
+    file.write_text(json.dumps(shells.configuration()))
+    force = serving.InForce(str(file), ("name",))
+    with pytest.raises(config.ConfigurationError):
+        force.begin_with("{")
+    assert force.carried is None
+    force.begin_with(json.dumps(shells.configuration(TrafficTypes=shells.types("second"))))
+    assert force.parts[4].types[0].name == "second"
