--- a/cottonspread/lab/scale/command.py
+++ b/cottonspread/lab/scale/command.py
@@ -97,6 +97,7 @@
         *hollow_news.SWEEPS,
         *hollow_sockets.SWEEPS,
         *hollow_calibration.SWEEPS,
+        *hollow_faults.SWEEPS,
     )
     return [sweep_run(plan) for plan in sweeps] + [fault_run(event) for event in hollow_faults.EVENTS]
 
--- a/tests/scale/test_hollow_faults.py
+++ b/tests/scale/test_hollow_faults.py
@@ -4,7 +4,8 @@
 
 from cottonspread.lab.scale import hollow_faults
 from cottonspread.lab.scale.hollow import ListMachine
-from cottonspread.lab.scale.hollow_faults import EVENTS, fault_run, here, play_named, sized
+from cottonspread.lab.scale.hollow_faults import EVENTS, fault_run, play_named, sized
+from cottonspread.lab.scale.hollow_sweeps import here
 from cottonspread.lab.scale.results import read_fault_run, write
 from cottonspread.lab.sim.node import Process
 from cottonspread.lab.sim.world import SECOND
