--- a/cottonspread/lab/scale/module_sweeps.py
+++ b/cottonspread/lab/scale/module_sweeps.py
@@ -15,7 +15,7 @@
 from cottonspread import interface as io
 from cottonspread.lab.scale import results
 from cottonspread.lab.scale.measuring import Cost, memory_taken
-from cottonspread.lab.scale.module_node import LOOK, ModuleNode
+from cottonspread.lab.scale.module_node import LOAD, LOOK, ModuleNode
 
 PLAYS = 6  # of each event of the list: half by time, half by lines
 CALLS = 60
@@ -90,7 +90,8 @@
         self.note("call_new_group", Cost.of(works), False)
         works = [lambda group=group: self.probed.whole_call(group) for group in self.new_groups()]
         self.note("call_probed", Cost.of(works), False)
-        self.note("look", Cost.of([node.look] * PLAYS), True)
+        self.note("look_quiet", Cost.of([node.look] * PLAYS), True)
+        self.note("look", Cost.of([AfterLoad(node)] * PLAYS), True)
 
     def loads(self):
         """Loads told on standing connections."""
@@ -128,12 +129,24 @@
         return self.figures
 
 
+class AfterLoad:
+    """A look at the servers after one load was told, as nearly every look is in service."""
+
+    def __init__(self, node):
+        self.node, self.call, self.told = node, next(iter(node.standing)), LOAD
+
+    def ready(self):
+        """Tells a load, other than the last; returns the look."""
+        self.told += 1
+        self.node.handle(io.LoadTold(self.call, self.told))
+        return self.node.look
+
+
 def measure(sweep, size, fixed):
     """All figures of one size of a sweep."""
     node, taken = memory_taken(lambda: node_of(sweep, size, fixed))
-    del node
     gc.collect()
-    figures = Play(node_of(sweep, size, fixed), node_of(sweep, size, fixed, probed=True)).all()
+    figures = Play(node, node_of(sweep, size, fixed, probed=True)).all()
     figures["memory", "bytes", True] = taken
     return figures
 
--- a/cottonspread/lab/scale/reducer_sweeps.py
+++ b/cottonspread/lab/scale/reducer_sweeps.py
@@ -95,9 +95,8 @@
     """All figures of one size of a sweep."""
     shape = {**fixed, sweep: size}
     node, taken = memory_taken(lambda: ReducerNode(**shape))
-    del node
     gc.collect()
-    figures = ReducerPlay(ReducerNode(**shape)).all()
+    figures = ReducerPlay(node).all()
     figures["memory", "bytes", True] = taken
     return figures
 
