--- a/cottonspread/lab/scale/hollow.py
+++ b/cottonspread/lab/scale/hollow.py
@@ -108,10 +108,10 @@
         super().__init__(address, Discovery.CONNECT)
         self.caller = caller
 
-    def call(self, path):
+    def call(self, *request):
         if self.sock is None:
             self.sock = self.caller.connected()
-        return super().call(path)
+        return super().call(*request)
 
 
 class HollowCaller(Caller):
--- a/cottonspread/lab/scale/hollow_sockets.py
+++ b/cottonspread/lab/scale/hollow_sockets.py
@@ -87,12 +87,12 @@
         super().__init__(address, Discovery.CONNECT)
         self.counts = counts
 
-    def call(self, path):
+    def call(self, *request):
         if self.sock is None:
             sock = socket.create_connection(self.address, timeout=min(self.left(), self.connect_wait))
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.sock = CountedSocket(sock, self.counts)
-        return super().call(path)
+        return super().call(*request)
 
 
 @dataclass
