--- a/cottonspread/lab/scale/tables.py
+++ b/cottonspread/lab/scale/tables.py
@@ -128,7 +128,8 @@
     def _line(self, line: Line) -> list[str]:
         values = self.capacity.line(line)
         if values is None:
-            return [*(PLACE.sub("not run", cell) for cell in line.cells[:-1]), f"not run: {line.not_run}"]
+            known = ("not run" if PLACE.search(cell) else cell for cell in line.cells[:-1])
+            return [*known, f"not run: {line.not_run}"]
 
         def filled(match: re.Match) -> str:
             if match[1] not in values:
