--- a/benchmarks/crossings/mutants.py
+++ b/benchmarks/crossings/mutants.py
@@ -265,8 +265,8 @@
     (
         "the bound on waits for an asked list",
         POLICY,
-        "most = max(SECOND, min(self.every, self.LONGEST_WAY - took))",
-        "most = max(SECOND, self.every)",
+        "most = max(SECOND, min(self.settings.ask_every, self.LONGEST_WAY - took))",
+        "most = max(SECOND, self.settings.ask_every)",
         [
             "tests/test_many_nodes.py::test_nodes_turned_away_by_an_overbooked_list_ask_as_seldom_as_the_terms_let_them"
         ],
@@ -399,8 +399,7 @@
     """The file that the line stands in."""
     if file != POLICY:
         return package / file
-    files = [package / "decide.py", *sorted((package / "policy").glob("*.py"))]
-    files = [one for one in files if one.exists()]
+    files = sorted((package / "policy").glob("*.py"))
     return next((one for one in files if line in one.read_text()), files[0])
 
 
--- a/cottonspread/lab/scale/module_node.py
+++ b/cottonspread/lab/scale/module_node.py
@@ -5,11 +5,7 @@
 """
 
 from cottonspread import interface as io
-
-try:
-    from cottonspread.policy import Balancer
-except ImportError:  # a text from before the package
-    from cottonspread.decide import Balancer
+from cottonspread.policy import Balancer
 
 SECOND = 1_000_000
 ZONES = 8
