--- a/benchmarks/crossings/mutants.py
+++ b/benchmarks/crossings/mutants.py
@@ -332,8 +332,8 @@
     (
         "a first line whose last byte is not out",
         "net/reducer.py",
-        "            elif not end.leg.written:\n                self.end_leg(end.leg, Ending.CONNECT_FAILED)",
-        '            elif not end.leg.written:\n                self.host_over(end.leg, "reset")',
+        "        elif not end.leg.written:\n            self.end_leg(end.leg, Ending.CONNECT_FAILED)",
+        '        elif not end.leg.written:\n            self.host_over(end.leg, "reset")',
         [f"{ATTEMPTS}::test_a_host_killed_right_behind_its_accept_was_never_asked"],
     ),
     (
@@ -360,8 +360,8 @@
     (
         "the time that a client gives",
         POLICY,
-        "last = call.guard - 2 * self.tick ",
-        "last = call.guard + 2 * self.tick ",
+        "call.guard - 2 * self.settings.tick",
+        "call.guard + 2 * self.settings.tick",
         [DRAWN],
     ),
     (
