--- a/tests/test_idle.py
+++ b/tests/test_idle.py
@@ -55,3 +55,16 @@
     """It rested for 8 s: nine hundred milliseconds of trial, then not one attempt for up to 327 calls."""
     idle, calls = longest_idle(ending, servers, rate, group)
     assert idle < IDLE, (idle, calls)
+
+
+def test_a_cold_server_is_no_last_resort():
+    """Its budget is all nodes' together: calls that it may not have are turned away, however many come."""
+    node = Balancer(0, begin({"nodes": 100, "seed": 5}, (traffic_type("t", {}),)))
+    node.handle(0, io.Listed(io.News.FULL, 1, (entry("a:started=1"),)))
+    sent = [
+        action
+        for n in range(1, 121)  # twelve a second for ten seconds, in which the node draws five times
+        for action in node.handle(SECOND * n // 12, io.Arrived(f"c{n}", 0, 2 * SECOND, f"c{n}"))
+        if isinstance(action, io.Send)
+    ]
+    assert not sent, len(sent)
