--- a/benchmarks/crossings/mutants.py
+++ b/benchmarks/crossings/mutants.py
@@ -395,8 +395,8 @@
     (
         "one process",
         "cli/node.py",
-        "    force = InForce(path)\n",
-        '    __import__("subprocess").run(["true"])\n    force = InForce(path)\n',
+        "    force = InForce(path",
+        '    __import__("subprocess").run(["true"])\n    force = InForce(path',
         ["tests/crossings/test_one_process.py"],
     ),
     (
@@ -434,7 +434,7 @@
         path.write_text(text.replace(line, other))
         try:
             done = subprocess.run(
-                [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", *tests],
+                [sys.executable, "-m", "pytest", "-q", "-n", "0", "-p", "no:cacheprovider", *tests],
                 cwd=copy,
                 capture_output=True,
                 text=True,
--- a/cottonspread/config/operator.py
+++ b/cottonspread/config/operator.py
@@ -30,10 +30,13 @@
 
 
 def key(kind, what, **bounds):
+    """What a key means, what a reload does with it (`kind`), and the bounds of its value."""
     return Meta(description=what, extra={"reload": kind}, **bounds)
 
 
 class Log(msgspec.Struct, frozen=True):
+    """The section [log]: how the log is written."""
+
     format: Annotated[Literal["pairs", "json"], key("restart", "key=value pairs or JSON lines")] = "pairs"
     level: Annotated[
         Literal["debug", "info", "warning", "error"], key("live", "the least level that is written")
@@ -41,6 +44,8 @@
 
 
 class Instance(msgspec.Struct, frozen=True):
+    """The section [instance]: what each instance of a fleet does by itself."""
+
     list_wait_s: Annotated[
         float, key("restart", "how long a new instance waits for a list told by discovery", ge=0, le=60)
     ] = 2.0
@@ -51,6 +56,8 @@
 
 
 class Fleet(msgspec.Struct, frozen=True, kw_only=True):
+    """The section [fleet]: which instances there are, and how the supervisor changes them."""
+
     name: Annotated[
         str,
         key("new", "instances are called NAME-0, NAME-1, ...", pattern="^[A-Za-z0-9][A-Za-z0-9_-]{0,40}$"),
@@ -120,6 +127,16 @@
     watch_s: Annotated[
         float, key("live", "how long a changed instance is watched before the next is changed", ge=0, le=3600)
     ] = 5.0
+    live_watch_s: Annotated[
+        float,
+        key(
+            "live",
+            "the same for a change that running instances take over, at most watch_s: "
+            "first at_once of them, then all the others together",
+            ge=0,
+            le=3600,
+        ),
+    ] = 1.0
     worse_by: Annotated[
         float,
         key("live", "a rollout goes back when the share of calls that end badly rises by more", ge=0, le=1),
@@ -127,18 +144,45 @@
     worse_of: Annotated[int, key("live", "ended calls before that share is judged", ge=1)] = 20
 
 
-SECTIONS = {"log": Log, "instance": Instance, "fleet": Fleet}
+class Configuration(msgspec.Struct, frozen=True, kw_only=True):
+    """Where the platform's JSON comes from, besides the file: see docs/guide/configuration.md."""
+
+    replicas: Annotated[
+        tuple[Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]+:[1-9]\d{0,4}$")], ...],
+        key("new", "HOST:PORT of each replica of the configuration store", min_length=1, max_length=7),
+    ]
+    state: Annotated[
+        str, key("new", "the folder that keeps what is in force for the next start", min_length=1)
+    ] = "configuration"
+    node: Annotated[
+        str,
+        key(
+            "new",
+            "what this machine is called in the store, once in all; empty: the node's or the fleet's name",
+            pattern="^[A-Za-z0-9._:-]{0,128}$",
+        ),
+    ] = ""
+    own: Annotated[
+        tuple[str, ...],
+        key("new", "keys of the platform's JSON that stay as this machine's own file has them"),
+    ] = ("name", "listen", "operator", "seed", "limits", "known", "settings.Me", "settings.Zone")
+
+
+SECTIONS = {"log": Log, "instance": Instance, "fleet": Fleet, "configuration": Configuration}
+OPTIONAL = {"fleet", "configuration"}  # None where the file has no such section
 
 
 class OperatorFileError(ConfigurationError):
     """Every fault of a file, a line each: FILE: KEY: what was expected."""
 
     def __init__(self, faults):
+        """`faults`: a line each."""
         super().__init__("\n".join(faults))
         self.faults = faults
 
 
 def near(word, among):
+    """The end of a fault about an unknown word: the nearest known one, or all of them."""
     found = difflib.get_close_matches(word, among, 1, 0.5)
     return f"; the nearest known one is {found[0]}" if found else f"; known are {', '.join(sorted(among))}"
 
@@ -174,17 +218,19 @@
 
 
 def read_text(text, path="operator"):
-    """(Log, Instance, Fleet or None, what was set) from the text of a file."""
+    """(Log, Instance, Fleet or None, Configuration or None, what was set) from the text of a file."""
     try:
         whole = tomllib.loads(text)
     except (tomllib.TOMLDecodeError, RecursionError) as fault:
         raise OperatorFileError([f"{path}: no TOML: {fault}"]) from fault
     faults = [(word, "unknown section" + near(word, SECTIONS)) for word in whole.keys() - SECTIONS.keys()]
     parts = [
-        read_section(name, kind, whole.get(name, {}), faults) if name in whole or name != "fleet" else None
+        read_section(name, kind, whole.get(name, {}), faults)
+        if name in whole or name not in OPTIONAL
+        else None
         for name, kind in SECTIONS.items()
     ]
-    fleet = parts[-1]
+    fleet = parts[2]
     if fleet:
         faults += [(f"fleet.{k}", what) for k, what in across(fleet)]
     if faults:
@@ -227,7 +273,7 @@
 
 def read_fleet(path):
     """As `read`, of a file that must have the section [fleet]: (Log, Instance, Fleet)."""
-    log, instance, fleet, _ = read(path)
+    log, instance, fleet, *_ = read(path)
     if fleet is None:
         raise OperatorFileError([f"{path}: fleet: missing: this command needs the section [fleet]"])
     return log, instance, fleet
