--- a/cottonspread/policy/choice.py
+++ b/cottonspread/policy/choice.py
@@ -9,8 +9,6 @@
     """One look for a server: `host()` is the ordinary way. Made anew for each leg, for the fleet moves on."""
 
     SHUT = SECOND // 4  # a server that is not open to new keys is not looked at again before
-    # Calls turned away one after the other, and no leg for so long: see `last_resort`.
-    IDLE_CALLS, IDLE = 8, 3 * SECOND
 
     def __init__(self, node, call):
         self.node, self.call, self.now, self.settings = node, call, node.now, node.settings
@@ -23,20 +21,7 @@
         self.blind = self.settings.nodes == 1 or node.chance.below(1000) >= 2500 * self.seen.slow_part**2
 
     def host(self):
-        """The server for the next leg; None if no server may have it now."""
-        return self.usual() or self.last_resort()
-
-    def last_resort(self):
-        """A node that tries nothing learns of no recovery, and turned all away for 8 s. Some calls later
-        the server whose rest ends first is tried."""
-        node = self.node
-        if node.turned_away < self.IDLE_CALLS or node.way.sent.total(self.now, self.IDLE):
-            return None
-        allowed = [h for h in node.rotation.order if self.allowed(h) and not self.seen.is_fresh(h, self.now)]
-        return min(allowed, key=lambda h: h.aside_until, default=None)
-
-    def usual(self):
-        """The recorded server, or the next of the rotation."""
+        """The recorded server, or the next of the rotation; None if no server may have it now."""
         node, call = self.node, self.call
         recorded = node.records.find(call.key, self.now, len(node.calls))
         if not self.health.may_send(node.way, self.now):
@@ -50,16 +35,14 @@
             return self.for_group()
         return self.in_turn()
 
-    def allowed(self, host):
-        """Whether the call may go there at all."""
-        call = self.call
-        return host.up and may_go_to(call, host) and all(leg.host is not host for leg in call.legs)
-
     def ready(self, host):
         """Whether the call may go there, and the server is in no state that forbids it."""
-        if not self.allowed(host) or host in self.seen.marked and not self.sound(host):
+        call = self.call
+        if not host.up or not may_go_to(call, host) or any(leg.host is host for leg in call.legs):
+            return False
+        if host in self.seen.marked and not self.sound(host):
             return False
-        return self.node.slow_start.may_send(host, self.now, host is self.call.asked or self.call.drawn)
+        return self.node.slow_start.may_send(host, self.now, host is call.asked or call.drawn)
 
     def sound(self, host):
         """Whether a marked server is not set aside, nor slow, nor at its ceiling."""
--- a/cottonspread/policy/path.py
+++ b/cottonspread/policy/path.py
@@ -48,13 +48,11 @@
                 yield io.Probe(host.name)
                 continue  # chosen again, with what the probe told
             self.records.put(call.key, host, self.now)
-            self.turned_away = 0
             result = yield io.Send(call.id, host.name, until, remembered_until(call))
             if isinstance(result, io.Accepted):
                 result = yield None  # it stands; its end closes the call
             if result.ending is Ending.MOOT:
                 break  # there is no time or no leg left for it
-        self.turned_away += not call.legs
         if may_reject(call):
             yield io.Reject(call.id, self.retry_after())
         else:
@@ -71,7 +69,6 @@
         self.overview = Overview(self)
         self.unanswered = set()  # servers whose set-ups timed out since one was answered
         self.seen_off = deque()  # legs at servers that drain
-        self.turned_away = 0  # calls one after the other that no leg was sent for
         if begin.listing.ask:
             self.out.append(io.Follow())
 
