--- /dev/null
+++ b/tests/test_idle.py
@@ -0,0 +1,66 @@
+"""No node is idle: one that gets calls attempts some, whatever its servers did before."""
+
+import heapq
+import itertools
+
+from notation import begin, entry, traffic_type
+
+from cottonspread import interface as io
+from cottonspread.policy.path import Balancer
+from cottonspread.state import SECOND
+
+LASTS = 60 * SECOND
+IDLE, CALLS = 4 * SECOND, 15  # what the standing test counts as an idle process
+
+
+def longest_idle(ending, servers, rate, group, **site):
+    """(microseconds, calls) of the longest stretch of CALLS calls or more, all of them turned away.
+    Every attempt ends as `ending` says: in its time, or at once."""
+    node = Balancer(0, begin({"nodes": 20} | site, (traffic_type("t", {}),)))
+    node.handle(0, io.Listed(io.News.FULL, 1, tuple(entry(f"s{n}") for n in range(servers))))
+    ends, attempts, longest = [], {}, (0, 0)
+    last, turned_away = 0, 0
+
+    def carry_out(now, actions):
+        nonlocal last, turned_away, longest
+        for action in actions:
+            if isinstance(action, io.Send):
+                number = attempts.get(action.call, 0)
+                attempts[action.call] = number + 1
+                until = action.until if ending is io.Ending.TIMEOUT else now + 1000
+                heapq.heappush(ends, (until, action.call, number))
+                if turned_away >= CALLS:
+                    longest = max(longest, (now - last, turned_away))
+                last, turned_away = now, 0
+            elif isinstance(action, io.Reject):
+                turned_away += 1
+
+    for now in range(SECOND, LASTS, SECOND // rate):
+        while ends and ends[0][0] <= now:
+            at, call, number = heapq.heappop(ends)
+            carry_out(at, node.handle(at, io.LegEnded(call, number, ending, False)))
+        call = f"c{now}"
+        carry_out(now, node.handle(now, io.Arrived(call, 0, 2 * SECOND, call, group and f"g{now % 5}")))
+    assert len(attempts) > LASTS // IDLE, "hardly anything was tried"
+    return longest
+
+
+def test_a_node_whose_servers_all_fail_goes_on_trying():
+    """It rests for up to 8 s and more: not one attempt for up to 331 calls."""
+    endings = io.Ending.TIMEOUT, io.Ending.CONNECT_FAILED
+    cases = itertools.product(endings, (3, 8, 60), (5, 40), (False, True))
+    worst = max(longest_idle(ending, servers, rate, group) for ending, servers, rate, group in cases)
+    assert worst[0] < IDLE, worst
+
+
+def test_a_cold_server_is_no_last_resort():
+    """Its budget is all nodes' together: calls that it may not have are turned away, however many come."""
+    node = Balancer(0, begin({"nodes": 100, "seed": 5}, (traffic_type("t", {}),)))
+    node.handle(0, io.Listed(io.News.FULL, 1, (entry("a:started=1"),)))
+    sent = [
+        action
+        for n in range(1, 121)  # twelve a second for ten seconds, in which the node draws five times
+        for action in node.handle(SECOND * n // 12, io.Arrived(f"c{n}", 0, 2 * SECOND, f"c{n}"))
+        if isinstance(action, io.Send)
+    ]
+    assert not sent, len(sent)
