--- a/tests/configstore/test_shell_fleet.py
+++ b/tests/configstore/test_shell_fleet.py
@@ -5,11 +5,16 @@
 import signal
 import subprocess
 import sys
+from types import SimpleNamespace
 
 import pytest
 import shells
 
+from cottonspread import config
+from cottonspread.configstore import messages as m
 from cottonspread.fleet import control
+from cottonspread.fleet import plan as plans
+from cottonspread.fleet.carrying import Carrying
 
 
 @pytest.fixture
@@ -100,6 +105,67 @@
     return (store.folder / "s" / "log" / f"f-{n}.log").read_text()
 
 
+class Supervisor:
+    """What `Carrying` needs of one; a rollout's outcome is told by the test."""
+
+    def __init__(self, folder):
+        self.path, self.program, self.rollouts = str(folder / "o.toml"), ("python", ""), []
+        self.fleet = SimpleNamespace(name="f")
+        self.core = SimpleNamespace(
+            stopping=False, pending=None, plan=SimpleNamespace(program=("python", ""))
+        )
+
+    @staticmethod
+    def check(text):
+        return config.read_node(text, {})
+
+    def read_plan(self, program):
+        return plans.read(self.path, program, self.check, self.carrying.wanted)
+
+    def begin(self, plan, why, line):
+        self.rollouts.append((plan, line))
+
+
+def test_what_a_rollout_comes_to_is_told_and_what_failed_is_not_wanted_any_more(tmp_path):
+    (tmp_path / "node.json").write_text(json.dumps(configuration("127.0.0.1:1")))
+    (tmp_path / "o.toml").write_text(
+        '[configuration]\nreplicas = ["127.0.0.1:1"]\n'
+        '[fleet]\nname = "f"\nconfig = "node.json"\ninstances = 1\nlisten = "127.0.0.1:9"\n'
+    )
+    supervisor, told = Supervisor(tmp_path), []
+    carrying = supervisor.carrying = Carrying(supervisor)
+    carrying.prepare()
+
+    def hand_over(version, stage, text):
+        record = m.make_record(version, version, stage, 2**32, text)
+        carrying.hand_over(record, lambda ok, why="": told.append((version, ok, why)))
+        carrying.look()
+        return record
+
+    good = json.dumps(configuration("127.0.0.1:1", "second"))
+    hand_over(1, m.Stage.CANARY, good)
+    plan, line = supervisor.rollouts.pop()
+    assert "second" in plan.specs["f-0"].live and plan.fleet.live_watch_s == 0.5 and not told
+    line.say({"ok": True, "why": "done"})
+    assert told.pop() == (1, True, "done") and carrying.in_force == carrying.wanted == good
+
+    third = hand_over(2, m.Stage.EVERYWHERE, json.dumps(configuration("127.0.0.1:1", "third")))
+    plan, line = supervisor.rollouts.pop()
+    assert plan.fleet.live_watch_s == 0 and carrying.wanted == third.body
+    line.say({"ok": False, "why": "f-0: refused"})
+    assert told.pop() == (2, False, "f-0: refused") and carrying.in_force == carrying.wanted == good
+
+    faulty = hand_over(3, m.Stage.EVERYWHERE, '{"settings": 3}')
+    assert not supervisor.rollouts and told.pop()[:2] == (3, False) and carrying.wanted == good
+    with pytest.raises(config.ConfigurationError):
+        carrying.check(faulty)
+    carrying.check(third)
+
+    supervisor.core.stopping = True
+    hand_over(4, m.Stage.EVERYWHERE, good)
+    assert not supervisor.rollouts and told.pop() == (4, False, "the fleet is stopping")
+
+
 def test_only_a_new_supervisor_takes_another_section(store):
     fleet = Fleet(store, shells.toy())
     store.operator("fleet", fleet.keys, node="another")
--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -607,14 +607,16 @@
 
 
 def test_a_way_back_that_is_refused_is_taken_by_a_successor():
-    world = up(count=2)
-    world.tell("replan", plan(2, live="y", watch_s=5.0, live_watch_s=5.0))
-    world.settle(1)
+    world = up(count=3)
+    world.tell("replan", plan(3, live="y", watch_s=5.0, live_watch_s=1.0))
+    world.settle(1.5)
+    assert applied(world) == ["f-0", "f-1", "f-2"] and not world.outcomes
     world.refusing.add("x")
-    world.exit(("f-0", 1), "signal 9")
-    world.settle(10)
-    assert not world.outcomes[-1].ok
+    world.exit(("f-1", 2), "signal 9")  # while it is watched
+    world.settle(20)
+    assert not world.outcomes[-1].ok and world.outcomes[-1].why == "f-1: signal 9"
     assert {p["live"] for p in world.holders().values()} == {plan().specs["f-0"].mark}
+    assert len(world.holders()) == 3 and len(world.started) == 6
 
 
 def test_a_program_that_tells_its_whole_live_part_is_replaced_by_a_successor():
