--- a/cottonspread/lab/scale/hollow_faults.py
+++ b/cottonspread/lab/scale/hollow_faults.py
@@ -435,7 +435,7 @@
         "reset": Figure(told.get("lost_reset", 0) / clients * 100, "% of all clients", False),
         "not_back": Figure(told["not_back_at_the_end"] / clients * 100, "% of all clients", False),
         "turned_away": Figure(told["turned_away"] / clients, "times a client", False),
-        "back_p99": Figure(told["back_p99_s"], "s", False),
+        "back_p99": Figure(told.get("back_p99_s", 0.0), "s", False),
     }
 
 
--- a/cottonspread/lab/scale/hollow_sweeps.py
+++ b/cottonspread/lab/scale/hollow_sweeps.py
@@ -206,6 +206,8 @@
         base = replace(base, seconds=10.0)
     if sweep.kind == "sockets":  # its seconds are real ones
         base = replace(base, seconds=4.0)
+    if sweep.variable == "setup_us":  # one node of each zone
+        base = replace(base, nodes=8, servers=16)
     if hasattr(base, "phases"):
         base = replace(base, phases=2)
     return replace(sweep, values=SMALL_VALUES.get(sweep.variable, sweep.values), base=base)
--- a/tests/scale/test_hollow_command.py
+++ b/tests/scale/test_hollow_command.py
@@ -23,6 +23,13 @@
     assert read_fault_run(tmp_path / "fault-node-lost.json").seed == 3
 
 
+def test_each_quick_sweep_has_a_small_form_that_plays():
+    sweeps = [*command.hollow_news.SWEEPS[2:], *command.hollow_faults.SWEEPS]
+    for sweep in map(command.small, sweeps):
+        figures = command.here(command.hollow_sweeps.played, sweep, sweep.values[0], 1)
+        assert figures and all(figure.value >= 0 for figure in figures.values())
+
+
 def test_an_unknown_run_is_named(tmp_path, capsys):
     assert main(["lab", "scale", "--only", "no-such-run", "--out", str(tmp_path)]) == 2
     assert "no-such-run: one of hollow-nodes" in capsys.readouterr().err
