--- a/benchmarks/configstore/mutants.py
+++ b/benchmarks/configstore/mutants.py
@@ -340,17 +340,16 @@
     what, file, text, other, tests = mutant
     with tempfile.TemporaryDirectory() as folder:
         copy = Path(folder) / "tree"
-        for part in ("cottonspread", "tests/configstore"):
+        for part in ("cottonspread", "tests"):
             shutil.copytree(ROOT / part, copy / part, ignore=shutil.ignore_patterns("__pycache__"))
-        for part in ("pyproject.toml", "tests/conftest.py", "tests/known_red.py"):
-            shutil.copy(ROOT / part, copy / part)
+        shutil.copy(ROOT / "pyproject.toml", copy / "pyproject.toml")
         path = copy / "cottonspread" / "configstore" / file
         source = path.read_text()
         if source.count(text) != 1:
             why = f"its text stands there {source.count(text)} times"
             return {"mutant": what, "file": file, "noticed": False, "why": why}
         path.write_text(source.replace(text, other))
-        command = [sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider", tests]
+        command = [sys.executable, "-m", "pytest", "-n", "0", "-q", "-x", "-p", "no:cacheprovider", tests]
         command += ["-k", "not command"]  # it names the checkout's commit, and the copy is none
         try:
             done = subprocess.run(command, cwd=copy, capture_output=True, text=True, timeout=WAIT)
