--- a/tests/configstore/test_shell_server.py
+++ b/tests/configstore/test_shell_server.py
@@ -138,14 +138,17 @@
     record = m.make_record(1, 1, m.Stage.EVERYWHERE, 0, body)
     running.server.core.state = m.ReplicaState(accepted=record, committed=record, good=record)
     running.server._listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-    later = m.WatchRequest(since=1, timeout_ms=2_000, report=m.NodeReport(node="n1"))
+    later = m.WatchRequest(since=1, timeout_ms=3_000, report=m.NodeReport(node="n1"))
     with running.connect(watch(later)) as waits, socket.socket() as sock:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         sock.connect(running.address)
         sock.sendall(post("state", b"{}"))
         connections = running.server._connections
-        shells.until(lambda: any(one.unsent for one in list(connections.values())), "its reply is under way")
-        shells.until(lambda: len(connections) == 1, "it is given up")
+        slow = shells.until(lambda: [one for one in list(connections.values()) if one.unsent], "on its way")[
+            0
+        ]
+        shells.until(lambda: slow.sock not in connections, "it is given up")
+        assert running.server.core.watches == 1, "before the watch has ended"
         assert answer(waits)[0] == 200, "a watch may take longer than any of these"
 
 
