A process with over two thousand connections ends: after the last step nobody waits for its queue

Cause: after Node.finish nobody takes from the queue of events (4,096). Change: after the last step the queue has no bound and those who wait are let go.

--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -9,6 +9,7 @@
 import resource
 import select
 import socket
+import sys
 import threading
 import time
 from collections import Counter
@@ -355,10 +356,17 @@
             while not self.closed.wait(LOOK / 10) and time.monotonic() < until:
                 self.turn_away_unknown()
         self.turn_away_unknown()
+        self.hold_up_nobody()
         self.workers.carry_out(ev.Quit())
         self.closer.stop()
         self.workers.writes.put(None)  # the last answers go out before the process may end
 
+    def hold_up_nobody(self):
+        """After the last step nothing is taken from the queue: the writer waited for room there for ever."""
+        with self.events.mutex:
+            self.events.maxsize = sys.maxsize
+            self.events.not_full.notify_all()
+
     def accept(self):
         """Until the end, and then whoever is still in the queue: closed over them it would reset
         connections on which a whole first line may lie. A shutdown of the listener, which would wake this
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -652,6 +652,26 @@
     assert node.join(WAIT)
 
 
+@pytest.mark.parametrize("waiting", [0, 4])
+def test_nobody_waits_for_room_at_a_node_that_has_ended(monkeypatch, waiting):
+    """The writer did, behind the last answers to over two thousand clients: the process never ended."""
+    monkeypatch.setattr("cottonspread.net.node.QUEUE", 4)
+    place, *rest = config.read_node(NODE, {})
+    node = Node(replace(place, operator=None), *rest)
+    node.shared = True
+    for _ in range(waiting):
+        node.post(ev.Tick())
+    posted = [threading.Thread(target=node.post, args=(ev.Tick(),), daemon=True) for _ in range(20)]
+    for thread in posted[:10]:
+        thread.start()
+    node.finish()
+    for thread in posted[10:]:
+        thread.start()
+    for thread in posted:
+        thread.join(WAIT)
+    assert not any(thread.is_alive() for thread in posted)
+
+
 def test_a_fault_in_the_decisions_is_logged_with_its_trace_and_costs_one_connection(service, monkeypatch):
     node, address = service
     said = stdio.StringIO()
