The eight instances' test keeps a short folder, so that its sockets' paths fit under xdist

Its supervisor's socket had a path of 102 to 104 characters in a worker's folder, where 100 fit: the test failed in every parallel run, taken for load. It passes with one worker (38 s).

--- a/tests/fleet/test_lab_fleet.py
+++ b/tests/fleet/test_lab_fleet.py
@@ -15,7 +15,8 @@
 pytestmark = pytest.mark.alone  # its timetable is in seconds, and a node that is late gives up calls
 
 
-def test_eight_instances_reloaded_upgraded_killed_and_stopped_lose_and_double_no_answer(tmp_path):
+def test_eight_instances_reloaded_upgraded_killed_and_stopped_lose_and_double_no_answer(tmp_path_factory):
+    out = tmp_path_factory.mktemp("e")  # short: the path of a Unix socket has some hundred bytes at most
     process = subprocess.run(
         [
             sys.executable,
@@ -25,7 +26,7 @@
             "run",
             "tests/fleet/eight.toml",
             "--out",
-            str(tmp_path / "out"),
+            str(out / "out"),
             "--quiet",
             "--again",
             "0",
@@ -37,7 +38,7 @@
         timeout=120,
     )
     assert "Traceback" not in process.stdout, process.stdout
-    folder = str(tmp_path / "out" / "0-only")
+    folder = str(out / "out" / "0-only")
     result = results.read(folder)
     told = [n for n in record.read(folder, "nodes") if n["k"].startswith("fleet-")]
     assert [n["code"] for n in told if "code" in n] == [0, 0, 0], told  # reload, upgrade, stop
