--- a/cottonspread/lab/scale/plots.py
+++ b/cottonspread/lab/scale/plots.py
@@ -20,6 +20,7 @@
 
 matplotlib.use("Agg")
 import matplotlib.pyplot as plt  # noqa: E402  the backend is chosen first
+from matplotlib import ticker  # noqa: E402
 
 PIXELS_AN_INCH = 110
 STEPS = 200
@@ -101,11 +102,7 @@
     axis.plot(sizes, values, "o", color="#1f4e79", label="measured", zorder=3)
     _draw_fit(axis, found, target)
     _draw_budgets(axis, wanted, max([*values, found.at(target)]))
-    axis.set_xscale("log")
-    if all(value > 0 for value in values):
-        axis.set_yscale("log")
-    else:
-        axis.set_ylim(bottom=0)
+    _scale_axes(axis, sorted({*sizes, target}), all(value > 0 for value in values))
     axis.set_xlabel(f"{sweep.variable.replace('_', ' ')} ({sweep.variable_unit})")
     axis.set_ylabel(f"{measure.name} ({measure.unit})")
     axis.set_title(f"{sweep.name}: {measure.name}, {found.term}, residual {found.residual:.0%}", fontsize=10)
@@ -116,6 +113,23 @@
     plt.close(figure)
 
 
+def _scale_axes(axis: plt.Axes, sizes: list[float], logarithmic: bool) -> None:
+    """Sizes as ticks; values by decades, unless one of them is nothing."""
+    plain = ticker.FuncFormatter(lambda value, _: f"{value:,.4g}" if value < 1000 else f"{value:,.0f}")
+    axis.set_xscale("log")
+    axis.set_xticks(sizes)
+    axis.xaxis.set_major_formatter(plain)
+    axis.xaxis.set_minor_locator(ticker.NullLocator())
+    axis.tick_params(axis="x", labelrotation=30)
+    if not logarithmic:
+        axis.set_ylim(bottom=0)
+        return
+    axis.set_yscale("log")
+    axis.yaxis.set_major_locator(ticker.LogLocator(subs=(1.0, 2.0, 5.0)))
+    axis.yaxis.set_major_formatter(plain)
+    axis.yaxis.set_minor_formatter(ticker.NullFormatter())
+
+
 def _draw_fit(axis: plt.Axes, found: Fit, target: float) -> None:
     """A line over the sizes played, dashes from there to the target."""
     played = np.geomspace(found.smallest, found.largest, STEPS)
