--- a/cottonspread/lab/scale/fit.py
+++ b/cottonspread/lab/scale/fit.py
@@ -16,6 +16,9 @@
 FLOOR = 0.01
 """Part of the largest value under which a residual is not held against the value itself."""
 
+SAME_SIZE = 1.001
+"""A target that is larger than a size by a smaller factor was played: 76,190.5 connections a node are 76,190."""
+
 FLAT = 0.1
 """A cost that grows by a smaller part from the smallest size to the largest, or falls, is constant: nothing
 that a size adds makes it, and a fall carried on past the largest size would promise ever less."""
@@ -59,7 +62,8 @@
 
     def beyond(self, target: float) -> float:
         """How many times the largest size played the target is; 1 and less: it was played."""
-        return target / self.largest
+        past = target / self.largest
+        return 1.0 if 1.0 < past < SAME_SIZE else past
 
     def grows_faster_than(self, term: str) -> bool:
         """Whether the cost grows by a faster term than this one."""
--- a/tests/scale/test_fit.py
+++ b/tests/scale/test_fit.py
@@ -76,6 +76,7 @@
     assert found.beyond(3_000) == 7.5
     assert found.beyond(400) == 1.0
     assert found.beyond(100) < 1
+    assert found.beyond(400.02) == 1.0 and found.beyond(401) > 1.0
 
 
 def test_a_cost_that_falls_is_not_carried_on_past_the_largest_size():
