--- a/cottonspread/lab/scale/fit.py
+++ b/cottonspread/lab/scale/fit.py
@@ -17,7 +17,7 @@
 """Part of the largest value under which a residual is not held against the value itself."""
 
 SAME_SIZE = 1.001
-"""A target that is larger than a size by a smaller factor was played: 76,190.5 connections a node are 76,190."""
+"""A target that is larger than a size by a smaller factor was played: 76,190.5 connections are 76,190."""
 
 FLAT = 0.1
 """A cost that grows by a smaller part from the smallest size to the largest, or falls, is constant: nothing
--- a/cottonspread/lab/scale/tables.py
+++ b/cottonspread/lab/scale/tables.py
@@ -169,7 +169,9 @@
 
 def _runs_of(costs: list, figures: list) -> str:
     runs = [f"`{cost.result}` {cost.measure}" for cost in costs]
-    runs += [f"`{one.result}` {one.event}" if one.result else f"`{one.file}`" for one in figures]
+    runs += [
+        f"`{one.result}` {one.event or one.figure}" if one.result else f"`{one.file}`" for one in figures
+    ]
     return "; ".join(dict.fromkeys(runs)) or "arithmetic"
 
 
