--- a/cottonspread/cli/configuration.py
+++ b/cottonspread/cli/configuration.py
@@ -37,7 +37,7 @@
     try:
         control.raise_descriptors(server.CONNECTIONS_AT_MOST + 64)
         listener = socket.create_server(read_address(name), backlog=server.BACKLOG)
-        replica = server.Server(name, listener, peers, given.state)
+        replica = server.Server(name, listener, peers, given.state, given.new)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: replica.stop())
         replica.run()
@@ -123,6 +123,7 @@
     one.add_argument("--listen", required=True, metavar="HOST:PORT", help="its address, known to all")
     one.add_argument("--peers", required=True, metavar="A,B", help="the addresses of the other replicas")
     one.add_argument("--state", required=True, metavar="DIR", help="its folder, on a disk that stays")
+    one.add_argument("--new", action="store_true", help="its first start: there is no state yet")
     one.set_defaults(run=serve)
 
     one = words.add_parser("publish", help="bring a platform's JSON into force everywhere, canaries first")
--- a/cottonspread/configstore/server.py
+++ b/cottonspread/configstore/server.py
@@ -107,17 +107,44 @@
     raise RequestError(404, f"{method} {path[:100]}: not known here")
 
 
+def read_state(path: str, new: bool) -> m.ReplicaState:
+    """What the replica kept; of a `new` one the empty state, which is kept from then on.
+
+    One that has lost its file has forgotten what it accepted, and could accept something else in its place:
+    it must not take part as if it were new. Raises storage.StorageError, OSError.
+    """
+    state = storage.read(path, m.ReplicaState)
+    if state is None and not new:
+        raise storage.StorageError(f"{path}: not there; --new is for the first start of a replica alone")
+    if state is not None and new:
+        raise storage.StorageError(f"{path}: there already; --new is for the first start of a replica alone")
+    if state is None:
+        state = m.ReplicaState()
+        storage.write(path, state)
+    return state
+
+
 class Server:
     """A replica that listens.
 
     `run` serves until `stop`, which may be called from any thread or signal.
     """
 
-    def __init__(self, name: str, listener: socket.socket, peers: tuple[str, ...], folder: str, chance=None):
-        """`name` and `peers`: HOST:PORT. Raises storage.StorageError, OSError."""
+    def __init__(
+        self,
+        name: str,
+        listener: socket.socket,
+        peers: tuple[str, ...],
+        folder: str,
+        new: bool = False,
+        chance=None,
+    ):
+        """`name` and `peers`: HOST:PORT. `new`: the first start, see `read_state`. Raises
+        storage.StorageError, OSError.
+        """
         self._path = os.path.join(folder, STATE_FILE)
         os.makedirs(folder, exist_ok=True)
-        state = storage.read(self._path, m.ReplicaState) or m.ReplicaState()
+        state = read_state(self._path, new)
         chance = chance or random.Random(f"{name} {os.getpid()}").random
         self.core = core.Replica(name, peers, state, chance)
         self._listener, self._selector = listener, selectors.DefaultSelector()
--- a/tests/configstore/shells.py
+++ b/tests/configstore/shells.py
@@ -88,7 +88,7 @@
         self.names = [f"127.0.0.1:{port}" for port in self.ports]
         self.replicas, self.nodes, self.followers = [None] * 3, [], []
         for n in range(3):
-            self.start(n)
+            self.start(n, "--new")
 
     @property
     def all(self):
@@ -102,11 +102,11 @@
                 [sys.executable, "-m", "cottonspread", *words], cwd=ROOT, stdout=out, stderr=out
             )
 
-    def start(self, n):
-        """Replica n."""
+    def start(self, n, *more):
+        """Replica n; `more`: words of its command."""
         peers = ",".join(name for name in self.names if name != self.names[n])
         words = ("--listen", self.names[n], "--peers", peers, "--state", str(self.folder / f"r{n}"))
-        self.replicas[n] = self.process(f"r{n}.log", "configuration", "serve", *words)
+        self.replicas[n] = self.process(f"r{n}.log", "configuration", "serve", *words, *more)
 
     def kill(self, n):
         """Replica n, as by a power cut."""
--- a/tests/configstore/test_shell_server.py
+++ b/tests/configstore/test_shell_server.py
@@ -24,7 +24,8 @@
     def __init__(self, folder):
         listener = socket.create_server(("127.0.0.1", 0))
         self.address = listener.getsockname()
-        self.server = server.Server("r0", listener, ("127.0.0.1:1", "127.0.0.1:2"), str(folder))
+        new = not (folder / server.STATE_FILE).exists()
+        self.server = server.Server("r0", listener, ("127.0.0.1:1", "127.0.0.1:2"), str(folder), new)
         self.thread = threading.Thread(target=self.server.run)
         self.thread.start()
 
@@ -233,3 +234,14 @@
     callers.call("127.0.0.1:1", m.ReadState(), now() + m.SECOND, told.append)
     assert [type(one) for one in told] == [CallError] * 3
     silent.close()
+
+
+def test_a_replica_that_has_lost_its_file_does_not_take_part(tmp_path):
+    """It began with nothing, as a new one, and could accept a second body for a version it had accepted."""
+    path = str(tmp_path / server.STATE_FILE)
+    with pytest.raises(storage.StorageError, match="not there"):
+        server.read_state(path, new=False)
+    assert server.read_state(path, new=True) == m.ReplicaState()
+    assert server.read_state(path, new=False) == m.ReplicaState()
+    with pytest.raises(storage.StorageError, match="there already"):
+        server.read_state(path, new=True)
