The operator's file is read once for a plan; the page's writer can be run as a command

A plan and a supervisor's start read the operator's file twice, for the fleet and again for [configuration]: two readings of a file that may change in between. read_fleet gives all four sections of one reading, and Carrying is given its own. In the test of rollouts only the making of Carrying follows; its assertions stay. Fleet, operator, layers and the store's fleet tests pass.

--- a/benchmarks/scale/page.py
+++ b/benchmarks/scale/page.py
@@ -1,3 +1,4 @@
+#!/usr/bin/env python3
 """Writes the tables of docs/CAPACITY.md from rows.toml and results/*.json.
 
     python benchmarks/scale/page.py            # writes the page
--- a/cottonspread/config/operator.py
+++ b/cottonspread/config/operator.py
@@ -272,11 +272,13 @@
 
 
 def read_fleet(path):
-    """As `read`, of a file that must have the section [fleet]: (Log, Instance, Fleet)."""
-    log, instance, fleet, *_ = read(path)
+    """As `read`, of a file that must have the section [fleet]: (Log, Instance, Fleet, Configuration or None)
+    of one reading.
+    """
+    log, instance, fleet, configuration, _ = read(path)
     if fleet is None:
         raise OperatorFileError([f"{path}: fleet: missing: this command needs the section [fleet]"])
-    return log, instance, fleet
+    return log, instance, fleet, configuration
 
 
 def in_force(parts, whole, path):
--- a/cottonspread/fleet/carrying.py
+++ b/cottonspread/fleet/carrying.py
@@ -22,9 +22,8 @@
 class Carrying:
     """Between the follower and the supervisor."""
 
-    def __init__(self, supervisor):
-        self.supervisor, self.client = supervisor, None
-        self.section = op.read(supervisor.path)[3]
+    def __init__(self, supervisor, section):
+        self.supervisor, self.section, self.client = supervisor, section, None
         self.in_force, self.wanted = None, None
         """The carried text that the fleet runs under, and the one of the rollout under way or ended last."""
         self.orders = queue.SimpleQueue()
--- a/cottonspread/fleet/plan.py
+++ b/cottonspread/fleet/plan.py
@@ -78,8 +78,7 @@
     of config.read_node, or config.ConfigurationError. `carried`: what the configuration store told, which
     stands for the template but for the keys that are this machine's own.
     """
-    log, instance, fleet = op.read_fleet(path)
-    section = op.read(path)[3]
+    log, instance, fleet, section = op.read_fleet(path)
     template = beside(path, fleet.config)
     try:
         with open(template, encoding="utf-8") as file:
--- a/cottonspread/fleet/supervisor.py
+++ b/cottonspread/fleet/supervisor.py
@@ -46,8 +46,8 @@
 class Supervisor:
     def __init__(self, path, program, check):
         self.path, self.own_program, self.check = os.path.abspath(path), tuple(program), check
-        self.logging, _, self.fleet = op.read_fleet(self.path)
-        self.follower = carrying.Carrying(self) if op.read(self.path)[3] else None
+        self.logging, _, self.fleet, section = op.read_fleet(self.path)
+        self.follower = carrying.Carrying(self, section) if section else None
         self.folder, self.logs = plans.folders(self.path, self.fleet)
         self.manager, self.selector, self.timers = notify.Manager(), selectors.DefaultSelector(), []
         self.sockets, self.doors, self.guests = {}, {}, {}  # by address; by name; by socket
--- a/tests/configstore/test_shell_fleet.py
+++ b/tests/configstore/test_shell_fleet.py
@@ -11,6 +11,7 @@
 import shells
 
 from cottonspread import config
+from cottonspread.config import operator as op
 from cottonspread.configstore import messages as m
 from cottonspread.fleet import control
 from cottonspread.fleet import plan as plans
@@ -133,7 +134,7 @@
         '[fleet]\nname = "f"\nconfig = "node.json"\ninstances = 1\nlisten = "127.0.0.1:9"\n'
     )
     supervisor, told = Supervisor(tmp_path), []
-    carrying = supervisor.carrying = Carrying(supervisor)
+    carrying = supervisor.carrying = Carrying(supervisor, op.read_fleet(str(supervisor.path))[3])
     carrying.prepare()
 
     def hand_over(version, stage, text):
