--- /dev/null
+++ b/tests/test_idle_widely.py
@@ -0,0 +1,214 @@
+"""A node that is sent calls attempts some, however its attempts ended before and whatever its servers tell.
+
+What happens: all servers fail, or all are slow, or all tell probes that they are full. Each of them then
+rests or is shut (`Health.bad`, `Overview.near_slow`, `Ceilings.room`, `Readings.crowded`), beside them
+perhaps the way to all of them (`Balancer.way`), each for its own time and none knowing of the others. The
+node turns every call away and tries nothing, so it learns of no recovery.
+
+What showed it: the module alone, driven by the plays below. Before the mend the longest time without an
+attempt was 9.0 s where servers failed, and far longer where all were slow or told that they were full. The
+log says `aside for 8000 ms` for server after server, and then nothing.
+"""
+
+import heapq
+import itertools
+from collections import Counter
+from random import Random
+
+import pytest
+from notation import begin, entry, traffic_type
+
+from cottonspread import interface as io
+from cottonspread.interface import Ending
+from cottonspread.policy import Balancer
+from cottonspread.state import SECOND
+
+LASTS, RECOVERS = 40 * SECOND, 20 * SECOND
+IDLE, CALLS = 4 * SECOND, 15  # what the standing test counts as an idle process
+FAILURES = (Ending.TIMEOUT, Ending.CONNECT_FAILED, Ending.RESET, Ending.ERROR, Ending.FULL)
+ANSWER_TIME = 1000  # microseconds
+TELLING = SECOND  # between two words of a server on what its messages take
+
+
+class Play:
+    """One node that is sent calls at an even rate; how its attempts end is the sub-classes' part."""
+
+    def __init__(self, servers, rate, grouped, **site):
+        self.node = Balancer(0, begin(site, (traffic_type("t", {}),)))
+        self.servers = [f"s{number}" for number in range(servers)]
+        self.handle(0, io.Listed(io.News.FULL, 1, tuple(entry(name) for name in self.servers)))
+        self.between, self.grouped = SECOND // rate, grouped
+        self.due = []  # (time, number, event) still to be told to the node, a heap
+        self.told = itertools.count()
+        self.attempts = {}  # call: how many legs it had
+        self.last_attempt, self.turned_away, self.longest_idle = 0, 0, 0
+        self.tried_again, self.tried = [], set()  # when idle times ended, and which servers got attempts
+
+    def handle(self, now, event):
+        for action in self.node.handle(now, event):
+            if isinstance(action, io.Send):
+                self.end_idle_time(now)
+                self.tried.add(action.host)
+                leg = self.attempts.get(action.call, 0)
+                self.attempts[action.call] = leg + 1
+                self.sent(now, action, leg)
+            elif isinstance(action, (io.Reject, io.Release)) and action.call not in self.attempts:
+                self.turned_away += 1
+            elif isinstance(action, io.Probe):
+                self.probed(now, action.host)
+            elif isinstance(action, io.Move):
+                self.moved(now, action.call)
+
+    def end_idle_time(self, now):
+        if self.turned_away >= CALLS:
+            self.longest_idle = max(self.longest_idle, now - self.last_attempt)
+            self.tried_again.append(now)
+        self.last_attempt, self.turned_away = now, 0
+
+    def tell(self, at, event):
+        heapq.heappush(self.due, (at, next(self.told), event))
+
+    def run(self, first, last):
+        for now in range(first, last, self.between):
+            while self.due and self.due[0][0] <= now:
+                at, _, event = heapq.heappop(self.due)
+                self.handle(at, event)
+            number = now // self.between
+            group = f"g{number % 5}" if self.grouped else None
+            self.handle(now, io.Arrived(f"c{now}", 0, 2 * SECOND, f"c{now}", group))
+
+    def idle_time(self, now):
+        """The longest time until now in which CALLS calls or more were all turned away, in microseconds."""
+        self.end_idle_time(now)
+        return self.longest_idle
+
+    def sent(self, now, action, leg):
+        raise NotImplementedError
+
+    def probed(self, now, name):
+        raise NotImplementedError
+
+    def moved(self, now, call):
+        raise NotImplementedError
+
+
+class Failing(Play):
+    """Every attempt fails until the servers are `sound`; endings are drawn from those given."""
+
+    def __init__(self, endings, servers, rate, grouped, nodes, **site):
+        self.endings, self.chance, self.sound = endings, Random(7), False
+        super().__init__(servers, rate, grouped, nodes=nodes, **site)
+
+    def sent(self, now, action, leg):
+        if self.sound:
+            self.tell(now + ANSWER_TIME, io.Accepted(action.call, leg, 0))
+            self.tell(now + ANSWER_TIME, io.LegEnded(action.call, leg, Ending.OK, True))
+            return
+        ending = self.chance.choice(self.endings)
+        at = action.until if ending is Ending.TIMEOUT else now + ANSWER_TIME
+        self.tell(at, io.LegEnded(action.call, leg, ending, False))
+
+
+class Slow(Play):
+    """Every server takes each call at once, holds some from the start, and tells that messages take long."""
+
+    HELD, DELAYS = 3, (150_000, 171_000)  # connections a server; microseconds, told in turn
+
+    def __init__(self, servers, rate, grouped, load_told, **site):
+        self.standing, self.load_told = {}, load_told
+        super().__init__(servers, rate, grouped, **site)
+        for name, number in itertools.product(self.servers, range(self.HELD)):
+            call = f"{name}.{number}"
+            self.standing[call] = name
+            group = f"g{number}" if grouped else None
+            self.handle(0, io.Arrived(call, 0, 2 * SECOND, call, group, held_by=name))
+        for at in range(SECOND, LASTS, TELLING):
+            self.run(at, at + TELLING)
+            self.tell_delays(at + TELLING)
+
+    def tell_delays(self, now):
+        one_of = {name: call for call, name in self.standing.items()}
+        delay = self.DELAYS[now // TELLING % len(self.DELAYS)]
+        for call in one_of.values():
+            if call in self.standing:  # a word told just now may have moved it
+                self.handle(now, io.DelayTold(call, delay))
+
+    def sent(self, now, action, leg):
+        self.standing[action.call] = action.host
+        self.handle(now, io.Accepted(action.call, leg, 0))
+
+    def probed(self, now, name):
+        self.tell(now, io.Probed(name, Ending.OK, 0, self.load_told, 0))
+
+    def moved(self, now, call):
+        self.standing.pop(call, None)
+        leg = max(0, self.attempts.get(call, 1) - 1)
+        self.handle(now, io.LegEnded(call, leg, Ending.CANCELLED, True))
+
+
+@pytest.mark.parametrize("servers", (1, 2, 5, 16, 200))
+@pytest.mark.parametrize(
+    "endings", [(one,) for one in FAILURES] + [FAILURES], ids=[one.name for one in FAILURES] + ["mixed"]
+)
+def test_a_node_goes_on_trying_however_its_attempts_end(endings, servers):
+    """Also while its servers recover: no more calls are turned away in a row than before."""
+    rates = (4, 12, 100) if servers < 16 else (4, 12)
+    for rate, grouped, nodes in itertools.product(rates, (False, True), (1, 200)):
+        play = Failing(endings, servers, rate, grouped, nodes)
+        play.run(SECOND, LASTS)
+        play.sound = True
+        play.run(LASTS, LASTS + RECOVERS)
+        idle = play.idle_time(LASTS + RECOVERS)
+        assert idle < IDLE, (idle, rate, grouped, nodes)
+
+
+@pytest.mark.parametrize("servers", (1, 5, 16, 60))
+@pytest.mark.parametrize("site, load_told", (({}, 0), ({"probe": 1}, 0.6)), ids=("unprobed", "probed"))
+def test_a_node_whose_servers_are_all_slow_goes_on_trying(site, load_told, servers):
+    for grouped, nodes in itertools.product((False, True), (1, 200)):
+        play = Slow(servers, 12, grouped, load_told, nodes=nodes, **site)
+        idle = play.idle_time(LASTS)
+        assert idle < IDLE, (idle, grouped, nodes)
+
+
+@pytest.mark.parametrize("servers", (1, 5, 16, 60))
+def test_a_node_whose_servers_all_tell_that_they_are_full_goes_on_trying(servers):
+    for grouped, nodes in itertools.product((False, True), (1, 200)):
+        play = Slow(servers, 12, grouped, 0.95, nodes=nodes, probe=1)
+        idle = play.idle_time(LASTS)
+        assert idle < IDLE, (idle, grouped, nodes)
+
+
+def test_many_nodes_do_not_try_again_in_step():
+    """All servers of two hundred nodes refuse from the same moment: what is behind them must not be asked by
+    all nodes at once. Those that were idle try again in different tenths of a second."""
+    times = []
+    for seed in range(200):
+        play = Failing((Ending.CONNECT_FAILED,), 5, 40, False, 200, seed=seed)
+        play.run(SECOND, 20 * SECOND)
+        times += play.tried_again
+    # The first rests of 8 s begin by 8.3 s and end by 16 s: in between nothing but idle nodes try.
+    in_each_tenth = Counter(at * 10 // SECOND for at in times if 9 * SECOND <= at < 16 * SECOND)
+    assert sum(in_each_tenth.values()) >= 200
+    assert max(in_each_tenth.values()) <= 200 // 4, in_each_tenth.most_common(3)
+
+
+def test_no_server_that_drains_or_is_gone_is_tried_when_all_rest():
+    play = Failing((Ending.CONNECT_FAILED,), 6, 12, False, 20)
+    play.run(SECOND, 20 * SECOND)
+    left = (entry("s0:state=draining"), entry("s1:state=gone"), entry("s2:state=draining"))
+    play.handle(20 * SECOND, io.Listed(io.News.CHANGES, 2, left))
+    play.tried.clear()
+    play.run(20 * SECOND, 60 * SECOND)
+    assert play.tried == {"s3", "s4", "s5"}
+
+
+def test_no_cold_server_is_tried_beyond_its_budget_when_all_rest():
+    """Fresh servers among those that refuse: what this node sends them stays what it draws for them."""
+    play = Failing((Ending.CONNECT_FAILED,), 4, 12, False, 200)
+    play.run(SECOND, 20 * SECOND)
+    fresh = tuple(entry(f"f{number}:started=20000") for number in range(4))
+    play.handle(20 * SECOND, io.Listed(io.News.CHANGES, 2, fresh))
+    play.run(20 * SECOND, 24 * SECOND)
+    to_fresh = sum(play.node.membership.hosts[one.host].sent.total(24 * SECOND, 4 * SECOND) for one in fresh)
+    assert to_fresh <= 2, to_fresh  # eight draws, two windows for each of four, at 3 legs in 200
