A node whose servers all rest tries one of them every two to three seconds

Callers saw every call turned away for up to 9.0 s while all servers failed, for longer while all were slow or full by their probes, and for up to 7.7 s after all were sound again. Cause: servers' rests, the way's rest, ceilings and readings each shut a server for a time of their own, and nothing looked whether any was left. Mend: one bound on rest in Choice, whatever rests; it goes by the time since the node's last leg, so that it holds for any mix of reasons. Cold servers keep to their budget (slow_start is asked as ever), those that drain or are gone are not taken, and the time is drawn, so that nodes do not try in step.

First tries: a chance per call (200 nodes met in quarter seconds), a draw from the node's own stream (two draws of Chance mirror each other over nodes: 55 of 200 in a tenth of a second); both left.

--- a/cottonspread/driver.py
+++ b/cottonspread/driver.py
@@ -17,6 +17,7 @@
         self.membership, self.records, self.sums = membership, records, Sums()
         self.way = Host("way to the servers", io.Entry(None))  # what all set-ups share, a store perhaps
         self.calls = {}  # open calls by their id
+        self.last_leg_at, self.calls_since_leg = now, 0  # when a leg last went out, and calls that came since
         self.waiting = {}  # calls, by the server whose probe they wait for
         self.takes = {
             io.Arrived: self.arrive,
@@ -53,6 +54,7 @@
         kind, most = self.settings.types[e.type], self.settings.limits.most_legs
         call = Call(e.call, kind, key, e.group, self.now + e.time_left, e.returned, most_legs=most)
         self.calls[call.id], call.path = call, self.path(call)
+        self.calls_since_leg += 1
         self.met(call)
         if e.held_by is not None:
             host = self.membership.unlisted(e.held_by)
@@ -78,6 +80,7 @@
         """A leg goes out: counted at its server, and among all set-ups of this node."""
         host.sent.add(self.now)
         self.way.sent.add(self.now)
+        self.last_leg_at, self.calls_since_leg = self.now, 0
         self.open_leg(call, host)
 
     def open_leg(self, call, host):
--- a/cottonspread/policy/choice.py
+++ b/cottonspread/policy/choice.py
@@ -9,6 +9,10 @@
     """One look for a server: `host()` is the ordinary way. Made anew for each leg, for the fleet moves on."""
 
     SHUT = SECOND // 4  # a server that is not open to new keys is not looked at again before
+    # All servers may rest at once, the way to them too, or be slow or full, and a node that tries nothing
+    # learns of no recovery. After so many calls without a leg, and so long (up to a second more by chance, or
+    # all nodes would try in step), one is overdue and goes to the next server that is not cold.
+    MANY, QUIET = 8, 2 * SECOND
 
     def __init__(self, node, call):
         self.node, self.call, self.now, self.settings = node, call, node.now, node.settings
@@ -16,16 +20,23 @@
         self.seen.look(self.now)
         self.mean, load, self.mean_size = self.seen.means()
         self.mean_load = load / Loads.MEAN
+        self.overdue = node.calls_since_leg >= self.MANY and self.now >= node.overdue_at
         # Nothing is heard of a server that holds nothing of this node. Unless fresh it goes by the others, or
         # nodes with one connection on every third server keep a whole jammed fleet full.
         self.blind = self.settings.nodes == 1 or node.chance.below(1000) >= 2500 * self.seen.slow_part**2
 
     def host(self):
-        """The recorded server, or the next of the rotation; None if no server may have it now."""
+        """The server for the next leg; None if no server may have it now."""
+        rests = not self.health.may_send(self.node.way, self.now)
+        host = None if rests and not self.overdue else self.usual()
+        if host and self.overdue:  # what rests is tried, and goes on if it answers
+            host.aside_until = self.node.way.aside_until = self.now
+        return host
+
+    def usual(self):
+        """The recorded server, or the next of the rotation."""
         node, call = self.node, self.call
         recorded = node.records.find(call.key, self.now, len(node.calls))
-        if not self.health.may_send(node.way, self.now):
-            return None
         # One that was probed for this call and has room is taken: the rotation went on, and probed the next.
         for host in (recorded, call.asked):
             if host and self.ready(host) and self.light(host):
@@ -40,7 +51,7 @@
         call = self.call
         if not host.up or not may_go_to(call, host) or any(leg.host is host for leg in call.legs):
             return False
-        if host in self.seen.marked and not self.sound(host):
+        if host in self.seen.marked and not (self.overdue or self.sound(host)):
             return False
         return self.node.slow_start.may_send(host, self.now, host is call.asked or call.drawn)
 
@@ -55,7 +66,7 @@
         over = well_over(len(host.legs), self.mean * max(1, host.size / self.mean_size))
         if over and not self.readings.easy(host, self.now):
             return False
-        return not self.readings.crowded(host, self.call, self.now)
+        return self.overdue or not self.readings.crowded(host, self.call, self.now)
 
     def open_to_new(self, host):
         """Whether a new key may go there. Heavy connections gather on a server of few, so by load as well.
@@ -64,10 +75,10 @@
         heavy = well_over(host.load / Loads.MEAN, self.mean_load * host.size / self.mean_size)
         if not self.light(host) or heavy and not self.readings.easy(host, self.now):
             return False
-        heard = host.legs or self.blind or host in self.seen.fresh or self.readings.known(host, self.now)
-        if heard and self.ready(host):
+        heard = host.legs or host in self.seen.fresh or self.readings.known(host, self.now)
+        if (heard or self.blind or self.overdue) and self.ready(host):
             return True
-        # In a jam all are shut: looked at for each call, two hundred servers cost it a millisecond.
+        # In a jam all are shut: they are not looked at one by one for each call.
         host.shut_until = self.now + self.SHUT
         return False
 
@@ -85,7 +96,8 @@
 
     def first_of(self, servers):
         """The first of these in turn that is open."""
-        return self.node.rotation.next(self.open_to_new, self.now, servers)
+        now = self.now + self.SHUT if self.overdue else self.now  # then none counts as shut
+        return self.node.rotation.next(self.open_to_new, now, servers)
 
     def for_group(self):
         """Each server that holds any of a group pays for it, and a node sees too few calls to keep a group
@@ -108,7 +120,7 @@
         the order stands in for it."""
         rotation, group = self.node.rotation, self.call.group
         few, wanted = [], self.node.groups.servers(group, len(rotation.order))
-        for host in rotation.ranked_for(group, wanted):
+        for host in rotation.ranked.first(group, wanted):
             few.append(host)
             wanted -= not host.trickle
             if not wanted:
--- a/cottonspread/policy/membership.py
+++ b/cottonspread/policy/membership.py
@@ -2,7 +2,7 @@
 
 from cottonspread.interface import News
 from cottonspread.state import SECOND
-from cottonspread.structures import ServerTable
+from cottonspread.structures import NominalSizes, ServerTable
 
 
 class Membership(ServerTable):
@@ -13,14 +13,14 @@
     def __init__(self, chance, settings, weights_move):
         super().__init__()
         self.chance, self.settings, self.failures = chance, settings, 0
-        self.weights_move, self.nominal = weights_move, {}
+        self.sizes = NominalSizes(weights_move)
 
     def read(self, listed):
         """Takes in a word from the list; returns (servers now unfit for records, servers started anew,
         whether more is new than weights that move)."""
         lost, started, known, new = [], [], len(self.hosts), listed.news is not News.CHANGES
         for host, entry in self.take_in(listed):
-            new = self.weigh(entry) or new or not entry.like(host.entry)
+            new = self.sizes.take_in(entry, host.entry) or new or not entry.like(host.entry)
             if entry.started > host.entry.started:
                 started.append(host)
             host.entry = entry
@@ -28,25 +28,9 @@
                 lost.append(host)
         new = new or len(self.hosts) > known
         for host in self.hosts.values() if new else ():
-            host.size = max(self.nominal.get(self.kind(host.entry), host.entry.weight), 0.01)
+            host.size = self.sizes.of(host.entry)
         return lost, started, new
 
-    def weigh(self, entry):
-        """Whether a size has changed. Weights that move are size over 1 + calls held a core: the largest
-        listed for a kind (where kinds are not told, for a server) is its size."""
-        if not self.weights_move:
-            return entry.weight != self.hosts[entry.host].entry.weight
-        kind = self.kind(entry)
-        grows = entry.weight > self.nominal.get(kind, 0)
-        if grows:
-            self.nominal[kind] = entry.weight
-        return grows
-
-    @staticmethod
-    def kind(entry):
-        """What servers of one size share: the kind, or the server where kinds are not told."""
-        return entry.kind if entry.kind >= 0 else entry.host
-
     def wait_to_ask(self, took):
         """Microseconds until the list is asked again, after a call that failed and took so long. Spread over
         the time in which each node is to ask once, as far as a change that the list has by now allows, then
--- a/cottonspread/policy/path.py
+++ b/cottonspread/policy/path.py
@@ -69,6 +69,7 @@
         self.overview = Overview(self)
         self.unanswered = set()  # servers whose set-ups timed out since one was answered
         self.seen_off = deque()  # legs at servers that drain
+        self.overdue_at = now  # see `Choice`
         if begin.listing.ask:
             self.out.append(io.Follow())
 
@@ -77,12 +78,14 @@
         call.bound = self.readings.bound()
         self.groups.calls.add(call.group)
         self.arrived.add(self.now)
+        if self.calls_since_leg == Choice.MANY:
+            patience = Choice.QUIET + Chance(self.chance.seed + self.last_leg_at).below(SECOND)
+            self.overdue_at = self.last_leg_at + patience
 
     def leg_until(self, call):
         """The time-out of the next leg; 0 if there is no time for one."""
-        last = (
-            call.guard - 2 * self.settings.tick
-        )  # answered before the client gives up, also if the tick is late
+        # Answered before the client gives up, also if the tick is late.
+        last = call.guard - 2 * self.settings.tick
         if last <= self.now:
             return 0
         if len(call.legs) + 1 >= self.settings.limits.most_legs or self.way.trickle:
--- a/cottonspread/policy/records.py
+++ b/cottonspread/policy/records.py
@@ -14,8 +14,3 @@
         """The key's server, or None. `held`: connections held, each of which may have a key of its own."""
         self.trim(now - self.IDLE, self.MOST + held)
         return self.get(key)
-
-    def put(self, key, host, now):
-        """From now on the key belongs to `host`; a call without a key leaves no record."""
-        if key is not None:
-            super().put(key, host, now)
--- a/cottonspread/policy/rotation.py
+++ b/cottonspread/policy/rotation.py
@@ -18,8 +18,3 @@
         super().keep(hosts)
         self.at = self.chance.below(len(hosts)) if first else 0
         self.ranked.keep(self.order)
-
-    def ranked_for(self, key, count=0):
-        """The servers in the key's own order, on which all nodes agree, lazily; some `count` of them
-        will be asked for."""
-        return self.ranked.first(key, count)
--- a/cottonspread/structures/__init__.py
+++ b/cottonspread/structures/__init__.py
@@ -3,6 +3,7 @@
 from cottonspread.structures.aged_map import AgedMap
 from cottonspread.structures.cyclic_order import CyclicOrder
 from cottonspread.structures.fading_counts import FadingCounts
+from cottonspread.structures.nominal_sizes import NominalSizes
 from cottonspread.structures.order_cache import OrderCache
 from cottonspread.structures.running_mean import RunningMean
 from cottonspread.structures.server_table import ServerTable
@@ -12,6 +13,7 @@
     "AgedMap",
     "CyclicOrder",
     "FadingCounts",
+    "NominalSizes",
     "OrderCache",
     "RunningMean",
     "ServerTable",
--- a/cottonspread/structures/aged_map.py
+++ b/cottonspread/structures/aged_map.py
@@ -25,7 +25,9 @@
         return self.entries.get(key, (None,))[0]
 
     def put(self, key, value, now):
-        """Sets the value and counts as a use."""
+        """Sets the value and counts as a use; None is no key, and keeps nothing."""
+        if key is None:
+            return
         if self.get(key) is not value:
             self.take_out(key)
             self.keys_of.setdefault(value, set()).add(key)
--- /dev/null
+++ b/cottonspread/structures/nominal_sizes.py
@@ -0,0 +1,30 @@
+"""What servers can do, out of the weights that the list tells."""
+
+
+class NominalSizes:
+    """Sizes of servers. A listed weight is its size; one that moves with load is size over 1 + calls held a
+    core, and then the largest listed for a kind (where kinds are not told, for a server) is its size."""
+
+    SMALLEST = 0.01  # a server listed without any weight still gets its turns
+
+    def __init__(self, weights_move):
+        self.weights_move, self.largest = weights_move, {}  # kind or server: the largest weight listed
+
+    def take_in(self, entry, before):
+        """An entry of the list, and the one before it of the same server; whether a size has changed."""
+        if not self.weights_move:
+            return entry.weight != before.weight
+        alike = self.alike(entry)
+        grows = entry.weight > self.largest.get(alike, 0)
+        if grows:
+            self.largest[alike] = entry.weight
+        return grows
+
+    def of(self, entry):
+        """The size of the server that is listed so."""
+        return max(self.largest.get(self.alike(entry), entry.weight), self.SMALLEST)
+
+    @staticmethod
+    def alike(entry):
+        """What servers of one size share: the kind, or the server where kinds are not told."""
+        return entry.kind if entry.kind >= 0 else entry.host
--- a/tests/test_idle_widely.py
+++ b/tests/test_idle_widely.py
@@ -7,7 +7,8 @@
 
 What showed it: the module alone, driven by the plays below. Before the mend the longest time without an
 attempt was 9.0 s where servers failed, and far longer where all were slow or told that they were full. The
-log says `aside for 8000 ms` for server after server, and then nothing.
+log says `aside for 8000 ms` for server after server, and then nothing. Mended in `Choice.overdue`; the story
+is told in docs/incidents/2026-12-03-all-rest-at-once.md.
 """
 
 import heapq
@@ -182,8 +183,9 @@
 def test_many_nodes_do_not_try_again_in_step():
     """All servers of two hundred nodes refuse from the same moment: what is behind them must not be asked by
     all nodes at once. Those that were idle try again in different tenths of a second."""
-    times = []
-    for seed in range(200):
+    times, chance = [], Random(7)
+    for _ in range(200):
+        seed = chance.getrandbits(63)
         play = Failing((Ending.CONNECT_FAILED,), 5, 40, False, 200, seed=seed)
         play.run(SECOND, 20 * SECOND)
         times += play.tried_again
