A soak from seeds, and what it found: a silent crowd makes answers late

lab/soak: a seed draws the troubles of hosts, list, signals and crowds; one real process is played against stand-ins on loopback, and an audit that shares no code with the node holds rules 1 to 3, PINGs, echoes, the end before the earliest kill, exit code, ready time, memory, descriptors and the log. Rule 4 (cold servers) is not in it. The generator's own lateness voids a run. tests/soak/test_audit.py breaks each promise once.

--- /dev/null
+++ b/cottonspread/lab/soak/play.py
@@ -0,0 +1,286 @@
+"""Plays a plan: one `serve` process, stand-in hosts and list, clients, and signals, all on loopback."""
+
+import contextlib
+import errno
+import json
+import os
+import resource
+import selectors
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from random import Random
+
+from cottonspread.lab.soak.drawing import HOSTS, LASTS
+from cottonspread.lab.soak.loop import Line, Loop
+from cottonspread.lab.soak.record import Call, Record
+from cottonspread.lab.soak.standins import Host, Listing
+
+ROOT = Path(__file__).resolve().parents[3]
+KINDS = {"chat": 2.0, "once": 1.0}  # class: seconds that a client waits
+LONGEST_WAIT = max(KINDS.values())
+KILL_AFTER = 0.7  # seconds after the longest deadline
+COMING = 0.4  # seconds after SIGTERM for which new clients come
+SENDS_EVERY = 0.5  # seconds between two lines of a standing client
+LIVES = (0.2, 4.0)  # seconds that a client stays
+PING_EVERY = 0.5
+LIMITS = (192, 1024)  # MB, descriptors
+OWN_DESCRIPTORS = 4096
+
+
+class Client:
+    """One call, from its connect to its end."""
+
+    def __init__(self, play, call, line, life):
+        self.play, self.call, self.line, self.life = play, call, line, life
+        self.sock = socket.socket()
+        self.sock.setblocking(False)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        code = self.sock.connect_ex(play.address)
+        if code not in (0, errno.EINPROGRESS):
+            self.ended("reset", time.time())
+            return
+        play.loop.watch(self.sock, selectors.EVENT_WRITE, self.connected)
+
+    def connected(self):
+        """Its connection is up, or was refused."""
+        if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.play.loop.forget(self.sock)
+            self.ended("reset", time.time())
+            return
+        self.stream = Line(self.play.loop, self.sock, self.heard, self.ended)
+        if self.line and self.stream.say(self.line):
+            self.call.sent_at = time.time()
+
+    def heard(self, line, at):
+        """A line of the node."""
+        call, word = self.call, line.split()[0].decode() if line.split() else ""
+        if not call.up:
+            call.answers.append(word)
+            call.answered_at = call.answered_at or at
+            if word == "UP":
+                call.up = True
+                self.play.standing[call.id] = self
+                self.play.loop.at(at + self.life, self.leave)
+                self.send()
+        elif word == "MOVE":
+            call.moved = True
+        elif word == "M":
+            number = int(line.split()[1])
+            call.echoes[number] = (call.echoes[number][0], at)
+
+    def send(self):
+        """A line for the host, and the next one later."""
+        if self.call.ended or self.call.moved or self.sock.fileno() < 0:
+            return
+        if self.stream.say(b"M %d" % len(self.call.echoes)):
+            self.call.echoes.append((time.time(), 0.0))
+        self.play.loop.at(time.time() + SENDS_EVERY, self.send)
+
+    def leave(self):
+        """Its time is over; once the node ends it stays, and goes on sending."""
+        if not self.call.ended and not self.play.record.term_at:
+            self.play.standing.pop(self.call.id, None)
+            self.call.host_ended = True  # by itself, that is
+            self.stream.close()
+
+    def ended(self, how, at):
+        """By the node."""
+        self.play.standing.pop(self.call.id, None)
+        self.call.ended, self.call.ended_at = how, at
+        self.call.host_ended = self.call.host_ended or self.play.cuts(self.call)
+
+
+class Play:
+    """One run of a plan. `checkout`: the folder whose cottonspread is played."""
+
+    def __init__(self, plan, checkout=ROOT):
+        self.checkout = checkout
+        self.plan, self.loop, self.chance = plan, Loop(), Random(plan.seed ^ 0x5EED)
+        self.record = Record(plan.seed, [vars(one) for one in plan.troubles])
+        self.hosts = [Host(self.loop, self.record, number) for number in range(HOSTS)]
+        self.listing = Listing(self.loop, self.record, self.hosts, 2)
+        self.standing, self.idle, self.number = {}, [], 0
+        self.folder = tempfile.TemporaryDirectory()
+        self.file = Path(self.folder.name) / "node.json"
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.address = free.getsockname()
+
+    def cuts(self, call):
+        """Whether a host that this call was sent to has cut its connections."""
+        hosts = {attempt.host for attempt in self.record.attempts if attempt.call == call.id}
+        troubled = {f"h{one.host}" for one in self.plan.troubles if one.what in ("refuse", "reset", "hang")}
+        return bool(hosts & troubled)
+
+    def configure(self, turn):
+        """The configuration, whole; `turn`: which list, and which settings."""
+        address = self.listing.listeners[turn % 2].getsockname()
+        types = [
+            {"Name": name, "Effect": effect, "SetupTarget": 300, "GuardTime": wait * 1000, "Revenue": 1}
+            for (name, wait), effect in zip(KINDS.items(), ("safe", "unsafe"), strict=True)
+        ]
+        limits = {"MostLegs": 3, "Cancel": True, "RetryAfter": True, "MaxRetryAfter": 2000 + turn}
+        settings = {
+            "Balancers": 1,
+            "Zones": ["here"],
+            "Kinds": ["toy"],
+            "MembershipMode": "push",
+            "TrafficTypes": types,
+            "FamilyInfo": {"Groups": False, "MessageAim": [100, 100], "TellsDelay": True, "TellsLoad": True},
+            "Limits": limits | {"ConnectTimeout": 250},
+            "Rules": {"DrainGrace": 500},
+        }
+        whole = {
+            "name": "soak",
+            "listen": "{}:{}".format(*self.address),
+            "discovery": "{}:{}".format(*address),
+            "seed": f"{self.plan.seed:016x}",
+            "limits": {"memory_mb": LIMITS[0], "sockets": LIMITS[1]},
+            "settings": settings,
+        }
+        self.file.write_text(json.dumps(whole))
+
+    def run(self):
+        """The whole play; gives its record."""
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, min(hard, OWN_DESCRIPTORS)), hard))
+        self.configure(0)
+        log = open(Path(self.folder.name) / "log", "w+")  # noqa: SIM115  closed at the end of the play
+        command = [sys.executable, "-m", "cottonspread", "serve", "--config", str(self.file)]
+        self.process = subprocess.Popen(command, cwd=self.checkout, stderr=log)
+        try:
+            self.until_ready()
+            if self.record.ready_s:
+                self.play()
+        finally:
+            if self.process.poll() is None:
+                self.process.kill()
+                self.process.wait()
+            log.seek(0)
+            self.record.log = log.read()
+            log.close()
+            self.folder.cleanup()
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        self.record.late_s, self.record.load = self.loop.late, os.getloadavg()[0]
+        return self.record
+
+    def until_ready(self):
+        """Until a PING is answered."""
+        began = time.time()
+        while not self.record.ready_s and time.time() - began < 15:
+            self.ping()
+            self.loop.run(time.time() + 0.1)
+            if any(word == "PONG" for _, _, word in self.record.pings):
+                self.record.ready_s = time.time() - began
+        self.record.pings.clear()
+        self.loop.late = 0.0
+
+    def play(self):
+        """Calls and troubles, SIGTERM, and the earliest kill."""
+        self.begin = time.time()
+        for trouble in self.plan.troubles:
+            self.loop.at(self.begin + trouble.at, self.trouble, trouble)
+        self.loop.at(self.begin, self.next_call)
+        self.loop.at(self.begin + PING_EVERY, self.next_ping)
+        self.loop.run(self.begin + LASTS)
+        self.look_at_process()
+        self.record.term_at = time.time()
+        self.process.send_signal(signal.SIGTERM)
+        kill_at = self.record.term_at + LONGEST_WAIT + KILL_AFTER
+        while time.time() < kill_at and self.process.poll() is None:
+            self.loop.run(min(kill_at, time.time() + 0.01))
+        if self.process.poll() is not None:
+            self.record.ended_s, self.record.exit_code = (
+                time.time() - self.record.term_at,
+                self.process.returncode,
+            )
+        self.loop.run(time.time() + 0.2)  # what has come already
+        self.record.held_at_kill = [id for id, one in self.standing.items() if not one.call.moved]
+
+    def next_call(self):
+        """One call, and the next at the plan's rate."""
+        now = time.time()
+        if self.record.term_at and now > self.record.term_at + COMING:
+            return
+        self.number += 1
+        kind = self.chance.choice(list(KINDS))
+        call = Call(f"{self.plan.seed:x}-{self.number:05x}", kind, KINDS[kind])
+        self.record.calls.append(call)
+        key = f"k{self.chance.randrange(50)}"
+        line = f"OPEN {call.id} {key} c={kind},d={round(KINDS[kind] * 1000)}".encode()
+        Client(self, call, line, self.chance.uniform(*LIVES))
+        self.loop.at(now + 1 / self.plan.rate, self.next_call)
+
+    def next_ping(self):
+        """The front asks whether the node serves."""
+        if not self.record.term_at:
+            self.ping()
+            self.loop.at(time.time() + PING_EVERY, self.next_ping)
+
+    def ping(self):
+        """One PING on a connection of its own."""
+        sock = socket.socket()
+        try:
+            sock.connect(self.address)
+        except OSError:
+            sock.close()
+            return
+        number, asked = len(self.record.pings), time.time()
+        self.record.pings.append((asked, 0.0, ""))
+
+        def heard(line, at):
+            self.record.pings[number] = (asked, at, line.split()[0].decode())
+            stream.close()
+
+        stream = Line(self.loop, sock, heard, lambda how, at: None)
+        stream.say(b"PING")
+
+    def trouble(self, one):
+        """One of the plan's troubles begins."""
+        if one.what == "crowd":
+            for number in range(one.size):
+                self.crowd(number)
+        elif one.what == "sighup":
+            self.number_of_reloads = getattr(self, "number_of_reloads", 0) + 1
+            self.configure(self.number_of_reloads)
+            self.signal(signal.SIGHUP)
+        elif one.what == "sigterm-again":
+            self.signal(signal.SIGTERM)
+        elif one.what == "drain":
+            self.listing.change(self.hosts[one.host], False)
+            self.loop.at(time.time() + one.lasts, self.listing.change, self.hosts[one.host], True)
+        elif one.host >= 0:
+            self.hosts[one.host].begin(one.what)
+            self.loop.at(time.time() + one.lasts, self.hosts[one.host].end)
+        else:
+            self.listing.trouble = one.what
+            self.loop.at(time.time() + one.lasts, self.list_is_back)
+
+    def list_is_back(self):
+        """It answers again."""
+        self.listing.trouble = ""
+
+    def signal(self, number):
+        """To the process, if it is there still."""
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(number)
+
+    def crowd(self, number):
+        """One that connects and says nothing, or half a line, and stays."""
+        sock = socket.socket()
+        sock.setblocking(False)
+        with contextlib.suppress(OSError):
+            sock.connect_ex(self.address)
+            if number % 3 == 0:
+                sock.send(b"OPEN half-")
+        self.idle.append(sock)
+
+    def look_at_process(self):
+        """Its memory and descriptors."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        self.record.memory_mb = int(status.split("VmHWM:")[1].split()[0]) / 1024
+        self.record.descriptors = len(os.listdir(f"/proc/{self.process.pid}/fd"))
--- a/tests/crossings/test_floods.py
+++ b/tests/crossings/test_floods.py
@@ -11,7 +11,7 @@
 from hypothesis import given
 from hypothesis import settings as profile
 from hypothesis import strategies as st
-from standins import SETTINGS, WAIT, Agent, client, listed, opening, running, until
+from standins import SETTINGS, WAIT, Agent, client, listed, opening, running, serve, until
 
 from cottonspread import cli, config
 from cottonspread.net import discovery, lines
@@ -75,6 +75,27 @@
         until(lambda: not node.reducer.conns and not node.workers.live, "a descriptor is kept")
 
 
+def test_a_crowd_that_says_nothing_takes_no_step_of_the_reducer(hosts, agent):
+    """Two hundred connect and say nothing or half a line: no thread and no event each, for whoever has a
+    whole line would wait behind them.
+    """
+    with running(agent, sockets=96) as node:
+        listed(node)
+        crowd = [client(node) for _ in range(200)]
+        for one in crowd[::2]:
+            one.sock.sendall(b"OPEN half-")
+        usual = client(node, opening(1))
+        peer = serve(hosts)
+        peer.say(b"UP r")
+        assert usual.hear() == b"UP r"
+        came = [event for event in node.seen.told if isinstance(event, ev.Came)]
+        assert len(came) == 1
+        assert client(node, b"PING").hear() == b"PONG"
+        for one in crowd:
+            one.close()
+        peer.close()
+
+
 def test_clients_that_send_much_and_go_leave_nothing_behind(hosts, agent):
     with running(agent) as node:
         listed(node)
--- /dev/null
+++ b/tests/soak/test_audit.py
@@ -0,0 +1,93 @@
+"""The soak's audit finds each broken promise in the record of a play that is otherwise sound."""
+
+import pytest
+
+from cottonspread.lab.soak import audit
+from cottonspread.lab.soak.record import Attempt, Call, Record, Told
+
+TERM = 110.0
+
+
+def sound():
+    """A play in which nothing was wrong."""
+    record = Record(1, [], ready_s=0.5, term_at=TERM, ended_s=2.1, exit_code=0, memory_mb=30, descriptors=90)
+    for number, kind in enumerate(("chat", "once")):
+        call = Call(f"c{number}", kind, 1.0, 100.0, ["UP"], 100.2, up=True, echoes=[(101.0, 101.1)])
+        record.calls.append(call)
+        record.attempts.append(Attempt(call.id, "h0", 100.1, True))
+    record.told = [Told("h0", True, 99.0)]
+    record.pings = [(101.0, 101.01, "PONG")]
+    return record
+
+
+def changed(what):
+    """The sound play with one thing wrong."""
+    record = sound()
+    what(record)
+    return audit.findings(record, 2.0, (192, 1024))
+
+
+def refused(record, at, ended="end"):
+    call = record.calls[0]
+    call.up, call.answers, call.answered_at, call.ended, call.ended_at = False, ["BUSY"], at, ended, at
+
+
+def cut(record):
+    record.calls[0].ended, record.calls[0].ended_at = "reset", TERM + 1
+
+
+def unanswered(record, ended):
+    call = record.calls[0]
+    call.up, call.answers, call.echoes, call.ended, call.ended_at = False, [], [], ended, 100.5
+
+
+WRONG = {
+    "no answer": lambda r: unanswered(r, ""),
+    "closed unanswered": lambda r: unanswered(r, "end"),
+    "late answer": lambda r: refused(r, 101.06),
+    "two answers": lambda r: (refused(r, 100.2), r.calls[0].answers.append("ERR")),
+    "late attempt": lambda r: (refused(r, 100.2), r.attempts.append(Attempt("c0", "h1", 100.3, True))),
+    "attempt for nobody": lambda r: r.attempts.append(Attempt("x", "h1", 100.3, True)),
+    "sent again": lambda r: r.attempts.append(Attempt("c1", "h1", 100.15, True)),
+    "sent to a draining host": lambda r: r.told.append(Told("h0", False, 99.5)),
+    "PING answered": lambda r: r.pings.append((102.0, 102.1, "BUSY")),
+    "PING answered nothing": lambda r: r.pings.append((102.0, 0.0, "")),
+    "echo held": lambda r: r.calls[0].echoes.append((102.0, 103.1)),
+    "killed": lambda r: setattr(r, "ended_s", 0.0),
+    "killed: still there": lambda r: setattr(r, "ended_s", 2.75),
+    "exit code": lambda r: setattr(r, "exit_code", 1),
+    "held at the end": lambda r: r.held_at_kill.append("c0"),
+    "cut without MOVE": cut,
+    "ready after": lambda r: setattr(r, "ready_s", 11.0),
+    "memory": lambda r: setattr(r, "memory_mb", 200),
+    "descriptors": lambda r: setattr(r, "descriptors", 1025),
+    "log": lambda r: setattr(r, "log", "time=1 event=fault while=Got\nTraceback (most recent call last):\n"),
+}
+
+
+def test_a_sound_play_is_passed():
+    assert changed(lambda record: None) == []
+
+
+@pytest.mark.parametrize("name", WRONG)
+def test_what_is_wrong_is_found(name):
+    found = changed(WRONG[name])
+    assert any(line.startswith(name) for line in found), found
+
+
+def test_what_is_allowed_is_passed():
+    """A call answered in time, one sent again where no earlier attempt ran, one cut by its host."""
+    assert changed(lambda record: refused(record, 101.04)) == []
+    record = sound()
+    record.attempts[1] = Attempt("c1", "h1", 100.05, False)
+    record.attempts.append(Attempt("c1", "h0", 100.1, True))
+    record.calls[0].host_ended = True
+    cut(record)
+    assert audit.findings(record, 2.0, (192, 1024)) == []
+
+
+def test_a_late_generator_makes_the_run_void():
+    record = sound()
+    assert not audit.void(record)
+    record.late_s = 0.3
+    assert audit.void(record)
