A client is let in once its first line is whole: a silent crowd makes no answer late

Callers got their BUSY up to two seconds past their deadline while hundreds connected and said nothing. Cause: the one accepting thread waited up to 50 ms for room for each of them, and each took a thread and some ten steps of the reducer. Mend: net/admission.py accepts and peeks, and holds who has not said a whole line in a bounded waiting room of descriptors; it waits for no client, no room and no queue. The door judges calls and no PINGs. The end of the process wakes the accepting thread in place of waiting for its next look.

Tests that looked into the reducer for clients without a line look into the waiting room, or hold the new step, and assert the same answers; the door's test counts the silent client under its own reason; the resting client's test is now two, one for each place where such a client is ended.

--- a/benchmarks/crossings/mutants.py
+++ b/benchmarks/crossings/mutants.py
@@ -170,8 +170,8 @@
     ),
     (
         "the listener's queue at the end",
-        "net/node.py",
-        'self.turn_away(self.listener.accept()[0], "stopping", self.reducer.retry_after())',
+        "net/admission.py",
+        'self.gate.turn_away(self.listener.accept()[0], "stopping")',
         "break",
         [f"{SHUTDOWN}::test_a_connection_in_the_listeners_queue_at_the_end_is_turned_away"],
     ),
@@ -285,8 +285,22 @@
         "net/reducer.py",
         "while len(self.unopened) >= max(2, self.most_ends // WAITING_PART):",
         "while False:",
+        [f"{SCENARIO}[crowd]"],
+    ),
+    (
+        "the bound on clients that wait for their first line",
+        "net/admission.py",
+        "for one in self.waiting.take_beyond(self.gate.most_waiting()):",
+        "for one in ():",
         [f"{FLOODS}::test_idle_clients_that_fill_the_descriptors_keep_nobody_out"],
     ),
+    (
+        "who waits for a first line is no connection of the reducer's",
+        "net/admission.py",
+        "if first and not is_whole(first) and not ready & (select.EPOLLRDHUP | select.EPOLLHUP):",
+        "if False:",
+        [f"{FLOODS}::test_a_crowd_that_says_nothing_takes_no_step_of_the_reducer"],
+    ),
     (
         "an object is no list",
         "config/platform.py",
--- a/cottonspread/net/events.py
+++ b/cottonspread/net/events.py
@@ -30,6 +30,7 @@
     """A client has connected."""
 
     end: End
+    since: int = 0  # when it was accepted; 0: now
 
 
 @dataclass(frozen=True, slots=True)
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -1,13 +1,11 @@
 """A node: the reducer, the workers, discovery and the listening socket put together. It can be embedded."""
 
 import contextlib
-import errno
 import fcntl
 import logging
 import os
 import queue
 import resource
-import select
 import socket
 import sys
 import threading
@@ -19,16 +17,16 @@
 from cottonspread.interface import News
 from cottonspread.net import admin, discovery, lines, passing, workers
 from cottonspread.net import events as ev
+from cottonspread.net.admission import Admission
 from cottonspread.net.closing import Closer
 from cottonspread.net.pool import Pool
-from cottonspread.net.reducer import Reducer
+from cottonspread.net.reducer import WAITING_PART, Reducer
 
 log = logging.getLogger("cottonspread.node")
 
 QUEUE = 4096  # events; workers wait when it is full
 BACKLOG = 1024
-ROOM_WAITS = 25  # times 2 ms that a client waits for a descriptor to be given back
-LOOK = 0.1  # seconds between two looks of the accepting thread whether the node ends
+LAST_ACCEPTS = 0.2  # seconds at the end in which the accepting thread turns away whoever is left
 # How a call ends that was lost or turned away: what an upgrade may not bring more of (docs/on-call.md)
 BADLY = {
     "fault",
@@ -114,15 +112,17 @@
         )
         self.reducer = Reducer(self.clock.now(), begin, names, hearing, self.most)
         self.discovery.begin(listed, addresses, unread, trusted=begin.listing.ask or keep is not None)
-        self.listener, self.ending, self.shared, self.steps, self.ended = None, False, False, 0, Counter()
-        self.closed, self.closer = (
-            threading.Event(),
-            Closer(lambda: max(SPARE_ENDS // 4, self.most - len(self.workers.live))),
-        )
-        self.wake, self.accepting, self.finished, self.full_until = None, None, False, 0
+        self.listener, self.shared, self.steps, self.ended = None, False, 0, Counter()
+        self.closer = Closer(self.most_closing)
+        self.admission, self.finished = None, False
         self.admin, self.urgent = None, queue.SimpleQueue()  # `urgent`: events that no full queue may hold up
         self.giver = None  # passes standing connections on
 
+    def most_closing(self):
+        """How many that were turned away may be read to their end at a time."""
+        waiting = len(self.admission.waiting) if self.admission else 0
+        return max(SPARE_ENDS // 4, self.most - len(self.workers.live) - waiting)
+
     def post(self, event):
         self.events.put((self.clock.now(), event))
 
@@ -147,18 +147,14 @@
         workers.start_thread(self.closer.run)
         if self.admin:
             workers.start_thread(self.admin.run, stack=workers.WIDE)
-        for target in (
-            (self.loop, self.discovery.run) if self.shared else (self.loop, self.discovery.run, self.accept)
-        ):
+        for target in (self.loop, self.discovery.run):
             workers.start_thread(target, stack=workers.WIDE)
+        if not self.shared:
+            self.take()
 
     def serves(self):
         """Whether connections are taken from the listener, and there is a server to send them to."""
-        return (
-            self.reducer.listed
-            and not self.reducer.stopping
-            and (not self.shared or self.accepting is not None)
-        )
+        return self.reducer.listed and not self.reducer.stopping and self.admission is not None
 
     def called(self, word):
         """The answer to an operator's call; in the thread of their address, which may wait for nothing."""
@@ -188,10 +184,9 @@
             self.discovery.follow(address)
 
     def take(self):
-        """Take connections from the shared listener from now on."""
-        self.listener.setblocking(False)  # two may wait for it: who is too late must not wait on
-        self.wake, self.accepting = socket.socketpair(), threading.Event()
-        workers.start_thread(self.accept_shared, stack=workers.WIDE)
+        """Take connections from the listener from now on."""
+        self.admission = Admission(self.listener, self.shared, self.clock.now, self)
+        self.admission.start()
 
     def inherit(self, handed):
         """Before `take`: what the process before this one hands over."""
@@ -244,10 +239,8 @@
         What is in the queue of the listener is another's: a successor's (`handed`), or the supervisor's.
         `heir`: a connection to a successor that takes standing ones too.
         """
-        if self.accepting:
-            self.ending = True
-            self.wake[1].send(b"x")
-            self.accepting.wait()
+        if self.admission:
+            self.admission.stop_accepting()
         if heir:
             self.giver = passing.Giver(heir, self.post)
             workers.start_thread(self.giver.run, stack=workers.WIDE)
@@ -344,16 +337,14 @@
             self.workers.carry_out(effect)
 
     def finish(self):
-        self.ending = self.finished = True
+        self.finished = True
         self.discovery.stop()
         if self.admin:
             self.admin.stop()
-        if self.shared:  # others listen there too
-            if self.wake:
-                self.wake[1].send(b"x")
-        else:  # until nobody is left in its queue; who accepts may wait for room in ours
-            until = time.monotonic() + 2 * LOOK
-            while not self.closed.wait(LOOK / 10) and time.monotonic() < until:
+        if self.admission:
+            self.admission.end()  # who accepts may wait for room in the reducer's queue
+            until = time.monotonic() + LAST_ACCEPTS
+            while not self.admission.ended.wait(LAST_ACCEPTS / 20) and time.monotonic() < until:
                 self.turn_away_unknown()
         self.turn_away_unknown()
         self.hold_up_nobody()
@@ -367,30 +358,6 @@
             self.events.maxsize = sys.maxsize
             self.events.not_full.notify_all()
 
-    def accept(self):
-        """Until the end, and then whoever is still in the queue: closed over them it would reset
-        connections on which a whole first line may lie. A shutdown of the listener, which would wake this
-        thread, does that too; so it looks now and then.
-        """
-        self.listener.settimeout(LOOK)
-        while not self.ending:
-            try:
-                sock, _ = self.listener.accept()
-                self.accepted(sock)
-            except TimeoutError:
-                pass
-            except OSError as fault:
-                log.warning("accept", extra={"pairs": {"why": errno.errorcode.get(fault.errno, str(fault))}})
-                time.sleep(0.05)  # no descriptors: some will be given back
-        self.listener.settimeout(0)
-        try:
-            while True:
-                self.turn_away(self.listener.accept()[0], "stopping", self.reducer.retry_after())
-        except OSError:  # nobody is left
-            pass
-        self.listener.close()
-        self.closed.set()
-
     def turn_away_unknown(self):
         """After the last step: who was accepted and is not known to the reducer."""
         while True:
@@ -402,58 +369,45 @@
                 self.workers.carry_out(ev.Write(event.end, lines.busy(self.reducer.retry_after())))
                 self.workers.carry_out(ev.Finish(event.end))
 
-    def accept_shared(self):
-        poll = select.poll()
-        for sock in (self.listener, self.wake[0]):
-            poll.register(sock, select.POLLIN)
-        try:
-            while not self.ending:
-                poll.poll()
-                try:
-                    while not self.ending:
-                        sock, _ = self.listener.accept()
-                        sock.setblocking(True)
-                        self.accepted(sock)
-                except BlockingIOError:
-                    pass
-                except OSError as fault:
-                    log.warning(
-                        "accept", extra={"pairs": {"why": errno.errorcode.get(fault.errno, str(fault))}}
-                    )
-                    time.sleep(0.05)
-        finally:
-            self.accepting.set()
-
-    def accepted(self, sock):
-        with self.lock:
-            admitted = self.door.admits(self.clock.now())
-        if not admitted:
-            self.turn_away(sock, "node-late", self.reducer.retry_after())
-            return
-        try:
-            workers.prepare(sock)
-        except OSError:  # gone already
-            sock.close()
+    # What `admission.Admission` asks of its gate
+
+    def most_waiting(self):
+        """How many clients may wait for their first line now: no more than a part, and none where calls need
+        the descriptors."""
+        return min(self.most // WAITING_PART, self.most + SPARE_ENDS // 4 - len(self.workers.live))
+
+    def ending(self):
+        """Whether the node was asked to end."""
+        return bool(self.reducer.stopping)
+
+    def let_in(self, client, first):
+        """A client has said its first line."""
+        if not self.admits(first):
+            self.turn_away(client.sock, "node-late")
             return
         end = ev.End(True)
         # What has come and is not yet in the reducer's count: hundreds at once would pass the limit.
-        # Each waits for itself, and one after the other they kept usual clients in the queue: after
-        # one that waited in vain, none does.
-        waits = ROOM_WAITS if self.clock.now() >= self.full_until else 1
-        while waits and len(self.workers.live) >= self.most + SPARE_ENDS // 2:
-            waits -= 1
-            time.sleep(0.002)  # the reducer turns out who says nothing
-        if not waits:
-            self.full_until = self.clock.now() + ROOM_WAITS * 2000
-        if not waits or not self.workers.begin(end, sock):
-            self.turn_away(sock, "no-room-at-all", 0)
+        room = len(self.workers.live) < self.most + SPARE_ENDS // 4
+        if not room or not self.workers.begin(end, client.sock):
+            self.turn_away(client.sock, "no-room-at-all", 0)
             return
-        self.post(ev.Came(end))
+        self.post(ev.Came(end, client.since))
+
+    def admits(self, first):
+        """Whether there is time for it. The door is for calls: a front that asks whether the node serves is
+        told so however late the node is."""
+        if first.startswith(lines.PING):
+            return True
+        with self.lock:
+            admitted = self.door.admits(self.clock.now())
+        return admitted and not self.events.full()  # whoever accepts waits for nobody
 
-    def turn_away(self, sock, reason, retry_after):
-        """No room or no time for its call. Of its first line only the type is read, for the figures."""
+    def turn_away(self, sock, reason, retry_after=None):
+        """No room or no time for its call. Of its first line only the type is read, for the figures.
+        `retry_after`: microseconds; None: as the settings say."""
+        after = self.reducer.retry_after() if retry_after is None else retry_after
         try:
-            sock.send(lines.busy(retry_after), socket.MSG_DONTWAIT)
+            sock.send(lines.busy(after), socket.MSG_DONTWAIT)
             sock.shutdown(socket.SHUT_WR)
         except OSError:
             pass
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -78,7 +78,7 @@
     """
 
     client: ev.End
-    began: int
+    began: int  # when it was accepted
     opening: lines.Opening = None
     type: io.TrafficType = None  # the one it opened under, whatever the settings become
     most_legs: int = 1  # as they were then
@@ -92,6 +92,7 @@
     pings: int = 0
     counted: bool = False  # its final answer, among the figures
     number: int = 0  # the later it came, the higher
+    heard_of: int = 0  # when the reducer was told of it
 
 
 @dataclass(eq=False)
@@ -257,7 +258,7 @@
 
     def came(self, e):
         self.ends += 1
-        conn = Conn(e.end, self.now, number=self.next_number())
+        conn = Conn(e.end, e.since or self.now, heard_of=self.now, number=self.next_number())
         e.end.conn = conn
         self.conns[conn] = None
         self.busy_conns.note(conn)
@@ -906,7 +907,7 @@
             if (
                 conn.opening is None
                 and not conn.reason
-                and self.now - conn.began - late > (COMING if self.stopping else FIRST_WAIT)
+                and self.now - conn.heard_of - late > (COMING if self.stopping else FIRST_WAIT)
             ):
                 self.turn_out(conn, "ping" if conn.pings else "no-first-line")
             for leg in conn.legs:
