A process ends half a second before the earliest kill, also beside load

Cause: the end was asked for 0.4 s after the longest deadline, then the accepting thread was waited for, then the interpreter ends; 0.05 to 0.2 s were left. Mend: last answers 0.1 s, end 0.2 s after the longest deadline, by which every call taken is due.

--- a/cottonspread/lab/soak/drawing.py
+++ b/cottonspread/lab/soak/drawing.py
@@ -9,6 +9,7 @@
 LIST_TROUBLES = ("list-silent", "list-reset", "list-late")
 CROWD_CHANCE = 0.4
 CROWD = (300, 900)  # idle clients, some with half a first line
+STAYS_CHANCE = 0.5
 RATE = (10, 60)  # calls a second
 
 
@@ -30,6 +31,7 @@
     seed: int
     rate: int
     troubles: tuple
+    stays: bool = False  # clients go on sending after the node's end of the connection, until the kill
 
 
 def draw(seed, without=()):
@@ -54,5 +56,6 @@
         troubles.append(Trouble("sigterm-again", LASTS + chance.uniform(0.05, 1.0)))
     if chance.random() < 0.3:
         troubles.append(Trouble("sighup", LASTS + chance.uniform(0.0, 0.5)))
+    stays = chance.random() < STAYS_CHANCE
     kept = sorted((one for one in troubles if one.what not in without), key=lambda one: one.at)
-    return Plan(seed, rate, tuple(kept))
+    return Plan(seed, rate, tuple(kept), stays and "stays" not in without)
--- a/cottonspread/lab/soak/loop.py
+++ b/cottonspread/lab/soak/loop.py
@@ -51,8 +51,10 @@
 class Line:
     """A connection that is read line by line: `heard(line, at)`, then `ended("end" or "reset", at)` once."""
 
-    def __init__(self, loop, sock, heard, ended):
+    def __init__(self, loop, sock, heard, ended, stays=False):
+        """`stays`: not closed from here once the other side has ended its sending."""
         self.loop, self.sock, self.heard, self.ended, self.rest = loop, sock, heard, ended, b""
+        self.stays = stays
         sock.setblocking(False)
         sock.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
         loop.watch(sock, selectors.EVENT_READ, self.read)
@@ -77,7 +79,10 @@
 
     def over(self, how):
         """Nothing more comes."""
-        self.loop.forget(self.sock)
+        if self.stays and how == "end":
+            self.loop.selector.unregister(self.sock)
+        else:
+            self.loop.forget(self.sock)
         self.ended(how, time.time())
 
     def say(self, line):
--- a/cottonspread/lab/soak/play.py
+++ b/cottonspread/lab/soak/play.py
@@ -52,7 +52,7 @@
             self.play.loop.forget(self.sock)
             self.ended("reset", time.time())
             return
-        self.stream = Line(self.play.loop, self.sock, self.heard, self.ended)
+        self.stream = Line(self.play.loop, self.sock, self.heard, self.ended, self.play.plan.stays)
         if self.line and self.stream.say(self.line):
             self.call.sent_at = time.time()
 
@@ -71,22 +71,29 @@
             call.moved = True
         elif word == "M":
             number = int(line.split()[1])
-            call.echoes[number] = (call.echoes[number][0], at)
+            if number >= 0:  # said before it was told the end
+                call.echoes[number] = (call.echoes[number][0], at)
 
     def send(self):
         """A line for the host, and the next one later."""
-        if self.call.ended or self.call.moved or self.sock.fileno() < 0:
+        if self.sock.fileno() < 0:
             return
-        if self.stream.say(b"M %d" % len(self.call.echoes)):
+        if self.call.ended or self.call.moved:
+            if not self.stream.say(b"M -1"):
+                return
+        elif self.stream.say(b"M %d" % len(self.call.echoes)):
             self.call.echoes.append((time.time(), 0.0))
-        self.play.loop.at(time.time() + SENDS_EVERY, self.send)
+        wait = SENDS_EVERY if not self.play.record.term_at else SENDS_EVERY / 10
+        self.play.loop.at(time.time() + wait, self.send)
 
     def leave(self):
         """Its time is over; once the node ends it stays, and goes on sending."""
-        if not self.call.ended and not self.play.record.term_at:
+        if self.play.record.term_at:
+            return
+        if not self.call.ended:
             self.play.standing.pop(self.call.id, None)
             self.call.host_ended = True  # by itself, that is
-            self.stream.close()
+        self.stream.close()
 
     def ended(self, how, at):
         """By the node."""
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -41,8 +41,10 @@
 SILENT = 9 * SECOND // 2
 # new connections go on coming for so long after SIGTERM, or after a PING that was not answered yes
 COMING = SECOND // 2
-# after the last answers; of the 0.7 s until SIGKILL 0.3 s are left for the end itself
-LAST_LOOK = SECOND * 2 // 5
+# After the last deadline: for answers and moves to go out, and clients to go. The rest of the 0.7 s until the
+# platform's SIGKILL is the process' own, which may wait for a core.
+LAST_ANSWERS = SECOND // 10
+LAST_LOOK = SECOND // 5
 DRAINED = 3 * SECOND  # a drained node holds no client by then: its front gives it 4 s
 STANDING_WAIT = 40 * SECOND  # for a connection that was open before the start
 PROBE_WAIT = SECOND // 4  # a host that takes longer to tell its load is no place for a new call
@@ -1117,12 +1119,12 @@
 
     # The end, and drains
 
-    def send_off(self, reason, first, last):
+    def send_off(self, reason, first, last, hurry_at):
         """Drain and SIGTERM: from `first` on every client is asked to move, those that stand now evenly up to
-        `last`; a moment after that each call has its answer.
+        `last`; by `hurry_at` each call has its answer.
         """
         standing = [conn for conn in self.conns if conn.up and not conn.reason]
-        self.leaving = leaving = Leaving(reason, first, last + SECOND // 4, max(0, last - first), standing)
+        self.leaving = leaving = Leaving(reason, first, hurry_at, max(0, last - first), standing)
         if standing:
             self.at(first, self.move_standing, leaving, 0)
         self.at(leaving.hurry_at, self.hurry, leaving)
@@ -1151,7 +1153,8 @@
             return
         if e.on:
             self.draining = self.now
-            self.send_off("moved-draining", self.now + COMING, self.now + DRAINED - SECOND // 2)
+            last = self.now + DRAINED - SECOND // 2
+            self.send_off("moved-draining", self.now + COMING, last, last + SECOND // 4)
         else:
             self.draining, self.leaving = 0, None
             self.out.append(ev.Say("resumed", {"open": len(self.conns)}))
@@ -1170,7 +1173,7 @@
         if self.draining:  # who stands here was to be moved by then: nobody is held for longer
             first = max(self.now, self.draining + COMING)
             last = max(first, min(last, self.draining + DRAINED - SECOND // 2))
-        self.send_off("moved-stopping", first, last)
+        self.send_off("moved-stopping", first, last, last + LAST_ANSWERS)
         # Looked at in the sweep alone, it came up to a quarter second later: after the platform's SIGKILL.
         self.at(self.stop_by, self.stop_when_done)
         if e.heir:  # who could not be passed on by then is moved
