--- a/cottonspread/front/lateness.py
+++ b/cottonspread/front/lateness.py
@@ -1,9 +1,9 @@
 """How late the node itself is, and what it turns away for that. Pure: driven by (time, what was measured).
 
 A node whose core is busy, shared or stopped handles what came some time ago. Taken for slowness of servers,
-that made a node set aside every server it had (measured: docs/notes/lab.md). So lateness is measured for
-itself: how long an event had lain when the reducer got to it, and by how much the reducer was late for its
-own timers. Times are whole microseconds.
+that makes a node set aside every server it has (docs/notes/lab.md). So lateness is measured for itself: how
+long an event had lain when the reducer got to it, and by how much the reducer was late for its own timers.
+Times are whole microseconds.
 """
 
 from collections import deque
--- a/cottonspread/net/discovery.py
+++ b/cottonspread/net/discovery.py
@@ -100,9 +100,8 @@
 
     def __init__(self, address, names, post, version, ask=False, keep=None, known=False):
         self.http, self.names, self.post = Http(address, self.CONNECT), names, post
-        # Where each call counts, a list that is known is watched from its version on: to ask for all
-        # of it first is a second call, and in a release most of a fleet asked for both, of a
-        # discovery that had room for neither.
+        # Where each call counts, a list that is known is watched from its version on: to ask for all of it
+        # first is a second call, of a discovery that may have room for neither.
         self.version, self.whole, self.lower, self.failures = version, not known, 0, 0
         self.ask, self.wanted, self.stopped, self.waiting = ask, threading.Event(), False, None
         self.hurry = threading.Event()  # the pause that is on, or the next, is cut short
--- a/cottonspread/net/http.py
+++ b/cottonspread/net/http.py
@@ -54,7 +54,7 @@
                 if not kept or self.heard or self.given_up:
                     raise
                 self.close()
-                # In what is left of the time: two silences, one behind the other, were waited out in full.
+                # In what is left of the time, so that two silences take no longer than one.
                 return self.call(path, body)
         except (OSError, ResponseError):
             self.close()
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -42,7 +42,7 @@
 }
 NO_CALL = {"ping", "no-first-line", "not-ready"}
 SPARE_ENDS = 32  # descriptors for the listener, discovery, logs, and to turn clients away with
-BASE_MB, END_KB = 24, 32  # measured, with a third to spare: docs/design.md
+BASE_MB, END_KB = 24, 32  # memory of a node without connections, and of one end
 
 
 class Clock:
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -673,8 +673,8 @@
             self.tell_loads(host, loads)
             if claim:
                 self.tell_delay(leg, claim[0], True)
-            # The first word on a silence, then one at half a second, by which the module knows a hang (to
-            # wait for the second cost every connection there half a second more), then one a second.
+            # The first word on a silence, then one at half a second, by which the module knows a hang, and
+            # then one a second.
             elif self.hearing.delays and waited >= 3 * self.slow_from:
                 told = host.notes.told_at - (self.now - waited)  # how long it was silent at the last word
                 if self.now - host.notes.told_at >= SECOND or 0 <= told < HANG <= waited:
--- a/cottonspread/policy/health.py
+++ b/cottonspread/policy/health.py
@@ -58,8 +58,8 @@
         return told
 
     def far(self, host, told):
-        """The same word after word: a queue grows or drains, so it is the way there, long or lossy. A quarter
-        was cut each second, and the node took itself for jammed."""
+        """The same word after word: a queue grows or drains, so it is the way there, long or lossy, and cuts
+        would not help."""
         same = told.lasts and told.since >= SECOND // 2 and abs(told.grown) <= told.before // self.SAME
         host.same = host.same + 1 if same else 0
         return host.same > (not self.settings.probed)
--- a/cottonspread/policy/load.py
+++ b/cottonspread/policy/load.py
@@ -12,7 +12,7 @@
     """What connections weigh, in thousandths of a mean one: as told, else as a mean one."""
 
     MEAN = 1000
-    GROUP = 2 * MEAN  # what a group costs a server besides; told nowhere, so a guess
+    GROUP = 2 * MEAN  # what a group costs a server besides, which nobody tells
     LAST = 50  # loads told of which the mean is kept
 
     def __init__(self):
--- a/cottonspread/policy/path.py
+++ b/cottonspread/policy/path.py
@@ -29,7 +29,7 @@
 class Balancer(Driver):
     """Every decision of one node, from events to actions."""
 
-    DEAREST_MOVE = 0.3  # of the result, for a move a call: jams cost 0.2 without moves
+    DEAREST_MOVE = 0.3  # part of a call's result; dearer moves are not asked for
 
     def path(self, call):
         """A call from arrival to its final answer: yields what is to be done, is resumed with the result."""
@@ -213,8 +213,7 @@
             return
         self.membership.failures = 0
         lost, started, new = self.membership.read(e)
-        # Weights that move come each second for every server: to make rotation, orders and sums anew for each
-        # word took more time than there was where servers are many.
+        # Weights that move come each second for every server: rotation, orders and sums stay as they are.
         if not new:
             return
         for host in lost:
--- a/cottonspread/policy/records.py
+++ b/cottonspread/policy/records.py
@@ -7,7 +7,7 @@
 class Records(AgedMap):
     """Bounded memory of the server chosen for each key, dropped when idle since its connection ended."""
 
-    IDLE = 600 * SECOND  # the design page's start; its floor is several minutes
+    IDLE = 600 * SECOND
     MOST = 50_000  # of keys without a connection, so bounds memory to a few MiB
 
     def find(self, key, now, held):
--- a/cottonspread/policy/slow_start.py
+++ b/cottonspread/policy/slow_start.py
@@ -53,7 +53,7 @@
         if drawn:
             return True
         # The rule counts all nodes together, and no part of a leg can be sent: it draws once a window whether
-        # it may send one. One leg a window from each of sixty nodes, or parts saved up, pushed servers over.
+        # it may send one: a leg a window from each node, or parts saved up, would push it over.
         if now - host.drawn_at < window:
             return False
         host.drawn_at = now
