--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -393,6 +393,38 @@
         assert ours == [b"line %d" % n for n in range(len(ours))]
 
 
+def test_a_successor_that_is_told_to_end_in_the_midst_of_passing_cuts_nobody_off(platform):
+    """Some connections are passed on, some are not idle yet, and both processes end."""
+    begin, address = platform
+    first = begin().ready()
+    stands = standing(address, 12)
+    second = begin().ready()
+    told = [[] for _ in stands]
+
+    def talk(client, heard):
+        while b"MOVE" not in heard and b"" not in heard:
+            client.say(b"line")
+            heard.append(client.hear())
+        heard.append(client.hear())
+
+    talkers = [
+        threading.Thread(target=talk, args=pair, daemon=True) for pair in zip(stands, told, strict=True)
+    ]
+    for one in talkers[:6]:
+        one.start()
+    first.process.send_signal(signal.SIGTERM)
+    assert second.says("event=adopted")
+    second.process.send_signal(signal.SIGTERM)
+    for one in talkers[6:]:
+        one.start()
+    for one in talkers:
+        one.join(WAIT)
+    assert first.process.wait(WAIT) == 0 and second.process.wait(WAIT) == 0
+    for heard in told:
+        assert heard[-2:] == [b"MOVE", b""] and set(heard[:-2]) <= {b"line"}
+    assert "Traceback" not in first.said() + second.said()
+
+
 def test_half_a_line_waits_for_its_other_half_and_is_not_lost(platform):
     begin, address = platform
     first = begin().ready()
