--- a/cottonspread/net/admission.py
+++ b/cottonspread/net/admission.py
@@ -19,7 +19,8 @@
 from typing import Protocol
 
 from cottonspread.net import pool, workers
-from cottonspread.net.reducer import COMING, FIRST_WAIT
+from cottonspread.net.departure import COMING
+from cottonspread.net.reducer import FIRST_WAIT
 
 log = logging.getLogger("cottonspread.node")
 
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -21,6 +21,7 @@
 from cottonspread.interface import Ending
 from cottonspread.net import events as ev
 from cottonspread.net import lines
+from cottonspread.net.departure import COMING, Departure
 from cottonspread.net.notes import Heard, Notes
 from cottonspread.net.under_way import Busy, connection_is_busy, host_is_busy
 from cottonspread.policy import Balancer
@@ -39,13 +40,6 @@
 # A host that echoes nothing is left before the 7 s that a client bears. They count from when it stopped, and
 # the next line may be two seconds later.
 SILENT = 9 * SECOND // 2
-# new connections go on coming for so long after SIGTERM, or after a PING that was not answered yes
-COMING = SECOND // 2
-# After the last deadline: for answers and moves to go out, and clients to go. The rest of the 0.7 s until the
-# platform's SIGKILL is the process' own, which may wait for a core.
-LAST_ANSWERS = SECOND // 10
-LAST_LOOK = SECOND // 5
-DRAINED = 3 * SECOND  # a drained node holds no client by then: its front gives it 4 s
 STANDING_WAIT = 40 * SECOND  # for a connection that was open before the start
 PROBE_WAIT = SECOND // 4  # a host that takes longer to tell its load is no place for a new call
 NOT_LISTED = io.Entry(None, state=io.State.GONE)
@@ -97,17 +91,6 @@
     heard_of: int = 0  # when the reducer was told of it
 
 
-@dataclass(eq=False)
-class Leaving:
-    """Clients are being moved off, by a drain or for the end; the last moment for an answer is `hurry_at`."""
-
-    reason: str
-    first: int
-    hurry_at: int
-    span: int  # in which those that stood as it began are moved, evenly
-    standing: list
-
-
 @dataclass(eq=False)
 class Server:
     """What a front keeps of a host: its address, and what its messages take."""
@@ -140,9 +123,7 @@
         self.asking = set()  # hosts with a probe under way whose end the module waits for
         self.probes = 0
         self.figures = Figures(())
-        self.listed, self.stopping, self.stop_by, self.handed, self.stopped = False, 0, 0, False, False
-        self.draining = 0  # since when, as the operators asked; 0: it takes calls
-        self.leaving = None  # while clients are moved off
+        self.listed, self.departure = False, Departure(self)
         # a successor takes standing connections; the one on its way there
         self.heir, self.passing = False, None
         # those that wait for it, and those on which something was under way
@@ -158,8 +139,8 @@
             ev.Heard: self.heard,
             ev.ListFailed: self.list_failed,
             ev.Asked: self.asked,
-            ev.StopAsked: self.stop,
-            ev.DrainAsked: self.drain,
+            ev.StopAsked: self.departure.stop,
+            ev.DrainAsked: self.departure.drain,
             ev.Retuned: self.retuned,
             ev.NotRetuned: self.not_retuned,
             ev.Inherited: self.inherit,
@@ -182,6 +163,21 @@
         self.slow_from = min(targets, default=SECOND) // 3
         self.figures.know(t.name for t in begin.types)
 
+    @property
+    def stopping(self):
+        """Since when the process ends; 0: it does not."""
+        return self.departure.stopping
+
+    @property
+    def draining(self):
+        """Since when the operators have the node drained; 0: it takes calls."""
+        return self.departure.draining
+
+    @property
+    def stopped(self):
+        """Whether the end of the process was asked for."""
+        return self.departure.stopped
+
     def step(self, now, event, at=0):
         """Everything that `event` and the passing of time ask for. `at`: when it happened; 0: now."""
         self.now = max(now, self.now)
@@ -304,7 +300,7 @@
             return
         if first.rstrip(b"\r") == lines.PING:
             conn.pings += 1
-            if self.listed and not self.draining and not self.turns_away(conn):
+            if self.listed and not self.departure.draining and not self.departure.turns_away(conn):
                 self.write(conn.client, lines.PONG)
             else:
                 self.turn_out(conn, "not-ready")
@@ -339,7 +335,7 @@
         conn.guard = self.happened + wait
         left = max(0, wait - lain - min(self.own.most(self.now), (wait - lain) // 4))
         # Two descriptors for every call, and some left to answer with: at the edge a call is turned away.
-        turned = self.turns_away(conn)
+        turned = self.departure.turns_away(conn)
         if turned or self.ends + 1 > self.most_ends:
             self.finish(conn, turned or "no-room", lines.busy(self.retry_after()))
             return
@@ -365,16 +361,6 @@
         if host is not None:
             self.open_leg(Leg(conn, len(conn.legs), host, conn.guard), STANDING_WAIT // 4)
 
-    def turns_away(self, conn):
-        """The reason code, or "".
-
-        Stopping: the client could as well have come to the successor, if there is one. Drained:
-        the front sent it before it had its no.
-        """
-        if self.stopping and not (self.handed and conn.began <= self.stopping):
-            return "stopping"
-        return "draining" if self.draining and self.now - self.draining > COMING else ""
-
     def retry_after(self):
         return self.begin.legs.longest_retry_after // 2 if self.begin.legs.may_retry_after else 0
 
@@ -431,7 +417,7 @@
         if (
             conn.answered
             or conn.up
-            or self.hurries()
+            or self.departure.hurries()
             or until <= self.now
             or leg.number >= conn.most_legs
             or out
@@ -546,8 +532,7 @@
         leg.host.legs[leg], leg.stood = None, self.next_number()
         if leg.host.notes.unsettled():  # from connections that stood there before
             self.busy_hosts.note(leg.host)
-        if self.leaving:
-            self.at(self.leaving.first, self.move_off, self.leaving, leg.conn)
+        self.departure.stands(leg.conn)
 
     def leave_host(self, leg):
         host = leg.host
@@ -693,7 +678,11 @@
         host = self.server(name)
         if host.address is None:
             self.tell(io.Probed(name, Ending.CONNECT_FAILED))
-        elif self.probes * PROBES_PART >= self.most_ends or self.ends + 2 > self.most_ends or self.hurries():
+        elif (
+            self.probes * PROBES_PART >= self.most_ends
+            or self.ends + 2 > self.most_ends
+            or self.departure.hurries()
+        ):
             self.tell(io.Probed(name, Ending.FULL))
         else:
             self.asking.add(name)
@@ -909,18 +898,16 @@
             if (
                 conn.opening is None
                 and not conn.reason
-                and self.now - conn.heard_of - late > (COMING if self.stopping else FIRST_WAIT)
+                and self.now - conn.heard_of - late > (COMING if self.departure.stopping else FIRST_WAIT)
             ):
                 self.turn_out(conn, "ping" if conn.pings else "no-first-line")
             for leg in conn.legs:
                 if leg.end is not None:
                     self.sweep_end(leg.end)
         self.figures.hosts_down = self.module.membership.avoided(self.now)
-        if self.stopping:
-            self.to_pass.extend(self.busy)
-            self.busy.clear()
-            self.pass_next()
-            self.stop_when_done()
+        if self.departure.stopping:
+            self.pass_to_successor(self.busy)
+            self.departure.stop_when_done()
 
     def sweep_end(self, end):
         if end.freed:
@@ -1003,7 +990,7 @@
         self.ended_ids.update(dict.fromkeys(e.handed.ids))
         self.tell(io.Inherited(e.handed.records, e.handed.sent))
         if e.handed.draining:
-            self.drain(ev.DrainAsked(True))
+            self.departure.drain(ev.DrainAsked(True))
 
     def hand_over(self, e):
         """The room that is free is shared with the successor until one of the two is alone."""
@@ -1011,10 +998,20 @@
         self.most_ends -= free // 2
         e.give(
             handover.taken(
-                self.module, self.now, room=free // 2, draining=bool(self.draining), ids=tuple(self.by_id)
+                self.module,
+                self.now,
+                room=free // 2,
+                draining=bool(self.departure.draining),
+                ids=tuple(self.by_id),
             )
         )
 
+    def pass_to_successor(self, conns):
+        """These standing connections are for a successor, if there is one."""
+        self.to_pass.extend(conns)
+        self.busy.clear()
+        self.pass_next()
+
     def pass_next(self):
         """One after the other to the successor: between two lines, with nothing under way on either side."""
         while self.to_pass and self.passing is None:
@@ -1068,7 +1065,7 @@
         """
         one = e.standing
         number = self.names.types.get(one.type)
-        if number is None or one.id in self.by_id or self.stopping:
+        if number is None or one.id in self.by_id or self.departure.stopping:
             for end in (e.client, e.host):
                 end.freed = True
                 self.out.append(ev.Free(end))
@@ -1116,97 +1113,3 @@
             self.read(end)
         self.out.append(ev.Say("adopted", {"call": one.id, "type": one.type, "host": one.host}))
         e.give(True)
-
-    # The end, and drains
-
-    def send_off(self, reason, first, last, hurry_at):
-        """Drain and SIGTERM: from `first` on every client is asked to move, those that stand now evenly up to
-        `last`; by `hurry_at` each call has its answer.
-        """
-        standing = [conn for conn in self.conns if conn.up and not conn.reason]
-        self.leaving = leaving = Leaving(reason, first, hurry_at, max(0, last - first), standing)
-        if standing:
-            self.at(first, self.move_standing, leaving, 0)
-        self.at(leaving.hurry_at, self.hurry, leaving)
-        self.out.append(
-            ev.Say(reason.removeprefix("moved-"), {"standing": len(standing), "open": len(self.conns)})
-        )
-
-    def move_standing(self, leaving, number):
-        """One of those that stood, and the time for the next: a timer for each held up all others at size."""
-        if self.leaving is leaving:
-            self.move(leaving.standing[number], leaving.reason)
-            number += 1
-            if number < len(leaving.standing):
-                when = leaving.first + leaving.span * number // len(leaving.standing)
-                self.at(when, self.move_standing, leaving, number)
-
-    def move_off(self, leaving, conn):
-        if self.leaving is leaving:  # a drain that was taken back moves nobody any more
-            self.move(conn, leaving.reason)
-
-    def drain(self, e):
-        """As the operators ask: a front that is told no to its PING sends nobody
-        any more, and who stands here is moved.
-        """
-        if self.stopping or bool(self.draining) is e.on:
-            return
-        if e.on:
-            self.draining = self.now
-            last = self.now + DRAINED - SECOND // 2
-            self.send_off("moved-draining", self.now + COMING, last, last + SECOND // 4)
-        else:
-            self.draining, self.leaving = 0, None
-            self.out.append(ev.Say("resumed", {"open": len(self.conns)}))
-
-    def stop(self, e):
-        if self.stopping:
-            return
-        # The platform's time runs from when it asked, whatever this node was late by.
-        longest = min(max(t.guard_time for t in self.begin.types), 3 * SECOND)
-        self.stopping, self.stop_by, self.handed = self.now, self.happened + longest + LAST_LOOK, e.handed
-        # New connections go on coming here for a while: who is moved now would come back to this
-        # node. And in a rolling restart the node before this one is just coming back: who was
-        # moved at once found none to take it.
-        last = self.happened + longest
-        first = max(self.now + COMING, self.now + (last - self.now) * 3 // 5)
-        if self.draining:  # who stands here was to be moved by then: nobody is held for longer
-            first = max(self.now, self.draining + COMING)
-            last = max(first, min(last, self.draining + DRAINED - SECOND // 2))
-        self.send_off("moved-stopping", first, last, last + LAST_ANSWERS)
-        # Looked at in the sweep alone, it came up to a quarter second later: after the platform's SIGKILL.
-        self.at(self.stop_by, self.stop_when_done)
-        if e.heir:  # who could not be passed on by then is moved
-            self.heir, self.to_pass = True, deque(conn for conn in self.conns if conn.up and not conn.reason)
-            self.pass_next()
-
-    def hurries(self):
-        return self.leaving and self.now >= self.leaving.hurry_at
-
-    def hurry(self, leaving):
-        """The last moment for an answer: a call whose guard time is longer would be lost with the node."""
-        if self.leaving is not leaving:
-            return
-        for conn in list(self.conns):
-            for leg in conn.legs if not conn.up else ():
-                self.end_leg(leg, Ending.TIMEOUT)  # and no other leg is sent, see `send`
-        for name in sorted(self.asking, key=str):  # calls that wait for a probe are lost as well
-            self.tell(io.Probed(name, Ending.FULL))
-        self.asking.clear()
-
-    def stop_when_done(self):
-        if not self.stopped and (
-            self.now >= self.stop_by or self.now - self.stopping > COMING and not self.conns
-        ):
-            # A node that stood still comes to all its timers at once, and to this one perhaps
-            # first: nobody is cut off without MOVE.
-            if self.leaving:
-                self.hurry(self.leaving)
-                self.tell_module()  # the answers go out before the end is asked for
-            for conn in list(self.conns):
-                # its first line may come just now, and nobody would read it
-                if conn.opening is None and not conn.reason:
-                    self.turn_out(conn, "stopping")
-                self.move(conn, "moved-stopping")
-            self.stopped = True
-            self.out += [ev.Say("stopped", {"left": len(self.conns)}), ev.Stop()]
