The ledger's plays go three at a time: twelve at once made their own generators late

The test failed in the first whole run on a free machine today, and once in two beside eight busy processes: NOT USABLE, the generator 19 and 9 ms late at p99.9 where 1 ms is allowed. Cause: twelve plays of several processes each on six cores.

--- a/tests/lab/test_lab_runs.py
+++ b/tests/lab/test_lab_runs.py
@@ -92,6 +92,15 @@
     return ["python", "-m", "cottonspread", "lab", "standin", "--sabotage", sabotage]
 
 
+AT_ONCE = 3  # plays
+
+
+def batched(names, size):
+    """The names in groups of that size."""
+    names = list(names)
+    return [names[at : at + size] for at in range(0, len(names), size)]
+
+
 SABOTAGES = {  # what it does: (the offences that must be found, and no other rule's), the experiment
     "none": (set(), {}),
     "lost": ({(1, "ended without an answer")}, {}),
@@ -121,11 +130,13 @@
 }
 
 
-@pytest.mark.alone  # twelve plays at once; a generator that is late makes them unusable
-def test_the_ledger_finds_each_rule_that_a_node_breaks_and_nothing_in_an_honest_one(tmp_path):
-    running = {
-        name: begin(tmp_path / name, command=standin(name), **more) for name, (_, more) in SABOTAGES.items()
-    }
+@pytest.mark.alone  # a generator that is late makes a play unusable
+@pytest.mark.parametrize("names", list(batched(SABOTAGES, AT_ONCE)), ids="-".join)
+def test_the_ledger_finds_each_rule_that_a_node_breaks_and_nothing_in_an_honest_one(tmp_path, names):
+    """A few plays at once, each of several processes: with all twelve the generators were late by 9 to 19 ms
+    (`NOT USABLE`) where they may be by 1 ms, and one that is late makes calls that have no time left.
+    """
+    running = {name: begin(tmp_path / name, command=standin(name), **SABOTAGES[name][1]) for name in names}
     for name, process in running.items():
         result, said = end(tmp_path / name, process)
         found = {(o["rule"], o["what"]) for o in result.audit["offences"]}
