Reread: the accepting thread gives its second wake socket back, and the closer keeps its word to stop

Found by reading, not seen: a node that had ended kept one socket of its pair; and a client turned away after the closer was told to stop, with eight others waiting, took that word out of the queue, so that its thread stayed. A comment that the formatter had torn apart stands on its own line.

--- a/cottonspread/net/admission.py
+++ b/cottonspread/net/admission.py
@@ -106,9 +106,8 @@
 
     def start(self):
         """From now on connections are accepted."""
-        self.listener.setblocking(
-            False
-        )  # another process may take the connection that this one was woken for
+        # Another process may take the connection that this one was woken for.
+        self.listener.setblocking(False)
         workers.start_thread(self.run, stack=workers.WIDE)
 
     def stop_accepting(self):
@@ -223,6 +222,7 @@
         self.left.set()
         self.poll.close()
         self.woken.close()
+        self.wake.close()
         if not self.shared:
             self.listener.close()
         self.ended.set()
--- a/cottonspread/net/closing.py
+++ b/cottonspread/net/closing.py
@@ -33,7 +33,13 @@
         looked at is closed at once where as many wait as may."""
         if self.coming.qsize() >= max(QUEUED, self.most()):
             with contextlib.suppress(queue.Empty):
-                self.shut(self.coming.get_nowait())
+                oldest = self.coming.get_nowait()
+                if oldest is None:  # told to stop: whoever comes later is not looked at
+                    self.coming.put(None)
+                    oldest = sock
+                self.shut(oldest)
+                if oldest is sock:
+                    return
         self.coming.put(sock)
 
     def stop(self):
@@ -98,6 +104,5 @@
 
     def shut(self, sock):
         """Closes over nothing that is here already."""
-        if sock is not None:
-            self.read_away(sock)
-            sock.close()
+        self.read_away(sock)
+        sock.close()
