--- a/review/1/case.py
+++ b/review/1/case.py
@@ -85,6 +85,7 @@
 
 def main():
     """Runs the case; returns the exit code."""
+    standins.end_on_sigterm()
     record = standins.Record()
     with tempfile.TemporaryDirectory() as folder:
         try:
--- a/review/standins.py
+++ b/review/standins.py
@@ -11,6 +11,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import threading
 import time
 import tomllib
@@ -21,6 +22,11 @@
 UP_DELAY = 0.03  # seconds that a sound host takes to answer a first line
 
 
+def end_on_sigterm():
+    """Makes SIGTERM end the run as an exception does, so that all processes that it started are ended."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
+
 class Record:
     """What was sent, answered and run, with the seconds since the start of the run."""
 
