--- a/review/standins.py
+++ b/review/standins.py
@@ -20,6 +20,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 BROKEN = 10  # exit code of a case whose rule was broken; `run.sh` makes 1 of it, and 2 of anything unexpected
+PYTHON = str(ROOT / ".venv" / "bin" / "python")
 UP_DELAY = 0.03  # seconds that a sound host takes to answer a first line
 
 
@@ -344,3 +345,135 @@
             except subprocess.TimeoutExpired:
                 self.process.kill()
                 self.process.wait()
+
+
+class Front:
+    """Deals connections out among the addresses that have answered PING with PONG, and notices late."""
+
+    def __init__(self, record, notice):
+        """`notice`: seconds in which it goes on sending to an address that has stopped saying PONG."""
+        self.notice = notice
+        self.record, self.ports, self.said_yes, self.turn = record, [], {}, 0
+        threading.Thread(target=self.ask, daemon=True).start()
+
+    def ask(self):
+        """Asks each address ten times a second."""
+        while True:
+            for port in list(self.ports):
+                if self.pong(port):
+                    if port not in self.said_yes:
+                        self.record.note("front", f"takes in port {port}")
+                    self.said_yes[port] = time.monotonic()
+                elif port in self.said_yes and time.monotonic() - self.said_yes[port] > self.notice:
+                    del self.said_yes[port]
+                    self.record.note("front", f"has noticed that port {port} says no")
+            time.sleep(0.1)
+
+    @staticmethod
+    def pong(port):
+        """Whether this address answers PING with PONG."""
+        try:
+            with socket.create_connection(("127.0.0.1", port), timeout=0.2) as sock:
+                send(sock, b"PING")
+                return next(read_lines(sock), b"") == b"PONG"
+        except OSError:
+            return False
+
+    def next(self):
+        """The address for the next client."""
+        ports = sorted(self.said_yes)
+        self.turn += 1
+        return ("127.0.0.1", ports[self.turn % len(ports)]) if ports else None
+
+
+class Fleet:
+    """A fleet: its files, its supervisor and its commands."""
+
+    def __init__(self, folder, record, discovery, types):
+        """`types`: traffic types, as in the settings."""
+        self.folder, self.record, self.toml = Path(folder), record, Path(folder) / "operator.toml"
+        self.supervisor = None
+        self.template = {
+            "name": "n",
+            "listen": "127.0.0.1:1",
+            "discovery": discovery,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "settings": settings(TrafficTypes=types),
+        }
+
+    def write(self, first, instances):
+        """Writes both files; the operator's has the defaults for all keys that it leaves out.
+
+        `first`: the port of the first instance.
+        """
+        (self.folder / "node.json").write_text(json.dumps(self.template))
+        self.toml.write_text(
+            f'[fleet]\nname = "farm"\nconfig = "node.json"\ninstances = {instances}\n'
+            f'listen = "127.0.0.1:{first}"\nstate = "state"\n'
+        )
+
+    def command(self, *words, out=None):
+        """Starts `fleet ...`; `out`: where its output goes, in place of the log."""
+        self.record.note("staff", "fleet " + " ".join(words))
+        with open(self.folder / "fleet.log", "ab") as log:
+            return subprocess.Popen(
+                [PYTHON, "-m", "cottonspread", "fleet", *words, "--operator", str(self.toml)],
+                cwd=ROOT,
+                stdout=out or log,
+                stderr=log,
+            )
+
+    def start(self):
+        """Starts the supervisor."""
+        self.supervisor = self.command("run")
+
+    def status(self):
+        """The rows of `fleet status --json`, one for each instance; empty if nobody answers."""
+        output = self.command("status", "--json", out=subprocess.PIPE).communicate(timeout=20)[0]
+        try:
+            return json.loads(output)["instances"]
+        except (ValueError, LookupError):
+            return []
+
+    def stop(self, wait):
+        """Sends the supervisor SIGTERM; returns whether it has ended within so many seconds."""
+        self.record.note("test", "sends SIGTERM to the supervisor")
+        self.supervisor.send_signal(signal.SIGTERM)
+        try:
+            self.supervisor.wait(wait)
+        except subprocess.TimeoutExpired:
+            return False
+        self.record.note("test", f"the supervisor has ended with {self.supervisor.returncode}")
+        return True
+
+    def instances(self):
+        """The pids of the instances of this run: processes whose control socket lies in its folder."""
+        pids = []
+        for path in Path("/proc").glob("[0-9]*/cmdline"):
+            with contextlib.suppress(OSError):
+                if f"{self.folder}/state/".encode() in path.read_bytes():
+                    pids.append(int(path.parent.name))
+        return pids
+
+    def end(self):
+        """Ends all processes: the supervisor stops the instances, and what does not end is killed."""
+        if self.supervisor is None:
+            return
+        if self.supervisor.poll() is None and not self.stop(5):
+            self.supervisor.kill()
+            self.supervisor.wait()
+        for pid in self.instances():
+            with contextlib.suppress(OSError):
+                os.kill(pid, signal.SIGKILL)
+
+
+def free_ports(count):
+    """The first of `count` ports in a row that nobody listens on."""
+    while True:
+        first = free_port()
+        try:
+            for port in range(first, first + count):
+                socket.create_server(("127.0.0.1", port)).close()
+            return first
+        except (OSError, OverflowError):
+            continue
