--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,9 +10,12 @@
 import standins
 
 HOSTS, CELLS = 13, 2  # as at trentside-farms: 12 to 13 servers, cells of 6 to 10
-HUNG = 2  # of 13 (there: up to 16% take calls in and answer none for 6.3 to 24 s)
-CALLS_PER_S, HANG_AT, END_AT = 30, 3.0, 11.0  # seconds
-LIST_AFTER = (2.3, 2.5)  # seconds from the hang to the list without one host more (there: 1.3 to 4.5 s late)
+FLAPPING = 4  # of 13 (MORE.md, `flapping`: a share of 0.2 to 0.5), all of one cell
+BEGIN, LENGTH = 3.0, 28.0  # seconds (25 to 50)
+TURN, DOWN = 12.0, 6.5  # seconds a turn (12 to 2), of which it hangs (a share of 0.25 to 0.55)
+LIST_AFTER = 5.7  # seconds until the list follows: 4.5 (silent_notice_s 4.5 to 11) and its period and spread
+OFFSET = 1.7  # seconds between two hosts: each fails at times of its own
+CALLS_PER_S = 30
 KEYED = {
     "Name": "field-save",
     "Effect": "keyed",
@@ -25,32 +28,44 @@
 }
 
 
+def schedule(hosts):
+    """What happens: (seconds, host, "hangs", "answers", "gone" or "listed"), the earliest first."""
+    events = []
+    for n, host in enumerate(hosts):
+        at = BEGIN + n * OFFSET
+        while at + TURN <= BEGIN + LENGTH:
+            events += [(at, host, "hangs"), (at + LIST_AFTER, host, "gone")]
+            events += [(at + DOWN, host, "answers"), (at + DOWN + 4.5, host, "listed")]
+            at += TURN
+    return sorted(events, key=lambda event: event[0])
+
+
+def carry_out(event, host, listed, discovery, record):
+    """Carries out one event of the schedule."""
+    if event in ("hangs", "answers"):
+        host.hangs = event == "hangs"
+        record.note(host.name, f"{event} from now on")
+        return
+    listed[host] = event == "listed"
+    entries = [one.entry() for one, is_listed in listed.items() if is_listed]
+    discovery.set_list(entries, f"the whole list, {host.name} is {event}")
+
+
 def play(record, folder, trouble):
     """Plays the run; returns the hosts, or None if the node did not get ready."""
     cells = [standins.Cell(n) for n in range(CELLS)]
     hosts = [standins.Host(f"s-{n}", cells[n % CELLS], record) for n in range(HOSTS)]
     discovery = standins.Discovery([host.entry() for host in hosts], record)
-    node = standins.Node(
-        folder, record, discovery.address, standins.settings(TrafficTypes=[KEYED]), known=None
-    )
+    node = standins.Node(folder, record, discovery.address, standins.settings(TrafficTypes=[KEYED]))
     try:
         if not node.until_ready():
             return None
-        hung = [host for host in hosts if host.cell.number == 1][:HUNG]
-        changes = [(HANG_AT, None)] + [
-            (HANG_AT + after, host) for after, host in zip(LIST_AFTER, hung, strict=True)
-        ]
-        began, clients, left = time.monotonic(), [], list(hosts)
-        while time.monotonic() - began < END_AT:
-            while trouble and changes and time.monotonic() - began >= changes[0][0]:
-                host = changes.pop(0)[1]
-                if host is None:
-                    for one in hung:
-                        one.hangs = True
-                        record.note(one.name, "hangs from now on: takes requests and answers nothing")
-                else:
-                    left.remove(host)
-                    discovery.set_list([one.entry() for one in left], f"the whole list, without {host.name}")
+        events = schedule([host for host in hosts if host.cell.number == 1][:FLAPPING]) if trouble else []
+        listed, began, clients = dict.fromkeys(hosts, True), time.monotonic(), []
+        while time.monotonic() - began < BEGIN + LENGTH:
+            while events and time.monotonic() - began >= events[0][0]:
+                _, host, event = events.pop(0)
+                carry_out(event, host, listed, discovery, record)
             clients.append(standins.Client(node.address, record, "field-save", 4800, 1.5))
             time.sleep(1 / CALLS_PER_S)
         for client in clients:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,8 +12,11 @@
 INSTANCES, FEWER = 4, 2
 CLIENTS, STAY = 6, 40.0  # clients that stand at each instance, and how long (trentside-farms: 25 to 49 s)
 PAUSE = 2.0  # seconds between the two reloads
-RELOADS = 45.0  # seconds for both; one after the other they take about 20
-STOP = 15.0  # seconds from SIGTERM to the end; instances end within 3.7 s of it
+# Seconds for both reloads, from the defaults start_s 10, stop_s 8 and watch_s 5: two instances are
+# changed one after the other, then two more are started.
+RELOADS = 2 * (10.0 + 8.0 + 5.0) + 10.0 + 5.0
+STOP = 8.0 + 5.0  # seconds from SIGTERM to the end: stop_s, by which instances are killed, and some to spare
+HURRY = 5.0  # seconds from the second SIGTERM to the end
 CHAT = {
     "Name": "chat",
     "Effect": "safe",
@@ -48,9 +51,21 @@
     return one, fleet.command("reload")
 
 
+def find_faults(fleet, ended):
+    """Stops the fleet; returns what is wrong. `ended`: whether both reloads have ended."""
+    if fleet.supervisor.poll() is not None:
+        return [f"the supervisor has crashed, exit code {fleet.supervisor.poll()}"]
+    faults = [] if ended else [f"a reload has not ended after {RELOADS:g} s"]
+    if not fleet.stop(STOP):
+        faults.append(f"the supervisor has not ended {STOP:g} s after SIGTERM")
+        if not fleet.stop(HURRY):
+            faults.append(f"nor {HURRY:g} s after a second SIGTERM")
+    return faults
+
+
 def play(record, fleet, front, trouble):
     """Plays the run; returns its exit code."""
-    first, faults = standins.free_ports(INSTANCES), []
+    first = standins.free_ports(INSTANCES)
     fleet.write(first, INSTANCES)
     front.ports = [first + n for n in range(INSTANCES)]
     fleet.start()
@@ -72,13 +87,7 @@
     for row in fleet.status():
         record.note("staff", f"{row['instance']} at {row['address']}: {row['state']}, pid {row['pid']}")
     record.note("front", f"{len(front.said_yes)} of {INSTANCES} addresses say yes")
-    if fleet.supervisor.poll() is not None:
-        faults.append(f"the supervisor has crashed, exit code {fleet.supervisor.poll()}")
-    else:
-        if not ended:
-            faults.append(f"a reload has not ended after {RELOADS:g} s")
-        if not fleet.stop(STOP):
-            faults.append(f"the supervisor has not ended {STOP:g} s after SIGTERM")
+    faults = find_faults(fleet, ended)
     for fault in faults:
         record.note("check", f"BROKEN: {fault}")
     record.note("check", f"{len(faults)} faults")
--- a/review/standins.py
+++ b/review/standins.py
@@ -106,7 +106,8 @@
 class Host:
     """A host. It runs each request that its cell has not seen, answers UP and echoes the lines after that.
 
-    While `hangs` it takes requests, runs them and answers nothing, on open connections too.
+    While `hangs` it takes requests, runs them and answers nothing, on open connections too; what waited is
+    answered when it is back.
     """
 
     def __init__(self, name, cell, record, zone="here"):
@@ -145,12 +146,18 @@
             else:
                 self.record.note(self.name, f"cell {self.cell.number} knows {call} and does not run it again")
             time.sleep(UP_DELAY)
-            if not self.hangs:
-                send(sock, b"UP " + secrets.token_hex(8).encode())
+            self.wait_while_hung()
+            send(sock, b"UP " + secrets.token_hex(8).encode())
             for line in lines:
-                if not self.hangs and not send(sock, line):
+                self.wait_while_hung()
+                if not send(sock, line):
                     return
 
+    def wait_while_hung(self):
+        """Returns once the host answers."""
+        while self.hangs:
+            time.sleep(0.02)
+
 
 class Discovery:
     """The agent that tells the node the list of hosts. Each change is answered with the whole list."""
@@ -217,9 +224,10 @@
                 line = (
                     f"OPEN {self.call} {secrets.token_hex(8)} c={self.type},d={self.deadline_ms}{self.extra}"
                 )
-                self.sent_at = self.record.note("client", f"sends {line}")
+                at = self.record.note("client", f"sends {line}")
                 if not send(sock, line.encode()):
-                    return
+                    return  # not taken: its last byte was not written
+                self.sent_at = at
                 lines = read_lines(sock)
                 self.answer = next(lines, b"(end)").decode("ascii", "replace")
                 self.answered_at = self.record.note("client", f"{self.call} is answered {self.answer}")
@@ -392,7 +400,7 @@
     def __init__(self, folder, record, discovery, types):
         """`types`: traffic types, as in the settings."""
         self.folder, self.record, self.toml = Path(folder), record, Path(folder) / "operator.toml"
-        self.supervisor = None
+        self.supervisor, self.commands = None, []
         self.template = {
             "name": "n",
             "listen": "127.0.0.1:1",
@@ -416,12 +424,14 @@
         """Starts `fleet ...`; `out`: where its output goes, in place of the log."""
         self.record.note("staff", "fleet " + " ".join(words))
         with open(self.folder / "fleet.log", "ab") as log:
-            return subprocess.Popen(
+            process = subprocess.Popen(
                 [PYTHON, "-m", "cottonspread", "fleet", *words, "--operator", str(self.toml)],
                 cwd=ROOT,
                 stdout=out or log,
                 stderr=log,
             )
+        self.commands.append(process)
+        return process
 
     def start(self):
         """Starts the supervisor."""
@@ -462,6 +472,10 @@
         if self.supervisor.poll() is None and not self.stop(5):
             self.supervisor.kill()
             self.supervisor.wait()
+        for command in self.commands:
+            if command.poll() is None:
+                command.kill()
+            command.wait()
         for pid in self.instances():
             with contextlib.suppress(OSError):
                 os.kill(pid, signal.SIGKILL)
