--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,118 +1,101 @@
-"""Case 1: a keyed request whose first host has left the list is repeated outside that host's cell."""
+"""A reload moves a fleet to other ports while clients go on connecting."""
 
 import os
 import sys
-import tempfile
+import threading
 import time
-from pathlib import Path
-
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-import standins
-
-HOSTS, CELLS = 13, 2  # as at trentside-farms: 12 to 13 servers, cells of 6 to 10
-FLAPPING = 4  # of 13 (MORE.md, `flapping`: a share of 0.2 to 0.5), all of one cell
-BEGIN, LENGTH = 3.0, 28.0  # seconds (25 to 50)
-TURN, DOWN = 12.0, 6.5  # seconds a turn (12 to 2), of which it hangs (a share of 0.25 to 0.55)
-LIST_AFTER = 5.7  # seconds until the list follows: 4.5 (silent_notice_s 4.5 to 11) and its period and spread
-OFFSET = 1.7  # seconds between two hosts: each fails at times of its own
-CALLS_PER_S = 30
-KEYED = {
-    "Name": "field-save",
-    "Effect": "keyed",
-    "KeyScope": "cell",
-    "KeyTtl": 5000.0,
-    "SetupTarget": 800.0,
-    "GuardTime": 4800.0,
-    "Revenue": 2.0,
-    "Stream": True,
-}
-
-
-def schedule(hosts):
-    """What happens: (seconds, host, "hangs", "answers", "gone" or "listed"), the earliest first."""
-    events = []
-    for n, host in enumerate(hosts):
-        at = BEGIN + n * OFFSET
-        while at + TURN <= BEGIN + LENGTH:
-            events += [(at, host, "hangs"), (at + LIST_AFTER, host, "gone")]
-            events += [(at + DOWN, host, "answers"), (at + DOWN + 4.5, host, "listed")]
-            at += TURN
-    return sorted(events, key=lambda event: event[0])
-
-
-def carry_out(event, host, listed, discovery, record):
-    """Carries out one event of the schedule."""
-    if event in ("hangs", "answers"):
-        host.hangs = event == "hangs"
-        record.note(host.name, f"{event} from now on")
-        return
-    listed[host] = event == "listed"
-    entries = [one.entry() for one, is_listed in listed.items() if is_listed]
-    discovery.set_list(entries, f"the whole list, {host.name} is {event}")
-
-
-def play(record, folder, trouble):
-    """Plays the run; returns the hosts, or None if the node did not get ready."""
-    cells = [standins.Cell(n) for n in range(CELLS)]
-    hosts = [standins.Host(f"s-{n}", cells[n % CELLS], record) for n in range(HOSTS)]
-    discovery = standins.Discovery([host.entry() for host in hosts], record)
-    node = standins.Node(folder, record, discovery.address, standins.settings(TrafficTypes=[KEYED]))
-    try:
-        if not node.until_ready():
-            return None
-        events = schedule([host for host in hosts if host.cell.number == 1][:FLAPPING]) if trouble else []
-        listed, began, clients = dict.fromkeys(hosts, True), time.monotonic(), []
-        while time.monotonic() - began < BEGIN + LENGTH:
-            while events and time.monotonic() - began >= events[0][0]:
-                _, host, event = events.pop(0)
-                carry_out(event, host, listed, discovery, record)
-            clients.append(standins.Client(node.address, record, "field-save", 4800, 1.5))
-            time.sleep(1 / CALLS_PER_S)
-        for client in clients:
-            client.thread.join(8)
-    finally:
-        node.end()
-    return hosts
-
-
-def broken(hosts, record):
-    """Notes each request that went to another cell than that of its first attempt; returns how many."""
-    attempts = sorted((at, call, host) for host in hosts for at, call in host.attempts)
-    runs, first, wrong = {}, {}, set()
-    for host in hosts:
-        for _, call in host.runs:
-            runs.setdefault(call, []).append(host)
-    for at, call, host in sorted(attempts, key=lambda one: one[0]):
-        # No stand-in ever answers BUSY or closes early: each attempt here may have run.
-        begun = first.setdefault(call, host)
-        if host.cell.number != begun.cell.number:
-            wrong.add(call)
-            record.note(
-                "check",
-                f"BROKEN: {call} was sent to {begun.name} of cell {begun.cell.number} and may have run, "
-                f"then at {at:.3f} to {host.name} of cell {host.cell.number}; it RAN at "
-                + " and ".join(f"{one.name} (cell {one.cell.number})" for one in runs[call]),
-            )
-    record.note("check", f"{len(first)} requests, {len(wrong)} sent outside the cell of their first attempt")
-    record.note("check", f"{sum(len(where) > 1 for where in runs.values())} requests ran twice")
-    return len(first), len(wrong)
-
-
-def main():
-    """Runs the case; returns the exit code."""
-    standins.end_on_sigterm()
-    record = standins.Record()
-    with tempfile.TemporaryDirectory() as folder:
-        try:
-            hosts = play(record, folder, os.environ.get("TROUBLE", "1") != "0")
-            if hosts is None:
-                record.note("test", "the node did not get ready")
-                return 2
-            calls, wrong = broken(hosts, record)
-            return 2 if not calls else standins.BROKEN if wrong else 0
-        finally:
-            record.write(Path(__file__).resolve().parent / "record.txt")
-
-
-if __name__ == "__main__":
-    sys.exit(main())
+
+sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+import standins as s
+
+INSTANCES = 2
+CALL_EVERY = 0.05  # seconds between two calls to an instance
+# Seconds for which new connections still come to the old address after the new one has answered PONG: "New
+# connections go on coming for 0.2 to 0.4 s".
+LATE_ARRIVALS = 0.3
+QUIET_TIME = 15  # seconds without the disruption, about as long as the reload takes
+
+
+class Front:
+    """Deals out new connections: to an instance's old port, and to its new one once that takes them."""
+
+    def __init__(self, record, old, new):
+        """`old`, `new`: the ports of the instances."""
+        self.record, self.old, self.new, self.ports = record, old, new, list(old)
+        self.clients, self.threads, self.done = [], [], threading.Event()
+
+    def start(self):
+        """Starts asking the new ports and sending calls."""
+        for number in range(INSTANCES):
+            threading.Thread(target=self.ask, args=(number,), daemon=True).start()
+            threading.Thread(target=self.send_calls, args=(number,), daemon=True).start()
+
+    def ask(self, number):
+        """Asks the new port with PING, ten times a second, and takes it in."""
+        while not s.ping(("127.0.0.1", self.new[number])):
+            if self.done.wait(0.1):
+                return
+        self.record.write("pong", port=self.new[number])
+        time.sleep(LATE_ARRIVALS)
+        self.ports[number] = self.new[number]
+        self.record.write("front", instance=number, port=self.new[number])
+
+    def send_calls(self, number):
+        """Sends calls to one instance at an even rate."""
+        while not self.done.wait(CALL_EVERY):
+            client = s.Client(self.record, ("127.0.0.1", self.ports[number]))
+            thread = threading.Thread(target=client.play, daemon=True)
+            self.threads.append(thread)
+            self.clients.append(client)
+            thread.start()
+
+    def finish(self):
+        """Ends the load and waits until each call has ended."""
+        self.done.set()
+        time.sleep(2 * CALL_EVERY)
+        for thread in self.threads:
+            thread.join(8)
+
+
+def write_operator_file(path, template, port):
+    """Writes the operator's file: everything as in deploy/operator.toml or by default."""
+    with open(path, "w", encoding="utf-8") as file:
+        file.write(
+            f'[fleet]\nname = "farm"\nconfig = "{template}"\ninstances = {INSTANCES}\n'
+            f'listen = "127.0.0.1:{port}"\nstate = "state"\n'
+        )
+
+
+def play(record, processes, folder):
+    """Plays the case; returns what broke the rule."""
+    hosts = s.Hosts(record, 3)
+    discovery = s.Discovery(hosts.entries)
+    ports = s.free_ports(2 * INSTANCES, adjoining=True)
+    old, new = ports[:INSTANCES], ports[INSTANCES:]
+    template = s.node_file(folder, "template", f"127.0.0.1:{old[0]}", discovery.address)
+    operator = os.path.join(folder, "operator.toml")
+    write_operator_file(operator, template, old[0])
+    processes.start("fleet", "fleet", "run", "--operator", operator)
+    s.wait_until("the fleet serves", lambda: all(s.ping(("127.0.0.1", port)) for port in old))
+
+    front = Front(record, old, new)
+    front.start()
+    time.sleep(2)
+    if s.TROUBLE:
+        write_operator_file(operator, template, new[0])
+        code, _ = processes.run("reload", "fleet", "reload", "--operator", operator, timeout=50)
+        if code:
+            raise s.NotRunError("the reload failed")
+    else:
+        time.sleep(QUIET_TIME)
+    time.sleep(2)
+    front.finish()
+    if s.TROUBLE:  # for the record alone: what the old address does later on
+        s.Client(record, ("127.0.0.1", old[0])).play()
+
+    lost = [client for client in front.clients if client.outcome == "lost"]
+    record.write("summary", calls=len(front.clients), lost=len(lost))
+    return [f"{client.id} to port {client.address[1]}: taken, no final answer" for client in lost]
+
+
+s.run_case(__file__, play)
