--- a/review/standins.py
+++ b/review/standins.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import os
+import resource
 import secrets
 import shutil
 import signal
@@ -65,6 +66,15 @@
     raise NotRunError("no free ports")
 
 
+def allow_descriptors(count):
+    """Raises this process's soft limit on descriptors as far as it may."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = count if hard == resource.RLIM_INFINITY else min(count, hard)
+    if wanted < count:
+        raise NotRunError(f"{count} descriptors are needed; the limit is {hard}")
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, wanted), hard))
+
+
 def serve_each(listener, handle):
     """Accepts connections and calls `handle(sock)` for each in a thread of its own."""
 
@@ -261,6 +271,7 @@
     def __init__(self, record, folder):
         """`folder`: for their logs and files."""
         self.record, self.folder, self.children = record, folder, []
+        self.others = set()  # pids of processes that those have started, in sessions of their own
 
     def start(self, name, *arguments, environment=None):
         """Starts `python -m cottonspread ARGUMENTS`."""
@@ -311,7 +322,9 @@
         except subprocess.TimeoutExpired:
             raise NotRunError(f"{name}: no end within {timeout:g} s") from None
         output = (done.stdout + done.stderr).strip()
-        self.record.write("command", name=name, exit=done.returncode, output=output.replace("\n", " | "))
+        self.record.write(
+            "command", name=name, exit=done.returncode, output=output.replace("\n", " | ")[:400]
+        )
         return done.returncode, output
 
     def signal(self, name, child, number):
@@ -332,6 +345,16 @@
             if child.poll() is None:
                 child.kill()
                 child.wait()
+        for pid in self.others:
+            self.end_other(pid)
+
+    def end_other(self, pid):
+        """Ends an instance of this case's fleet that is still there, by its pid and its folder."""
+        with contextlib.suppress(OSError):
+            with open(f"/proc/{pid}/cmdline", "rb") as file:
+                is_ours = os.fsencode(self.folder) in file.read()
+            if is_ours:
+                os.kill(pid, signal.SIGKILL)
 
 
 def run_case(case_file, play):
