--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,160 +1,118 @@
-"""The supervisor of a fleet is killed and started again: its instances must serve on."""
+"""Case 1: a keyed request whose first host has left the list is repeated outside that host's cell."""
 
-import json
 import os
-import secrets
-import selectors
-import signal
-import socket
 import sys
-import threading
+import tempfile
 import time
-
-sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-import standins as s
-
-SERVERS = 3200  # "fleets with up to sixteen times the hosts (3,200 at most)"
-INSTANCES, CLIENTS = 4, 40
-LINE_EVERY = 2.0  # seconds, as the protocol page says
-RESTART_AFTER = 1.0  # seconds: RestartSec in deploy/cottonspread-fleet.service
-AFTERWARDS = 12.0  # seconds for which the clients go on, with the new supervisor
-
-
-class Servers:
-    """Many servers, each with a loopback address of its own, in one thread that accepts for all."""
-
-    def __init__(self, record):
-        """Starts them."""
-        s.allow_descriptors(SERVERS + 1000)
-        self.record, self.entries, self.selector = record, [], selectors.DefaultSelector()
-        port = s.free_ports(1)[0]
-        for number in range(SERVERS):
-            try:
-                listener = socket.create_server((f"127.20.{number // 250}.{1 + number % 250}", port))
-            except OSError as error:
-                raise s.NotRunError(f"a server's address: {error}") from error
-            entry = s.list_entry(f"s-{secrets.token_hex(4)}", listener)
-            self.entries.append(entry)
-            self.selector.register(listener, selectors.EVENT_READ, entry["instanceId"])
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        """Accepts for all servers."""
-        while True:
-            for key, _ in self.selector.select():
-                sock, _ = key.fileobj.accept()
-                threading.Thread(target=self.serve, args=(sock, key.data), daemon=True).start()
-
-    def serve(self, sock, name):
-        """Serves one connection."""
-        try:
-            with sock, sock.makefile("rwb") as file:
-                words = file.readline().split()
-                if len(words) != 4 or words[0] != b"OPEN":
-                    file.write(b"SYNTAX\r\n")
-                    return
-                self.record.write("run", host=name, id=words[1].decode())
-                file.write(b"UP %s\r\n" % secrets.token_hex(8).encode())
-                file.flush()
-                for line in file:
-                    file.write(line)
-                    file.flush()
-        except OSError:
-            return
-
-
-class StandingClient:
-    """A client with one connection that it keeps. `ended`: how it ended; "" while it stands."""
-
-    def __init__(self, record, port):
-        """`port`: of an instance."""
-        self.record, self.port, self.id = record, port, secrets.token_hex(8)
-        self.ended, self.up, self.done = "", threading.Event(), False
-        threading.Thread(target=self.run, daemon=True).start()
-
-    def run(self):
-        """Opens the connection and reads until its end."""
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+import cells as s
+
+HOSTS, CELLS = 13, 2  # as at trentside-farms: 12 to 13 servers, cells of 6 to 10
+FLAPPING = 4  # of 13 (MORE.md, `flapping`: a share of 0.2 to 0.5), all of one cell
+BEGIN, LENGTH = 3.0, 28.0  # seconds (25 to 50)
+TURN, DOWN = 12.0, 6.5  # seconds a turn (12 to 2), of which it hangs (a share of 0.25 to 0.55)
+LIST_AFTER = 5.7  # seconds until the list follows: 4.5 (silent_notice_s 4.5 to 11) and its period and spread
+OFFSET = 1.7  # seconds between two hosts: each fails at times of its own
+CALLS_PER_S = 30
+KEYED = {
+    "Name": "field-save",
+    "Effect": "keyed",
+    "KeyScope": "cell",
+    "KeyTtl": 5000.0,
+    "SetupTarget": 800.0,
+    "GuardTime": 4800.0,
+    "Revenue": 2.0,
+    "Stream": True,
+}
+
+
+def schedule(hosts):
+    """What happens: (seconds, host, "hangs", "answers", "gone" or "listed"), the earliest first."""
+    events = []
+    for n, host in enumerate(hosts):
+        at = BEGIN + n * OFFSET
+        while at + TURN <= BEGIN + LENGTH:
+            events += [(at, host, "hangs"), (at + LIST_AFTER, host, "gone")]
+            events += [(at + DOWN, host, "answers"), (at + DOWN + 4.5, host, "listed")]
+            at += TURN
+    return sorted(events, key=lambda event: event[0])
+
+
+def carry_out(event, host, listed, discovery, record):
+    """Carries out one event of the schedule."""
+    if event in ("hangs", "answers"):
+        host.hangs = event == "hangs"
+        record.note(host.name, f"{event} from now on")
+        return
+    listed[host] = event == "listed"
+    entries = [one.entry() for one, is_listed in listed.items() if is_listed]
+    discovery.set_list(entries, f"the whole list, {host.name} is {event}")
+
+
+def play(record, folder, trouble):
+    """Plays the run; returns the hosts, or None if the node did not get ready."""
+    all_cells = [s.Cell(n) for n in range(CELLS)]
+    hosts = [s.Host(f"s-{n}", all_cells[n % CELLS], record) for n in range(HOSTS)]
+    discovery = s.Discovery([host.entry() for host in hosts], record)
+    node = s.Node(folder, record, discovery.address, s.settings(TrafficTypes=[KEYED]))
+    try:
+        if not node.until_ready():
+            return None
+        events = schedule([host for host in hosts if host.cell.number == 1][:FLAPPING]) if trouble else []
+        listed, began, clients = dict.fromkeys(hosts, True), time.monotonic(), []
+        while time.monotonic() - began < BEGIN + LENGTH:
+            while events and time.monotonic() - began >= events[0][0]:
+                _, host, event = events.pop(0)
+                carry_out(event, host, listed, discovery, record)
+            clients.append(s.Client(node.address, record, "field-save", 4800, 1.5))
+            time.sleep(1 / CALLS_PER_S)
+        for client in clients:
+            client.thread.join(8)
+    finally:
+        node.end()
+    return hosts
+
+
+def broken(hosts, record):
+    """Notes each request that went to another cell than that of its first attempt; returns how many."""
+    attempts = sorted((at, call, host) for host in hosts for at, call in host.attempts)
+    runs, first, wrong = {}, {}, set()
+    for host in hosts:
+        for _, call in host.runs:
+            runs.setdefault(call, []).append(host)
+    for at, call, host in sorted(attempts, key=lambda one: one[0]):
+        # No stand-in ever answers BUSY or closes early: each attempt here may have run.
+        begun = first.setdefault(call, host)
+        if host.cell.number != begun.cell.number:
+            wrong.add(call)
+            record.note(
+                "check",
+                f"BROKEN: {call} was sent to {begun.name} of cell {begun.cell.number} and may have run, "
+                f"then at {at:.3f} to {host.name} of cell {host.cell.number}; it RAN at "
+                + " and ".join(f"{one.name} (cell {one.cell.number})" for one in runs[call]),
+            )
+    record.note("check", f"{len(first)} requests, {len(wrong)} sent outside the cell of their first attempt")
+    record.note("check", f"{sum(len(where) > 1 for where in runs.values())} requests ran twice")
+    return len(first), len(wrong)
+
+
+def main():
+    """Runs the case; returns the exit code."""
+    s.end_on_sigterm()
+    record = s.Record()
+    with tempfile.TemporaryDirectory() as folder:
         try:
-            with socket.create_connection(("127.0.0.1", self.port), timeout=10) as sock:
-                sock.sendall(f"OPEN {self.id} {secrets.token_hex(8)} c=chat,d=2000\r\n".encode())
-                with sock.makefile("rb") as file:
-                    if not file.readline().startswith(b"UP "):
-                        self.end("not-up")
-                        return
-                    self.up.set()
-                    threading.Thread(target=self.talk, args=(sock,), daemon=True).start()
-                    for line in file:
-                        if line == b"MOVE\r\n":
-                            self.end("MOVE")
-                            return
-                    self.end("ended-without-MOVE")
-        except OSError as error:
-            self.end(f"{type(error).__name__}-without-MOVE")
-
-    def talk(self, sock):
-        """Sends a line now and then, which the server echoes."""
-        while not self.ended:
-            time.sleep(LINE_EVERY)
-            try:
-                sock.sendall(b"hello\r\n")
-            except OSError:
-                return
-
-    def end(self, how):
-        """Records how the connection ended."""
-        if not self.done:
-            self.ended = how
-            self.record.write("ended", id=self.id, port=self.port, how=how)
-
-
-def ready(processes, operator):
-    """Whether all instances serve, by `fleet status`; and notes their processes."""
-    code, output = processes.run("status", "fleet", "status", "--json", "--operator", operator)
-    if code:
-        return False
-    status = json.loads(output)
-    for row in status["instances"]:
-        processes.record.write("instance", name=row["instance"], pid=row["pid"], state=row["state"])
-    processes.others |= {row["pid"] for row in status["instances"] if row["pid"]}
-    return status["ready"]
-
-
-def play(record, processes, folder):
-    """Plays the case; returns what broke the rule."""
-    servers = Servers(record)
-    discovery = s.Discovery(servers.entries)
-    ports = s.free_ports(INSTANCES, adjoining=True)
-    known = {"generation": 1, "reset": True, "instances": servers.entries}
-    template = s.node_file(folder, "template", f"127.0.0.1:{ports[0]}", discovery.address, known=known)
-    operator = os.path.join(folder, "operator.toml")
-    with open(operator, "w", encoding="utf-8") as file:
-        file.write(
-            f'[fleet]\nname = "farm"\nconfig = "{template}"\ninstances = {INSTANCES}\n'
-            f'listen = "127.0.0.1:{ports[0]}"\nstate = "state"\n'
-        )
-
-    def start():
-        return processes.start("fleet", "fleet", "run", "--operator", operator)
-
-    supervisor = start()
-    s.wait_until("the fleet serves", lambda: ready(processes, operator), 30, 0.5)
-    clients = [StandingClient(record, ports[number % INSTANCES]) for number in range(CLIENTS)]
-    for client in clients:
-        if not client.up.wait(5):
-            raise s.NotRunError("a client is not up")
-    time.sleep(2)
-    if s.TROUBLE:
-        processes.signal("fleet", supervisor, signal.SIGKILL)
-        supervisor.wait()
-        time.sleep(RESTART_AFTER)
-        start()
-    time.sleep(AFTERWARDS)
-    for client in clients:
-        client.done = True
-    s.wait_until("the fleet serves again", lambda: ready(processes, operator), 30, 0.5)
-    cut = [client for client in clients if client.ended not in ("", "MOVE")]
-    record.write("summary", clients=len(clients), cut=len(cut))
-    return [f"{client.id} at port {client.port}: {client.ended}" for client in cut]
-
-
-s.run_case(__file__, play)
+            hosts = play(record, folder, os.environ.get("TROUBLE", "1") != "0")
+            if hosts is None:
+                record.note("test", "the node did not get ready")
+                return 2
+            calls, wrong = broken(hosts, record)
+            return 2 if not calls else s.BROKEN if wrong else 0
+        finally:
+            record.write(Path(__file__).resolve().parent / "record.txt")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
-# Builds what the cases start besides the node: stand-ins in Python, which only need to be compiled. Run after the deploy file's build.
+# Builds the stand-ins: they run in the cases' own processes, in Python, and only need to be compiled. Run after the deploy
+# file's build.
 cd "$(dirname "$0")/.." || exit 1
-exec .venv/bin/python -m compileall -q review examples/toy.py
+exec .venv/bin/python -m compileall -q review
