Retries: a keyed call stays in the cell or zone that its first server had at the attempt

Cause: `may_retry_at` compared a candidate with the present list entry of the first attempt's server. A whole list that leaves a server out gives it the entry Entry(name, state=GONE), whose zone and cell are the defaults, 0. From then on every server of cell 0 passed, and those that know the request did not.

Evidence: the module alone does it (tests/scenarios/referenced_server_left_list.txt at: "> send 1 d -- got send 1 a"). The same steps with a `Gone` entry that tells its cell, in place of the whole list, pass at: neither the scope's comparison nor the retry itself is at fault, but what stands in the entry by then.

Change: a leg keeps the zone and cell of its server from when it was sent, and retries are judged by these. This holds as well where the server comes back in another cell, or is told to be gone by an entry without its cell; both are in the scenario.

--- a/cottonspread/policy/retries.py
+++ b/cottonspread/policy/retries.py
@@ -30,11 +30,15 @@
 
 
 def may_retry_at(call, host):
-    """Whether a leg may go there: a referenced call that may have run stays where its repeats are known."""
+    """Whether a leg may go there: a referenced call that may have run stays where its repeats are known.
+
+    That is the zone or cell of its first server when the leg was sent there. The server may since have left
+    the list, or have come back in another one.
+    """
     ran = may_have_run(call)
     if call.type.effect is not Effect.REFERENCED or not ran:
         return True
-    first, scope = ran[0].host.entry, call.type.deduplicated_by
+    first, scope = ran[0], call.type.deduplicated_by
     if scope == "zone":
         return host.entry.zone == first.zone
     return scope == "all" or host.entry.cell == first.cell
--- a/cottonspread/state.py
+++ b/cottonspread/state.py
@@ -137,6 +137,8 @@
     number: int
     host: Host
     sent_at: int
+    zone: object  # of the server when the leg was sent: the list may tell otherwise by the time of a retry
+    cell: object
     reported_load: float = 0.0  # microseconds of work a second; 0: not reported
     load: int = 0  # its weight, see `Loads`
     accepted: bool = False
@@ -194,7 +196,7 @@
 
     def open_leg(self, host, now, load):
         """Adds a leg of this weight at the server, not accepted yet."""
-        leg = Leg(self, len(self.legs), host, now, load=load)
+        leg = Leg(self, len(self.legs), host, now, host.entry.zone, host.entry.cell, load=load)
         self.legs.append(leg)
         host.legs[leg] = None
         host.setups += 1
