Server table: a server that a whole list leaves out keeps what the list last told of it

Related to the keyed calls that ran twice: the same invented entry, Entry(name, state=GONE), told a kind of 0, a weight of 1.0 and a start of long ago as well.

What callers would see: where weights move with load, the weight of 1.0 counted as the largest of kind 0, whatever the server's own kind, so that all servers of kind 0 got a size of 1.0 and up to twice their turns and more (tests/scenarios/left_out_of_a_list.txt; without the change: "> send 4 !X -- got send 4 a"). And since its start was "long ago", a server that came back with connections still open on it was taken for restarted after a whole list and not after changes.

Change: the entry is the last one with the state GONE.

--- a/cottonspread/structures/server_table.py
+++ b/cottonspread/structures/server_table.py
@@ -20,7 +20,8 @@
         entries = list(update.entries)
         if update.kind is not ListUpdateKind.CHANGES:
             named = {entry.host for entry in entries}
-            entries += [io.Entry(name, state=HostState.GONE) for name in self.hosts if name not in named]
+            left_out = [host for name, host in self.hosts.items() if name not in named]
+            entries += [host.entry._replace(state=HostState.GONE) for host in left_out]
         for entry in entries:
             host = self.hosts.get(entry.host)
             if host is None:
