Zones are identified by the list's own names, not by their place in the settings

Related to the keyed calls that ran twice: what a repeat is compared with has to be the server's own zone or cell.

What callers would see: a request of a class with KeyScope "zone" sent again in another zone, and run twice, (a) where the settings name neither zone (one added to the fleet before the nodes were told; all such were zone -1, and so one zone), (b) where a reload puts `Zones` in another order while the attempt is out. A list entry without a cell was cell 0.

Change: an entry has the zone's name, the node knows its own zone by name (`Zones[Zone]`), `Names.zones` is gone; the drill keeps its numbers. A zone or cell that the list does not tell is None, and is shared with no other server. A reload that only renames zones no longer fetches the whole list again: nothing in it is read by number.

Tests: tests/crossings/test_attempts.py, on sockets: (a) fails at this change, twice (names; no zone at all), (b) before this change. tests/test_net.py compared a read entry with zone 0 and cell 0 for "here" and no cell; it now wants "here" and None, as exact as before. An entry whose zone is no text stays invalid (test there).

--- a/cottonspread/config/platform.py
+++ b/cottonspread/config/platform.py
@@ -7,7 +7,7 @@
 """
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from cottonspread import interface as io
 
@@ -259,7 +259,6 @@
     """Maps from the names used in the protocol to the numbers used by the policy."""
 
     types: dict
-    zones: dict
     kinds: dict
     tenants: dict
 
@@ -279,6 +278,12 @@
     return {name: n for n, name in enumerate(names)}
 
 
+def with_zone_name(node_config, zones):
+    """The configuration with the name of the node's zone, which the list has too, in place of its number."""
+    number = node_config.zone
+    return replace(node_config, zone=zones[number] if 0 <= number < len(zones) else None)
+
+
 def read_node(text, environment):
     """Reads a node's configuration.
 
@@ -303,10 +308,9 @@
     )
     seed = root.convert("seed", "0", "a number in hexadecimal", lambda v: int(v, 16))
     settings = root.object("settings")
-    node_config = read_begin(settings.values, seed)
+    node_config = with_zone_name(read_begin(settings.values, seed), settings.values_of("Zones", str))
     names = Names(
         numbered(t.name for t in node_config.types),
-        numbered(settings.values_of("Zones", str)),
         numbered(settings.values_of("Kinds", str)),
         numbered(t.name for t in node_config.tenants),
     )
--- a/cottonspread/interface.py
+++ b/cottonspread/interface.py
@@ -131,7 +131,7 @@
     seed: int
     node_number: int
     nodes: int  # number of nodes; 0: not known
-    zone: int
+    zone: object  # the node's own, as the list identifies it; None: not known
     tick: int
     types: tuple
     tenants: tuple = ()
@@ -151,10 +151,10 @@
     """A host as the server list has it."""
 
     host: object
-    zone: int = 0
+    zone: object = 0  # None: the list does not say
     kind: int = 0
     weight: float = 1.0  # as listed: the host's size, or see `NodeConfig.dynamic_weights`
-    cell: int = 0
+    cell: object = 0  # None: the list does not say
     started: int = 0  # 0: long ago
     state: HostState = HostState.UP
 
--- a/cottonspread/lab/scale/reducer_node.py
+++ b/cottonspread/lab/scale/reducer_node.py
@@ -28,7 +28,7 @@
         """Lists all servers and adopts the connections."""
         self.now, self.version, self.servers, self.groups = SECOND, 0, servers, groups
         self.call_count = 0
-        names = config.Names({TYPE: 0}, {}, {}, {})
+        names = config.Names({TYPE: 0}, {}, {})
         host_protocol = config.HostProtocol(CONNECT_TIMEOUT, True, True)
         self.reducer = Reducer(self.now, node_config(seed), names, host_protocol, MAX_SOCKETS)
         self.hosts = {}  # client's connection end: host's connection end
--- a/cottonspread/net/discovery.py
+++ b/cottonspread/net/discovery.py
@@ -33,13 +33,15 @@
     weight = float(instance.get("weight", 1))
     if not 0 <= weight < 1e15:
         raise ValueError(f"weight: {weight}")
-    # -1: a zone that the settings do not name, remote from every node.
+    zone, cell = instance.get("zone"), instance.get("cell")
+    if not isinstance(zone, str | None):
+        raise ValueError(f"zone: {zone!r}")
     return io.Entry(
         str(instance["instanceId"]),
-        names.zones.get(instance.get("zone"), -1),
+        zone,
         names.kinds.get(instance.get("machineType"), -1),
         weight,
-        int(instance.get("cell", 0)),
+        None if cell is None else int(cell),
         round(float(instance.get("startedAtMs", 0)) * 1000),
         state,
     ), address
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -255,7 +255,7 @@
     def reload(self, endpoints, resource_limits, names, host_protocol, node_config):
         """Applies another configuration; the list, calls and connections stay."""
         node_config = reloadable(node_config, self.reducer.config)
-        renamed = (names.zones, names.kinds) != (self.discovery.names.zones, self.discovery.names.kinds)
+        renamed = names.kinds != self.discovery.names.kinds
         self.discovery.names = names
         self.post_urgent(ev.SettingsReloaded(node_config, names, host_protocol))
         with self.limiter_lock:
--- a/cottonspread/policy/retries.py
+++ b/cottonspread/policy/retries.py
@@ -33,15 +33,15 @@
     """Whether a leg may go there: a referenced call that may have run stays where its repeats are known.
 
     That is the zone or cell of its first server when the leg was sent there. The server may since have left
-    the list, or have come back in another one.
+    the list, or have come back in another one. Servers whose zone or cell is not known share none.
     """
-    ran = may_have_run(call)
-    if call.type.effect is not Effect.REFERENCED or not ran:
+    ran, scope = may_have_run(call), call.type.deduplicated_by
+    if call.type.effect is not Effect.REFERENCED or not ran or scope == "all":
         return True
-    first, scope = ran[0], call.type.deduplicated_by
+    first = ran[0]
     if scope == "zone":
-        return host.entry.zone == first.zone
-    return scope == "all" or host.entry.cell == first.cell
+        return first.zone is not None and host.entry.zone == first.zone
+    return first.cell is not None and host.entry.cell == first.cell
 
 
 def may_reject(call):
--- a/cottonspread/state.py
+++ b/cottonspread/state.py
@@ -64,11 +64,9 @@
         """Puts the settings of `config` in force."""
         self.change_pending = True
         self.types, self.limits, self.tick, self.cold = config.types, config.legs, config.tick, config.cold
-        self.zone, self.zone_crossing_price, self.move_price = (
-            config.zone,
-            config.prices.zone_crossing,
-            config.prices.move,
-        )
+        self.zone, self.move_price = config.zone, config.prices.move
+        # A node that does not know its zone prefers none.
+        self.zone_crossing_price = 0.0 if config.zone is None else config.prices.zone_crossing
         self.nodes, self.poll_interval = config.nodes or self.default_nodes, config.server_list.poll_interval
         self.groups_share_work, self.probes_report_load = config.groups_share_work, config.probes_report_load
         targets = [one.message_target for one in config.types if one.message_target]
--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -5,8 +5,21 @@
 import threading
 
 import pytest
-from stubs import Gate, client, delay_connects, open_line, running, serve, wait_for_list, wait_until
+from stubs import (
+    SETTINGS,
+    TYPES,
+    Gate,
+    client,
+    delay_connects,
+    open_line,
+    running,
+    serve,
+    settings,
+    wait_for_list,
+    wait_until,
+)
 
+from cottonspread import config
 from cottonspread.net import events as ev
 from cottonspread.net import workers
 from cottonspread.net.admission import Admission
@@ -131,6 +144,53 @@
         )  # all hosts recognise repeats: the client may safely try again
 
 
+def keyed_settings(scope, zones):
+    """Settings with one type, "marked", of keyed calls that the hosts of one cell or zone recognise."""
+    marked = {**TYPES[2], "KeyScope": scope, "KeyTtl": 4000}
+    return {**SETTINGS, "TrafficTypes": [marked], "Zones": zones}
+
+
+def assert_not_retried_elsewhere(conn, peer, other):
+    """The first host, at `peer`, may have run the call: it fails without an attempt at the other host."""
+    peer.close("reset")
+    assert conn.read_line() == b"ERR"
+    assert not other.has_connection(), "retried at a host that does not recognise the repeat"
+
+
+@pytest.mark.parametrize("zones", (("x", "y"), (None, None)))
+def test_a_keyed_call_is_not_retried_in_another_zone_that_the_settings_do_not_name(hosts, list_server, zones):
+    """Guards against a repeat in another zone: zones that the settings did not name were taken for one."""
+    for host, zone in zip(hosts, zones, strict=True):
+        host.entry["zone"] = zone
+    list_server.add(*hosts)
+    with running(list_server, settings=keyed_settings("zone", ["here"])) as node:
+        wait_for_list(node)
+        conn = client(node, open_line(1, "marked"))
+        peer = serve(hosts)
+        other = next(host for host in hosts if host.listener.getsockname() != peer.sock.getsockname())
+        assert_not_retried_elsewhere(conn, peer, other)
+
+
+def test_a_keyed_call_is_not_retried_in_another_zone_after_a_reload_that_reorders_the_zones(
+    hosts, list_server
+):
+    """Guards against a repeat in another zone: the zones' numbers changed while the attempt was out."""
+    for host, zone in zip(hosts, ("a", "b"), strict=True):
+        host.entry["zone"] = zone
+    list_server.add(*hosts)
+    with running(list_server, settings=keyed_settings("zone", ["a", "b"])) as node:
+        wait_for_list(node)
+        conn = client(node, open_line(1, "marked"))
+        peer = serve(hosts)
+        other = next(host for host in hosts if host.listener.getsockname() != peer.sock.getsockname())
+        reloaded = settings(list_server, settings=keyed_settings("zone", ["b", "a"]))
+        node.reload(*config.read_node(reloaded, {})[:-1])
+        node.seen.wait(ev.SettingsReloaded)
+        list_server.change(next(host for host in hosts if host is not other), "Ready")
+        wait_for_list(node, list_server.version)
+        assert_not_retried_elsewhere(conn, peer, other)
+
+
 @pytest.mark.parametrize(
     "answer, ran",
     [
--- a/tests/crossings/test_floods.py
+++ b/tests/crossings/test_floods.py
@@ -134,7 +134,7 @@
 
 
 LINE = open_line(1) + b"\r\n"
-NAMES = config.Names({"plain": 0}, {"here": 0}, {}, {})
+NAMES = config.Names({"plain": 0}, {}, {})
 
 
 @profile(max_examples=300, deadline=None)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -347,7 +347,7 @@
 )
 def test_an_invalid_entry_does_not_affect_other_entries(bad):
     """One invalid entry among sixty made the node reject the whole list, and every later one."""
-    names = config.Names({}, {"here": 0}, {}, {})
+    names = config.Names({}, {}, {})
 
     def read(*instances, previous=None):
         version, update, addresses, invalid = discovery.read_list(
@@ -373,7 +373,7 @@
 
 
 def test_of_two_entries_with_one_id_the_later_wins_and_an_empty_list_is_valid():
-    names = config.Names({}, {"here": 0}, {}, {})
+    names = config.Names({}, {}, {})
     body = {
         "generation": 3,
         "reset": True,
@@ -398,7 +398,7 @@
 
 
 def test_the_last_valid_list_is_kept_after_garbage_and_older_versions(monkeypatch):
-    names, lists, failed = config.Names({}, {"here": 0}, {}, {}), queue.Queue(), []
+    names, lists, failed = config.Names({}, {}, {}), queue.Queue(), []
     answers = Answers(
         listing(41),
         listing(43, False, "Terminating"),
@@ -421,7 +421,7 @@
     received = [lists.get(timeout=WAIT) for _ in range(4)]
     watcher.stop()
     assert [e.update.version for e in received] == [41, 43, 44, 45] and len(failed) == 4
-    assert received[0].update.entries[0] == io.Entry("s-1", 0, -1, 1.0, 0, 7000) and received[
+    assert received[0].update.entries[0] == io.Entry("s-1", "here", -1, 1.0, None, 7000) and received[
         0
     ].addresses == {"s-1": ("10.1.0.18", 8080)}
     assert received[1].update.entries[0].state is io.HostState.DRAINING
@@ -435,7 +435,7 @@
     answers = Answers(listing(42, not known))
     watcher = discovery.Discovery(
         answers.address,
-        config.Names({}, {"here": 0}, {}, {}),
+        config.Names({}, {}, {}),
         lists.put,
         41,
         polled=True,
@@ -457,7 +457,7 @@
     second = Answers(listing(7), listing(8, False, "Terminating"))
     watcher = discovery.Discovery(
         first.address,
-        config.Names({}, {"here": 0}, {}, {}),
+        config.Names({}, {}, {}),
         lambda e: lists.put(e) if isinstance(e, ev.ListReceived) else failed.append(e),
         0,
     )
@@ -505,6 +505,12 @@
     assert (node_config.probes_report_load, node_config.dynamic_weights) == (probed, dynamic)
 
 
+@pytest.mark.parametrize("number, zone", ((0, "a"), (1, "b"), (2, None)))
+def test_the_nodes_own_zone_has_the_name_that_the_list_uses(number, zone):
+    settings = json.dumps(json.loads(NODE) | {"settings": WITH_TYPE | {"Zones": ["a", "b"], "Zone": number}})
+    assert config.read_node(settings, {})[4].zone == zone
+
+
 def test_the_availability_goal_reaches_the_balancer_and_unknown_goal_keys_are_skipped():
     assert config.read_begin(WITH_TYPE, 1).availability == io.AvailabilityGoal(0, 3)
     node_config = config.read_begin(WITH_TYPE | {"Goal": {"NinesPart": 0.2, "NinesFull": 2, "Odd": "x"}}, 1)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -51,7 +51,7 @@
 
 
 def type_names(types):
-    return config.Names({t.name: n for n, t in enumerate(types)}, {}, {}, {})
+    return config.Names({t.name: n for n, t in enumerate(types)}, {}, {})
 
 
 class World:
