Fleet: who answers at an address, and which stay open, follows from the state at every step

What callers saw: after a `fleet reload` that changed `fleet.listen`, calls to the old addresses were taken and answered by nobody, and the old sockets stayed open for good. With two reloads in quick succession the supervisor ended with KeyError, or hung: the second plan's listening sockets were closed while it waited.

Cause: the supervisor's BUSY went by instance name, at the address of the name's present spec, which a change sets before the old process has left; the old process was told that its queue has a successor at whatever address; unused listeners were looked for when a process ended outside a rollout, and without asking the plan that waits.

Change: `fleet/addresses.py` (pure) derives owned and attended addresses from slots, processes, plans, the rollout and the plan that waits; the rest is BUSY or closed, its queue emptied first. The BUSY answers leave the supervisor for `fleet/busy.py` as they were.

--- a/cottonspread/fleet/core.py
+++ b/cottonspread/fleet/core.py
@@ -14,6 +14,8 @@
 from collections import deque
 from dataclasses import dataclass, field, replace
 
+from cottonspread.fleet.addresses import Addresses, addresses_of
+
 SECOND = 1_000_000
 # Time from StopAccepting until the process reports "leaving". Until then it runs and accepts connections as
 # usual, so only a stuck process exceeds it.
@@ -51,7 +53,8 @@
 class StopAccepting:
     """Tell the process to accept no more connections, answer open calls, move its clients and stop.
 
-    `has_successor`: a successor accepts new connections; otherwise the supervisor answers them with BUSY.
+    `has_successor`: a successor accepts new connections at the same address; otherwise the supervisor answers
+    them with BUSY.
     """
 
     name: str
@@ -76,24 +79,6 @@
     spec: object
 
 
-@dataclass(frozen=True)
-class AnswerBusy:
-    """Start or stop answering BUSY at the instance's address in the supervisor itself.
-
-    It answers while no process is active and none is about to be.
-    """
-
-    name: str
-    enabled: bool
-
-
-@dataclass(frozen=True)
-class CloseListener:
-    """Close the listening socket of a name that was removed."""
-
-    name: str
-
-
 @dataclass(frozen=True)
 class LogEvent:
     """Write a log line."""
@@ -161,7 +146,6 @@
     restarts: int = 0
     down_since: int = 0  # when its active process ended unexpectedly
     last_failure: str = ""  # how a process last ended unexpectedly
-    answering_busy: bool = False
 
     def processes(self):
         """Returns all processes of this name."""
@@ -198,6 +182,7 @@
         """`now`: microseconds; `plan`: the first plan."""
         self.now, self.plan, self.effects = now, plan, []
         self.slots = {name: Slot(name, spec) for name, spec in plan.specs.items()}
+        self.addresses = Addresses(plan)
         self.generation, self.rollout, self.pending, self.stopping, self.stop_now, self.all_stopped = (
             0,
             None,
@@ -243,6 +228,7 @@
         Not an event of `step`: call it for each process, then step `finish_adoption`.
         """
         self.generation = max(self.generation, generation)
+        self.addresses.add([spec.address])
         slot = self.slots.get(name)
         p = Process(
             name,
@@ -331,10 +317,11 @@
         self.exited(name, generation, f"not started: {why}")
 
     def change_plan(self, plan, why="reload"):
-        """Starts a rollout to a new, validated plan.
+        """Starts a rollout to a new, validated plan, whose listening sockets are open.
 
         One rollout at a time: of the plans that arrive meanwhile only the newest is kept.
         """
+        self.addresses.add(addresses_of(plan))
         if self.stopping:
             return
         if self.rollout:
@@ -561,11 +548,12 @@
     # Actual and desired state
 
     def reconcile_all(self):
-        """Advances the rollout and reconciles every name."""
+        """Advances the rollout and reconciles every name and address."""
         if self.rollout:
             self.advance_rollout()
         for slot in list(self.slots.values()):
             self.reconcile(slot)
+        self.effects += self.addresses.reconcile(self)
         if self.stopping and not self.processes() and not self.all_stopped:
             self.all_stopped = True
             self.effects.append(AllStopped())
@@ -579,29 +567,14 @@
             self.wind_down(slot, fleet)
         else:
             self.keep_running(slot)
-        # The supervisor answers BUSY while no process does and none is about to.
-        answer_busy = (
-            not slot.active
-            and not (slot.successor and slot.successor.accept_sent_at)
-            and (
-                self.stopping
-                or slot.drained
-                or slot.given_up
-                or slot.removed
-                or slot.successor is None
-                and slot.restart_not_before > self.now
-                or slot.successor is not None
-                and slot.successor.state == WAITING
-            )
-        )
-        if slot.name in self.slots:
-            self.set_answering_busy(slot, answer_busy)
 
-    def set_answering_busy(self, slot, enabled):
-        """Switches the supervisor's BUSY answers for a name on or off."""
-        if enabled != slot.answering_busy:
-            slot.answering_busy = enabled
-            self.effects.append(AnswerBusy(slot.name, enabled))
+    def is_awaited(self, slot):
+        """Whether a name without an active process is about to have one: its clients wait for it."""
+        if slot.active or self.stopping or slot.drained or slot.given_up or slot.removed:
+            return False
+        if slot.successor is None:
+            return slot.restart_not_before <= self.now
+        return slot.successor.state != WAITING
 
     def check_timeouts(self, slot, p, fleet):
         """Kills a process that did not start, leave or stop in time."""
@@ -672,10 +645,12 @@
         elif new.state == PREPARED and not new.accept_sent_at:
             if old is not None and not old.leave_sent_at:
                 old.leave_sent_at = self.now
-                self.effects.append(StopAccepting(slot.name, old.generation, True))
+                same_address = old.spec.address == new.spec.address
+                self.effects.append(StopAccepting(slot.name, old.generation, same_address))
             elif old is None:
                 new.accept_sent_at = self.now
-                self.set_answering_busy(slot, False)  # before the successor accepts
+                # The supervisor stops answering before the successor accepts.
+                self.effects += self.addresses.stop_answering(new.spec.address)
                 self.effects.append(StartAccepting(slot.name, new.generation))
 
     @staticmethod
@@ -730,7 +705,6 @@
             self.effects.append(StopAccepting(slot.name, old.generation, False))
         if slot.removed and not slot.processes():
             del self.slots[slot.name]
-            self.effects.append(CloseListener(slot.name))
 
     def kill(self, p, why):
         """Kills a process, once."""
--- a/cottonspread/fleet/supervisor.py
+++ b/cottonspread/fleet/supervisor.py
@@ -20,11 +20,11 @@
 from cottonspread.config import operator as op
 from cottonspread.fleet import control, notify, store_follower
 from cottonspread.fleet import plan as plans
+from cottonspread.fleet.addresses import AnswerBusy, CloseListener
+from cottonspread.fleet.busy import MAX_CLIENTS, BusyResponder
 from cottonspread.fleet.core import (
     AllStopped,
-    AnswerBusy,
     ApplyLive,
-    CloseListener,
     Core,
     Kill,
     LogEvent,
@@ -38,8 +38,6 @@
 log = logging.getLogger("cottonspread.fleet")
 
 POLL_INTERVAL = 0.05  # seconds
-BUSY_CLIENT_TIMEOUT = 1.0  # seconds for a client to send its first line, and then to close
-MAX_BUSY_CLIENTS = 64
 STATUS_INTERVAL = 5.0  # seconds between status lines to the service manager
 
 
@@ -48,17 +46,6 @@
     return time.monotonic_ns() // 1000
 
 
-class BusyClient:
-    """A client that the supervisor answers with BUSY.
-
-    Its first line is read, because closing a socket with unread bytes would discard the answer.
-    """
-
-    def __init__(self, sock):
-        """`sock`: the accepted connection."""
-        self.sock, self.data, self.answered = sock, b"", False
-
-
 class Supervisor:
     """Runs the instances of a fleet."""
 
@@ -69,7 +56,7 @@
         self.store_follower = store_follower.StoreFollower(self, section) if section else None
         self.folder, self.logs = plans.folders(self.path, self.fleet)
         self.manager, self.selector, self.timers = notify.ServiceManager(), selectors.DefaultSelector(), []
-        self.listeners, self.busy_listeners, self.busy_clients = {}, {}, {}  # by address; by name; by socket
+        self.listeners, self.busy = {}, BusyResponder(self.selector, self.call_later)  # listeners: by address
         self.children, self.pidfds, self.instance_connections = {}, {}, {}  # by (name, generation)
         self.unconnected = {}  # paths of control sockets that do not accept connections yet
         self.pending_replies, self.was_ready, self.done, self.started_at = [], False, False, time.monotonic()
@@ -148,7 +135,7 @@
         It needs a listener per instance, and a control socket and a pidfd for each of its processes, of which
         there are two during a change. An instance's process has its own limit.
         """
-        need = 5 * instances + MAX_BUSY_CLIENTS + 32
+        need = 5 * instances + MAX_CLIENTS + 32
         hard_limit = control.raise_descriptor_limit(need)
         if hard_limit < need:
             raise op.OperatorFileError(
@@ -263,7 +250,7 @@
             self.step("tick")
         if self.store_follower:
             self.store_follower.stop()
-        self.close_listeners()
+        self.busy.close_all(self.listeners.values(), lambda: self.poll_sockets(POLL_INTERVAL))
         control.unlink(os.path.join(self.folder, "fleet.sock"))
         return 0
 
@@ -330,19 +317,19 @@
             self.manager.notify_ready(self.summary())
 
     def execute(self, effect):
-        """Executes one effect."""
-        self.handlers[type(effect)](effect)
+        """Executes one effect; an unexpected exception does not lose the effects after it."""
+        self.call_guarded(self.handlers[type(effect)], effect)
 
     def set_answering_busy(self, effect):
-        """Starts or stops answering BUSY for a name."""
-        self.stop_answering_busy(effect.name)
+        """Starts or stops answering BUSY at an address."""
         if effect.enabled:
-            self.start_answering_busy(effect.name)
+            self.busy.start(self.listeners[effect.address])
+        else:
+            self.busy.stop(self.listeners[effect.address])
 
     def close_listener(self, effect):
-        """Closes the listening socket of a removed name."""
-        self.stop_answering_busy(effect.name)
-        self.close_unused_listeners()
+        """Closes the listening socket of an address that no instance uses any longer."""
+        self.busy.close(self.listeners.pop(effect.address))
 
     def log_event(self, effect):
         """Writes a log line."""
@@ -357,7 +344,16 @@
     # Processes
 
     def start_instance(self, effect):
-        """Starts a process of an instance.
+        """Starts a process of an instance. Every failure is reported to the core, which waits for its end."""
+        try:
+            self.launch(effect)
+        except Exception as error:
+            if not isinstance(error, OSError):
+                log.exception("fault", extra={"pairs": {"while": "Start"}})
+            self.start_failed(effect, str(error) or type(error).__name__)
+
+    def launch(self, effect):
+        """Launches a process of an instance and passes it its configuration.
 
         `python -P` keeps the working directory off the module path, where it could shadow the requested
         program.
@@ -376,35 +372,36 @@
             "socket": path,
             "listener": listener.fileno(),
         }
-        try:
-            with open_log(os.path.join(self.logs, f"{name}.log")) as log_file:
-                child = subprocess.Popen(
-                    [python, "-P", "-m", "cottonspread", "instance", "--socket", path],
-                    stdin=subprocess.PIPE,
-                    stdout=log_file,
-                    stderr=log_file,
-                    pass_fds=[listener.fileno()],
-                    start_new_session=True,
-                    env={**os.environ, "PYTHONPATH": checkout} if checkout else None,
-                )
-            self.children[name, generation] = child
-            self.pidfds[name, generation] = os.pidfd_open(child.pid)
-            self.watch_process(name, generation)
-            with child.stdin:
-                child.stdin.write(json.dumps(start_message).encode() + b"\n")
-        except OSError as error:
-            child, why = self.children.get((name, generation)), str(error)
-            if child is not None:
-                child.kill()
-                if (name, generation) in self.pidfds:
-                    return  # process_exited reports its end
-                child.wait()
-                del self.children[name, generation]
-            # Deferred, because this runs inside a step of the core.
-            self.call_later(0, lambda: self.step("not_started", name, generation, why))
-            return
+        with open_log(os.path.join(self.logs, f"{name}.log")) as log_file:
+            child = subprocess.Popen(
+                [python, "-P", "-m", "cottonspread", "instance", "--socket", path],
+                stdin=subprocess.PIPE,
+                stdout=log_file,
+                stderr=log_file,
+                pass_fds=[listener.fileno()],
+                start_new_session=True,
+                env={**os.environ, "PYTHONPATH": checkout} if checkout else None,
+            )
+        self.children[name, generation] = child
+        self.pidfds[name, generation] = os.pidfd_open(child.pid)
+        self.watch_process(name, generation)
+        with child.stdin:
+            child.stdin.write(json.dumps(start_message).encode() + b"\n")
         self.unconnected[name, generation] = path
 
+    def start_failed(self, effect, why):
+        """Ends a process that could not be started completely, and reports its end to the core."""
+        key = effect.name, effect.generation
+        child = self.children.get(key)
+        if child is not None:
+            child.kill()
+            if key in self.pidfds:
+                return  # process_exited reports its end
+            child.wait()
+            del self.children[key]
+        # Deferred, because this runs inside a step of the core.
+        self.call_later(0, lambda: self.step("not_started", *key, why))
+
     def connect_instances(self):
         """Connects to the control sockets of new processes."""
         for (name, generation), path in list(self.unconnected.items()):
@@ -433,8 +430,6 @@
         self.unconnected.pop((name, generation), None)
         self.close_instance_connection(name, generation)
         self.step("exited", name, generation, how)
-        if not self.core.rollout:
-            self.close_unused_listeners()
 
     def kill_process(self, name, generation):
         """Sends SIGKILL to a process."""
@@ -469,113 +464,6 @@
         if connection:
             connection.send(message)
 
-    def close_unused_listeners(self):
-        """Closes the listening sockets of addresses that are no longer used."""
-        wanted = {s.spec.address for s in self.core.slots.values()} | {
-            p.spec.address for p in self.core.processes()
-        }
-        wanted |= {s.address for s in self.core.plan.specs.values()}
-        for address in self.listeners.keys() - wanted:
-            self.listeners.pop(address).close()
-
-    # BUSY answers
-
-    def start_answering_busy(self, name):
-        """Accepts connections for a name and answers them with BUSY."""
-        sock = self.listeners.get(self.core.slots[name].spec.address)
-        if sock and sock not in self.busy_listeners.values():
-            self.busy_listeners[name] = sock
-            self.selector.register(sock, selectors.EVENT_READ, lambda: self.accept_busy_client(sock))
-
-    def stop_answering_busy(self, name):
-        """Stops accepting connections for a name."""
-        sock = self.busy_listeners.pop(name, None)
-        if sock:
-            self.selector.unregister(sock)
-
-    def accept_busy_client(self, listener, at_once=False):
-        """Accepts a connection and answers BUSY once its first line is read; returns whether there was one.
-
-        `at_once`: answer without waiting for the line.
-        """
-        try:
-            sock = listener.accept()[0]
-        except OSError:
-            return False
-        sock.setblocking(False)
-        client = BusyClient(sock)
-        if at_once:  # a line that has not arrived by now is too late
-            with contextlib.suppress(OSError):
-                client.data = sock.recv(4096)
-            self.answer_busy(client)
-            sock.close()
-            return True
-        self.busy_clients[sock] = client
-        self.selector.register(sock, selectors.EVENT_READ, lambda: self.read_busy_client(client))
-        self.call_later(BUSY_CLIENT_TIMEOUT, lambda: self.busy_client_timed_out(client))
-        if len(self.busy_clients) > MAX_BUSY_CLIENTS:
-            oldest = next(iter(self.busy_clients.values()))
-            self.read_busy_client(oldest)  # its line, if it has arrived
-            self.answer_busy(oldest)
-            self.close_busy_client(oldest)
-        return True
-
-    def close_listeners(self):
-        """Closes all listening sockets.
-
-        A client in a listener's queue would get a reset when it closes, so the queues are emptied first.
-        """
-        for name in list(self.busy_listeners):
-            self.stop_answering_busy(name)
-        for sock in list(self.listeners.values()):
-            self.accept_busy_client(sock)
-        deadline = time.monotonic() + BUSY_CLIENT_TIMEOUT
-        while self.busy_clients and time.monotonic() < deadline:
-            self.poll_sockets(POLL_INTERVAL)
-        for sock in self.listeners.values():
-            while self.accept_busy_client(sock, at_once=True):
-                pass
-            sock.close()
-
-    def read_busy_client(self, client):
-        """Reads from a client and answers once its first line is complete."""
-        try:
-            data = client.sock.recv(4096)
-        except BlockingIOError:
-            return
-        except OSError:
-            data = b""
-        client.data = (client.data + data)[:4096]
-        if not data:
-            self.close_busy_client(client)
-        elif b"\n" in client.data or len(client.data) == 4096:
-            self.answer_busy(client)
-
-    def answer_busy(self, client):
-        """Answers a client, once: ERR to PING, otherwise BUSY."""
-        if client.answered:
-            return
-        client.answered = True
-        try:
-            client.sock.send(b"ERR\r\n" if client.data.strip() == b"PING" else b"BUSY\r\n")
-            client.sock.shutdown(socket.SHUT_WR)
-        except OSError:
-            self.close_busy_client(client)
-
-    def busy_client_timed_out(self, client):
-        """Answers a client that sent no line in time, and closes one that was answered before."""
-        if client.sock in self.busy_clients:
-            was_answered = client.answered
-            self.answer_busy(client)
-            self.close_busy_client(client) if was_answered else self.call_later(
-                BUSY_CLIENT_TIMEOUT, lambda: self.close_busy_client(client)
-            )
-
-    def close_busy_client(self, client):
-        """Closes the connection of a client, once."""
-        if self.busy_clients.pop(client.sock, None):
-            self.close_socket(client.sock)
-
     # Commands
 
     def accept_command_connection(self):
--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -12,6 +12,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from cottonspread.config.operator import Fleet
+from cottonspread.fleet import addresses
 from cottonspread.fleet import core as c
 from cottonspread.fleet.plan import InstanceSpec, Plan
 
@@ -38,33 +39,70 @@
     )
 
 
-def plan(count=3, start="a", live="x", **more):
+def plan(count=3, start="a", live="x", port=9, **more):
     return Plan(
         fleet(instances=count, **more),
-        {f"f-{n}": InstanceSpec(f"f-{n}", ("127.0.0.1", 9 + n), start, live) for n in range(count)},
+        {f"f-{n}": InstanceSpec(f"f-{n}", ("127.0.0.1", port + n), start, live) for n in range(count)},
         ("python", ""),
     )
 
 
+def new_process(spec):
+    return {
+        "has_reported": False,
+        "state": "starting",
+        "spec": spec,
+        "steps": 0,
+        "killed": False,
+        "ended": 0,
+        "bad": 0,
+        "frozen": False,
+        "leave": None,
+        "ignores_apply": False,
+        "live": spec.live_digest,
+        "refused": None,
+    }
+
+
 class Simulation:
-    """Simulated processes that the core starts and stops, and a record of its effects."""
+    """Simulated processes that the core starts and stops, and a record of its effects.
 
-    def __init__(self, first):
+    `open`: the addresses whose listening sockets are open; `answering_busy`: those at which the supervisor
+    answers.
+    """
+
+    def __init__(self, first, first_step="tick"):
         self.now, self.plan, self.core = SECOND, first, c.Core(SECOND, first)
         self.processes, self.effects, self.outcomes, self.started, self.ended = {}, [], [], [], set()
         self.all_stopped, self.answering_busy, self.refused_live = False, set(), set()
-        self.step("tick")
+        self.open = addresses.addresses_of(first)
+        if first_step:
+            self.step(first_step)
 
     def step(self, what, *args):
+        if what == "change_plan":
+            self.open |= addresses.addresses_of(args[0])
         if not self.all_stopped:
             for effect in self.core.step(self.now, what, *args):
                 self.effects.append(effect)
                 self.execute(effect)
 
+    def adopt(self, name, generation, spec, state):
+        """A process of an earlier supervisor is found."""
+        p = self.processes[name, generation] = new_process(spec) | {
+            "state": state,
+            "steps": 5,
+            "has_reported": True,
+        }
+        p["leave"] = True if state == "leaving" else None
+        self.open.add(spec.address)
+        self.core.adopt(name, generation, spec, {k: p[k] for k in ("state", "steps", "live")})
+
     def execute(self, e):
         key = (getattr(e, "name", None), getattr(e, "generation", None))
         if isinstance(e, c.Start):
             assert key not in self.processes and key not in self.ended, "a generation used twice"
+            assert e.spec.address in self.open, "a start at an address that is closed"
             assert (
                 sum(
                     1
@@ -79,36 +117,39 @@
                 sum(p["state"] == "starting" and not p["has_reported"] for p in self.processes.values())
                 < self.core.plan.fleet.start_at_once
             )
-            self.processes[key] = {
-                "has_reported": False,
-                "state": "starting",
-                "spec": e.spec,
-                "steps": 0,
-                "killed": False,
-                "ended": 0,
-                "bad": 0,
-                "frozen": False,
-                "leave": None,
-                "ignores_apply": False,
-                "live": e.spec.live_digest,
-                "refused": None,
-            }
+            self.processes[key] = new_process(e.spec)
             self.started.append(key)
         elif isinstance(e, c.StartAccepting):
             assert all(p["state"] != "serving" for k, p in self.processes.items() if k[0] == e.name), (
                 f"two active processes of {e.name}"
             )
-            assert e.name not in self.answering_busy, "the supervisor answers BUSY beside an active process"
+            assert self.processes[key]["spec"].address not in self.answering_busy, (
+                "the supervisor answers BUSY beside an active process"
+            )
             self.processes[key]["state"] = "serving" if not self.processes[key]["frozen"] else "prepared"
             self.processes[key]["accepting"] = True
         elif isinstance(e, c.StopAccepting):
             self.processes[key]["leave"] = e.has_successor
+            successor_at_address = any(
+                p["spec"].address == self.processes[key]["spec"].address and p["state"] == "prepared"
+                for k, p in self.processes.items()
+                if k[0] == e.name and not p["killed"]
+            )
+            assert e.has_successor == successor_at_address, "the queue is left to nobody, or to two"
         elif isinstance(e, c.Kill):
             self.processes[key]["killed"] = True
         elif isinstance(e, c.ApplyLive):
             self.apply(key, e.spec)
-        elif isinstance(e, c.AnswerBusy):
-            (self.answering_busy.add if e.enabled else self.answering_busy.discard)(e.name)
+        elif isinstance(e, addresses.AnswerBusy):
+            assert e.address in self.open, "BUSY at an address that is closed"
+            assert e.enabled != (e.address in self.answering_busy)
+            (self.answering_busy.add if e.enabled else self.answering_busy.discard)(e.address)
+        elif isinstance(e, addresses.CloseListener):
+            assert all(p["spec"].address != e.address for p in self.processes.values()), (
+                "an address is closed while a process uses it"
+            )
+            self.open.remove(e.address)
+            self.answering_busy.discard(e.address)
         elif isinstance(e, c.RolloutEnded):
             self.outcomes.append(e)
         elif isinstance(e, c.AllStopped):
@@ -161,6 +202,19 @@
             if self.all_stopped:
                 return
 
+    def is_attended(self, address):
+        """Whether clients who connect at an address get an answer, or wait for an instance that is down."""
+        if address in self.answering_busy:
+            return True
+        accepting = [
+            p["spec"].address
+            for p in self.processes.values()
+            if p["state"] == "serving" or p.get("accepting") and p["state"] != "leaving"
+        ]
+        up = {k[0] for k, p in self.processes.items() if p["state"] == "serving" and not p["killed"]}
+        awaited = [slot.spec.address for name, slot in self.core.slots.items() if name not in up]
+        return address in accepting + awaited
+
     def serving(self):
         return {k[0]: p for k, p in self.processes.items() if p["state"] == "serving"}
 
@@ -173,13 +227,27 @@
     plan(5, at_once=2, start_at_once=2),
     plan(4, start="bad"),
     plan(3, start="b", live="y", at_once=3),
+    plan(3, start="c", port=10),  # each at the address that the next one had
+    plan(4, start="d", port=20, at_once=2),
 ]
 
 
 class RandomEvents(RuleBasedStateMachine):
-    @initialize(n=st.sampled_from([0, 2, 4]))
-    def begin(self, n):
-        self.sim, self.stops = Simulation(PLANS[n]), 0
+    @initialize(
+        n=st.sampled_from([0, 2, 4]),
+        earlier=st.sampled_from([None, None, *(p for p in PLANS if p.specs["f-0"].start != "bad")]),
+        states=st.lists(st.sampled_from(["serving", "serving", "leaving", "prepared"]), max_size=5),
+    )
+    def begin(self, n, earlier, states):
+        self.stops, self.asked = 0, 0
+        if earlier is None:
+            self.sim = Simulation(PLANS[n])
+            return
+        self.sim = Simulation(PLANS[n], first_step=None)
+        for number, (state, spec) in enumerate(zip(states, earlier.specs.values(), strict=False)):
+            self.sim.adopt(spec.name, 100 + number, spec, state)
+        self.sim.step("finish_adoption")
+        self.asked += self.sim.core.rollout is not None or len(self.sim.outcomes)
 
     @rule(n=st.integers(0, 30), many=st.integers(1, 6))
     def processes_advance(self, n, many):
@@ -222,9 +290,10 @@
         if keys:
             self.sim.processes[keys[n % len(keys)]]["ignores_apply"] = ignores_apply
 
-    @rule(p=st.sampled_from(PLANS))
-    def reload(self, p):
-        self.sim.step("change_plan", p)
+    @rule(p=st.sampled_from(PLANS), why=st.sampled_from(["reload", "upgrade"]))
+    def change_plan(self, p, why):
+        self.asked += not self.sim.core.stopping
+        self.sim.step("change_plan", p, why)
 
     @rule(n=st.integers(0, 4), what=st.sampled_from(["drain", "restart"]))
     def operator_command(self, n, what):
@@ -260,6 +329,9 @@
         assert known == set(sim.processes) or sim.all_stopped, (
             "the core does not know a process, or knows one that does not exist"
         )
+        assert sim.all_stopped or sim.open == core.addresses.busy.keys()
+        for address in sim.open - sim.answering_busy:
+            assert sim.all_stopped or sim.is_attended(address), (address, core.describe_slots())
         if core.rollout and not core.rollout.rollback_reason:
             r = core.rollout
             # Running processes that apply a live change follow all together, once the first was observed.
@@ -283,15 +355,17 @@
             for name, slot in core.slots.items():
                 is_up = name in sim.serving()
                 assert is_up == (not slot.drained and not slot.given_up), (name, core.state_of(slot))
-                assert (name in sim.answering_busy) == (not is_up)
+                assert (slot.spec.address in sim.answering_busy) == (not is_up)
                 if is_up:
                     assert (
                         sim.serving()[name]["spec"].start == slot.spec.start
                         and sim.serving()[name]["live"] == slot.spec.live_digest
                     )
+            assert sim.open == addresses.addresses_of(core.plan), "an address is left open, or closed"
             sim.step("stop")
         sim.run_for(60)
         assert sim.all_stopped and not sim.processes, "a stop that does not end"
+        assert len(sim.outcomes) == self.asked, "a rollout without an outcome"
 
 
 TestRandomEvents = RandomEvents.TestCase
@@ -328,7 +402,7 @@
     assert (
         held <= set(sim.processes)
         and sim.core.state_of(sim.core.slots["f-1"]) == "given-up"
-        and sim.answering_busy == {"f-1"}
+        and sim.answering_busy == {("127.0.0.1", 10)}
     )
     sim.step("restart", "f-1")
     sim.run_for(5)
@@ -499,35 +573,9 @@
 
 
 def test_what_an_earlier_supervisor_left_is_adopted_and_changed_as_by_a_reload():
-    sim = object.__new__(Simulation)
-    sim.now, sim.plan, sim.core = SECOND, plan(start="b"), c.Core(SECOND, plan(start="b"))
-    sim.refused_live = set()
-    sim.processes, sim.effects, sim.outcomes, sim.started, sim.ended, sim.all_stopped, sim.answering_busy = (
-        {},
-        [],
-        [],
-        [],
-        set(),
-        False,
-        set(),
-    )
+    sim = Simulation(plan(start="b"), first_step=None)
     for n, state in enumerate(["serving", "serving", "prepared"]):
-        spec = plan().specs[f"f-{n}"]
-        sim.processes[f"f-{n}", 7 + n] = {
-            "state": state,
-            "spec": spec,
-            "steps": 5,
-            "killed": False,
-            "ended": 0,
-            "bad": 0,
-            "frozen": False,
-            "has_reported": True,
-            "leave": None,
-            "ignores_apply": False,
-            "live": spec.live_digest,
-            "refused": None,
-        }
-        sim.core.adopt(f"f-{n}", 7 + n, spec, {"state": state, "steps": 5, "live": spec.live_digest})
+        sim.adopt(f"f-{n}", 7 + n, plan().specs[f"f-{n}"], state)
     sim.step("finish_adoption")
     assert not [e for e in sim.effects if isinstance(e, c.Start) and e.name != "f-2"][1:], "all at once"
     sim.run_for(40)
