Fleet tests: crossing reloads to other addresses, the last plan in force, a stop in time

The drawn series hold now that the plan in force is the last one that a rollout completed, and that a stop ends within LEAVE_TIMEOUT and stop_s (before: 60 s). A test on sockets overtakes a reload to other addresses by one to further ones.

--- a/tests/fleet/test_addresses.py
+++ b/tests/fleet/test_addresses.py
@@ -94,6 +94,27 @@
     caller.assert_all_answered()
 
 
+def test_two_reloads_to_other_addresses_that_cross_end_at_the_second_ones(make_fleet):
+    """Guards against calls unanswered, or sockets left open, at the addresses of the overtaken reload."""
+    fleet = make_fleet(2)
+    process = fleet.run()
+    fleet.wait_ready()
+    first, second = fleet.port, free_ports(4)
+    third = second + 2
+    ports = [port + n for port in (first, second, third) for n in range(2)]
+    with Caller(*ports) as caller:
+        fleet.write(listen=f"127.0.0.1:{second}")
+        process.send_signal(signal.SIGHUP)
+        fleet.until(lambda: fleet.status().get("rollout"), "the first reload has begun")
+        fleet.write(listen=f"127.0.0.1:{third}")
+        assert fleet.command("reload").returncode == 0
+    fleet.wait_ready()
+    fleet.port = third
+    assert fleet.first_answer(0, b"PING") == fleet.first_answer(1, b"PING") == b"PONG"
+    assert all(is_closed(port) for port in ports[:4])
+    caller.assert_all_answered()
+
+
 def test_instances_take_over_each_others_addresses(make_fleet):
     """Guards against an address closed or answered BUSY for good while another instance moves to it."""
     fleet = make_fleet(3)
--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -362,8 +362,12 @@
                         and sim.serving()[name]["live"] == slot.spec.live_digest
                     )
             assert sim.open == addresses.addresses_of(core.plan), "an address is left open, or closed"
+            done = [outcome for outcome in sim.outcomes if outcome.ok]
+            assert not done or core.plan is done[-1].target, "not the plan that was last put in force"
+            began = sim.now
             sim.step("stop")
-        sim.run_for(60)
+            sim.run_for(60)
+            assert sim.now - began <= c.LEAVE_TIMEOUT + (core.plan.fleet.stop_s + 1) * SECOND, "a late stop"
         assert sim.all_stopped and not sim.processes, "a stop that does not end"
         assert len(sim.outcomes) == self.asked, "a rollout without an outcome"
 
