Fleet: control connections on which nothing waits, and instances judged by evidence

Cause: one thread wrote to pipes and sockets that may not be read; the rest of a long message left with the next one, and one fixed second decided that an instance is dead. An instance's socket came with a byte between two lines, which a status could take (read, not shown).

Change: `fleet/connection.py` (no read or write waits, descriptors travel with their message, a new process is written its configuration as it reads), `fleet/adoption.py` (all instances asked at once; dead by the end of the process or no answer for stuck_s). A lost connection is made anew.

--- a/cottonspread/cli/instance.py
+++ b/cottonspread/cli/instance.py
@@ -20,6 +20,7 @@
 from cottonspread import __version__, config
 from cottonspread.cli.initial_list import InitialList
 from cottonspread.fleet import control
+from cottonspread.fleet.connection import EARLIER_DESCRIPTOR_MARK, JsonConnection
 from cottonspread.net import events as ev
 from cottonspread.net import logfmt
 from cottonspread.net.node import Node
@@ -28,6 +29,9 @@
 
 STATUS_INTERVAL = 0.5  # seconds between two status messages
 POLL_INTERVAL = 0.05  # seconds, while the instance starts or stops
+# Bytes of the configuration that stand in the introduction itself, where supervisors of earlier releases read
+# it. A longer one is passed on request: it would stand in front of the status.
+MAX_INLINE_CONFIGURATION = 1 << 16
 
 
 class Instance:
@@ -119,26 +123,34 @@
 
     def accept_connection(self):
         """Accepts a control connection and introduces the instance on it."""
-        connection = control.JsonConnection(self.control.accept()[0])
-        self.selector.register(connection.sock, selectors.EVENT_READ, connection)
+        connection = JsonConnection(self.control.accept()[0])
+        connection.watch(self.selector, connection)
         self.connections.append(connection)
-        connection.send(
-            {
-                "hello": self.name,
-                "generation": self.generation,
-                "pid": os.getpid(),
-                "start": self.start_message.get("spec", self.start_message["start"]),
-                "live": self.live,
-            }
-        )
+        introduction = {
+            "hello": self.name,
+            "generation": self.generation,
+            "pid": os.getpid(),
+            "describes": True,  # it answers "describe"
+        }
+        configuration = self.configuration()
+        if sum(map(len, configuration.values())) <= MAX_INLINE_CONFIGURATION:
+            introduction |= configuration
+        connection.send(introduction)
         self.send_status()
 
+    def configuration(self):
+        """The texts of the spec that this process runs."""
+        return {"start": self.start_message.get("spec", self.start_message["start"]), "live": self.live}
+
+    def describe(self, connection):
+        """Passes on the configuration and the listening socket."""
+        connection.send({"description": self.name, **self.configuration()}, [self.node.listener])
+
     def close_connection(self, connection):
         """Closes a control connection."""
         if connection in self.connections:
             self.connections.remove(connection)
-            self.selector.unregister(connection.sock)
-            connection.sock.close()
+            connection.close()
 
     def handle_messages(self, connection):
         """Reads and executes the supervisor's commands."""
@@ -154,13 +166,23 @@
                 self.leave(message["handed"])
             elif do == "apply":
                 self.apply(message["live"])
-            elif do == "socket":
-                connection.sock.setblocking(True)
-                socket.send_fds(connection.sock, [b"."], [self.node.listener.fileno()])
-                connection.sock.setblocking(False)
-        if not is_open:
+            elif do == "describe":
+                self.describe(connection)
+            elif do == "socket":  # a supervisor of an earlier release
+                self.send_listener(connection)
+        if not is_open or not connection.flush():
             self.close_connection(connection)
 
+    def send_listener(self, connection):
+        """Passes on the listening socket, as supervisors of earlier releases read it: with one byte."""
+        connection.sock.settimeout(STATUS_INTERVAL)
+        try:
+            socket.send_fds(connection.sock, [EARLIER_DESCRIPTOR_MARK], [self.node.listener.fileno()])
+        except OSError as error:
+            log.error("socket-not-passed", extra={"pairs": {"why": error}})
+        finally:
+            connection.sock.setblocking(False)
+
     def try_start_accepting(self, now):
         """Starts accepting connections once this process holds the lock on the instance's name.
 
--- a/cottonspread/fleet/control.py
+++ b/cottonspread/fleet/control.py
@@ -1,18 +1,13 @@
-"""Communication between the processes of a fleet.
-
-JSON lines on Unix stream sockets in the state folder, and lock files there.
-"""
+"""Control sockets and lock files of the processes of a fleet, in the state folder."""
 
 import contextlib
 import fcntl
 import hashlib
-import json
 import os
 import resource
 import socket
 
 MAX_SOCKET_PATH = 100  # bytes of a socket's path: the kernel allows 107
-MAX_BUFFERED_BYTES = 1 << 20  # of an incomplete line or of unsent data, per connection
 
 
 def digest(text):
@@ -23,55 +18,6 @@
     return hashlib.sha256(text.encode()).hexdigest()[:16]
 
 
-class JsonConnection:
-    """One end of a non-blocking connection that carries JSON lines.
-
-    If `receive` or `send` returns False, the connection is closed or broken.
-    """
-
-    def __init__(self, sock):
-        """`sock`: a connected stream socket; it is made non-blocking."""
-        sock.setblocking(False)
-        self.sock, self.partial_line, self.unsent = sock, b"", b""
-
-    def receive(self):
-        """Returns the received objects and whether the connection is still open."""
-        messages, is_open = [], True
-        try:
-            while True:
-                data = self.sock.recv(65536)
-                if not data:
-                    is_open = False
-                    break
-                self.partial_line += data
-        except BlockingIOError:
-            pass
-        except OSError:
-            is_open = False
-        *complete_lines, self.partial_line = self.partial_line.split(b"\n")
-        try:
-            messages = [one for one in map(json.loads, complete_lines) if isinstance(one, dict)]
-        except ValueError:
-            is_open = False
-        return messages, is_open and len(self.partial_line) < MAX_BUFFERED_BYTES
-
-    def send(self, message):
-        """Sends an object; returns whether the connection is still open."""
-        self.unsent += json.dumps(message, default=str).encode() + b"\n"
-        return self.flush()
-
-    def flush(self):
-        """Sends buffered bytes; returns whether the connection is still open."""
-        try:
-            while self.unsent:
-                self.unsent = self.unsent[self.sock.send(self.unsent) :]
-        except BlockingIOError:
-            pass
-        except OSError:
-            return False
-        return len(self.unsent) < MAX_BUFFERED_BYTES
-
-
 def connect(path, wait=1.0):
     """Returns a blocking connection to a control socket. Raises OSError."""
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
@@ -84,6 +30,21 @@
     return sock
 
 
+def connect_now(path):
+    """Returns a connection to a control socket without waiting, non-blocking. Raises OSError.
+
+    BlockingIOError: the other side has yet to accept earlier connections.
+    """
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.connect(path)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 def unlink(path):
     """Removes a socket file, which its owner may be removing at the same time."""
     with contextlib.suppress(FileNotFoundError):
--- a/cottonspread/fleet/supervisor.py
+++ b/cottonspread/fleet/supervisor.py
@@ -15,13 +15,16 @@
 import socket
 import subprocess
 import time
+from dataclasses import replace
 
 from cottonspread import config
 from cottonspread.config import operator as op
 from cottonspread.fleet import control, notify, store_follower
 from cottonspread.fleet import plan as plans
 from cottonspread.fleet.addresses import AnswerBusy, CloseListener
+from cottonspread.fleet.adoption import Adoption
 from cottonspread.fleet.busy import MAX_CLIENTS, BusyResponder
+from cottonspread.fleet.connection import BackgroundWriter, JsonConnection
 from cottonspread.fleet.core import (
     AllStopped,
     ApplyLive,
@@ -58,7 +61,7 @@
         self.manager, self.selector, self.timers = notify.ServiceManager(), selectors.DefaultSelector(), []
         self.listeners, self.busy = {}, BusyResponder(self.selector, self.call_later)  # listeners: by address
         self.children, self.pidfds, self.instance_connections = {}, {}, {}  # by (name, generation)
-        self.unconnected = {}  # paths of control sockets that do not accept connections yet
+        self.unconnected = set()  # (name, generation) of processes without a control connection
         self.pending_replies, self.was_ready, self.done, self.started_at = [], False, False, time.monotonic()
         self.handlers = {
             Start: self.start_instance,
@@ -108,16 +111,17 @@
         if self.store_follower:
             self.store_follower.prepare()
         plan = self.read_plan(self.program)
-        found = self.find_instances()
+        found = Adoption(self.folder, self.fleet.stuck_s).run()
+        for instance in found:
+            self.take_listener(instance)
         self.open_listeners(plan)
         self.core = Core(now(), plan)
         self.core.generation = saved.get("generation", 0)
         self.control = control.listen(os.path.join(self.folder, "fleet.sock"))
         self.control.setblocking(False)
         self.selector.register(self.control, selectors.EVENT_READ, self.accept_command_connection)
-        for name, generation, spec, status, sock in found:
-            self.core.adopt(name, generation, spec, status)
-            self.attach(name, generation, sock)
+        for instance in found:
+            self.adopt(instance)
         self.step("finish_adoption")
 
     def read_plan(self, program):
@@ -166,59 +170,32 @@
         except OSError as error:
             log.error("state", extra={"pairs": {"why": error}})
 
-    def find_instances(self):
-        """Finds instances of an earlier supervisor and reads their identity and status.
+    def adopt(self, instance):
+        """Adopts an instance that an earlier supervisor started."""
+        key, spec = instance.key, instance.spec
+        planned = self.core.plan.specs.get(spec.name)
+        if planned and planned.start == spec.start:
+            spec = replace(spec, start=planned.start)  # one text for both: it may be long, and is compared
+        self.core.adopt(*key, spec, instance.status)
+        self.pidfds[key] = instance.pidfd
+        self.watch_process(*key)
+        self.attach(*key, instance.connection)
+
+    def take_listener(self, instance):
+        """Takes over the listening socket that an instance has passed on."""
+        if instance.spec.address in self.listeners:
+            instance.listener.close()
+        else:
+            self.listeners[instance.spec.address] = instance.listener
 
-        An instance that does not answer is killed; stale socket files are removed.
-        """
-        found = []
-        running = running_pids_by_socket()
-        for file in sorted(os.listdir(self.folder)):
-            path = os.path.join(self.folder, file)
-            if not file.endswith(".sock") or file == "fleet.sock":
-                continue
-            pid = running.get(path)
-            if pid is None:
-                control.unlink(path)
-                continue
-            try:
-                sock = control.connect(path)
-                connection, messages, deadline = control.JsonConnection(sock), [], time.monotonic() + 1
-                while len(messages) < 2 and time.monotonic() < deadline:
-                    messages += connection.receive()[0]
-                    time.sleep(0.005)
-                hello, status = messages[0], messages[1]["status"]
-                connection.send({"do": "socket"})
-                sock.settimeout(1.0)
-                _, fds, _, _ = socket.recv_fds(sock, 1, 1)
-                listener = socket.socket(fileno=fds[0])
-                spec = plans.InstanceSpec(
-                    hello["hello"], listener.getsockname()[:2], hello["start"], hello["live"]
-                )
-                if spec.address in self.listeners:
-                    listener.close()
-                else:
-                    self.listeners[spec.address] = listener
-                self.pidfds[spec.name, hello["generation"]] = os.pidfd_open(pid)
-                found.append((spec.name, hello["generation"], spec, status, sock))
-            except (OSError, ValueError, LookupError) as error:
-                log.error(
-                    "not-adopted",
-                    extra={"pairs": {"pid": pid, "socket": file, "why": error or type(error).__name__}},
-                )
-                kill_and_wait(pid)
-                control.unlink(path)
-        return found
-
-    def attach(self, name, generation, sock):
-        """Registers a connected instance: its control connection and its process."""
-        connection = control.JsonConnection(sock)
+    def control_path(self, name, generation):
+        """Returns the path of an instance's control socket."""
+        return os.path.join(self.folder, f"{name}.{generation}.sock")
+
+    def attach(self, name, generation, connection):
+        """Registers the control connection of an instance."""
         self.instance_connections[name, generation] = connection
-        self.selector.register(
-            sock, selectors.EVENT_READ, lambda: self.receive_status(name, generation, connection)
-        )
-        if (name, generation) in self.pidfds and (name, generation) not in self.children:
-            self.watch_process(name, generation)
+        connection.watch(self.selector, lambda: self.receive_status(name, generation, connection))
 
     # The event loop
 
@@ -359,7 +336,7 @@
         program.
         """
         name, generation, spec = effect.name, effect.generation, effect.spec
-        path = os.path.join(self.folder, f"{name}.{generation}.sock")
+        path = self.control_path(name, generation)
         python, checkout = json.loads(spec.start)["program"]
         listener = self.listeners[spec.address]
         start_message = {
@@ -385,9 +362,8 @@
         self.children[name, generation] = child
         self.pidfds[name, generation] = os.pidfd_open(child.pid)
         self.watch_process(name, generation)
-        with child.stdin:
-            child.stdin.write(json.dumps(start_message).encode() + b"\n")
-        self.unconnected[name, generation] = path
+        BackgroundWriter(self.selector, child.stdin, json.dumps(start_message).encode() + b"\n")
+        self.unconnected.add((name, generation))
 
     def start_failed(self, effect, why):
         """Ends a process that could not be started completely, and reports its end to the core."""
@@ -403,14 +379,14 @@
         self.call_later(0, lambda: self.step("not_started", *key, why))
 
     def connect_instances(self):
-        """Connects to the control sockets of new processes."""
-        for (name, generation), path in list(self.unconnected.items()):
+        """Connects to the control sockets of processes that are not connected."""
+        for key in list(self.unconnected):
             try:
-                sock = control.connect(path)
+                sock = control.connect_now(self.control_path(*key))
             except OSError:
                 continue
-            del self.unconnected[name, generation]
-            self.attach(name, generation, sock)
+            self.unconnected.remove(key)
+            self.attach(*key, JsonConnection(sock))
 
     def watch_process(self, name, generation):
         """Registers for the exit of a process."""
@@ -427,7 +403,7 @@
         if child:
             code = child.wait()
             how = f"signal {-code}" if code < 0 else f"exit {code}"
-        self.unconnected.pop((name, generation), None)
+        self.unconnected.discard((name, generation))
         self.close_instance_connection(name, generation)
         self.step("exited", name, generation, how)
 
@@ -441,8 +417,9 @@
     def receive_status(self, name, generation, connection):
         """Passes status reports of an instance to the core."""
         messages, is_open = connection.receive()
-        if not is_open:
+        if not (is_open and connection.flush()):  # only the end of its process tells that it has ended
             self.close_instance_connection(name, generation)
+            self.unconnected.add((name, generation))
         for message in messages:
             if isinstance(message.get("status"), dict):
                 self.step("status_received", name, generation, message["status"])
@@ -451,12 +428,7 @@
         """Closes the control connection to an instance, if any."""
         connection = self.instance_connections.pop((name, generation), None)
         if connection:
-            self.close_socket(connection.sock)
-
-    def close_socket(self, sock):
-        """Unregisters and closes a socket."""
-        self.selector.unregister(sock)
-        sock.close()
+            connection.close()
 
     def send_to_instance(self, effect, message):
         """Sends a message to an instance, if it is connected."""
@@ -469,10 +441,10 @@
     def accept_command_connection(self):
         """Accepts a connection for operators' commands."""
         try:
-            connection = control.JsonConnection(self.control.accept()[0])
+            connection = JsonConnection(self.control.accept()[0])
         except OSError:
             return
-        self.selector.register(connection.sock, selectors.EVENT_READ, lambda: self.run_commands(connection))
+        connection.watch(self.selector, lambda: self.run_commands(connection))
 
     def run_commands(self, connection):
         """Runs the commands that a connection received."""
@@ -489,7 +461,7 @@
             self.pending_replies = [
                 (k, other) for k, other in self.pending_replies if other is not connection
             ]
-            self.close_socket(connection.sock)
+            connection.close()
 
     def run_command(self, connection, message):
         """Runs one command; raises config.ConfigurationError if it is invalid."""
@@ -633,37 +605,3 @@
     except OSError as error:
         log.error("log", extra={"pairs": {"file": path, "why": error}})
         return open(os.devnull, "ab")
-
-
-def running_pids_by_socket():
-    """Returns the pid by control socket of every instance on this machine.
-
-    They are found by their command lines, because a pid in a file may belong to another process by now.
-    """
-    found = {}
-    for pid in filter(str.isdigit, os.listdir("/proc")):
-        try:
-            with open(f"/proc/{pid}/cmdline", "rb") as file:
-                arguments = file.read().split(b"\0")
-        except OSError:
-            continue
-        if b"instance" in arguments and b"--socket" in arguments[:-1]:
-            found[os.fsdecode(arguments[arguments.index(b"--socket") + 1])] = int(pid)
-    return found
-
-
-def kill_and_wait(pid, wait=5.0):
-    """Sends SIGKILL to a process and waits until it has ended, at most `wait` seconds."""
-    try:
-        fd = os.pidfd_open(pid)
-    except OSError:
-        return
-    try:
-        signal.pidfd_send_signal(fd, signal.SIGKILL)
-        with selectors.DefaultSelector() as selector:
-            selector.register(fd, selectors.EVENT_READ)
-            selector.select(wait)
-    except ProcessLookupError:
-        pass
-    finally:
-        os.close(fd)
