Membership: a server that comes back in the list without a restart keeps what was observed of it

A list that takes a server out and puts it back while it hangs made the node send to it again at once.

It is taken back, and the other form made equal: a whole list that leaves a server out for a moment is no restart either.

--- a/cottonspread/policy/membership.py
+++ b/cottonspread/policy/membership.py
@@ -1,6 +1,6 @@
 """Membership: the servers of the fleet, by the server list."""
 
-from cottonspread.interface import HostState, ListUpdateKind
+from cottonspread.interface import ListUpdateKind
 from cottonspread.state import SECOND
 from cottonspread.structures import NominalSizes, ServerTable
 
@@ -20,8 +20,8 @@
     def apply_update(self, update):
         """Applies a list update.
 
-        Returns (servers that are not up, servers that were restarted or have come back, whether more than
-        dynamic weights changed).
+        Returns (servers that are not up, servers that were restarted, whether more than dynamic weights
+        changed).
         """
         withdrawn, restarted, known, changed = (
             [],
@@ -33,7 +33,7 @@
             changed = (
                 self.sizes.update(entry, host.entry) or changed or not entry.equals_except_weight(host.entry)
             )
-            if entry.started > host.entry.started or self.returns(host, entry):
+            if entry.started > host.entry.started:
                 restarted.append(host)
             host.entry = entry
             if not host.up:
@@ -43,11 +43,6 @@
             host.size = self.sizes.size_of(host.entry)
         return withdrawn, restarted, changed
 
-    @staticmethod
-    def returns(host, entry):
-        """Whether the server had left the list and has come back with this entry."""
-        return host.entry.state is HostState.GONE and entry.state is HostState.UP
-
     def poll_delay(self, took):
         """Microseconds until the next poll, after one that failed and took `took` microseconds.
 
