--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -39,6 +39,21 @@
     assert "known red: test_one.py::test_red: counts wrongly (issue 7; pytest test_one.py, seed 3)" in output
 
 
+AT_TIMES = "test_one.py::test_red | pytest test_one.py, seed 3 | late by | 7 | 1 of 9\n"
+
+
+@IN_EACH_WAY
+@pytest.mark.parametrize(
+    "body, outcome", (("assert False, 'late by 3 s'", "1 passed, 1 xfailed"), ("pass", "2 passed"))
+)
+def test_a_test_that_is_listed_as_failing_at_times_may_fail_as_listed_or_pass(
+    tmp_path, workers, body, outcome
+):
+    code, output = run(tmp_path, AT_TIMES, workers, TESTS.replace("assert False", body))
+    assert code == 0 and outcome in output, output
+    assert "known red: test_one.py::test_red: late by, 1 of 9 runs (issue 7; pytest test_one.py" in output
+
+
 @IN_EACH_WAY
 @pytest.mark.parametrize(
     "listed, tests, message",
@@ -52,6 +67,21 @@
         ("test_one.py::test_red | counts wrongly | 7\n", TESTS, FORM),
         ("test_one.py::test_red | seed 3 | | 7\n", TESTS, FORM),
         (RED.replace("7", "7 | more"), TESTS, FORM),
+        (RED.replace("7", "7 |"), TESTS, FORM),
+        (RED.replace("7", "7 | 9 of 9"), TESTS, FORM),  # it fails each time
+        (RED.replace("7", "7 | 1 of 9 | more"), TESTS, FORM),
+        (
+            AT_TIMES,
+            TESTS.replace("False", "False, 'lost'"),
+            "1 failed",
+        ),  # another failure than the listed one
+        (
+            AT_TIMES,
+            TESTS.replace("test_green():\n    pass", "test_green():\n    assert 0, 'late by'"),
+            "2 failed",
+        ),
+        (AT_TIMES + RED, TESTS, "listed twice"),
+        (AT_TIMES.replace("red", "gone"), TESTS, "no such test: test_one.py::test_gone"),
     ],
 )
 def test_everything_else_fails_the_run(tmp_path, listed, tests, message, workers):
