--- a/review/stand2/common.py
+++ b/review/stand2/common.py
@@ -213,8 +213,8 @@
         self.servers, self.changes = [], []
         self.held = [{} for _ in range(count)]
         """For each server, its open connections by the id in their first line."""
-        self.answer_delay_s = 0.0
-        """How long a server takes to answer a first line."""
+        self.refusing = set()
+        """Numbers of servers that refuse new connections."""
         for n in range(count):
             listener = socket.create_server(("127.0.0.1", 0))
             self.servers.append(
@@ -246,17 +246,24 @@
         """A server: UP for the first line, then each line is echoed; BYE ends the connection."""
         with contextlib.suppress(OSError), sock, sock.makefile("rwb") as file:
             for number, line in enumerate(file):
+                if not number and n in self.refusing:
+                    file.write(b"BUSY\r\n")
+                    return
                 if not number:
                     self.case.record(f"server s-{n + 1} runs {line.decode().strip()}")
                     self.held[n][line.split()[1].decode()] = sock
-                    time.sleep(self.answer_delay_s)
                 file.write(b"UP %s\r\n" % secrets.token_hex(8).encode() if not number else line)
                 file.flush()
                 if number and line.strip() == b"BYE":
                     return
 
     def drain(self, n):
-        """Lists a server as draining. It keeps its connections until it stops."""
+        """A server drains: it refuses new connections and keeps its own until it stops."""
+        self.case.record(f"server s-{n + 1} begins to drain")
+        self.refusing.add(n)
+
+    def list_drain(self, n):
+        """The list tells that a server drains."""
         with self.changed:
             self.version += 1
             self.servers[n] = self.servers[n] | {"lifecycle": "Terminating"}
@@ -350,9 +357,9 @@
                 self.end = self.end or f"{type(error).__name__} without MOVE"
             if self.unanswered_since:
                 self.worst = max(self.worst, time.monotonic() - self.unanswered_since)
-        if self.end:
+        if self.end and self.running:
             self.case.record(f"client {self.label}: {self.end}")
-            self.sock.close()
+        self.sock.close()
 
     def take_lines(self, data):
         """Handles the whole lines; returns the rest."""
@@ -364,12 +371,6 @@
                 self.unanswered_since = None
         return rest
 
-    def hang_up(self):
-        """The client leaves."""
-        self.case.record(f"client {self.label} hangs up")
-        self.end = "left"
-        self.sock.shutdown(socket.SHUT_RDWR)
-
 
 class Store:
     """Three replicas of the configuration store."""
