--- a/review/stand2/common.py
+++ b/review/stand2/common.py
@@ -23,7 +23,7 @@
 PYTHON = ".venv/bin/python"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
-LIMIT_S = float(os.environ.get("CASE_LIMIT", 115))
+LIMIT_S = 115
 
 
 class NotRunError(Exception):
@@ -39,7 +39,9 @@
         with open(self.record_path, "w", encoding="utf-8"):
             pass
         self.lock, self.began = threading.Lock(), time.monotonic()
-        self.folder = tempfile.mkdtemp(prefix="r2-", dir=os.environ.get("TMPDIR") or "/tmp")
+        # Short, because the path of a Unix socket is limited.
+        base = tempfile.gettempdir()
+        self.folder = tempfile.mkdtemp(prefix="r2-", dir=base if len(base) < 40 else "/tmp")
         self.processes = []
 
     def record(self, text):
