--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,6 +16,8 @@
 """From the begin of the drain to the list's word (about), and to the server's stop."""
 START_S = 0.6
 """About what a process needs until its yes: the new one is started this long before the list's word."""
+LATEST_NOTICE_S = 4.0
+"""The page allows 4.8 s; the node needs a second from then on."""
 
 
 def operators_answer(port, line):
@@ -66,8 +68,8 @@
         clients.append(common.Client(case, str(number), processes.address))
         time.sleep(0.05)
     standing = [client for client in clients if client.id in platform.held[0]]
-    if len(standing) < 3:
-        raise common.NotRunError("too few clients stand at server s-1")
+    if len(standing) < 3 or any(client.end for client in clients):
+        raise common.NotRunError("too few clients stand at server s-1, or one has left already")
     platform.drain(0)
     began = time.monotonic()
     time.sleep(NOTICE_S - START_S)
@@ -75,6 +77,8 @@
         processes.start("new")
     else:
         time.sleep(START_S)
+    if time.monotonic() - began > LATEST_NOTICE_S:
+        raise common.NotRunError("the new process was ready too late")
     platform.list_drain(0)
     if common.TROUBLE:
         time.sleep(0.1)
--- a/review/stand2/common.py
+++ b/review/stand2/common.py
@@ -1,4 +1,4 @@
-"""Stand-ins and helpers of the cases of the second review: servers, discovery, a client, a proxy, processes.
+"""Stand-ins and helpers of cases 6 to 10: servers, discovery, a client, a proxy, processes.
 
 Everything runs on loopback addresses with free ports and in one temporary folder, which is removed at the
 end. Each process that a case starts is ended by its id.
@@ -112,15 +112,15 @@
             time.sleep(interval)
         return value
 
-    def instances(self):
-        """Pids of a fleet's instances: processes whose control socket lies in this case's folder."""
+    def leftovers(self):
+        """Pids of processes that this case started, itself or by a supervisor.
+
+        Their command lines name its temporary folder, which no other process does.
+        """
         found = []
         for pid in filter(str.isdigit, os.listdir("/proc")):
             with contextlib.suppress(OSError), open(f"/proc/{pid}/cmdline", "rb") as file:
-                words = file.read().split(b"\0")
-                if b"--socket" in words[:-1] and os.fsdecode(words[words.index(b"--socket") + 1]).startswith(
-                    self.folder + "/"
-                ):
+                if os.fsencode(self.folder) + b"/" in file.read() and int(pid) != os.getpid():
                     found.append(int(pid))
         return found
 
@@ -131,9 +131,16 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
-        for pid in self.instances():
-            with contextlib.suppress(ProcessLookupError):
-                os.kill(pid, signal.SIGKILL)
+        # A supervisor may have been starting an instance when it ended: look until none is left.
+        for _ in range(50):
+            for pid in self.leftovers():
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(pid, signal.SIGKILL)
+            time.sleep(0.05)
+            if not self.leftovers():
+                break
+        else:
+            self.record(f"still running: {self.leftovers()}")
         for name in sorted(os.listdir(self.folder)):
             if name.endswith(".log"):
                 lines = self.log(name.removesuffix(".log")).splitlines()
@@ -153,7 +160,8 @@
     timer = threading.Timer(LIMIT_S, lambda: os.kill(os.getpid(), signal.SIGINT))
     timer.daemon = True
     timer.start()
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(NOT_RUN))
     code = NOT_RUN
     try:
         case.record(f"the case runs {'with' if TROUBLE else 'without'} the disruption")
@@ -169,6 +177,8 @@
         print(f"NOT RUN: {traceback.format_exc()}")
     finally:
         timer.cancel()
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+            signal.signal(number, signal.SIG_IGN)
         case.close()
     return code
 
@@ -333,7 +343,8 @@
         self.sock = socket.create_connection(address, timeout=5)
         self.sock.sendall(line + b"\r\n")
         answer = self.sock.makefile("rb").readline().decode().strip()
-        case.record(f"client {label} ({self.id}): {answer}")
+        case.record(f"client {label} sends {line.decode()} and is answered {answer!r}")
+        self.sent = self.echoed = 0
         if not answer.startswith("UP "):
             raise NotRunError("a client was not accepted")
         self.sock.settimeout(0.2)
@@ -349,6 +360,7 @@
                     next_line += 2.0
                     self.unanswered_since = self.unanswered_since or time.monotonic()
                     self.sock.sendall(b"line\r\n")
+                    self.sent += 1
                 received = self.sock.recv(4096)
                 data = self.take_lines(data + received)
                 if not received:
@@ -360,7 +372,7 @@
             if self.unanswered_since:
                 self.worst = max(self.worst, time.monotonic() - self.unanswered_since)
         if self.end and self.running:
-            self.case.record(f"client {self.label}: {self.end}")
+            self.case.record(f"client {self.label}: {self.end}; {self.echoed} of {self.sent} lines echoed")
         self.sock.close()
 
     def take_lines(self, data):
@@ -371,6 +383,7 @@
                 self.end = "MOVE"
             elif line.strip() == b"line":
                 self.unanswered_since = None
+                self.echoed += 1
         return rest
 
 
@@ -454,8 +467,11 @@
 
     def serves(self, kinds):
         """Those of the given traffic types that it serves now."""
-        answers = {kind: first_answer(self.address, open_line(kind)) for kind in kinds}
-        self.case.record(f"node {self.name} answers {answers}")
+        answers = {}
+        for kind in kinds:
+            line = open_line(kind)
+            answers[kind] = first_answer(self.address, line)
+            self.case.record(f"node {self.name} is sent {line.decode()} and answers {answers[kind]!r}")
         return [kind for kind in kinds if answers[kind].startswith("UP")]
 
 
@@ -465,11 +481,14 @@
 
 
 class Proxy:
-    """A proxy on a loopback address; `stop_at(data)` tells at which data from clients the way is lost."""
+    """A proxy on a loopback address that passes everything on.
+
+    `on_data(data)` is called with what a client sent, before it is passed on.
+    """
 
-    def __init__(self, target):
-        """`target`: (host, port). Passes everything on until told otherwise."""
-        self.target, self.lost, self.stop_at = target, False, lambda data: False
+    def __init__(self, target, on_data):
+        """`target`: (host, port)."""
+        self.target, self.on_data = target, on_data
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.name = f"127.0.0.1:{self.listener.getsockname()[1]}"
         spawn(self.accept)
@@ -483,15 +502,15 @@
     def serve(self, client):
         """Passes one connection on, in both directions."""
         with contextlib.suppress(OSError), client, socket.create_connection(self.target) as server:
-            spawn(self.forward, server, client, lambda data: False)
-            self.forward(client, server, self.stop_at)
+            spawn(self.forward, server, client, lambda data: None)
+            self.forward(client, server, self.on_data)
 
-    def forward(self, source, sink, stop_at):
-        """Passes data on; while the way is lost, nothing passes and nothing is closed."""
+    @staticmethod
+    def forward(source, sink, on_data):
+        """Passes data on until the end."""
         with contextlib.suppress(OSError):
             while data := source.recv(65536):
-                self.lost = self.lost or bool(stop_at(data))
-                while self.lost:
-                    time.sleep(0.05)
+                on_data(data)
                 sink.sendall(data)
+        with contextlib.suppress(OSError):
             sink.shutdown(socket.SHUT_WR)
