Moves off draining servers follow from state, so that a replacement loses none

Cause: Balancer.withdraw made the list of clients to be moved, and their timers, once, when the drain was told. The same cause: a call in set-up at that moment and accepted later is not moved.

Change: policy/drain_moves.py. Each draining server has at most one timer, set from what stands there (Host.staying, an index kept by Leg) and by when it is to be asked. The pace is as before: the first move after half a second, all within the second. Clients that come later are moved from a quarter of a second on, within half a second, or with those that are being moved. The log tells how many are moved ('draining: moving N connections'), which no log line told before.

A move costs the same with 5 and 500 clients there (test_balancer_work).

--- a/cottonspread/driver.py
+++ b/cottonspread/driver.py
@@ -65,7 +65,7 @@
         if e.held_by is not None:
             host = self.membership.get_or_add_unlisted(e.held_by)
             self.records.put(key, host, self.now)
-            self.open_leg(call, host).accept()
+            self.establish(self.open_leg(call, host))
         self.resume(call, None)
 
     def resume(self, call, result):
@@ -97,7 +97,7 @@
 
     def move(self, leg):
         """Asks a connection's client to reconnect; the key's record is dropped, so it gets another server."""
-        leg.move_requested = True
+        leg.request_move()
         self.records.drop(leg.call.key, leg.host)
         self.pending.append(io.Move(leg.call.id))
 
@@ -142,11 +142,16 @@
         """Handles an acceptance; repeated ones are ignored."""
         if leg.accepted:
             return
-        leg.accept()
+        self.establish(leg)
         self.leg_accepted(leg)
         if not leg.call.ended:
             self.resume(leg.call, e)
 
+    def establish(self, leg):
+        """Marks a leg as established at its server."""
+        leg.accept()
+        self.leg_established(leg)
+
     def handle_report(self, e):
         """Handles a report on a connection: its load or its message delay."""
         call = self.calls.get(e.call)
@@ -212,6 +217,10 @@
         """(weight of a new leg, weight that it adds to its server), see `Loads`."""
         raise NotImplementedError
 
+    def leg_established(self, leg):
+        """Called when a leg is established: accepted, or open already when its call arrived."""
+        raise NotImplementedError
+
     def leg_accepted(self, leg):
         """Called when a leg is accepted for the first time."""
         raise NotImplementedError
--- a/cottonspread/policy/ceilings.py
+++ b/cottonspread/policy/ceilings.py
@@ -25,7 +25,7 @@
     def cut(self, host, now):
         """Cuts the ceiling; yields the legs in excess of it, those that free the most load first."""
         host.ceiling, host.cut_at = host.load * self.CUT_TO, now
-        legs = sorted(host.staying_legs(), key=lambda leg: (-self.loads.freed_by(leg), leg.call.type.revenue))
+        legs = sorted(host.staying, key=lambda leg: (-self.loads.freed_by(leg), leg.call.type.revenue))
         excess = (
             host.load
             - host.ceiling
--- a/cottonspread/policy/path.py
+++ b/cottonspread/policy/path.py
@@ -6,13 +6,12 @@
 `Balancer.path`; each exception to it is documented with the failure that it prevents.
 """
 
-from collections import deque
-
 from cottonspread import interface as io
 from cottonspread.driver import Driver
 from cottonspread.interface import Ending, HostState, ListUpdateKind
 from cottonspread.policy.ceilings import Ceilings
 from cottonspread.policy.choice import Choice
+from cottonspread.policy.drain_moves import DrainMoves
 from cottonspread.policy.groups import Groups
 from cottonspread.policy.health import Health
 from cottonspread.policy.load import Loads
@@ -71,9 +70,8 @@
         self.readings, self.rotation = Readings(rng, settings), Rotation(rng)
         self.health, self.slow_start = Health(settings), SlowStart(rng, settings)
         self.ceilings = Ceilings(self.loads, rng, settings)
-        self.overview = Overview(self)
+        self.overview, self.drain_moves = Overview(self), DrainMoves(self)
         self.timed_out = set()  # servers whose set-ups timed out since the last set-up that was answered
-        self.draining_legs = deque()  # legs on draining servers, in the order in which to move them
         self.forced_attempt_at = now  # earliest time of a forced attempt, see `Choice.FORCED_AFTER_CALLS`
         if config.server_list.polled:
             self.pending.append(io.Subscribe())
@@ -110,6 +108,10 @@
         """(weight of a new leg, weight it adds to its server): the mean, until the leg's load is reported."""
         return Loads.MEAN, self.loads.added_by(call, host)
 
+    def leg_established(self, leg):
+        """Has the client moved if the server drains already."""
+        self.drain_moves.schedule(leg.host)
+
     def leg_accepted(self, leg):
         """Counts a success of the server, and the call's earlier errors as failures of their servers.
 
@@ -135,7 +137,8 @@
         """Handles a leg that completed or was cancelled. A draining server may cancel to move its clients."""
         host = leg.host
         self.records.touch(leg.call.key, host, self.now)
-        host.moves_own_clients |= leg.ending is Ending.CANCELLED and not (leg.move_requested or host.up)
+        if host.drain and leg.ending is Ending.CANCELLED and not leg.move_requested:
+            host.drain.moves_own_clients = True
         if leg.ending is Ending.OK and not leg.accepted:
             self.record_success(host)
 
@@ -215,13 +218,13 @@
             # All its calls are moved. A server that is merely far away is not overloaded: no ceiling applies.
             self.health.record_failure(host, self.now)
             host.hung, host.ceiling = True, 0.0 if far else host.ceiling
-            self.request_moves(host, delay, "far" if far else "hung", host.staying_legs())
+            self.request_moves(host, delay, "far" if far else "hung", list(host.staying))
         elif self.health.is_overloaded(host, report, self.now):
             self.request_moves(host, delay, "overloaded", list(self.ceilings.cut(host, self.now)))
 
     def request_moves(self, host, delay, why, leaving):
         """Asks clients of a slow server to reconnect elsewhere, if a move is worth its price."""
-        if leaving and self.settings.move_price <= self.MAX_MOVE_PRICE:
+        if leaving and self.may_request_moves():
             delay_text = f"messages take {delay // 1000} ms"
             self.pending.append(
                 io.Log(f"{host.name}: {delay_text}, {why}: moving {len(leaving)} connections")
@@ -229,6 +232,10 @@
             for leg in leaving:
                 self.move(leg)
 
+    def may_request_moves(self):
+        """Whether a move is worth its price."""
+        return self.settings.move_price <= self.MAX_MOVE_PRICE
+
     # The server list
 
     def list_updated(self, e):
@@ -241,34 +248,21 @@
         # Dynamic weights arrive every second for every server: rotation, orders and sums stay as they are.
         if not changed:
             return
-        for host in withdrawn:
-            self.withdraw(host)
         for host in restarted:
             host.restart()
+        for host in withdrawn:
+            self.withdraw(host)
         self.membership.drop_gone(withdrawn)
         up = self.membership.up()
         self.rotation.set_servers(up)
         self.overview.set_servers(up, self.now)
 
     def withdraw(self, host):
-        """Handles a server that gets no new calls; clients of a draining one are moved one by one.
-
-        The first move comes after half a second.
-        """
+        """Handles a server that gets no new calls; clients of a draining one are moved one by one."""
         self.records.drop_value(host)
-        leaving = [] if host.draining else [leg for leg in host.legs if leg.accepted]
-        host.draining = host.entry.state is HostState.DRAINING
-        if not host.draining or self.settings.move_price > self.MAX_MOVE_PRICE:
-            return
-        for n, leg in enumerate(leaving):
-            self.draining_legs.append(leg)
-            self.pending.append(io.Timer((n + len(leaving)) * SECOND // 2 // len(leaving), "off"))
+        if host.entry.state is HostState.DRAINING:
+            self.drain_moves.begin(host)
 
     def move_next_draining(self):
-        """Moves the next client off a draining server, unless the server moves its clients itself.
-
-        Clients still there when the server stops are cut off.
-        """
-        leg = self.draining_legs.popleft()
-        if not (leg.ending or leg.move_requested or leg.host.up or leg.host.moves_own_clients):
-            self.move(leg)
+        """Moves the next client off a draining server."""
+        self.drain_moves.move_next()
--- a/cottonspread/state.py
+++ b/cottonspread/state.py
@@ -78,6 +78,16 @@
         return changed
 
 
+@dataclass(eq=False)
+class Drain:
+    """A drain of a server, from when the list tells of it until the server is ready again."""
+
+    since: int
+    move_by: int = 0  # its clients are being moved, all by this time; 0: not now
+    timer_set: bool = False  # for the next move
+    moves_own_clients: bool = False  # the server moves its clients itself
+
+
 @dataclass(eq=False)
 class Host:
     """One server as this node knows it."""
@@ -88,6 +98,7 @@
     load_ratio: float = 0.0  # its load divided by its capacity, as last probed
     load_ratio_at: int = -60 * SECOND
     legs: dict = field(default_factory=dict)  # legs being set up or established, in order of sending
+    staying: dict = field(default_factory=dict)  # those established whose clients were not asked to move
     setups: int = 0  # those of them not yet answered
     groups: Counter = field(default_factory=Counter)
     load: int = 0  # weight of its legs and groups on this node, see `Loads`
@@ -106,8 +117,7 @@
     last_break_at: int = -10 * SECOND  # health: when an established connection last broke
     ceiling: float = 0.0  # overload: weight that it may hold on this node; 0: no limit
     cut_at: int = -10 * SECOND  # overload: when the ceiling was last cut
-    draining: bool = False  # the list says that it drains: its clients are to be moved
-    moves_own_clients: bool = False  # it drains, and moves its clients itself
+    drain: Drain = None  # while it drains, and afterwards until it is ready again
     sent: SlidingCount = field(default_factory=lambda: SlidingCount(SECOND // 4, 64))  # legs, over up to 16 s
 
     @property
@@ -115,16 +125,12 @@
         """Whether it may get new calls, as far as the list goes."""
         return self.entry.state is HostState.UP
 
-    def staying_legs(self):
-        """The accepted legs whose clients have not been asked to move."""
-        return [leg for leg in self.legs if leg.accepted and not leg.move_requested]
-
     def restart(self):
         """Forgets what was observed of the server process before its restart."""
         self.skip_until = self.answers = self.recovery_limit = self.ejection_time = self.ejected_until = (
             self.delay
         ) = 0
-        self.ceiling, self.hung, self.draining, self.moves_own_clients = 0, False, False, False
+        self.ceiling, self.hung, self.drain = 0, False, None
 
 
 @dataclass(eq=False)
@@ -147,11 +153,18 @@
         """Marks the leg as accepted by its server."""
         self.accepted = True
         self.host.setups -= 1
+        self.host.staying[self] = None
+
+    def request_move(self):
+        """Marks the leg as one whose client was asked to move."""
+        self.move_requested = True
+        self.host.staying.pop(self, None)
 
     def close(self, ending):
         """Marks the leg as ended and removes it from its server."""
         self.ending = ending
         del self.host.legs[self]
+        self.host.staying.pop(self, None)
         self.host.setups -= not self.accepted
         groups = self.host.groups
         groups[self.call.group] -= 1
--- a/tests/scale/test_balancer_work.py
+++ b/tests/scale/test_balancer_work.py
@@ -166,3 +166,17 @@
     node.now += REVIEW_INTERVAL
     node.run_call("last")
     assert len(node.balancer.records) <= 20 + 1 + 1
+
+
+def test_a_move_off_a_draining_server_costs_the_same_however_many_clients_stand_there():
+    """Guards against searching all connections of the server for those that are still to be moved."""
+
+    def work(connections):
+        node = BalancerNode(0, 4, 1)
+        add_connections(node, connections)
+        node.update(io.ListUpdateKind.CHANGES, [entry(0)._replace(state=io.HostState.DRAINING)])
+        node.now += SECOND
+        return lines_run(lambda: node.handle(io.TimerFired("off")))
+
+    few, many = work(5), work(500)
+    assert many <= few * SLACK, (few, many)
