A drain that is taken back ends, so that the next one moves clients again

Cause: that a server drains was remembered until its restart (Host.draining at, Host.drain since), and a server that drained already is given no new plan.

--- a/cottonspread/policy/path.py
+++ b/cottonspread/policy/path.py
@@ -254,6 +254,8 @@
             self.withdraw(host)
         self.membership.drop_gone(withdrawn)
         up = self.membership.up()
+        for host in up:
+            host.drain = None
         self.rotation.set_servers(up)
         self.overview.set_servers(up, self.now)
 
