Clients of a draining server are moved once a reload makes moves worth their price

Cause: the price of a move was looked at once, when the drain was told; a reload that lowers it left the clients there until the server's stop. The same cause as the moves lost in a replacement: what to do was decided once. Found in the search for related paths, by reading; no caller reported it.

Change: after a reload the moves off draining servers are scheduled again.

--- a/cottonspread/driver.py
+++ b/cottonspread/driver.py
@@ -195,6 +195,7 @@
     def handle_reconfigured(self, e):
         """Applies another configuration. An open call keeps the type under which it was opened."""
         self.settings.apply(e.config)
+        self.settings_changed()
 
     def handle_timer(self, e):
         """Moves a client off a draining server, or polls the list, as the timer's token says."""
@@ -249,6 +250,10 @@
         """Called with a `ListUpdate`."""
         raise NotImplementedError
 
+    def settings_changed(self):
+        """Called after other settings have been applied."""
+        raise NotImplementedError
+
     def move_next_draining(self):
         """Called when it is time to move the next client off a draining server."""
         raise NotImplementedError
--- a/cottonspread/policy/path.py
+++ b/cottonspread/policy/path.py
@@ -236,6 +236,11 @@
         """Whether a move is worth its price."""
         return self.settings.move_price <= self.MAX_MOVE_PRICE
 
+    def settings_changed(self):
+        """Moves clients off draining servers if the price of a move allows it only now."""
+        for host in self.membership.hosts.values():
+            self.drain_moves.schedule(host)
+
     # The server list
 
     def list_updated(self, e):
