A move asked for while a call is being attached to its host again is not lost

Cause: the reducer ignored a move of a call that is not established, and the module asks once. A call that was open before the start (at=HOST) stands at its server for the module from its first line on, for the reducer from the host's UP on; so a client of a draining server whose UP comes later than the move stayed until the server's stop.

Change: the reducer keeps the move and sends MOVE behind the UP.

Shown: reattached_to_draining.txt fails without the change (no MOVE after UP).

--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -785,11 +785,15 @@
     # Moving and ending connections
 
     def move(self, conn, reason):
-        """Asks the client to reconnect (MOVE), once the line that is being written to it is out."""
-        if not conn.up or conn.reason or conn.move_reason:
+        """Asks the client to reconnect (MOVE), once the line that is being written to it is out.
+
+        A call that was open before this process started is moved once its host has accepted it again.
+        """
+        reattaching = conn.request is not None and conn.request.held_by is not None
+        if not (conn.up or reattaching) or conn.reason or conn.move_reason:
             return
         conn.move_reason = reason
-        if not conn.client.writing_since and conn is not self.transferring:
+        if conn.up and not conn.client.writing_since and conn is not self.transferring:
             self.move_now(conn)
 
     def move_now(self, conn):
