--- a/cottonspread/net/drain.py
+++ b/cottonspread/net/drain.py
@@ -132,8 +132,7 @@
         # The periodic sweep alone would notice it up to a quarter of a second late.
         self.reducer.call_at(self.stop_by, self.stop_when_done)
         if e.transfer_connections:  # connections not transferred by then are moved
-            self.reducer.transfers_enabled = True
-            self.reducer.transfer(conn for conn in self.reducer.conns if conn.up and not conn.reason)
+            self.reducer.transfers.begin()
 
     def answers_due(self):
         """Whether it is too late for further legs."""
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -10,7 +10,6 @@
 
 import heapq
 from collections import deque
-from dataclasses import dataclass, field
 from itertools import islice
 from operator import attrgetter
 
@@ -23,8 +22,10 @@
 from cottonspread.net import events as ev
 from cottonspread.net import lines
 from cottonspread.net.active_set import ActiveSet, connection_is_active, host_is_active
+from cottonspread.net.connections import Conn, Host, Leg
 from cottonspread.net.drain import LATE_ARRIVAL_TIME, DrainController
-from cottonspread.net.message_delays import ConnectionSignals, MessageDelays
+from cottonspread.net.message_delays import MessageDelays
+from cottonspread.net.transfers import ConnectionTransfers
 from cottonspread.policy import Balancer
 
 SECOND = 1_000_000
@@ -47,66 +48,6 @@
 PROBES_DIVISOR = 4  # at most 1 / this of all sockets may be probes: each takes a thread and a descriptor
 
 
-@dataclass(eq=False)
-class Leg:
-    """A connection to a host, for one call."""
-
-    conn: "Conn"
-    number: int  # index in `Conn.legs`
-    host: "Host"
-    deadline: int  # for the host's answer
-    send_by: int = 0  # do not start to send the first line after this time; 0: while the call is open
-    address: tuple = None  # that it was connected to
-    end: ev.ConnectionEnd = None
-    write_issued: bool = False  # the first line was passed to the workers
-    written: bool = False  # the first line was written completely
-    up: bool = False  # the host accepted the call (UP)
-    ended: bool = False
-    announced_ending: Ending = None  # from the host's last line (BYE, MOVE or BUSY)
-    established_order: int = 0  # rises in the order in which legs are established
-    signals: ConnectionSignals = field(default_factory=ConnectionSignals)
-
-
-@dataclass(eq=False)
-class Conn:
-    """A client's connection and its call. The object is also the call's id for the balancer."""
-
-    client: ev.ConnectionEnd
-    accepted_at: int
-    request: lines.OpenRequest = None
-    type: io.TrafficType = None  # as configured when the call was opened; later reloads do not change it
-    max_legs: int = 1  # likewise
-    guard: int = 0  # the end of its guard time
-    legs: list = field(default_factory=list)
-    answered: bool = False  # it has had its final answer, or its client has left
-    up: bool = False  # established: a host accepted the call
-    move_reason: str = ""  # reason code if the client is to be moved; "" if not
-    reason: str = ""  # reason code of its end; "" while it is open
-    setup_time: int = 0
-    pings: int = 0  # received before the first line
-    counted: bool = False  # its answer is included in the counters
-    order: int = 0  # rises in the order of arrival
-    registered_at: int = 0  # when the reducer learned of it
-
-
-@dataclass(eq=False)
-class Host:
-    """What a front end knows of a host: its address, its legs and the delay of its messages."""
-
-    name: object
-    message_delays: MessageDelays
-    address: tuple = None
-    legs: dict = field(default_factory=dict)  # established legs, used as an ordered set
-    order: int = 0  # rises in the order in which hosts are first seen
-    awaiting_echo: ActiveSet = None  # legs on which a line may be waiting for its echo
-
-    def __post_init__(self):
-        """Sets up `awaiting_echo`, which needs the object itself."""
-        self.awaiting_echo = ActiveSet(
-            lambda leg: leg in self.legs and leg.signals.awaiting_echo, attrgetter("established_order")
-        )
-
-
 class Reducer:
     """The state of a node; `step` advances it.
 
@@ -142,10 +83,7 @@
         self.probes = 0  # number of running probes
         self.counters = Counters(())
         self.has_hosts, self.drain_controller = False, DrainController(self)
-        # whether a successor takes over connections, and the connection that it is being offered now
-        self.transfers_enabled, self.transferring = False, None
-        # connections still to be offered, and those that were busy when it was their turn
-        self.transfer_queue, self.transfer_retries = deque(), []
+        self.transfers = ConnectionTransfers(self)
         self.mean_load = 0.0  # moving average of the reported loads
         self.apply_config(config)
         self.handlers = {
@@ -163,8 +101,8 @@
             ev.ReloadRejected: self.reload_rejected,
             ev.StateInherited: self.state_inherited,
             ev.HandOverRequested: self.hand_over_requested,
-            ev.TransferDone: self.transfer_done,
-            ev.TransferOffered: self.transfer_offered,
+            ev.TransferDone: self.transfers.offer_done,
+            ev.TransferOffered: self.transfers.adopt,
             ev.Tick: lambda e: None,
         }
         self.call_later(SWEEP_INTERVAL, self.sweep)
@@ -611,8 +549,7 @@
             leg.host = self.get_or_add_host(leg.host.name)
             conn.setup_time = self.now - conn.accepted_at
             self.leg_established(leg)
-            if self.transfers_enabled:
-                self.transfer_retries.append(conn)
+            self.transfers.on_established(conn)
             if conn.request.held_by is None:
                 self.queue_event(io.LegAccepted(conn, leg.number, 0))
             self.forward(leg, data, len(first) + 1)
@@ -793,7 +730,7 @@
         if not (conn.up or reattaching) or conn.reason or conn.move_reason:
             return
         conn.move_reason = reason
-        if conn.up and not conn.client.writing_since and conn is not self.transferring:
+        if conn.up and not conn.client.writing_since and conn is not self.transfers.offered:
             self.move_now(conn)
 
     def move_now(self, conn):
@@ -1016,7 +953,7 @@
                     self.check_end(leg.end)
         self.counters.hosts_down = self.balancer.membership.count_unavailable(self.now)
         if self.drain_controller.stopping:
-            self.transfer(self.transfer_retries)
+            self.transfers.retry()
             self.drain_controller.stop_when_done()
 
     def check_end(self, end):
@@ -1126,139 +1063,3 @@
                 ids=tuple(self.calls_by_id),
             )
         )
-
-    def transfer(self, conns):
-        """Queues established connections for transfer to the successor."""
-        self.transfer_queue.extend(conns)
-        self.transfer_retries.clear()
-        self.transfer_next()
-
-    def transfer_next(self):
-        """Offers the next idle connection to the successor, one at a time.
-
-        A connection is idle between two lines, with nothing pending on either side.
-        """
-        while self.transfer_queue and self.transferring is None:
-            conn = self.transfer_queue.popleft()
-            leg, ends = conn.legs[-1], (conn.client, conn.legs[-1].end)
-            if conn.reason or conn.move_reason:
-                continue
-            if leg.announced_ending or any(end.writing_since or not end.read_pending for end in ends):
-                self.transfer_retries.append(conn)
-                continue
-            request, self.transferring = conn.request, conn
-            self.effects.append(
-                ev.Transfer(
-                    conn,
-                    *ends,
-                    handover.OpenConnection(
-                        request.id,
-                        conn.type.name,
-                        leg.host.name,
-                        conn.accepted_at,
-                        conn.setup_time,
-                        request.key,
-                        request.group,
-                        request.tenant,
-                        leg.signals.load,
-                        tuple(leg.signals.awaiting_echo),
-                    ),
-                )
-            )
-
-    def transfer_done(self, e):
-        """Releases a connection that the successor has accepted, and offers the next one."""
-        conn, self.transferring = e.conn, None
-        if e.accepted:
-            leg = conn.legs[-1]
-            conn.answered, conn.reason, leg.ended = True, "handed-over", True
-            self.detach_from_host(leg)
-            self.queue_event(io.LegEnded(conn, leg.number, Ending.OK, True))
-            self.max_sockets -= 2  # its two sockets count for the successor now
-            for end in (leg.end, conn.client):
-                end.read_pending, end.input_ended = False, True
-                self.free(end)
-        elif conn.move_reason:  # it was asked to move meanwhile
-            self.move_now(conn)
-        elif e.retry:
-            self.transfer_retries.append(conn)
-        self.transfer_next()
-
-    def transfer_offered(self, e):
-        """Takes over an established connection from the previous process.
-
-        It continues as if it had been opened here, with the traffic type of the same name. It is not counted
-        again.
-        """
-        offered = e.connection
-        type_number = self.names.types.get(offered.type)
-        if type_number is None or offered.id in self.calls_by_id or self.drain_controller.stopping:
-            for end in (e.client, e.host):
-                end.freed = True
-                self.effects.append(ev.Free(end))
-            e.reply(False)
-            return
-        request = lines.OpenRequest(
-            b"",
-            offered.id,
-            type_number,
-            0,
-            offered.key,
-            offered.group,
-            offered.tenant,
-            offered.load,
-            held_by=offered.host,
-        )
-        conn = Conn(
-            e.client,
-            offered.began,
-            request,
-            self.config.types[type_number],
-            up=True,
-            setup_time=offered.setup,
-            counted=True,
-            order=self.next_order(),
-        )
-        leg = Leg(
-            conn,
-            0,
-            self.get_or_add_host(offered.host),
-            0,
-            end=e.host,
-            write_issued=True,
-            written=True,
-            up=True,
-            signals=ConnectionSignals(load=offered.load),
-        )
-        leg.signals.awaiting_echo.extend(offered.waiting)
-        conn.legs.append(leg)
-        e.client.conn = e.host.conn = conn
-        e.host.leg, e.host.connected = leg, True
-        self.conns[conn] = None
-        self.leg_established(leg)
-        if offered.waiting:
-            self.expect_echo(leg)
-        # The id was among the open ones that the previous process handed over.
-        self.ended_ids.pop(offered.id, None)
-        self.calls_by_id[offered.id] = conn
-        self.open_sockets += 2
-        self.queue_event(
-            io.CallArrived(
-                conn,
-                type_number,
-                0,
-                offered.key,
-                offered.group,
-                offered.tenant,
-                offered.load,
-                held_by=offered.host,
-            )
-        )
-        if offered.load:
-            self.report_load(leg, offered.load)
-        for end in (e.client, e.host):
-            self.read(end)
-        self.effects.append(
-            ev.Log("adopted", {"call": offered.id, "type": offered.type, "host": offered.host})
-        )
-        e.reply(True)
