Lab: a host that moves nobody when it drains moves no call in set-up either

Cause: the model of a host sent MOVE to each call that was in set-up as its drain began, also where hosts.traits.drain is none. It so hid a node that never asks such a client, and the node took the MOVE for a host that moves its clients itself.

Shown: the new test fails without the change ('none': UP, MOVE, end).

--- a/cottonspread/lab/model.py
+++ b/cottonspread/lab/model.py
@@ -220,7 +220,7 @@
             HostEvent("ran", conn, round(connection.load)),
             SendLine(now, conn, b"UP %x" % (self.setups * 65536 + (now & 65535))),
         ]
-        if self.state == "draining":
+        if self.state == "draining" and self.traits.drain != "none":
             out += [SendLine(now, conn, b"MOVE"), Close(now, conn, "end")]
         elif self.traits.tells_load:
             out += [SendLine(now, conn, b"LOAD %d" % connection.load), self.next_change(conn)]
--- a/tests/lab/test_lab_parts.py
+++ b/tests/lab/test_lab_parts.py
@@ -188,6 +188,14 @@
     assert driver.host.state == "down" and not driver.host.conns
 
 
+@pytest.mark.parametrize("how, lines", [("paced", [b"UP", b"MOVE", "end"]), ("none", [b"UP", b"LOAD"])])
+def test_a_call_in_set_up_as_its_host_begins_to_drain_is_treated_like_the_others(how, lines):
+    """Guards against a model that hides a node's fault: it moved this client though it moves nobody."""
+    driver = ModelDriver(drain=how, drain_s=3, setup_us=100_000).open("a")
+    driver.apply(driver.host.start_fault(SECOND + 1000, "drain", 5 * SECOND))
+    assert driver.until(2 * SECOND).events_of("a") == lines
+
+
 def test_a_half_dead_host_reads_everything_and_answers_nothing():
     driver = ModelDriver().open("a").until(2 * SECOND)
     before = len(driver.sent)
