Soak: the node's port is none that the system gives to other processes

Cause: the runner asked the system for a free port and gave it back before the node listened on it; the tests beside it are given ports from the same range.

Change: the port is drawn from below the range that the system assigns; a failed soak test shows the end of the node's log.

--- a/cottonspread/lab/soak/runner.py
+++ b/cottonspread/lab/soak/runner.py
@@ -5,6 +5,7 @@
 import json
 import os
 import resource
+import secrets
 import selectors
 import signal
 import socket
@@ -30,6 +31,19 @@
 PING_INTERVAL = 0.5
 RESOURCE_LIMITS = (192, 1024)  # of the node: MB, descriptors
 DRIVER_DESCRIPTORS = 4096
+FIRST_PORT = 10_000  # below it are the ports of well-known services
+
+
+def unassigned_address():
+    """A free loopback address whose port the system assigns to nobody, (host, port).
+
+    A port that the system assigns can be taken by another process before the node listens on it.
+    """
+    first_assigned = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    while True:
+        address = "127.0.0.1", secrets.choice(range(FIRST_PORT, max(first_assigned, FIRST_PORT + 1000)))
+        with contextlib.suppress(OSError), socket.create_server(address):
+            return address
 
 
 class Client:
@@ -118,8 +132,7 @@
         self.established, self.idle_sockets, self.number = {}, [], 0
         self.directory = tempfile.TemporaryDirectory()
         self.file = Path(self.directory.name) / "node.json"
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.address = free.getsockname()
+        self.address = unassigned_address()
 
     def disconnected_by_host(self, call):
         """Returns whether a host that got this call has a fault that disconnects clients."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,6 +9,7 @@
 """
 
 import gc
+from pathlib import Path
 
 import pytest
 
@@ -19,11 +20,18 @@
 def test_run_has_no_violations(seed):
     record = runner.SoakRun(plan.generate(seed)).run()
     found = audit.violations(record, runner.MAX_WAIT, runner.RESOURCE_LIMITS)
-    assert not found, found[:10]
+    assert not found, (found[:10], record.log[-2000:])
     assert not audit.invalid_reason(record), audit.invalid_reason(record)  # an invalid run does not pass
     assert len(record.calls) > 50
 
 
+def test_no_neighbour_is_given_the_node_s_port():
+    """Guards against a node that cannot listen since another test got its port meanwhile."""
+    first_assigned = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    addresses = [runner.SoakRun(plan.generate(1)).address for _ in range(20)]
+    assert all(port < first_assigned for _, port in addresses) and len(set(addresses)) > 10
+
+
 def test_plan_depends_on_the_seed_alone_and_leaving_out_a_fault_keeps_the_rest():
     full = plan.generate(10)
     assert plan.generate(10) == full and plan.generate(11) != full
