--- a/cottonspread/policy/drain_moves.py
+++ b/cottonspread/policy/drain_moves.py
@@ -11,12 +11,12 @@
     """When the next client of a draining server is asked to move.
 
     This follows from the server's state at each step, not from a list of clients made when the drain was
-    told: clients also come to stand there later, handed over by the previous process or accepted just then.
+    told: clients are also added later, handed over by the previous process or accepted just then.
     """
 
     FIRST_MOVE_AFTER = SECOND // 2  # by then a server that moves its clients itself has begun to do so
-    LATER_MOVE_AFTER = SECOND // 4  # for clients that come later: several come at once in a hand-over
-    MOVES_TAKE = SECOND // 2  # from the first move on, evenly spread over all clients there
+    LATER_MOVE_AFTER = SECOND // 4  # for clients added later: in a hand-over, several are within this time
+    MOVES_TAKE = SECOND // 2  # from the first move on, evenly spread over all clients of the server
 
     def __init__(self, node):
         """`node`: the node's `Balancer`."""
@@ -29,7 +29,7 @@
         self.schedule(host)
 
     def schedule(self, host):
-        """Sets the timer of the next move off the server, if a client is still to be asked there."""
+        """Sets the timer of the next move off the server, if one of its clients is still to be asked."""
         drain, now = host.drain, self.node.now
         if drain is None or drain.timer_set or not host.staying or not self.may_move(drain):
             return
@@ -42,7 +42,7 @@
         self.node.pending.append(io.Timer(after, "off"))
 
     def move_next(self):
-        """Handles a timer: asks the client that has stood at its server the longest."""
+        """Handles a timer: asks the client that has been connected to its server the longest."""
         if not self.due:
             return
         _, _, host, drain = heappop(self.due)
@@ -56,9 +56,9 @@
                     io.Log(f"{host.name}: draining: moving {len(host.staying)} connections")
                 )
             self.node.move(next(iter(host.staying)))
-        if not host.staying:
-            drain.move_by = 0
         self.schedule(host)
+        if not drain.timer_set:  # nobody is left to be asked
+            drain.move_by = 0
 
     def may_move(self, drain):
         """Whether clients are to be asked: unless the server does so itself, or moves cost too much."""
