--- a/tests/crossings/test_handover.py
+++ b/tests/crossings/test_handover.py
@@ -1,6 +1,6 @@
 """Transfer of an established connection between processes, where the sender dies at each step.
 
-See also `tests/test_succession.py`.
+See also `tests/test_succession.py` and `tests/test_replacement.py`.
 """
 
 import contextlib
--- a/tests/scale/test_balancer_work.py
+++ b/tests/scale/test_balancer_work.py
@@ -168,7 +168,7 @@
     assert len(node.balancer.records) <= 20 + 1 + 1
 
 
-def test_a_move_off_a_draining_server_costs_the_same_however_many_clients_stand_there():
+def test_a_move_off_a_draining_server_costs_the_same_however_many_clients_it_has():
     """Guards against searching all connections of the server for those that are still to be moved."""
 
     def work(connections):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -26,7 +26,7 @@
 
 
 def test_no_neighbour_is_given_the_node_s_port():
-    """Guards against a node that cannot listen since another test got its port meanwhile."""
+    """Guards against a node that cannot listen because another test got its port meanwhile."""
     first_assigned = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
     addresses = [runner.SoakRun(plan.generate(1)).address for _ in range(20)]
     assert all(port < first_assigned for _, port in addresses) and len(set(addresses)) > 10
