A client that leaves a draining server no longer keeps the others there from being moved

Cause: the policy took every cancelled leg on a draining server that it had not asked to move for a move by the server, and asked nobody from then on. The front end ends a leg as cancelled also when its client leaves and at its own moves (a node's drain, a silent or stuck host).

Evidence: a log line 'draining: moves its clients itself', added first; with the old condition it stood in the same millisecond as the end of the client that left.

Change: LegEnded tells whether the host announced the move; the policy acts on that alone, and rules out calls that their clients gave up where a front end cannot tell.

--- a/cottonspread/driver.py
+++ b/cottonspread/driver.py
@@ -130,7 +130,7 @@
         if isinstance(e, io.LegAccepted):
             self.accept_leg(leg, e)
             return
-        self.leg_ended(leg, e.ending)
+        self.leg_ended(leg, e)
         if call.ended:
             self.forget(call)
         elif e.closed:
@@ -226,8 +226,8 @@
         """Called when a leg is accepted for the first time."""
         raise NotImplementedError
 
-    def leg_ended(self, leg, ending):
-        """Called at the end of a leg, whatever its cause; it has to close the leg."""
+    def leg_ended(self, leg, e):
+        """Called with the `LegEnded` of a leg, whatever its cause; it has to close the leg."""
         raise NotImplementedError
 
     def client_gave_up(self, call):
--- a/cottonspread/interface.py
+++ b/cottonspread/interface.py
@@ -215,6 +215,9 @@
     ending: Ending
     closed: bool  # the call needs no further leg or answer
     waited: int = 0
+    # Of a cancelled leg: whether the host cancelled it, to move its client. A front end that cannot tell
+    # leaves it True.
+    cancelled_by_host: bool = True
 
 
 @dataclass(frozen=True)
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -508,7 +508,9 @@
         self.detach_from_host(leg)
         conn = leg.conn
         closed = conn.answered or conn.up or conn.request.held_by is not None
-        self.queue_event(io.LegEnded(conn, leg.number, ending, closed))
+        # A client that leaves and this node's own moves cancel a leg too.
+        cancelled_by_host = leg.announced_ending is Ending.CANCELLED
+        self.queue_event(io.LegEnded(conn, leg.number, ending, closed, cancelled_by_host=cancelled_by_host))
         if leg.end is not None:
             self.shut_down(leg.end, reset)
         if closed and not conn.answered and not conn.up:  # open before the start, the host does not know it
--- a/cottonspread/policy/drain_moves.py
+++ b/cottonspread/policy/drain_moves.py
@@ -60,6 +60,17 @@
         if not drain.timer_set:  # nobody is left to be asked
             drain.move_by = 0
 
+    def leg_cancelled(self, leg):
+        """Handles a connection that its server may have cancelled, to move the client itself.
+
+        It did not if the client gave up, or if this node asked the client to move.
+        """
+        drain = leg.host.drain
+        if drain is None or drain.moves_own_clients or leg.call.ended or leg.move_requested:
+            return
+        drain.moves_own_clients = True
+        self.node.pending.append(io.Log(f"{leg.host.name}: draining: moves its clients itself"))
+
     def may_move(self, drain):
         """Whether clients are to be asked: unless the server does so itself, or moves cost too much."""
         return not drain.moves_own_clients and self.node.may_request_moves()
--- a/cottonspread/policy/path.py
+++ b/cottonspread/policy/path.py
@@ -123,22 +123,22 @@
             if other.ending is Ending.ERROR:
                 self.record_failure(other.host, other.ending)
 
-    def leg_ended(self, leg, ending):
+    def leg_ended(self, leg, e):
         """Updates sums, records and health after the end of a leg, whatever its cause."""
         self.sums.add(leg.host, -1, -self.loads.freed_by(leg))
-        leg.close(ending)
-        if ending in (Ending.OK, Ending.CANCELLED):
-            self.leg_ended_normally(leg)
+        leg.close(e.ending)
+        if e.ending in (Ending.OK, Ending.CANCELLED):
+            self.leg_ended_normally(leg, e.cancelled_by_host)
         else:
             self.leg_failed(leg)
         self.membership.drop_gone([leg.host])
 
-    def leg_ended_normally(self, leg):
+    def leg_ended_normally(self, leg, cancelled_by_host):
         """Handles a leg that completed or was cancelled. A draining server may cancel to move its clients."""
         host = leg.host
         self.records.touch(leg.call.key, host, self.now)
-        if host.drain and leg.ending is Ending.CANCELLED and not leg.move_requested:
-            host.drain.moves_own_clients = True
+        if leg.ending is Ending.CANCELLED and cancelled_by_host:
+            self.drain_moves.leg_cancelled(leg)
         if leg.ending is Ending.OK and not leg.accepted:
             self.record_success(host)
 
