Configuration store: the head of a request is read once, however slowly its body follows

Cause: with each piece received the connection split all its bytes anew, and read and decoded the head again.

Change: configstore/requests.py reads requests from the bytes of a connection and looks at each byte once.

Shown: in the loop of test_a_head_is_read_once the old code reads the head 3,001 times; test_partially_received_bytes_are_bounded_over_all_connections fails on the old server.

--- a/cottonspread/configstore/server.py
+++ b/cottonspread/configstore/server.py
@@ -13,18 +13,18 @@
 import random
 import selectors
 import socket
+from collections import OrderedDict
 from collections.abc import Callable
 
 from cottonspread.configstore import messages as m
 from cottonspread.configstore import replica as core
 from cottonspread.configstore import storage
 from cottonspread.configstore.callers import POST_PATHS, WATCH_PATH, CallError, Callers, now
+from cottonspread.configstore.requests import RequestError, RequestReader
 
 log = logging.getLogger("cottonspread.configstore")
 
 STATE_FILE = "replica.json"
-MAX_HEAD_BYTES = 8 * 1024
-"""Bytes of a request's head: twice the longest query, which leaves room for the usual headers."""
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 """Bytes of all partially received requests together."""
 MAX_CONNECTIONS = core.MAX_WATCHES + core.MAX_READERS + core.MAX_QUEUED_WRITES
@@ -43,58 +43,17 @@
 REASON_PHRASES = {200: "OK", 400: "Bad Request", 404: "Not Found", 503: "Service Unavailable"}
 
 
-class RequestError(ValueError):
-    """A request that cannot be served; `status` is the HTTP status."""
-
-    def __init__(self, status: int, why: str):
-        """`why`: the text of the response."""
-        super().__init__(why)
-        self.status = status
-
-
 class Connection:
     """A client connection: received bytes, unsent bytes and the request being served."""
 
     def __init__(self, sock: socket.socket, at: int):
         """`at`: the time of the connection, in microseconds."""
-        self.sock, self.data, self.unsent = sock, b"", b""
+        self.sock, self.reader, self.unsent = sock, RequestReader(), b""
         self.request: int | None = None
         self.waiting_since = at
         """When it last began to wait for bytes or for its reply to be read."""
         self.closing = False
 
-    def next_request(self):
-        """Returns (method, target, body) of a complete request, or None. Raises RequestError."""
-        head, end, rest = self.data.partition(b"\r\n\r\n")
-        if not end:
-            if len(self.data) > MAX_HEAD_BYTES:
-                raise RequestError(400, "the head is too long")
-            return None
-        method, target, size = self._read_head(head)
-        if len(rest) < size:
-            return None
-        self.data = rest[size:]
-        return method, target, rest[:size]
-
-    def _read_head(self, head: bytes):
-        if len(head) > MAX_HEAD_BYTES:
-            raise RequestError(400, "the head is too long")
-        first, *lines = head.decode("latin-1").split("\r\n")
-        words = first.split(" ")
-        if len(words) != 3 or not words[2].startswith("HTTP/1."):
-            raise RequestError(400, "invalid request line")
-        headers = {}
-        for line in lines:
-            name, _, value = line.partition(":")
-            headers[name.strip().lower()] = value.strip()
-        size = headers.get("content-length", "0")
-        if "transfer-encoding" in headers or not size.isascii() or not size.isdigit() or len(size) > 9:
-            raise RequestError(400, "invalid Content-Length, or Transfer-Encoding, which is not supported")
-        if int(size) > m.MAX_MESSAGE_BYTES:
-            raise RequestError(400, f"the body is longer than {m.MAX_MESSAGE_BYTES} bytes")
-        self.closing = words[2] == "HTTP/1.0" or headers.get("connection", "").lower() == "close"
-        return words[0], words[1], int(size)
-
 
 def read_message(method: str, target: str, body: bytes):
     """Decodes the message of a request. Raises RequestError."""
@@ -153,6 +112,8 @@
         self._listener, self._selector = listener, selectors.DefaultSelector()
         self._connections: dict[socket.socket, Connection] = {}
         self._pending: dict[int, Connection] = {}
+        self._partial: OrderedDict[Connection, None] = OrderedDict()
+        """Connections with part of a request, the one that has sent nothing for the longest first."""
         self._requests, self._buffered, self._last_sweep, self._stopped = 0, 0, 0, False
         self._callers, self._inbox = Callers(), queue.SimpleQueue()
         self._wake_reader, self._wake_writer = socket.socketpair()
@@ -285,27 +246,36 @@
         if not data or connection.request is not None or connection.unsent:
             self._drop(connection)
             return
-        if not connection.data:
+        self._add_received(connection, data)
+        self._read_request(connection)
+
+    def _add_received(self, connection: Connection, data: bytes) -> None:
+        if connection not in self._partial:
             connection.waiting_since = now()
+        self._partial[connection] = None
+        self._partial.move_to_end(connection)
+        connection.reader.feed(data)
         self._buffered += len(data)
-        connection.data += data
-        if self._buffered > MAX_BUFFERED_BYTES:
-            self._drop(connection)
-            return
-        self._read_request(connection)
+        while self._buffered > MAX_BUFFERED_BYTES:
+            self._drop(next(iter(self._partial)))
 
     def _read_request(self, connection: Connection) -> None:
-        before = len(connection.data)
+        if connection not in self._partial:
+            return
+        buffered = len(connection.reader.data)
         try:
-            request = connection.next_request()
-            self._buffered -= before - len(connection.data)
+            request = connection.reader.next_request()
             if request is None:
                 return
-            message = read_message(*request)
+            message = read_message(request.head.method, request.head.target, request.body)
         except RequestError as error:
             connection.closing = True
             self._respond(connection, error.status, str(error).encode())
             return
+        finally:
+            self._buffered += len(connection.reader.data) - buffered
+        del self._partial[connection]
+        connection.closing = request.head.closes
         self._requests += 1
         connection.request = self._requests
         self._pending[self._requests] = connection
@@ -346,7 +316,8 @@
     def _drop(self, connection: Connection) -> None:
         if self._connections.pop(connection.sock, None) is None:
             return
-        self._buffered -= len(connection.data)
+        self._partial.pop(connection, None)
+        self._buffered -= len(connection.reader.data)
         self._selector.unregister(connection.sock)
         connection.sock.close()
         if connection.request is not None:
@@ -361,6 +332,6 @@
             elif connection.request is not None:
                 continue  # the core ends it at its deadline
             else:
-                timeout = REQUEST_TIMEOUT if connection.data else IDLE_TIMEOUT
+                timeout = REQUEST_TIMEOUT if connection in self._partial else IDLE_TIMEOUT
             if self._last_sweep - connection.waiting_since > timeout:
                 self._drop(connection)
