Configuration store: a request before the reply to the one before it is refused

Cause: one request was served for each read of up to 64 KB, the others were kept.

Change: bytes behind a complete request are answered 400 and the connection is closed before anything of it is served; bytes that come while a request is served already closed it.

Shown: test_a_request_before_the_reply_to_the_one_before_is_refused_and_neither_is_served fails on the old server (the accept was stored).

--- a/cottonspread/configstore/server.py
+++ b/cottonspread/configstore/server.py
@@ -267,6 +267,8 @@
             request = connection.reader.next_request()
             if request is None:
                 return
+            if connection.reader.data:
+                raise RequestError(400, "a request before the reply to the one before it")
             message = read_message(request.head.method, request.head.target, request.body)
         except RequestError as error:
             connection.closing = True
--- a/tests/configstore/test_shell_server.py
+++ b/tests/configstore/test_shell_server.py
@@ -95,6 +95,19 @@
     assert reader.next_request().body == b"x" * 3_000 and len(heads) == 1
 
 
+def test_a_request_before_the_reply_to_the_one_before_is_refused_and_neither_is_served(running):
+    """Guards against a backlog of requests: one client filled the buffer that all share, and what it had
+    sent was served after it had left.
+    """
+    with running.connect(post("accept", m.encode(ACCEPT)) + post("state", b"{}")) as sock:
+        status, body = answer(sock)
+        assert status == 400 and b"before the reply" in body
+        assert answer(sock) == (0, b""), "closed"
+    with running.connect(post("state", b"{}")) as sock:
+        assert m.decode(answer(sock)[1], m.StateReply).accepted == m.EMPTY_POSITION
+    assert running.server._buffered == 0
+
+
 @pytest.mark.parametrize(
     "data, status, expected",
     [
