Ever new names no longer make a node pass its memory limit

What callers saw: a node of 32 MB grew from 27 to 73 MB in 12 s under 400 calls a second with ever new long groups and 20 s to wait (trial).

Cause: records kept names of up to 4 KiB; timers kept ended calls until their deadline; 50,000 records took 18 MB (trial) whatever the memory limit.

--- a/cottonspread/net/lines.py
+++ b/cottonspread/net/lines.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import hashlib
 import re
 import socket
 import struct
@@ -18,6 +19,7 @@
 STATS, MAX_REPORT_BYTES = b"STATS\r\n", 4096
 ENDINGS = {b"BYE": Ending.OK, b"MOVE": Ending.CANCELLED, b"BUSY": Ending.FULL}
 WORD, NUMBER = re.compile(r"[!-~]{1,64}"), re.compile(r"[0-9]+")
+MAX_GROUP_LENGTH = 64  # characters of a group's name that are kept as they are
 
 
 # The socket module does not define SO_TIMESTAMPNS; 35 is its value on Linux.
@@ -152,6 +154,17 @@
     held_by: str = None  # the host at which the call is open already
 
 
+def group_key(name):
+    """The key under which a group is remembered; every node has the same one.
+
+    A long name is replaced by its digest: a line has room for names of nearly 4 KiB, and as many groups are
+    remembered as records are kept.
+    """
+    if len(name) <= MAX_GROUP_LENGTH:
+        return name
+    return hashlib.sha256(name.encode()).hexdigest()
+
+
 def parse_open(line, types, tenants, use_groups, max_wait):
     """Parses `OPEN ID KEY NAME=VALUE,..`; raises LineError with the reason code.
 
@@ -184,7 +197,7 @@
         types[pairs["c"]],
         timeout,
         words[2],
-        group if use_groups else None,
+        group_key(group) if use_groups and group is not None else None,
         tenants.get(pairs.get("t"), 0),
         load,
         pairs.get("again") == "1",
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -43,6 +43,8 @@
 NO_CALL_REASONS = {"ping", "no-first-line", "not-ready"}
 SPARE_DESCRIPTORS = 32  # for the listener, discovery, logs, and for refusing clients
 BASE_MB, CONNECTION_END_KB = 24, 32  # memory of a node without connections, and of one connection end
+RECORD_BYTES = 400  # memory of a key that is remembered
+RECORDS_MEMORY_DIVISOR = 8  # at most 1 / this of the memory beyond `BASE_MB` is for keys that are remembered
 
 
 class Clock:
@@ -68,6 +70,12 @@
     )
 
 
+def record_limit(resource_limits):
+    """How many keys without a connection the limit on memory allows to remember."""
+    memory = (resource_limits.memory_mb - BASE_MB) * 1024 * 1024
+    return memory // RECORDS_MEMORY_DIVISOR // RECORD_BYTES
+
+
 def admission_target(node_config):
     """The target for the time that first lines wait here, see `AdmissionLimiter`."""
     return min(t.setup_target for t in node_config.types) // 4
@@ -139,6 +147,7 @@
             on_list,
             watch_at_once(node_config, update, on_list is not None),
         )
+        node_config = replace(node_config, max_idle_records=record_limit(resource_limits))
         self.reducer = Reducer(self.clock.now(), node_config, names, host_protocol, self.max_sockets)
         self.discovery.start_with(
             update, addresses, invalid, trusted=node_config.server_list.polled or on_list is not None
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -9,6 +9,7 @@
 """
 
 import heapq
+import weakref
 from collections import deque
 from itertools import islice
 from operator import attrgetter
@@ -175,6 +176,20 @@
         """Calls `callback(*args)` after the given time span."""
         self.call_at(self.now + span, callback, *args)
 
+    def call_at_deadline(self, when, callback, item, *args):
+        """Calls `callback(item, *args)` at the given time if the item is still in use then.
+
+        Most calls end long before their deadline, and a timer must not keep them in memory until then.
+        """
+        self.call_at(when, self.call_if_in_use, callback, weakref.ref(item), *args)
+
+    @staticmethod
+    def call_if_in_use(callback, reference, *args):
+        """Calls `callback` with the item that a weak reference refers to, unless that is gone."""
+        item = reference()
+        if item is not None:
+            callback(item, *args)
+
     def next_order(self):
         """A number greater than all earlier ones."""
         self.last_sequence += 1
@@ -323,7 +338,7 @@
             self.end_call(conn, "held-by-unknown", lines.ERR)
             return
         self.read(conn.client)  # to notice when the client leaves
-        self.call_at(conn.guard + self.config.tick, self.end_overdue_call, conn)
+        self.call_at_deadline(conn.guard + self.config.tick, self.end_overdue_call, conn)
         self.queue_event(
             io.CallArrived(
                 conn,
@@ -421,7 +436,7 @@
         leg.end = ev.ConnectionEnd(False, conn, leg)
         self.open_sockets += 1
         self.effects.append(ev.Connect(leg.end, host.address, connect_timeout))
-        self.call_at(deadline, self.leg_timed_out, leg)
+        self.call_at_deadline(deadline, self.leg_timed_out, leg)
 
     def leg_timed_out(self, leg, extended=False):
         """Ends a leg whose host has not answered by the deadline.
@@ -434,9 +449,9 @@
             return
         late, latest = self.lateness.recent_max(self.now), leg.conn.guard - 2 * self.config.tick
         if not extended and late and leg.deadline + late <= latest:
-            self.call_at(leg.deadline + late, self.leg_timed_out, leg, True)
+            self.call_at_deadline(leg.deadline + late, self.leg_timed_out, leg, True)
         elif not extended and late and self.now < latest:
-            self.call_at(latest, self.cancel_leg, leg)
+            self.call_at_deadline(latest, self.cancel_leg, leg)
         else:
             self.end_leg(leg, Ending.TIMEOUT if extended or not late else Ending.CANCELLED)
 
--- a/cottonspread/policy/path.py
+++ b/cottonspread/policy/path.py
@@ -64,7 +64,8 @@
     def __init__(self, now, config):
         """`config`: a `NodeConfig`."""
         settings, rng = Settings(config, SlowStart.DEFAULT_NODES), SeededRandom(config.seed)
-        super().__init__(now, settings, Membership(rng, settings, config.dynamic_weights), Records())
+        membership = Membership(rng, settings, config.dynamic_weights)
+        super().__init__(now, settings, membership, Records(config.max_idle_records))
         self.rng, self.groups, self.loads = rng, Groups(), Loads()
         self.arrivals = SlidingCount(SECOND // 4, 64)  # arrived calls, over up to 16 s
         self.readings, self.rotation = Readings(rng, settings), Rotation(rng)
