--- a/tests/test_memory_bounds.py
+++ b/tests/test_memory_bounds.py
@@ -4,7 +4,7 @@
 import weakref
 
 import pytest
-from notation import traffic_type
+from notation import ms, traffic_type
 from test_reducer import World
 
 from cottonspread import config
@@ -49,7 +49,7 @@
     world.act(3, "connected", ["h1"])
     world.act(4, "read", ["h1", "UP", "r"])
     world.act(5, "end", ["c1"])
-    world.act(400, "tick", [])  # past the next sweep
+    world.act(ms(400), "tick", [])  # past the next sweep
     world.ends.clear()
     world.names.clear()
     world.freed.clear()
