Two processes of a replacement share the ids of calls, so that none runs at both

Cause: the ids of open calls were told once, and nothing after that, nor back.

Change: the successor makes a file, to which both append each id before they handle a first line; the first record of an id decides. The pure reducer is told by LinesRead.id_taken. When one of the two has ended the other remembers what it took.

--- a/cottonspread/cli/takeover.py
+++ b/cottonspread/cli/takeover.py
@@ -5,7 +5,8 @@
 file (`.wanted`) with a token of its own. The serving process writes a reply file (`.handed`) with the same
 token and its state, and the successor starts accepting connections. Without a reply within a second it starts
 without that state, because a hanging predecessor must not keep it from serving. When the predecessor stops,
-it passes its established connections to the successor through a Unix socket (`.heir`).
+it passes its established connections to the successor through a Unix socket (`.heir`). While both accept
+connections they share the ids of calls (`.ids`, see `net.shared_ids`).
 """
 
 import contextlib
@@ -79,6 +80,7 @@
             f"{os.getpid()} {time.time_ns()}",
         )
         self.transfer_path, self.transfer_listener, self.successor_token = base + ".heir", None, None
+        self.ids_path = base + ".ids"
         self.lock = control.Lock(base + ".lock")
         self.initial_list = InitialList(parts, base + ".list", LIST_TIMEOUT)
         self.requested_at, self.has_lock, self.state = 0.0, False, "waiting"
@@ -96,6 +98,7 @@
                 else:
                     self.state, self.requested_at = "asking", now
                     self.listen_for_connections(node)
+                    node.share_ids(self.ids_path)
                     self.write_file(self.request_path, self.token)
         elif self.state == "asking":
             reply, timed_out = self.read_reply(), now - self.requested_at >= ANSWER_TIMEOUT
@@ -110,6 +113,7 @@
                 if self.transfer_listener:
                     self.transfer_listener.shutdown(socket.SHUT_RDWR)  # wakes its thread
                     self.transfer_listener = None
+            node.check_shared_ids(predecessor_may_join=not self.has_lock)
             self.answer_request(node)
 
     def start_serving(self, node, handover_state):
@@ -191,6 +195,7 @@
         if token == self.token:  # this process's own request, which nobody answered
             self.remove_file(self.request_path)
             return
+        node.join_shared_ids(self.ids_path)
         handover_state = node.hand_over_state()
         if handover_state:
             self.remove_file(self.request_path)
--- a/cottonspread/lab/sim/invariants.py
+++ b/cottonspread/lab/sim/invariants.py
@@ -611,7 +611,7 @@
             balancer.sums.load,
         )
         open_ids = {c.request.id for c in reducer.conns if c.request and not c.reason}
-        self.require(open_ids <= reducer.calls_by_id.keys(), COUNTERS, "ids of calls that are open", name)
+        self.require(open_ids <= reducer.call_ids.open.keys(), COUNTERS, "ids of calls that are open", name)
         established = sum(len(s.legs) for s in reducer.hosts.values())
         self.require(
             established == sum(c.up and not c.legs[-1].ended for c in reducer.conns),
--- a/cottonspread/net/events.py
+++ b/cottonspread/net/events.py
@@ -57,6 +57,7 @@
     data: bytes
     more_follows: bool = False  # part of a further line has arrived already
     at: int = 0  # when the kernel received it; 0: not known
+    id_taken: bool = False  # a first line whose id another process of this node has taken
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,6 +176,20 @@
     reply: object  # called with the `front.handover.HandoverState`
 
 
+@dataclass(frozen=True, slots=True)
+class IdsRequested:
+    """A successor of this process shares the ids of calls from now on (`shared_ids`)."""
+
+    reply: object  # called with all ids that are taken
+
+
+@dataclass(frozen=True, slots=True)
+class IdsLearned:
+    """The other process of a replacement has ended; these are the ids that it has taken, among others."""
+
+    ids: tuple
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Nothing happened, but time has passed."""
--- a/cottonspread/net/lines.py
+++ b/cottonspread/net/lines.py
@@ -205,6 +205,13 @@
     )
 
 
+def call_id(data):
+    """The id in a client's first line, which need not be valid otherwise; None if it has none."""
+    words = data.partition(b"\n")[0].split(b" ")
+    id = words[1].decode("ascii", "replace") if len(words) == 4 and words[0] == b"OPEN" else ""
+    return id if WORD.fullmatch(id) else None
+
+
 def traffic_type_name(line):
     """The name of the traffic type in a first line that need not be valid otherwise; "" if it has none."""
     match = re.match(rb"OPEN [^ ]+ [^ ]+ (?:[^ ]*,)?c=([^ ,\r\n]*)", line)
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -23,6 +23,7 @@
 from cottonspread.net import events as ev
 from cottonspread.net import lines
 from cottonspread.net.active_set import ActiveSet, connection_is_active, host_is_active
+from cottonspread.net.call_ids import CallIds
 from cottonspread.net.connections import Conn, Host, Leg
 from cottonspread.net.drain import LATE_ARRIVAL_TIME, DrainController
 from cottonspread.net.message_delays import MessageDelays
@@ -38,7 +39,6 @@
 LINGER_TIMEOUT = SECOND  # for the other side to close its half of a closed connection
 LINGER_RESERVE_DIVISOR = 10  # no lingering once fewer than 1 / this of all sockets are left
 HANG_DELAY = SECOND // 2  # a healthy host never pauses that long
-MAX_ENDED_IDS = 2000  # ids of ended calls that are remembered
 WRITE_TIMEOUT = 3 * SECOND  # a connection whose peer reads nothing for this long is closed
 # A client tolerates 7 s without an echo, counted from the last one, and its next line may be sent up to 2 s
 # later. Its connection is moved away from a silent host before that.
@@ -72,8 +72,7 @@
         self.hosts, self.entries, self.conns, self.open_sockets = {}, {}, {}, 0
         self.awaiting_first_line = {}  # clients without a valid first line, the oldest first
         self.lingering = {}  # closed clients that have not closed their half yet, the oldest first
-        # open calls and recently ended ones, by the id that the client gave
-        self.calls_by_id, self.ended_ids = {}, {}
+        self.call_ids = CallIds(config.max_idle_records)
         self.timers, self.last_sequence = [], 0
         order = attrgetter("order")
         self.active_conns, self.active_hosts = (
@@ -102,6 +101,8 @@
             ev.ReloadRejected: self.reload_rejected,
             ev.StateInherited: self.state_inherited,
             ev.HandOverRequested: self.hand_over_requested,
+            ev.IdsRequested: self.ids_requested,
+            ev.IdsLearned: self.ids_learned,
             ev.TransferDone: self.transfers.offer_done,
             ev.TransferOffered: self.transfers.adopt,
             ev.Tick: lambda e: None,
@@ -275,12 +276,15 @@
         elif not e.end.is_client:
             self.host_lines(e.end.leg, e.data)
         elif e.end.conn.request is None:
-            self.first_line(e.end.conn, e.data, e.more_follows)
+            self.first_line(e.end.conn, e.data, e.more_follows, e.id_taken)
         else:
             self.client_lines(e.end.conn, e.data)
 
-    def first_line(self, conn, data, more_follows):
-        """Handles a client's PING, or its OPEN, which starts a call."""
+    def first_line(self, conn, data, more_follows, id_taken):
+        """Handles a client's PING, or its OPEN, which starts a call.
+
+        `id_taken`: another process of this node has taken its id.
+        """
         first, _, rest = data.partition(b"\n")
         # A client must not send more before it has an answer: a host would take these lines for regular ones.
         if rest or more_follows:
@@ -308,9 +312,8 @@
         except lines.LineError as error:
             self.dismiss(conn, str(error))
             return
-        # Each connection must have a new id. Hosts answer ERR to an id that is already open, at this node or
-        # another: every host that was tried looked broken, and each such leg costs a host work.
-        if request.id in self.calls_by_id or request.id in self.ended_ids:
+        # Hosts answer ERR to an id that is already open: every host that was tried looked broken.
+        if id_taken or self.call_ids.is_taken(request.id):
             self.dismiss(conn, "id-in-use")
             return
         conn.request, conn.type, conn.max_legs = (
@@ -319,7 +322,7 @@
             self.config.legs.max_legs,
         )
         self.awaiting_first_line.pop(conn, None)
-        self.calls_by_id[request.id] = conn
+        self.call_ids.begin(request.id, conn)
         wait = request.timeout if request.held_by is None else REATTACH_TIMEOUT
         # The client's time runs from when its line arrived. The balancer gets less than is left of it, since
         # this node may itself be late with the answer.
@@ -933,12 +936,9 @@
             self.effects.append(ev.Log("closed", self.summary(end.conn)))
 
     def retire_id(self, conn):
-        """Moves a call's id from the open to the ended ones, of which the latest are remembered."""
-        if conn.request and self.calls_by_id.get(conn.request.id) is conn:
-            del self.calls_by_id[conn.request.id]
-            self.ended_ids[conn.request.id] = None
-            if len(self.ended_ids) > MAX_ENDED_IDS:
-                del self.ended_ids[next(iter(self.ended_ids))]
+        """Records that a connection's call, if it has one, has ended."""
+        if conn.request:
+            self.call_ids.end(conn.request.id, conn)
 
     def summary(self, conn):
         """What is logged about a connection at its end."""
@@ -1062,11 +1062,19 @@
 
     def state_inherited(self, e):
         """Takes over the state of the previous process."""
-        self.ended_ids.update(dict.fromkeys(e.state.ids))
+        self.call_ids.remember(e.state.ids)
         self.queue_event(io.Inherited(e.state.records, e.state.sent))
         if e.state.draining:
             self.drain_controller.drain(ev.DrainRequested(True))
 
+    def ids_requested(self, e):
+        """Tells all ids that are taken. From now on `LinesRead.id_taken` tells what the successor takes."""
+        e.reply(self.call_ids.all())
+
+    def ids_learned(self, e):
+        """Remembers ids that another process of this node has taken."""
+        self.call_ids.remember(e.ids)
+
     def hand_over_requested(self, e):
         """Hands the state to the successor, with half of the sockets that are still free."""
         free = max(0, self.max_sockets - self.open_sockets)
@@ -1077,6 +1085,6 @@
                 self.now,
                 room=free // 2,
                 draining=bool(self.drain_controller.draining),
-                ids=tuple(self.calls_by_id),
+                ids=tuple(self.call_ids.open),
             )
         )
--- a/cottonspread/net/transfers.py
+++ b/cottonspread/net/transfers.py
@@ -91,7 +91,7 @@
         type_number = reducer.names.types.get(offered.type)
         accepted = (
             type_number is not None
-            and offered.id not in reducer.calls_by_id
+            and offered.id not in reducer.call_ids.open
             and not reducer.drain_controller.stopping
         )
         if accepted:
@@ -111,9 +111,7 @@
         reducer.leg_established(leg)
         if offered.waiting:
             reducer.expect_echo(leg)
-        # The id was among the open ones that the previous process handed over.
-        reducer.ended_ids.pop(offered.id, None)
-        reducer.calls_by_id[offered.id] = conn
+        reducer.call_ids.begin(offered.id, conn)
         reducer.open_sockets += 2
         reducer.queue_event(
             io.CallArrived(
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -327,7 +327,7 @@
     def on_counters(self, end, args, at):
         values = {
             name + "." * bool(labels) + labels[7:-2]: value
-            for name, labels, value in self.reducer.counters.samples(len(self.reducer.calls_by_id))
+            for name, labels, value in self.reducer.counters.samples(len(self.reducer.call_ids.open))
         }
         for word in args:
             assert values[word.split("=")[0]] == int(word.split("=")[1]), (word, values)
