Fleet: an instance shares the ids of calls with the one that it replaces

What callers saw: after restart, upgrade or a reload that restarts, an id that had run at an instance ran again at its successor.

Cause: nothing of an instance's ids was handed over; the same cause as at a replacement by PROXY_INHERITED_FD.

Change: a prepared successor makes the file of ids, and the instance that leaves adds its own before it releases its lock, then shares what still comes to it.

--- a/cottonspread/cli/instance.py
+++ b/cottonspread/cli/instance.py
@@ -50,6 +50,7 @@
         self.orphan_timeout = own["orphan_s"]
         self.lock = control.Lock(os.path.join(start_message["folder"], f"{self.name}.lock"))
         self.alone_since, self.status_sent_at, self.accept_deadline = time.monotonic(), 0.0, 0.0
+        self.ids_path = os.path.join(start_message["folder"], f"{self.name}.ids")
         path = os.path.join(start_message["folder"], f"{self.name}.list.json")
         parts = self.read(json.loads(self.live))
         self.initial_list = InitialList(parts, path if own["save_list"] else None, own["list_wait_s"])
@@ -89,7 +90,9 @@
         """Does the periodic work: state changes, the check for a supervisor, status messages."""
         now = time.monotonic()
         if self.state == "waiting" and self.initial_list.ready(self.node):
+            self.node.share_ids(self.ids_path)
             self.set_state("prepared")
+        self.node.check_shared_ids(predecessor_may_join=self.state != "serving")
         if self.accept_deadline:
             self.try_start_accepting(now)
         if self.connections:
@@ -200,6 +203,8 @@
     def leave(self, has_successor):
         """Stops accepting connections and shuts down; `has_successor`: it has the listening socket."""
         self.accept_deadline = 0.0
+        if has_successor:
+            self.node.join_shared_ids(self.ids_path)
         self.node.shut_down(has_successor)
         self.lock.release()
         self.set_state("leaving")
