--- a/tests/test_call_ids.py
+++ b/tests/test_call_ids.py
@@ -3,6 +3,7 @@
 """
 
 import contextlib
+import os
 import signal
 import socket
 import time
@@ -116,3 +117,29 @@
     answers += [open_call(address, id).read_line() for id in ran]
     assert ran and all(f"call={id.decode()} " in first.log_text() for id in ran)
     assert answers == [b"ERR"] * len(answers)
+
+
+def shares_ids(process):
+    """Whether a process has the file of shared ids open."""
+    links = Path(f"/proc/{process.process.pid}/fd").glob("*")
+    return any(".ids" in os.path.realpath(link) for link in links)
+
+
+@pytest.mark.parametrize("survivor", ("first", "second"))
+def test_ids_are_shared_until_one_process_has_ended_and_then_remembered(platform, tmp_path, survivor):  # noqa: F811
+    start, address = platform
+    processes = {"first": start().ready(), "second": start().ready()}
+    assert processes["second"].wait_for_log("event=takes") and all(map(shares_ids, processes.values()))
+    kept = processes.pop(survivor)
+    (ending,) = processes.values()
+    with stopped(kept):
+        take_and_leave(address, [b"of-the-other"])
+    ending.process.kill()
+    ending.process.wait(WAIT)
+    deadline = time.monotonic() + WAIT
+    while shares_ids(kept):
+        assert time.monotonic() < deadline
+        time.sleep(0.02)
+    assert survivor == "first" or not list(tmp_path.glob("*.ids")), "the successor removes the file"
+    assert open_call(address, b"of-the-other").read_line() == b"ERR"
+    assert open_call(address, b"new").read_line().startswith(b"UP ")
