--- a/cottonspread/cli/instance.py
+++ b/cottonspread/cli/instance.py
@@ -90,9 +90,9 @@
         """Does the periodic work: state changes, the check for a supervisor, status messages."""
         now = time.monotonic()
         if self.state == "waiting" and self.initial_list.ready(self.node):
-            self.node.share_ids(self.ids_path)
+            self.node.id_sharing.create(self.ids_path)
             self.set_state("prepared")
-        self.node.check_shared_ids(predecessor_may_join=self.state != "serving")
+        self.node.id_sharing.check(predecessor_may_join=self.state != "serving")
         if self.accept_deadline:
             self.try_start_accepting(now)
         if self.connections:
@@ -204,7 +204,7 @@
         """Stops accepting connections and shuts down; `has_successor`: it has the listening socket."""
         self.accept_deadline = 0.0
         if has_successor:
-            self.node.join_shared_ids(self.ids_path)
+            self.node.id_sharing.join(self.ids_path)
         self.node.shut_down(has_successor)
         self.lock.release()
         self.set_state("leaving")
--- a/cottonspread/cli/takeover.py
+++ b/cottonspread/cli/takeover.py
@@ -98,7 +98,7 @@
                 else:
                     self.state, self.requested_at = "asking", now
                     self.listen_for_connections(node)
-                    node.share_ids(self.ids_path)
+                    node.id_sharing.create(self.ids_path)
                     self.write_file(self.request_path, self.token)
         elif self.state == "asking":
             reply, timed_out = self.read_reply(), now - self.requested_at >= ANSWER_TIMEOUT
@@ -113,7 +113,7 @@
                 if self.transfer_listener:
                     self.transfer_listener.shutdown(socket.SHUT_RDWR)  # wakes its thread
                     self.transfer_listener = None
-            node.check_shared_ids(predecessor_may_join=not self.has_lock)
+            node.id_sharing.check(predecessor_may_join=not self.has_lock)
             self.answer_request(node)
 
     def start_serving(self, node, handover_state):
@@ -195,7 +195,7 @@
         if token == self.token:  # this process's own request, which nobody answered
             self.remove_file(self.request_path)
             return
-        node.join_shared_ids(self.ids_path)
+        node.id_sharing.join(self.ids_path)
         handover_state = node.hand_over_state()
         if handover_state:
             self.remove_file(self.request_path)
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -19,9 +19,9 @@
 from cottonspread.net import events as ev
 from cottonspread.net.admission import Admission
 from cottonspread.net.closing import Closer
+from cottonspread.net.id_sharing import IdSharing
 from cottonspread.net.pool import BufferPool
 from cottonspread.net.reducer import PENDING_CLIENTS_DIVISOR, Reducer
-from cottonspread.net.shared_ids import SUCCESSOR, SharedIds
 
 log = logging.getLogger("cottonspread.node")
 
@@ -46,7 +46,6 @@
 BASE_MB, CONNECTION_END_KB = 24, 32  # memory of a node without connections, and of one connection end
 RECORD_BYTES = 400  # memory of a key that is remembered
 MIN_RECORDS = 2_000  # at any limit on memory: clients that come again within seconds are known
-SHARED_IDS_DIVISOR = 64  # the file of shared ids is at most 1 / this of the memory, as which it counts
 
 
 class Clock:
@@ -163,7 +162,9 @@
         # `urgent_events`: events that must not be delayed by a full queue
         self.admin, self.urgent_events = None, queue.SimpleQueue()
         self.connection_sender = None  # transfers established connections to a successor
-        self.shared_ids = None  # a `SharedIds` while another process of this node may take calls
+        self.id_sharing = IdSharing(
+            self.reducer.call_ids.max_ended, resource_limits.memory_mb, self.post_urgent
+        )
 
     def max_closing(self):
         """How many refused clients may be in lingering close at a time."""
@@ -267,60 +268,6 @@
         self.max_sockets = self.reducer.max_sockets
         return state
 
-    def share_ids(self, path):
-        """Shares the ids of calls with the predecessor from now on. Called before `start_accepting`."""
-        try:
-            self.shared_ids = SharedIds.create(path, *self.shared_ids_limits())
-        except OSError as error:
-            log.warning("ids-not-shared", extra={"pairs": {"file": path, "why": error}})
-
-    def shared_ids_limits(self):
-        """How many ids of both processes are kept while they share them, and the size of their file."""
-        file_size = self.resource_limits.memory_mb * 1024 * 1024 // SHARED_IDS_DIVISOR
-        return 2 * self.reducer.call_ids.max_ended, file_size
-
-    def join_shared_ids(self, path, wait=0.5):
-        """Shares the ids of calls with the successor, which has made the file.
-
-        Returns once it has those that are taken already, after `wait` seconds at the latest.
-        """
-        joined = threading.Event()
-
-        def join(ids):  # in the reducer's thread: no call begins meanwhile
-            try:
-                self.join_with(path, ids)
-            except OSError as error:  # an earlier version makes no file
-                log.warning("ids-not-shared", extra={"pairs": {"file": path, "why": error}})
-            joined.set()
-
-        self.post_urgent(ev.IdsRequested(join))
-        joined.wait(wait)
-
-    def join_with(self, path, ids):
-        """Opens the successor's file and adds the ids. Raises OSError."""
-        if self.shared_ids is not None:
-            if self.shared_ids.is_file(path):
-                return
-            ids = (*ids, *self.shared_ids.all())
-            self.stop_sharing()
-        shared = SharedIds.join(path, *self.shared_ids_limits())
-        shared.add(ids)
-        self.shared_ids = shared
-
-    def check_shared_ids(self, predecessor_may_join):
-        """Stops to share ids once the other process has ended. Called now and then, from any thread."""
-        shared = self.shared_ids
-        if shared is None or shared.role == SUCCESSOR and predecessor_may_join:
-            return
-        with contextlib.suppress(OSError):  # closed just now
-            if shared.peer_has_ended():
-                self.post_urgent(ev.IdsLearned(()))  # `complete` adds the ids
-
-    def stop_sharing(self):
-        """Closes the file of shared ids. In the reducer's thread."""
-        shared, self.shared_ids = self.shared_ids, None
-        shared.close()
-
     def reload(self, endpoints, resource_limits, names, host_protocol, node_config):
         """Applies another configuration; the list, calls and connections stay."""
         node_config = reloadable(node_config, self.reducer.config)
@@ -413,37 +360,9 @@
             if isinstance(event, ev.LinesRead) and event.end.is_client and event.end.conn.request is None:
                 with self.limiter_lock:
                     self.admission_limiter.record_wait(now, now - event_time)
-            for effect in self.step(self.complete(event), event_time):
+            for effect in self.step(self.id_sharing.complete(event), event_time):
                 self.execute(effect)
 
-    def complete(self, event):
-        """Adds to an event what the reducer, which does no I/O, needs to know of shared ids."""
-        if self.shared_ids is None:
-            return event
-        if isinstance(event, ev.IdsLearned):
-            return self.learn_ids()
-        if isinstance(event, ev.LinesRead) and event.end.is_client and event.end.conn.request is None:
-            id = lines.call_id(event.data)
-            return replace(event, id_taken=id is not None and not self.claim(id))
-        return event
-
-    def claim(self, id):
-        """Claims an id among the processes of this node; returns whether it is new."""
-        try:
-            return self.shared_ids.claim(id)
-        except OSError as error:  # calls go on without
-            log.warning("ids-not-shared", extra={"pairs": {"why": error}})
-            self.post_urgent(ev.IdsLearned(()))
-            return True
-
-    def learn_ids(self):
-        """Stops to share ids; returns the event with those that either process has taken."""
-        with contextlib.suppress(OSError):
-            self.shared_ids.read()
-        event = ev.IdsLearned(tuple(self.shared_ids.all()))
-        self.stop_sharing()
-        return event
-
     def next_event(self, timeout):
         """The next queued event with its time, or a tick after `timeout` seconds."""
         try:
