--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -26,23 +26,19 @@
 from cottonspread.net.call_ids import CallIds
 from cottonspread.net.connections import Conn, Host, Leg
 from cottonspread.net.drain import LATE_ARRIVAL_TIME, DrainController
+from cottonspread.net.echo_monitor import CHECK_INTERVAL, EchoMonitor
 from cottonspread.net.message_delays import MessageDelays
 from cottonspread.net.transfers import ConnectionTransfers
 from cottonspread.policy import Balancer
 
 SECOND = 1_000_000
 SWEEP_INTERVAL = SECOND // 4
-ECHO_CHECK_INTERVAL = SECOND // 10  # how often hosts are checked for missing echoes
 FIRST_LINE_TIMEOUT = 2 * SECOND  # for a client's first line, including the PINGs before it
 PENDING_CLIENTS_DIVISOR = 5  # at most 1 / this of all sockets may be clients without a first line
 MAX_WAIT_FACTOR = 10  # times the longest guard time; a first line with a longer wait is invalid
 LINGER_TIMEOUT = SECOND  # for the other side to close its half of a closed connection
 LINGER_RESERVE_DIVISOR = 10  # no lingering once fewer than 1 / this of all sockets are left
-HANG_DELAY = SECOND // 2  # a healthy host never pauses that long
 WRITE_TIMEOUT = 3 * SECOND  # a connection whose peer reads nothing for this long is closed
-# A client tolerates 7 s without an echo, counted from the last one, and its next line may be sent up to 2 s
-# later. Its connection is moved away from a silent host before that.
-ECHO_TIMEOUT = 9 * SECOND // 2
 REATTACH_TIMEOUT = 40 * SECOND  # for a connection that was open before this process started
 PROBE_TIMEOUT = SECOND // 4  # a host that answers later is not a good target for a new call
 NOT_LISTED = io.Entry(None, state=io.HostState.GONE)
@@ -83,8 +79,7 @@
         self.probes = 0  # number of running probes
         self.counters = Counters(())
         self.has_hosts, self.drain_controller = False, DrainController(self)
-        self.transfers = ConnectionTransfers(self)
-        self.mean_load = 0.0  # moving average of the reported loads
+        self.transfers, self.echoes = ConnectionTransfers(self), EchoMonitor(self)
         self.apply_config(config)
         self.handlers = {
             ev.ClientAccepted: self.client_accepted,
@@ -108,7 +103,7 @@
             ev.Tick: lambda e: None,
         }
         self.call_later(SWEEP_INTERVAL, self.sweep)
-        self.call_later(ECHO_CHECK_INTERVAL, self.check_echoes)
+        self.call_later(CHECK_INTERVAL, self.echoes.check)
         for action in self.balancer.actions():
             self.perform(action)
         if not config.server_list.polled:
@@ -370,7 +365,7 @@
             return
         leg = conn.legs[-1]
         leg.signals.line_sent(self.now, data.count(b"\n"))
-        self.expect_echo(leg)
+        self.echoes.expect(leg)
         self.write(leg.end, data)
 
     def end_overdue_call(self, conn):
@@ -588,124 +583,13 @@
         for line in data[skip:].splitlines(keepends=True):
             load = lines.parse_load(line)
             if load is not None:
-                self.load_reported(leg, load)
+                self.echoes.load_reported(leg, load)
             elif line.rstrip(b"\r\n") in lines.ENDINGS:
                 leg.announced_ending = lines.ENDINGS[line.rstrip(b"\r\n")]
             else:
-                self.echo_received(leg, leg.signals.echo_received(), self.event_time)
+                self.echoes.received(leg, leg.signals.echo_received(), self.event_time)
         self.write(leg.conn.client, data)
 
-    # Message delays
-
-    def expect_echo(self, leg):
-        """Marks a leg and its host as waiting for an echo."""
-        leg.host.awaiting_echo.add(leg)
-        self.active_hosts.add(leg.host)
-
-    def load_reported(self, leg, value):
-        """Handles a `LOAD` line: a load, or the delay of the host's messages."""
-        delays = leg.host.message_delays
-        self.active_hosts.add(leg.host)  # the line may be reinterpreted later
-        if self.host_protocol.sends_delay and self.host_protocol.load_may_be_delay:
-            # If hosts send no loads according to the settings, the line can only be a delay. When it was
-            # taken for the load that each connection reports first, overload was not detected at all.
-            delay = (
-                delays.classify(
-                    self.now,
-                    leg.signals,
-                    value,
-                    delays.silence(self.now, leg.host.awaiting_echo.active())[0],
-                    self.mean_load,
-                )
-                if self.host_protocol.sends_load
-                else delays.accept_delay(self.now, round(value * 1000))
-            )
-            self.report_loads(leg.host, delays.misread_loads)
-            delays.misread_loads.clear()
-            if delay:
-                self.queue_event(io.DelayReported(leg.conn, delay))
-            if delay is not None:
-                return
-        self.report_load(leg, value)
-
-    def report_load(self, leg, value):
-        """Records a connection's load and reports it to the balancer."""
-        leg.signals.load = value
-        self.mean_load += (value - self.mean_load) / 50 if self.mean_load else value
-        if self.host_protocol.sends_load:
-            self.queue_event(io.LoadReported(leg.conn, value))
-
-    def report_loads(self, host, loads):
-        """Reports loads that were recognised late. `loads`: (signals of the connection, load)."""
-        for signals, load in loads:
-            for leg in [leg for leg in host.legs if leg.signals is signals]:
-                self.report_load(leg, load)
-
-    def echo_received(self, leg, sent_at, received_at):
-        """Reports the delay of an echo to the balancer.
-
-        Late echoes are reported once a second, then the first one that is in time again. `sent_at`: when its
-        line was sent, or None; `received_at`: when the echo arrived.
-        """
-        delays = leg.host.message_delays
-        if sent_at is None or not self.host_protocol.sends_delay:
-            return
-        delays.last_echoed = max(delays.last_echoed, sent_at)
-        delay = max(0, received_at - sent_at)
-        late = delay > self.slow_threshold
-        if (
-            late
-            and self.now - delays.reported_at >= SECOND
-            or delays.reported_slow
-            and not late
-            and not delays.reported_delay
-            and (delays.silence(self.now, leg.host.awaiting_echo.active())[0] <= self.slow_threshold)
-        ):
-            self.report_delay(leg, delay, late)
-
-    def report_delay(self, leg, delay, slow):
-        """Reports a host's message delay. `slow`: it exceeds the threshold."""
-        leg.host.message_delays.reported_at, leg.host.message_delays.reported_slow = self.now, slow
-        self.queue_event(io.DelayReported(leg.conn, delay))
-
-    def check_echoes(self):
-        """Checks all hosts for missing echoes: the time without one is a lower bound on the message delay."""
-        self.call_later(ECHO_CHECK_INTERVAL, self.check_echoes)
-        late = self.lateness.recent_max(self.now)  # an echo may have waited unread for this long
-        for host in [host for host in self.active_hosts.active() if host.legs]:
-            # While a client reads nothing its host is not read either, so echoes are missing through no fault
-            # of the host.
-            legs = [leg for leg in host.awaiting_echo.active() if not leg.conn.client.writing_since]
-            silence, leg = host.message_delays.silence(self.now, legs)
-            silence = max(0, silence - late)
-            loads = host.message_delays.resolved_loads(self.now)
-            hang = (
-                host.message_delays.confirmed_hang(self.now, silence)
-                if self.host_protocol.sends_delay
-                else None
-            )
-            if hang:  # a line that was taken for a load was a delay
-                loads.append(hang[1:])
-            self.report_loads(host, loads)
-            if hang:
-                self.report_delay(leg, hang[0], True)
-            # A silence is reported when it begins, at half a second, where the balancer recognises a hang,
-            # and then once a second.
-            elif self.host_protocol.sends_delay and silence >= 3 * self.slow_threshold:
-                # how long the silence had lasted at the last report
-                silence_at_report = host.message_delays.reported_at - (self.now - silence)
-                if (
-                    self.now - host.message_delays.reported_at >= SECOND
-                    or 0 <= silence_at_report < HANG_DELAY <= silence
-                ):
-                    self.report_delay(leg, silence, True)
-            for leg in legs:
-                if (
-                    leg.signals.awaiting_echo
-                    and self.now - leg.signals.awaiting_echo[0] - min(late, SECOND) > ECHO_TIMEOUT
-                ):
-                    self.move(leg.conn, "silent-host")
-
     # Probes
 
     def probe(self, name):
--- a/cottonspread/net/transfers.py
+++ b/cottonspread/net/transfers.py
@@ -110,7 +110,7 @@
         reducer.conns[conn] = None
         reducer.leg_established(leg)
         if offered.waiting:
-            reducer.expect_echo(leg)
+            reducer.echoes.expect(leg)
         reducer.call_ids.begin(offered.id, conn)
         reducer.open_sockets += 2
         reducer.queue_event(
@@ -126,7 +126,7 @@
             )
         )
         if offered.load:
-            reducer.report_load(leg, offered.load)
+            reducer.echoes.report_load(leg, offered.load)
         for end in (e.client, e.host):
             reducer.read(end)
         reducer.effects.append(
