A connection whose transfer fails while a line is written to its client gets MOVE

Cause: when an offer to the successor failed, a client that was to be moved was moved at once; the last line is left out while another is being written.

Change: MOVE waits for the line that is being written, as it does elsewhere.

Shown: tests/reducer/transfer_fails_while_writing.txt forces the order, and fails without the change.

--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -634,7 +634,12 @@
         if not (conn.up or reattaching) or conn.reason or conn.move_reason:
             return
         conn.move_reason = reason
-        if conn.up and not conn.client.writing_since and conn is not self.transfers.offered:
+        if conn.up and conn is not self.transfers.offered:
+            self.move_when_written(conn)
+
+    def move_when_written(self, conn):
+        """Moves a client now, or after the line that is being written to it, see `read_next`."""
+        if not conn.client.writing_since:
             self.move_now(conn)
 
     def move_now(self, conn):
--- a/cottonspread/net/transfers.py
+++ b/cottonspread/net/transfers.py
@@ -65,7 +65,7 @@
         if e.accepted:
             self.release(conn)
         elif conn.move_reason:  # it was asked to move meanwhile
-            self.reducer.move_now(conn)
+            self.reducer.move_when_written(conn)
         elif e.retry:
             self.retries.append(conn)
         self.offer_next()
