Test of a successor with an old list: waits for the saved list, which need not exist yet

Cause: with list_wait_s = 0.2 an instance is ready without discovery's answer, and it saves a list only with the first answer; the test reads the file at once.

Change: the test waits until the file is there and tells of the drain; the condition and its time limit are as before.

--- a/tests/fleet/test_fleet.py
+++ b/tests/fleet/test_fleet.py
@@ -417,7 +417,8 @@
     fleet.toy.change(0, "Terminating")
     kept = fleet.folder / "s" / "f-0.list.json"
     if saved:
-        fleet.until(lambda: "Terminating" in kept.read_text(), "the drain is known")
+        # ready before discovery's first answer, the instance has saved no list yet
+        fleet.until(lambda: kept.exists() and "Terminating" in kept.read_text(), "the drain is known")
     else:
         fleet.until(lambda: fleet.rows()["f-0"]["list"] == fleet.toy.version, "the drain is known")
     hanging.set()
