Replacement: request and reply no longer wait for the disk

What callers saw: on a busy disk a new process starts without its predecessor's state ('hand-over why=no answer'), though that one works.

Cause: both files were synchronised with the disk within the second that the new process waits.

Change: these two files are replaced atomically without fsync; saved lists keep it.

No test was loosened.

--- a/cottonspread/cli/takeover.py
+++ b/cottonspread/cli/takeover.py
@@ -215,7 +215,7 @@
     def write_file(self, path, text):
         """Writes a file; failure is logged."""
         try:
-            saved.write_atomically(path, text)
+            saved.write_atomically(path, text, synced=False)
         except OSError as error:
             log.error("hand-over", extra={"pairs": {"file": path, "why": error}})
 
--- a/cottonspread/lists/saved.py
+++ b/cottonspread/lists/saved.py
@@ -11,17 +11,20 @@
 log = logging.getLogger("cottonspread.lists")
 
 
-def write_atomically(path, text, durable=False):
+def write_atomically(path, text, durable=False, synced=True):
     """Replaces the file atomically: a reader sees the old text or the new one, never a part.
 
-    `durable`: the new text also survives a power failure. On OSError the temporary file is removed.
+    `durable`: the new text also survives a power failure. `synced`: after one, the file has the old text or
+    the new one; False for files that matter only to processes that run, since a busy disk may take seconds.
+    On OSError the temporary file is removed.
     """
     temporary = f"{path}.{os.getpid()}.new"
     try:
         with open(temporary, "w", encoding="utf-8") as file:
             file.write(text)
-            file.flush()
-            os.fsync(file.fileno())
+            if synced:
+                file.flush()
+                os.fsync(file.fileno())
         os.replace(temporary, path)
         if durable:
             sync_folder(os.path.dirname(os.path.abspath(path)))
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -275,6 +275,21 @@
     assert sorted(client.read_line() for client in clients) == [b"MOVE"] * 3 + [b"still here"]
 
 
+def test_a_slow_disk_does_not_keep_the_state_from_the_successor(platform, tmp_path, monkeypatch):
+    """Guards against a successor that starts without its predecessor's state, since request and reply were
+    synchronised with a busy disk.
+    """
+    slow = tmp_path / "slow"
+    slow.mkdir()
+    (slow / "sitecustomize.py").write_text("import os, time\nos.fsync = lambda fd: time.sleep(0.7)\n")
+    monkeypatch.setenv("PYTHONPATH", str(slow))
+    start, address = platform
+    first = start().ready()
+    open_connections(address, 1)
+    second = start().ready()
+    assert second.wait_for_log("handed=True") and first.wait_for_log("hands-over")
+
+
 def test_a_successor_that_cannot_start_leaves_the_other_serving(platform):
     start, address = platform
     first = start().ready()
