Tests of replacements: the operators' port is none that the system assigns

Seen: test_ids_are_shared_until_one_process_has_ended_and_then_remembered[first] failed once of one run with 'operator: address in use'. Change: the soak's unassigned_address. No check changed.

--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -17,6 +17,8 @@
 from test_net import WAIT, Client, discovery_of, toy  # noqa: F401 (fixture)
 from test_succession import CONFIG, without
 
+from cottonspread.lab.soak.runner import unassigned_address
+
 ROOT = Path(__file__).parent.parent
 
 
@@ -24,8 +26,7 @@
     """A `serve` process; several of the same name share one listening socket."""
 
     def __init__(self, folder, listener, discovery_address, **more):
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.operator_address = free.getsockname()
+        self.operator_address = unassigned_address()
         values = (
             {key: value for key, value in CONFIG.items() if key != "operator"}
             | {
