Reread: MOVE in set-up is the host's own; the file of ids is bounded and closed rightly

Found in rereading the change: a draining host that answers a call in set-up with MOVE was no longer taken as moving its clients (host_answers_move_in_setup.txt fails without this). Ids that did not fit into the file left its descriptor and lock open; the last that fit into half of it are added now. A late notice that one process has ended could close the file shared with the next one.

Names: max_remembered bounds records and ended ids; ECHO_CHECK_INTERVAL.

--- a/cottonspread/configstore/server.py
+++ b/cottonspread/configstore/server.py
@@ -260,7 +260,7 @@
             self._drop(next(iter(self._partial)))
 
     def _read_request(self, connection: Connection) -> None:
-        if connection not in self._partial:
+        if connection not in self._partial:  # dropped to keep the bound
             return
         buffered = len(connection.reader.data)
         try:
--- a/cottonspread/interface.py
+++ b/cottonspread/interface.py
@@ -145,7 +145,8 @@
     probes_report_load: bool = False  # an answered probe reports the host's load ratio
     dynamic_weights: bool = False  # a listed weight is the size over 1 + open calls per core, and lags
     availability: AvailabilityGoal = field(default_factory=AvailabilityGoal)
-    max_idle_records: int = 0  # keys without a connection that memory has room for; 0: as the module decides
+    # Keys without a connection, and ids of ended calls, that memory has room for; 0: no limit of its own.
+    max_remembered: int = 0
 
 
 class Entry(NamedTuple):  # cheap to create: there is one for every host in every list update
--- a/cottonspread/lab/scale/reducer_node.py
+++ b/cottonspread/lab/scale/reducer_node.py
@@ -8,7 +8,7 @@
 from cottonspread.front import handover
 from cottonspread.lab.scale.balancer_node import GUARD, LOAD, SECOND, entry, node_config
 from cottonspread.net import events as ev
-from cottonspread.net.echo_monitor import CHECK_INTERVAL as ECHO_CHECK_INTERVAL
+from cottonspread.net.echo_monitor import ECHO_CHECK_INTERVAL
 from cottonspread.net.reducer import SWEEP_INTERVAL, Reducer
 
 MAX_SOCKETS = 1_000_000
--- a/cottonspread/lab/scale/reducer_sweeps.py
+++ b/cottonspread/lab/scale/reducer_sweeps.py
@@ -11,7 +11,7 @@
 from cottonspread.lab.scale.measuring import Cost, memory_taken
 from cottonspread.lab.scale.module_sweeps import CALLS, REPEATS, NodeBenchmark, run_command
 from cottonspread.lab.scale.reducer_node import ReducerNode
-from cottonspread.net.echo_monitor import CHECK_INTERVAL as ECHO_CHECK_INTERVAL
+from cottonspread.net.echo_monitor import ECHO_CHECK_INTERVAL
 from cottonspread.net.reducer import SECOND, SWEEP_INTERVAL
 
 UNECHOED_DIVISOR = 10  # one connection in this many has a line that awaits its echo
--- a/cottonspread/net/echo_monitor.py
+++ b/cottonspread/net/echo_monitor.py
@@ -7,7 +7,7 @@
 from cottonspread import interface as io
 
 SECOND = 1_000_000
-CHECK_INTERVAL = SECOND // 10  # how often hosts are checked for missing echoes
+ECHO_CHECK_INTERVAL = SECOND // 10  # how often hosts are checked for missing echoes
 HANG_DELAY = SECOND // 2  # a healthy host never pauses that long
 # A client tolerates 7 s without an echo, counted from the last one, and its next line may be sent up to 2 s
 # later. Its connection is moved away from a silent host before that.
@@ -32,8 +32,8 @@
         delays = leg.host.message_delays
         self.reducer.active_hosts.add(leg.host)  # the line may be reinterpreted later
         if self.reducer.host_protocol.sends_delay and self.reducer.host_protocol.load_may_be_delay:
-            # If hosts send no loads according to the settings, the line can only be a delay. When it was
-            # taken for the load that each connection reports first, overload was not detected at all.
+            # If hosts send no loads according to the settings, the line can only be a delay, also the first
+            # one of a connection.
             delay = (
                 delays.classify(
                     self.reducer.now,
@@ -98,10 +98,9 @@
 
     def check(self):
         """Checks all hosts for missing echoes: the time without one is a lower bound on the message delay."""
-        self.reducer.call_later(CHECK_INTERVAL, self.check)
-        late = self.reducer.lateness.recent_max(
-            self.reducer.now
-        )  # an echo may have waited unread for this long
+        self.reducer.call_later(ECHO_CHECK_INTERVAL, self.check)
+        # an echo may have waited unread for this long
+        late = self.reducer.lateness.recent_max(self.reducer.now)
         for host in [host for host in self.reducer.active_hosts.active() if host.legs]:
             # While a client reads nothing its host is not read either, so echoes are missing through no fault
             # of the host.
--- a/cottonspread/net/id_sharing.py
+++ b/cottonspread/net/id_sharing.py
@@ -27,7 +27,7 @@
 
         `post_urgent(event)` passes an event to the reducer.
         """
-        self.shared = None
+        self.shared = self.ending = None  # `ending`: the file whose sharing is to end
         self.limits = 2 * max_ended_ids, memory_mb * 1024 * 1024 // FILE_SIZE_DIVISOR
         self.post_urgent = post_urgent
 
@@ -63,7 +63,11 @@
             ids = (*ids, *self.shared.all())
             self.close()
         shared = SharedIds.join(path, *self.limits)
-        shared.add(ids)
+        try:
+            shared.add(ids)
+        except OSError:
+            shared.close()
+            raise
         self.shared = shared
 
     def close(self):
@@ -78,10 +82,11 @@
             return
         with contextlib.suppress(OSError):  # closed just now
             if shared.peer_has_ended():
-                self.end()
+                self.end(shared)
 
-    def end(self):
-        """Ends the sharing in the reducer's thread, after the events that are under way."""
+    def end(self, shared):
+        """Ends the sharing of this file in the reducer's thread, unless another one is joined by then."""
+        self.ending = shared
         self.post_urgent(ev.IdsLearned(()))  # `complete` adds the ids
 
     def complete(self, event):
@@ -89,7 +94,7 @@
         if self.shared is None:
             return event
         if isinstance(event, ev.IdsLearned):
-            return self.learn()
+            return self.learn() if self.ending is self.shared else event
         if isinstance(event, ev.LinesRead) and event.end.is_client and event.end.conn.request is None:
             id = lines.call_id(event.data)
             return replace(event, id_taken=id is not None and not self.claim(id))
@@ -101,7 +106,7 @@
             return self.shared.claim(id)
         except OSError as error:  # calls go on without
             log.warning("ids-not-shared", extra={"pairs": {"why": error}})
-            self.end()
+            self.end(self.shared)
             return True
 
     def learn(self):
--- a/cottonspread/net/node.py
+++ b/cottonspread/net/node.py
@@ -151,7 +151,7 @@
             on_list,
             watch_at_once(node_config, update, on_list is not None),
         )
-        node_config = replace(node_config, max_idle_records=record_limit(resource_limits, self.max_sockets))
+        node_config = replace(node_config, max_remembered=record_limit(resource_limits, self.max_sockets))
         self.reducer = Reducer(self.clock.now(), node_config, names, host_protocol, self.max_sockets)
         self.discovery.start_with(
             update, addresses, invalid, trusted=node_config.server_list.polled or on_list is not None
--- a/cottonspread/net/reducer.py
+++ b/cottonspread/net/reducer.py
@@ -26,7 +26,7 @@
 from cottonspread.net.call_ids import CallIds
 from cottonspread.net.connections import Conn, Host, Leg
 from cottonspread.net.drain import LATE_ARRIVAL_TIME, DrainController
-from cottonspread.net.echo_monitor import CHECK_INTERVAL, EchoMonitor
+from cottonspread.net.echo_monitor import ECHO_CHECK_INTERVAL, EchoMonitor
 from cottonspread.net.message_delays import MessageDelays
 from cottonspread.net.transfers import ConnectionTransfers
 from cottonspread.policy import Balancer
@@ -68,7 +68,7 @@
         self.hosts, self.entries, self.conns, self.open_sockets = {}, {}, {}, 0
         self.awaiting_first_line = {}  # clients without a valid first line, the oldest first
         self.lingering = {}  # closed clients that have not closed their half yet, the oldest first
-        self.call_ids = CallIds(config.max_idle_records)
+        self.call_ids = CallIds(config.max_remembered)
         self.timers, self.last_sequence = [], 0
         order = attrgetter("order")
         self.active_conns, self.active_hosts = (
@@ -103,7 +103,7 @@
             ev.Tick: lambda e: None,
         }
         self.call_later(SWEEP_INTERVAL, self.sweep)
-        self.call_later(CHECK_INTERVAL, self.echoes.check)
+        self.call_later(ECHO_CHECK_INTERVAL, self.echoes.check)
         for action in self.balancer.actions():
             self.perform(action)
         if not config.server_list.polled:
@@ -307,7 +307,7 @@
         except lines.LineError as error:
             self.dismiss(conn, str(error))
             return
-        # Hosts answer ERR to an id that is already open: every host that was tried looked broken.
+        # Hosts answer ERR to an id that is already open, which counts as an error of each host that is tried.
         if id_taken or self.call_ids.is_taken(request.id):
             self.dismiss(conn, "id-in-use")
             return
@@ -573,6 +573,7 @@
             self.end_leg(leg, ending)
             self.end_call(conn, "completed-at-once", first + b"\n")
         else:
+            leg.announced_ending = ending
             self.end_leg(leg, ending)
 
     def forward(self, leg, data, skip=0):
--- a/cottonspread/net/shared_ids.py
+++ b/cottonspread/net/shared_ids.py
@@ -20,6 +20,8 @@
 FLOCK = struct.Struct("@hhqqi4x")
 SUCCESSOR, PREDECESSOR = 0, 1  # the byte that each locks
 READ_SIZE = 1024 * 1024
+RECORD_SIZE = 96  # bytes of the longest record
+ADDED_DIVISOR = 2  # ids taken before fill at most 1 / this of the file, so that there is room for new ones
 
 
 class SharedIdsError(OSError):
@@ -91,8 +93,8 @@
         return self.first.get(id.encode(), mark) == mark
 
     def add(self, ids):
-        """Adds ids that this process has taken already. Raises OSError."""
-        self.append(ids)
+        """Adds ids that this process has taken already, the last ones if there are many. Raises OSError."""
+        self.append(ids[-(self.max_size // ADDED_DIVISOR // RECORD_SIZE) :])
         self.read()
 
     def append(self, ids):
--- a/cottonspread/policy/path.py
+++ b/cottonspread/policy/path.py
@@ -65,7 +65,7 @@
         """`config`: a `NodeConfig`."""
         settings, rng = Settings(config, SlowStart.DEFAULT_NODES), SeededRandom(config.seed)
         membership = Membership(rng, settings, config.dynamic_weights)
-        super().__init__(now, settings, membership, Records(config.max_idle_records))
+        super().__init__(now, settings, membership, Records(config.max_remembered))
         self.rng, self.groups, self.loads = rng, Groups(), Loads()
         self.arrivals = SlidingCount(SECOND // 4, 64)  # arrived calls, over up to 16 s
         self.readings, self.rotation = Readings(rng, settings), Rotation(rng)
