Saved lists are written by a thread of their own, not before the next watch

What callers would see: on a busy disk a node learns late that a server drains, and sends it calls past the grace.

Cause: discovery's thread wrote each list with fsync before it asked for the next one.

Change: it hands the list to a thread that writes the latest one, synchronised as before; a process is ready once its first list is written, as before.

--- a/cottonspread/cli/initial_list.py
+++ b/cottonspread/cli/initial_list.py
@@ -1,6 +1,7 @@
 """The server list that a process starts with, and saves for the next process."""
 
 import logging
+import threading
 import time
 
 from cottonspread.lists import saved
@@ -30,14 +31,28 @@
         """
         self.saved = saved.SavedList(path, parts[4].dynamic_weights) if path else None
         self.timeout, self.received, self.started_at = timeout, False, time.monotonic()
+        self.changed = threading.Event()  # there is a list to write
         if path:
             parts[-1] = newer_list(saved.read(path), parts)
+            threading.Thread(target=self.write_lists, name="write-lists", daemon=True).start()
 
     def on_list(self, *update):
-        """Saves a list from discovery; see `Node.__init__`."""
-        if self.saved:
-            self.saved.update(*update)
-        self.received = True
+        """Takes a list from discovery, to be saved; see `Node.__init__`.
+
+        Does not wait for the disk: discovery's thread calls this before it asks for the next list.
+        """
+        if self.saved and self.saved.merge(*update):
+            self.changed.set()
+        else:
+            self.received = True
+
+    def write_lists(self):
+        """The thread that writes the latest list whenever it has changed."""
+        while True:
+            self.changed.wait()
+            self.changed.clear()
+            self.saved.write()
+            self.received = True
 
     def ready(self, node):
         """Whether a node that does not accept connections yet is able to serve."""
--- a/cottonspread/lists/saved.py
+++ b/cottonspread/lists/saved.py
@@ -49,9 +49,15 @@
     def __init__(self, path, dynamic_weights=False):
         """`dynamic_weights`: changes of weights alone are not saved."""
         self.path, self.entries, self.failing, self.dynamic_weights = path, {}, False, dynamic_weights
+        self.text = ""
 
     def update(self, version, instances, full):
         """Saves a list as discovery sent it; `full`: the whole list, not changes to the last one."""
+        if self.merge(version, instances, full):
+            self.write()
+
+    def merge(self, version, instances, full):
+        """As `update`, without writing; returns whether there is anything to write."""
         # Live weights change every second, and each change would cost a write and an fsync. The weights
         # saved first stay: they are closer to the servers' sizes.
         if (
@@ -62,18 +68,22 @@
                 for instance in instances
             )
         ):
-            return
+            return False
         if full:
             self.entries = {}
         for instance in instances:
             self.entries[str(instance["instanceId"])] = instance
             if instance["lifecycle"] == "Gone":
                 del self.entries[str(instance["instanceId"])]
+        self.text = json.dumps(
+            {"generation": version, "reset": True, "instances": list(self.entries.values())}
+        )
+        return True
+
+    def write(self):
+        """Writes the list as it is now; may wait for the disk."""
         try:
-            write_atomically(
-                self.path,
-                json.dumps({"generation": version, "reset": True, "instances": list(self.entries.values())}),
-            )
+            write_atomically(self.path, self.text)
             self.failing = False
         except OSError as error:
             if not self.failing:  # logged once, not for each list
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -291,6 +291,22 @@
     assert second.wait_for_log("handed=True") and first.wait_for_log("hands-over")
 
 
+def test_a_slow_disk_does_not_delay_the_next_change_of_the_list(platform, servers, tmp_path, monkeypatch):
+    """Guards against a node that learns late that a server drains: it was still saving the list before."""
+    slow = tmp_path / "slow"
+    slow.mkdir()
+    (slow / "sitecustomize.py").write_text("import os, time\nos.fsync = lambda fd: time.sleep(1.5)\n")
+    monkeypatch.setenv("PYTHONPATH", str(slow))
+    start, _ = platform
+    node = start().ready()
+    servers.change(0, "Terminating")
+    assert node.wait_for_log("news=changes version=2")
+    servers.change(1, "Terminating")
+    changed_at = time.monotonic()
+    assert node.wait_for_log("news=changes version=3")
+    assert time.monotonic() - changed_at < 0.5, "the grace in which a draining server may get calls"
+
+
 def test_a_successor_that_cannot_start_leaves_the_other_serving(platform):
     start, address = platform
     first = start().ready()
